Lay out the workspace, domain types and protocols

Cause: routers, schedulers and tools are to grow side by side, so the types between them come first. Conclusion: decisions can now be built on plain values.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decisions, with baselines and targets.
--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' web forms.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform, load, faults, checker and reports.
+
+use std::process::ExitCode;
+
+/// Runs the program with the process's arguments and returns its exit code.
+pub fn main() -> ExitCode {
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, views, ownership and key homes.
--- /dev/null
+++ b/crates/model/src/document/mod.rs
@@ -0,0 +1,75 @@
+//! The operators' document: everything that is declared, in one place.
+//!
+//! These are the checked domain types. The types of the YAML text are generated from the JSON
+//! schema and converted, with every fault reported, before anything here exists; a `Document`
+//! that exists is valid.
+
+mod fleet;
+mod policy;
+mod service;
+mod team;
+mod workload;
+
+pub use self::{
+    fleet::{EntryHosts, Fleet, Region, WorkerGroup},
+    policy::{Policy, Preset, Weights},
+    service::{RequestClass, Service},
+    team::Team,
+    workload::{Batch, Gang, Spread, TaskShape},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// A valid declaration of a whole cell.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Document {
+    /// Name of the cell.
+    pub cell: Name,
+    /// Regions and their data centres.
+    pub regions: Vec<Region>,
+    /// What hosts the cell is expected to have.
+    pub fleet: Fleet,
+    /// Teams with quotas.
+    pub teams: Vec<Team>,
+    /// How work is placed.
+    pub policy: Policy,
+    /// Long-lived services.
+    pub services: Vec<Service>,
+    /// Batch workloads.
+    pub batch: Vec<Batch>,
+    /// Workloads whose tasks start together.
+    pub gangs: Vec<Gang>,
+}
+
+impl Document {
+    /// Returns the service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services
+            .iter()
+            .find(|service| service.name.as_str() == name)
+    }
+
+    /// Returns the batch workload of that name.
+    pub fn batch(&self, name: &str) -> Option<&Batch> {
+        self.batch.iter().find(|batch| batch.name.as_str() == name)
+    }
+
+    /// Returns the gang workload of that name.
+    pub fn gang(&self, name: &str) -> Option<&Gang> {
+        self.gangs.iter().find(|gang| gang.name.as_str() == name)
+    }
+
+    /// Returns the team of that name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|team| team.name.as_str() == name)
+    }
+
+    /// Returns every data centre with its region, in document order.
+    pub fn data_centres(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.regions
+            .iter()
+            .flat_map(|region| region.data_centres.iter().map(move |dc| (&region.name, dc)))
+    }
+}
--- /dev/null
+++ b/crates/model/src/id.rs
@@ -0,0 +1,142 @@
+//! Identifiers of processes, jobs, tasks and requests.
+
+use std::str::FromStr;
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::Name;
+
+/// Distinguishes successive lives of a process under one name. Later lives have higher numbers.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// Identifies one life of one of the system's own processes.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{name}#{incarnation}")]
+pub struct NodeId {
+    /// Name of the process, unique in the cell.
+    pub name: Name,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+}
+
+impl NodeId {
+    /// Creates an identifier.
+    pub fn new(name: impl Into<Name>, incarnation: u64) -> Self {
+        Self {
+            name: name.into(),
+            incarnation: Incarnation(incarnation),
+        }
+    }
+}
+
+/// Parses 1 to 32 hexadecimal digits.
+///
+/// # Errors
+///
+/// Returns the parse error of the standard library for anything else.
+pub fn parse_hex_u128(text: &str) -> Result<u128, std::num::ParseIntError> {
+    u128::from_str_radix(text, 16)
+}
+
+macro_rules! hex_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[display("{_0:032x}")]
+        pub struct $name(pub u128);
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                parse_hex_u128(text).map(Self)
+            }
+        }
+
+        // Text formats carry hexadecimal digits because JSON numbers lose precision past 53 bits.
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                if s.is_human_readable() { s.collect_str(self) } else { self.0.serialize(s) }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                if d.is_human_readable() {
+                    let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
+                    text.parse().map_err(serde::de::Error::custom)
+                } else {
+                    u128::deserialize(d).map(Self)
+                }
+            }
+        }
+    };
+}
+
+hex_id! {
+    /// Identifies a job: one submission of a batch or gang workload, or a declared service.
+    JobId
+}
+
+hex_id! {
+    /// Identifies one request of a caller as one router received it.
+    RequestId
+}
+
+impl JobId {
+    /// Returns the identifier of a declared service's runners, derived from the service's name.
+    pub fn for_service(service: &Name) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_128(service.as_str().as_bytes()))
+    }
+
+    /// Returns the identifier of a submission from its team and the caller's key, so that the
+    /// same submission sent twice is one job.
+    pub fn for_submission(team: &Name, key: &str) -> Self {
+        let text = format!("submission\u{0}{team}\u{0}{key}");
+        Self(xxhash_rust::xxh3::xxh3_128(text.as_bytes()))
+    }
+}
+
+/// Identifies one attempt at running one task of a job.
+///
+/// At most one attempt of a `(job, index)` pair runs at any time.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{job}.{index}.{attempt}")]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// Position within the job, from zero.
+    pub index: u32,
+    /// Attempt number, from zero.
+    pub attempt: u32,
+}
+
+impl TaskId {
+    /// Creates an identifier.
+    pub const fn new(job: JobId, index: u32, attempt: u32) -> Self {
+        Self {
+            job,
+            index,
+            attempt,
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/resources.rs
@@ -0,0 +1,126 @@
+//! Amounts of processors, memory and accelerators.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Processor, memory and accelerator amounts of a worker or a task.
+///
+/// Amounts are integers so that sums are exact: a commitment that fits once fits always.
+///
+/// # Examples
+///
+/// ```
+/// use kspan_model::Resources;
+///
+/// let worker = Resources::new(32_000, 131_072, 0);
+/// let task = Resources::new(2_000, 8_192, 0);
+/// assert!(task.fits_in(worker));
+/// assert_eq!(worker.checked_sub(task).unwrap().cpu_milli, 30_000);
+/// ```
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{cpu_milli}m cpu, {memory_mib} MiB, {accelerators} accelerators")]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Nothing at all.
+    pub const ZERO: Self = Self {
+        cpu_milli: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
+
+    /// Creates an amount.
+    pub const fn new(cpu_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
+        Self {
+            cpu_milli,
+            memory_mib,
+            accelerators,
+        }
+    }
+
+    /// Returns whether every amount is at most that of `other`.
+    pub const fn fits_in(self, other: Self) -> bool {
+        self.cpu_milli <= other.cpu_milli
+            && self.memory_mib <= other.memory_mib
+            && self.accelerators <= other.accelerators
+    }
+
+    /// Returns the sum, saturating at the largest representable amount.
+    pub const fn saturating_add(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the difference, or `None` where any amount would fall below zero.
+    pub const fn checked_sub(self, other: Self) -> Option<Self> {
+        if !other.fits_in(self) {
+            return None;
+        }
+        Some(Self {
+            cpu_milli: self.cpu_milli - other.cpu_milli,
+            memory_mib: self.memory_mib - other.memory_mib,
+            accelerators: self.accelerators - other.accelerators,
+        })
+    }
+
+    /// Returns the difference with each amount held at zero or above.
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns each amount multiplied by `count`, saturating.
+    pub const fn times(self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Returns whether every amount is zero.
+    pub const fn is_zero(self) -> bool {
+        self.cpu_milli == 0 && self.memory_mib == 0 && self.accelerators == 0
+    }
+
+    /// Returns the largest share that any amount takes of `total`; the dominant share of
+    /// dominant-resource fairness.
+    ///
+    /// An amount wanted of a resource whose total is zero gives an infinite share.
+    pub fn dominant_share(self, total: Self) -> f64 {
+        let share = |part: u64, whole: u64| match (part, whole) {
+            (0, _) => 0.0,
+            (_, 0) => f64::INFINITY,
+            (part, whole) => part as f64 / whole as f64,
+        };
+        share(self.cpu_milli, total.cpu_milli)
+            .max(share(self.memory_mib, total.memory_mib))
+            .max(share(self.accelerators, total.accelerators))
+    }
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, queues, quotas and gangs.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,6 @@
+//! Clients of the platform: log service, host list, workers and runners.
+//!
+//! This is the only crate that knows the platform's protocols. It retries nothing: whether an
+//! operation may be repeated is decided by its callers.
+
+pub mod border;
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runner choice, limits, retries and idempotency keys.
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,8 @@
+//! The task scheduler.
+
+use std::process::ExitCode;
+
+/// Runs the program with the process's arguments and returns its exit code.
+pub fn main() -> ExitCode {
+    ExitCode::SUCCESS
+}
