--- /dev/null
+++ b/crates/placement/src/choose.rs
@@ -0,0 +1,91 @@
+//! The choice of a worker for one task.
+//!
+//! A bounded number of candidates is scored, so that the cost does not follow the number of
+//! workers. The score is a weighted sum; the weights are the policy's.
+
+use kspan_model::Resources;
+use rand::Rng;
+
+use crate::{
+    index::Visit,
+    job::{Job, JobNo},
+    state::Inner,
+    worker::{Worker, WorkerNo},
+};
+
+/// Workers scored for one task.
+const CANDIDATES: usize = 32;
+/// Workers scored from one cell of the index before the next cell is looked at.
+const PER_CELL: usize = 6;
+/// Workers looked at for one task, those without room included.
+const LOOKED_AT: usize = 256;
+
+#[derive(Clone, Copy)]
+struct Best {
+    worker: WorkerNo,
+    cost: f64,
+}
+
+impl Inner {
+    /// Returns the best worker with room for the job's next task.
+    pub(crate) fn choose(&self, number: JobNo, rng: &mut impl Rng) -> Option<WorkerNo> {
+        let job = self.jobs.get(number);
+        let need = job.spec.shape.size;
+        let mut best: Option<Best> = None;
+        let (mut scored, mut looked_at, mut in_cell) = (0, 0, 0);
+        let mut last_cell = None;
+        let turn = rng.random_range(0..1_usize << 16);
+        self.workers.index.search(need, turn, |cell, number| {
+            if last_cell != Some(cell) {
+                last_cell = Some(cell);
+                in_cell = 0;
+            }
+            looked_at += 1;
+            let worker = self.workers.get(number);
+            if need.fits_in(worker.free()) && !job.avoid.contains(&number) {
+                let cost = self.cost(job, worker, need);
+                if best.is_none_or(|best| cost < best.cost) {
+                    best = Some(Best {
+                        worker: number,
+                        cost,
+                    });
+                }
+                scored += 1;
+                in_cell += 1;
+            }
+            if scored >= CANDIDATES || (looked_at >= LOOKED_AT && best.is_some()) {
+                Visit::Stop
+            } else if in_cell >= PER_CELL {
+                Visit::NextCell
+            } else {
+                Visit::Next
+            }
+        });
+        best.map(|best| best.worker)
+    }
+
+    /// Returns the cost of a worker for the job's next task; less is better.
+    fn cost(&self, job: &Job, worker: &Worker, need: Resources) -> f64 {
+        let weights = self.policy.weights;
+        let after = worker.free().saturating_sub(need);
+        let cpu = part(after.cpu_milli, worker.capacity.cpu_milli);
+        let memory = part(after.memory_mib, worker.capacity.memory_mib);
+        let mut cost = weights.packing * (0.5 * (cpu + memory) + (cpu - memory).abs());
+        if worker.capacity.accelerators > 0 {
+            let stranded = part(after.accelerators, worker.capacity.accelerators);
+            cost += weights.fragmentation * (stranded + f64::from(need.accelerators == 0));
+        }
+        if job.is_spread() {
+            let near = job.racks.get(&worker.rack).copied().unwrap_or(0);
+            cost += weights.spread * f64::from(near);
+        }
+        cost
+    }
+}
+
+fn part(amount: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    amount as f64 / whole as f64
+}
--- /dev/null
+++ b/crates/placement/src/index.rs
@@ -0,0 +1,204 @@
+//! Workers by free capacity.
+//!
+//! Workers lie in cells of a grid: free accelerators exactly, free processor time and memory in
+//! quarter octaves. Bit masks name the cells that are in use, so that a search visits only those
+//! that can hold the task, the tightest first. The cost of a search depends on how many workers
+//! it looks at, not on how many there are.
+//!
+//! The index knows nothing about scores: it offers candidates and the caller chooses.
+
+use kspan_model::Resources;
+
+/// Buckets of processor time or memory; one machine word of mask bits.
+const BUCKETS: usize = 64;
+/// Buckets in one octave.
+const PER_OCTAVE: u64 = 4;
+/// Amounts below two to this power share the first bucket.
+const FIRST_OCTAVE: u64 = 6;
+/// Levels: workers without accelerators, then 0 to 15 or more free ones.
+const LEVELS: usize = 17;
+/// Marks a worker that is not in the index.
+const ABSENT: u32 = u32::MAX;
+
+/// Returns the bucket of an amount; larger amounts never lie in lower buckets.
+fn bucket(amount: u64) -> usize {
+    if amount < 1 << FIRST_OCTAVE {
+        return 0;
+    }
+    let octave = u64::from(amount.ilog2());
+    let quarter = (amount >> (octave - 2)) & (PER_OCTAVE - 1);
+    let raw = (octave - FIRST_OCTAVE) * PER_OCTAVE + quarter;
+    usize::try_from(raw).map_or(BUCKETS - 1, |raw| raw.min(BUCKETS - 1))
+}
+
+/// Returns a mask of the buckets from `from` up.
+const fn from_bucket(from: usize) -> u64 {
+    u64::MAX << from
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    cell: u32,
+    position: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Level {
+    cpu_mask: u64,
+    memory_masks: Box<[u64; BUCKETS]>,
+    cells: Box<[Vec<u32>]>,
+}
+
+impl Level {
+    fn new() -> Self {
+        Self {
+            cpu_mask: 0,
+            memory_masks: Box::new([0; BUCKETS]),
+            cells: vec![Vec::new(); BUCKETS * BUCKETS].into_boxed_slice(),
+        }
+    }
+}
+
+/// Whether a search goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Visit {
+    /// Offer the next candidate.
+    Next,
+    /// Go on with the next cell.
+    NextCell,
+    /// Enough.
+    Stop,
+}
+
+/// An index of workers by what they have free.
+#[derive(Clone, Debug)]
+pub(crate) struct FreeIndex {
+    levels: Vec<Level>,
+    places: Vec<Place>,
+}
+
+impl FreeIndex {
+    /// Creates an empty index.
+    pub(crate) fn new() -> Self {
+        Self {
+            levels: (0..LEVELS).map(|_| Level::new()).collect(),
+            places: Vec::new(),
+        }
+    }
+
+    /// Puts a worker where its free capacity belongs, from wherever it was.
+    pub(crate) fn put(&mut self, worker: u32, free: Resources, accelerated: bool) {
+        let level = level_of(free.accelerators, accelerated);
+        let cpu = bucket(free.cpu_milli);
+        let memory = bucket(free.memory_mib);
+        let cell = cell_number(level, cpu, memory);
+        let slot = worker as usize;
+        if slot >= self.places.len() {
+            let absent = Place {
+                cell: ABSENT,
+                position: 0,
+            };
+            self.places.resize(slot + 1, absent);
+        }
+        if self.places[slot].cell == cell {
+            return;
+        }
+        self.take(worker);
+        let level = &mut self.levels[level];
+        let members = &mut level.cells[cpu * BUCKETS + memory];
+        let position = u32::try_from(members.len()).expect("workers are numbered in 32 bits");
+        members.push(worker);
+        level.cpu_mask |= 1 << cpu;
+        level.memory_masks[cpu] |= 1 << memory;
+        self.places[slot] = Place { cell, position };
+    }
+
+    /// Takes a worker out.
+    pub(crate) fn take(&mut self, worker: u32) {
+        let Some(place) = self.places.get_mut(worker as usize) else {
+            return;
+        };
+        if place.cell == ABSENT {
+            return;
+        }
+        let Place { cell, position } = *place;
+        place.cell = ABSENT;
+        let cell = cell as usize;
+        let inner = cell % (BUCKETS * BUCKETS);
+        let level = &mut self.levels[cell / (BUCKETS * BUCKETS)];
+        let members = &mut level.cells[inner];
+        members.swap_remove(position as usize);
+        if let Some(&moved) = members.get(position as usize) {
+            self.places[moved as usize].position = position;
+        }
+        if members.is_empty() {
+            let cpu = inner / BUCKETS;
+            level.memory_masks[cpu] &= !(1 << (inner % BUCKETS));
+            if level.memory_masks[cpu] == 0 {
+                level.cpu_mask &= !(1 << cpu);
+            }
+        }
+    }
+
+    /// Offers the workers whose cell may hold `need`, the tightest cells first. Workers of cells
+    /// on the boundary may still be too small. Within a cell the offer starts at `turn`, so that
+    /// repeated searches look at different workers. The visitor is given the cell and the worker.
+    pub(crate) fn search(
+        &self,
+        need: Resources,
+        turn: usize,
+        mut visit: impl FnMut(u32, u32) -> Visit,
+    ) {
+        for number in levels_for(need.accelerators) {
+            let level = &self.levels[number];
+            let mut cpus = level.cpu_mask & from_bucket(bucket(need.cpu_milli));
+            while cpus != 0 {
+                let cpu = cpus.trailing_zeros() as usize;
+                cpus &= cpus - 1;
+                let mut memories = level.memory_masks[cpu] & from_bucket(bucket(need.memory_mib));
+                while memories != 0 {
+                    let memory = memories.trailing_zeros() as usize;
+                    memories &= memories - 1;
+                    let members = &level.cells[cpu * BUCKETS + memory];
+                    let cell = cell_number(number, cpu, memory);
+                    if !visit_cell(members, turn, |worker| visit(cell, worker)) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn visit_cell(members: &[u32], turn: usize, mut visit: impl FnMut(u32) -> Visit) -> bool {
+    let start = turn % members.len().max(1);
+    let (before, after) = members.split_at(start);
+    for &worker in after.iter().chain(before) {
+        match visit(worker) {
+            Visit::Next => {}
+            Visit::NextCell => return true,
+            Visit::Stop => return false,
+        }
+    }
+    true
+}
+
+fn level_of(free_accelerators: u64, accelerated: bool) -> usize {
+    if !accelerated {
+        return 0;
+    }
+    1 + usize::try_from(free_accelerators).map_or(LEVELS - 2, |free| free.min(LEVELS - 2))
+}
+
+/// Returns the levels that may hold a task, those that strand the fewest accelerators first.
+fn levels_for(accelerators: u64) -> std::ops::Range<usize> {
+    if accelerators == 0 {
+        return 0..LEVELS;
+    }
+    level_of(accelerators, true)..LEVELS
+}
+
+fn cell_number(level: usize, cpu: usize, memory: usize) -> u32 {
+    let number = (level * BUCKETS + cpu) * BUCKETS + memory;
+    u32::try_from(number).expect("the grid has fewer than 2^32 cells")
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,87 @@
-//! Placement, queues, quotas and gangs.
+//! Placement, queues, quotas and gangs of one shard.
+//!
+//! A [`Cell`] holds one shard's workers, what is committed to them, the jobs that wait and the
+//! teams' shares. The program tells it what happens and asks it for a plan; every decision is in
+//! force in the cell as soon as it is returned. The crate has no I/O, no clock and no threads:
+//! times and random numbers are arguments.
+//!
+//! It does not know leases or fences. The program must not plan before it has adopted what the
+//! shard's workers run already, and must report a task as lost only when the task's lease has
+//! provably lapsed.
+//!
+//! # Examples
+//!
+//! ```
+//! use kspan_model::{
+//!     JobId, Millis, Name, Priority, Resources, Site,
+//!     document::{Policy, Preset, Spread, TaskShape, Team},
+//! };
+//! use kspan_placement::{Cell, Decision, End, JobSpec, Kind, Submitted, WorkerSpec};
+//! use rand::SeedableRng;
+//!
+//! let teams = [Team {
+//!     name: Name::new("settlement"),
+//!     quota: Resources::new(64_000, 262_144, 0),
+//!     weight: 1.0,
+//!     borrow: true,
+//! }];
+//! let mut cell = Cell::new(Policy::new(Preset::WaitingFirst)).with_teams(&teams);
+//! cell.upsert_worker(WorkerSpec {
+//!     name: Name::new("worker-1"),
+//!     rack: Name::new("rack-1"),
+//!     site: Site::new("Vestland", "vestland-1"),
+//!     capacity: Resources::new(32_000, 131_072, 0),
+//! });
+//! let submitted = cell.submit(JobSpec {
+//!     id: JobId(1),
+//!     workload: Name::new("reconcile"),
+//!     team: Name::new("settlement"),
+//!     priority: Priority::Normal,
+//!     kind: Kind::Batch,
+//!     tasks: 1,
+//!     shape: TaskShape { size: Resources::new(2_000, 4_096, 0), checkpoint: false },
+//!     run_time: Millis::from_secs(60),
+//!     retries: 2,
+//!     spread: Spread::None,
+//!     submitted: Millis(0),
+//! });
+//! assert_eq!(submitted, Submitted::Queued);
+//!
+//! let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+//! let decisions = cell.plan(Millis(5), &mut rng, 100);
+//! let Decision::Start(start) = &decisions[0] else { panic!("the task fits") };
+//! cell.started(start.task, Millis(9));
+//! let effect = cell.ended(start.task, End::Succeeded, Millis(60_000));
+//! assert!(effect.done.is_some());
+//! ```
+
+mod cell;
+mod choose;
+mod commands;
+mod events;
+mod feasible;
+mod gang;
+mod health;
+mod index;
+mod job;
+mod plan;
+mod queries;
+mod queue;
+mod spec;
+mod state;
+mod stats;
+mod task;
+mod team;
+mod timers;
+mod worker;
+
+pub use crate::{
+    cell::Cell,
+    queries::{Counts, Snapshot, TaskRow, TeamShare, WorkerRow},
+    spec::{
+        Adopted, Cancelled, Decision, Effect, End, Found, JobDone, JobSpec, Kind, Placed, Reason,
+        Resized, Start, StartRefusal, Submitted, Waiting, WorkerSpec, WorkerState,
+    },
+    stats::Waits,
+    task::{MOVES, TaskState},
+};
--- /dev/null
+++ b/crates/placement/src/queries.rs
@@ -0,0 +1,237 @@
+//! Queries: what can be read of a cell without changing it.
+
+use kspan_model::{JobId, Millis, Name, Priority, Resources, TaskId};
+use serde::Serialize;
+
+use crate::{
+    Cell, TaskState, Waits,
+    job::NO_WORKER,
+    spec::{Placed, Waiting, WorkerState},
+};
+
+/// What a team holds and is owed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TeamShare {
+    /// The team.
+    pub team: Name,
+    /// What it holds.
+    pub committed: Resources,
+    /// Its quota in this shard.
+    pub quota: Resources,
+    /// Its dominant share of the shard's capacity, divided by its weight.
+    pub weighted_share: f64,
+    /// Whether it holds its quota already.
+    pub borrows: bool,
+}
+
+/// How much work there is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Known workers.
+    pub workers: usize,
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Jobs with a task that waits.
+    pub queued_jobs: usize,
+    /// Tasks that wait.
+    pub queued_tasks: usize,
+    /// Tasks that hold a worker.
+    pub active_tasks: usize,
+}
+
+/// A task and its state.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TaskRow {
+    /// The task.
+    pub task: TaskId,
+    /// Its state.
+    pub state: TaskState,
+    /// The worker that holds it.
+    pub worker: Option<Name>,
+    /// What is committed to it while it holds a worker.
+    pub size: Resources,
+}
+
+/// A worker and what is committed to it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct WorkerRow {
+    /// The worker.
+    pub name: Name,
+    /// Its state, and whether it is on probation.
+    pub state: String,
+    /// What it has.
+    pub capacity: Resources,
+    /// What is committed to tasks.
+    pub committed: Resources,
+    /// What is held back by reservations.
+    pub reserved: Resources,
+    /// Tasks that it holds.
+    pub tasks: usize,
+}
+
+/// The state of a cell, for dumps.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// How much work there is.
+    pub counts: Counts,
+    /// Capacity of all workers that are not gone.
+    pub capacity: Resources,
+    /// What is committed.
+    pub committed: Resources,
+    /// The teams.
+    pub teams: Vec<TeamShare>,
+    /// Waiting times by priority, lowest first.
+    pub waits: Vec<Waits>,
+    /// The workers.
+    pub workers: Vec<WorkerRow>,
+}
+
+impl Cell {
+    /// Returns why a job waits, or `None` where it is not known.
+    pub fn explain(&self, job: JobId) -> Option<Waiting> {
+        let inner = &self.inner;
+        let number = inner.jobs.number(job)?;
+        let job = inner.jobs.get(number);
+        let Some(entry) = job.entry else {
+            let delayed = job.slots.iter().any(|slot| slot.state == TaskState::Queued);
+            return Some(if delayed {
+                Waiting::Backoff(job.backoff_until)
+            } else {
+                Waiting::Nothing
+            });
+        };
+        if inner.queue.is_parked(entry.class, job.team) {
+            let team = inner.teams.get(job.team);
+            return Some(Waiting::Quota {
+                team: team.name.clone(),
+                held: team.committed,
+                quota: team.quota,
+            });
+        }
+        if inner.queue.is_blocked(entry.class) {
+            return Some(Waiting::Capacity(job.next_need()));
+        }
+        Some(Waiting::Turn)
+    }
+
+    /// Returns every task of a job, or nothing where the job is not known.
+    pub fn tasks(&self, job: JobId) -> Vec<TaskRow> {
+        let inner = &self.inner;
+        let Some(number) = inner.jobs.number(job) else {
+            return Vec::new();
+        };
+        let job = inner.jobs.get(number);
+        let rows = (0..).zip(&job.slots).map(|(index, slot)| TaskRow {
+            task: job.task(index),
+            state: slot.state,
+            worker: (slot.worker != NO_WORKER).then(|| inner.workers.get(slot.worker).name.clone()),
+            size: slot.size,
+        });
+        rows.collect()
+    }
+
+    /// Returns the jobs that have not ended.
+    pub fn jobs(&self) -> impl Iterator<Item = JobId> {
+        self.inner.jobs.iter().map(|(_, job)| job.spec.id)
+    }
+
+    /// Returns every task that a worker holds.
+    pub fn tasks_on(&self, worker: &Name) -> Vec<Placed> {
+        let inner = &self.inner;
+        let Some(number) = inner.workers.number(worker) else {
+            return Vec::new();
+        };
+        let held = inner.workers.get(number).tasks.iter();
+        let placed = held.map(|held| Placed {
+            task: inner.jobs.get(held.job).task(held.index),
+            worker: worker.clone(),
+        });
+        placed.collect()
+    }
+
+    /// Returns the capacity of all workers that are not gone.
+    pub fn capacity(&self) -> Resources {
+        self.inner.workers.total
+    }
+
+    /// Returns what is committed on all workers together.
+    pub fn committed(&self) -> Resources {
+        self.inner.workers.committed
+    }
+
+    /// Returns what a team holds, or `None` where it is not known.
+    pub fn team_committed(&self, team: &Name) -> Option<Resources> {
+        let number = self.inner.teams.number(team)?;
+        Some(self.inner.teams.get(number).committed)
+    }
+
+    /// Returns each team's share.
+    pub fn shares(&self) -> Vec<TeamShare> {
+        let inner = &self.inner;
+        let shares = inner.teams.iter().map(|team| TeamShare {
+            team: team.name.clone(),
+            committed: team.committed,
+            quota: team.quota,
+            weighted_share: team.weighted_share(inner.workers.total),
+            borrows: team.standing.borrows,
+        });
+        shares.collect()
+    }
+
+    /// Returns how much work there is.
+    pub fn counts(&self) -> Counts {
+        let inner = &self.inner;
+        let jobs = || inner.jobs.iter().map(|(_, job)| job);
+        Counts {
+            workers: inner.workers.len(),
+            jobs: inner.jobs.len(),
+            queued_jobs: inner.queue.len(),
+            queued_tasks: jobs().map(|job| job.pending.len()).sum(),
+            active_tasks: jobs().map(|job| job.active as usize).sum(),
+        }
+    }
+
+    /// Returns the waiting times of one priority.
+    pub fn waits(&self, priority: Priority) -> Waits {
+        self.inner.stats.waits(priority)
+    }
+
+    /// Returns when the cell next wants to plan without any event before.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.inner.timers.next()
+    }
+
+    /// Returns the whole state for a dump.
+    pub fn snapshot(&self) -> Snapshot {
+        let inner = &self.inner;
+        let priorities = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Urgent,
+        ];
+        let workers = inner.workers.iter().map(|(_, worker)| WorkerRow {
+            name: worker.name.clone(),
+            state: describe(worker.state, worker.takes_tasks()),
+            capacity: worker.capacity,
+            committed: worker.committed,
+            reserved: worker.reserved,
+            tasks: worker.tasks.len() + worker.orphans as usize,
+        });
+        Snapshot {
+            counts: self.counts(),
+            capacity: self.capacity(),
+            committed: self.committed(),
+            teams: self.shares(),
+            waits: priorities.map(|priority| self.waits(priority)).to_vec(),
+            workers: workers.collect(),
+        }
+    }
+}
+
+fn describe(state: WorkerState, takes_tasks: bool) -> String {
+    if state == WorkerState::Available && !takes_tasks {
+        return "on probation".to_owned();
+    }
+    state.to_string()
+}
--- /dev/null
+++ b/crates/placement/src/state.rs
@@ -0,0 +1,382 @@
+//! The cell's whole state and the steps that every command and event is made of.
+//!
+//! The steps keep the books in agreement: a task's state, its worker's commitments, its team's
+//! share, the index of free capacity and the queue always change together here.
+
+use kspan_model::{JobId, JobResult, Millis, Name, Resources, document::Policy};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    TaskState,
+    job::{Job, JobNo, Jobs, NO_WORKER},
+    queue::{ClassKey, Queue, step},
+    spec::{Effect, Found, JobDone, Placed, Start},
+    stats::Stats,
+    team::{TeamNo, Teams},
+    timers::{Due, Timers},
+    worker::{Held, WorkerNo, Workers},
+};
+
+/// Longest run time that moves a job back in its line.
+const RUN_TIME_HORIZON: Millis = Millis::from_secs(600);
+/// How far a job that takes a whole worker moves ahead of one that takes next to nothing.
+const SIZE_HEAD_START: Millis = Millis::from_secs(120);
+
+/// A task that was found on a worker before its job was known, or that its job no longer wants.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Orphan {
+    pub(crate) worker: WorkerNo,
+    pub(crate) found: Found,
+}
+
+/// The state of one shard.
+#[derive(Clone, Debug)]
+pub(crate) struct Inner {
+    pub(crate) policy: Policy,
+    pub(crate) workers: Workers,
+    pub(crate) jobs: Jobs,
+    pub(crate) teams: Teams,
+    pub(crate) queue: Queue,
+    pub(crate) orphans: FxHashMap<JobId, Vec<Orphan>>,
+    pub(crate) timers: Timers,
+    pub(crate) stats: Stats,
+    /// Capacity that shares are measured against; follows the workers at each plan.
+    pub(crate) measure: Resources,
+    /// Workers that the operators expect, besides those that are known.
+    pub(crate) fleet: Vec<(Resources, u32)>,
+    /// Whether queued jobs may have become impossible.
+    pub(crate) recheck: bool,
+}
+
+impl Inner {
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            workers: Workers::new(),
+            jobs: Jobs::default(),
+            teams: Teams::default(),
+            queue: Queue::default(),
+            orphans: FxHashMap::default(),
+            timers: Timers::default(),
+            stats: Stats::default(),
+            measure: Resources::ZERO,
+            fleet: Vec::new(),
+            recheck: false,
+        }
+    }
+
+    // --- teams ---
+
+    pub(crate) fn charge(&mut self, team: TeamNo, size: Resources) {
+        let entry = self.teams.get_mut(team);
+        entry.committed = entry.committed.saturating_add(size);
+        self.restand(team);
+    }
+
+    pub(crate) fn refund(&mut self, team: TeamNo, size: Resources) {
+        let entry = self.teams.get_mut(team);
+        entry.committed = entry.committed.saturating_sub(size);
+        self.restand(team);
+        self.unpark(team);
+    }
+
+    pub(crate) fn restand(&mut self, team: TeamNo) {
+        if !self.teams.restand(team, self.measure) {
+            return;
+        }
+        let entry = self.teams.get(team);
+        for &class in &entry.classes {
+            self.queue.restand(class, team, entry.standing);
+        }
+    }
+
+    pub(crate) fn unpark(&mut self, team: TeamNo) {
+        let entry = self.teams.get_mut(team);
+        let standing = entry.standing;
+        for class in std::mem::take(&mut entry.parked) {
+            self.queue.unpark(class, team, standing);
+        }
+    }
+
+    /// Measures every team's share against the capacity of now.
+    pub(crate) fn measure_shares(&mut self) {
+        if self.measure == self.workers.total {
+            return;
+        }
+        self.measure = self.workers.total;
+        for team in self.teams.numbers() {
+            self.restand(team);
+        }
+    }
+
+    // --- queue ---
+
+    /// Queues a job that has tasks waiting for a worker.
+    pub(crate) fn enqueue(&mut self, number: JobNo) {
+        let job = self.jobs.get(number);
+        let waits = !job.pending.is_empty() && job.ending.is_none();
+        if !waits || job.restarting || job.entry.is_some() {
+            return;
+        }
+        let class = class_key(job);
+        let key = self.order_key(job);
+        let team = job.team;
+        let standing = self.teams.get(team).standing;
+        let (entry, is_new) = self.queue.push(class, team, standing, key, number);
+        self.jobs.get_mut(number).entry = Some(entry);
+        if is_new {
+            self.teams.get_mut(team).classes.push(entry.class);
+        }
+    }
+
+    pub(crate) fn dequeue(&mut self, number: JobNo) {
+        let job = self.jobs.get_mut(number);
+        let Some(entry) = job.entry.take() else {
+            return;
+        };
+        let team = job.team;
+        let standing = self.teams.get(team).standing;
+        if self.queue.remove(entry, team, standing, number) {
+            let classes = &mut self.teams.get_mut(team).classes;
+            classes.retain(|class| *class != entry.class);
+        }
+    }
+
+    /// Returns the place of a job in its team's line. It starts from the time of submission and
+    /// moves by a bounded span, so that no job is overtaken for ever.
+    fn order_key(&self, job: &Job) -> u64 {
+        let weights = self.policy.weights;
+        let run_time = self.stats.expected_run_time(&job.spec).0;
+        let behind = weights.waiting * run_time.min(RUN_TIME_HORIZON.0) as f64;
+        let share = job.spec.shape.size.dominant_share(self.largest());
+        let ahead = weights.packing * share.min(1.0) * SIZE_HEAD_START.0 as f64;
+        let key = job.spec.submitted.0 as f64 + SIZE_HEAD_START.0 as f64 + behind - ahead;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Never negative.
+        let key = key as u64;
+        key
+    }
+
+    fn largest(&self) -> Resources {
+        let shapes = self.workers.shapes().map(|(shape, _)| shape);
+        shapes.fold(Resources::ZERO, |most, shape| Resources {
+            cpu_milli: most.cpu_milli.max(shape.cpu_milli),
+            memory_mib: most.memory_mib.max(shape.memory_mib),
+            accelerators: most.accelerators.max(shape.accelerators),
+        })
+    }
+
+    // --- tasks ---
+
+    /// Gives a waiting task its worker. The task must not stand in `pending` any more.
+    pub(crate) fn occupy(
+        &mut self,
+        number: JobNo,
+        index: u32,
+        worker: WorkerNo,
+        size: Resources,
+        state: TaskState,
+        since: Millis,
+    ) {
+        let rack = self.workers.get(worker).rack;
+        let job = self.jobs.get_mut(number);
+        let slot = &mut job.slots[index as usize];
+        slot.become_state(state);
+        slot.worker = worker;
+        slot.size = size;
+        slot.since = since;
+        slot.usage = Resources::ZERO;
+        job.active += 1;
+        job.started = true;
+        if job.is_spread() {
+            *job.racks.entry(rack).or_insert(0) += 1;
+        }
+        let team = job.team;
+        let held = Held { job: number, index };
+        self.workers.get_mut(worker).tasks.push(held);
+        self.workers.commit(worker, size);
+        self.charge(team, size);
+    }
+
+    /// Takes a task off its worker and gives its capacity back.
+    pub(crate) fn vacate(&mut self, number: JobNo, index: u32, state: TaskState) -> WorkerNo {
+        let job = self.jobs.get_mut(number);
+        let is_spread = job.is_spread();
+        let slot = &mut job.slots[index as usize];
+        slot.become_state(state);
+        let worker = std::mem::replace(&mut slot.worker, NO_WORKER);
+        let size = slot.size;
+        let usage = std::mem::take(&mut slot.usage);
+        job.active -= 1;
+        let team = job.team;
+        let entry = self.workers.get_mut(worker);
+        let rack = entry.rack;
+        entry.usage = entry.usage.saturating_sub(usage);
+        let held = Held { job: number, index };
+        if let Some(position) = entry.tasks.iter().position(|task| *task == held) {
+            entry.tasks.swap_remove(position);
+        }
+        if is_spread {
+            let racks = &mut self.jobs.get_mut(number).racks;
+            if let Some(count) = racks.get_mut(&rack) {
+                *count -= 1;
+                if *count == 0 {
+                    racks.remove(&rack);
+                }
+            }
+        }
+        self.workers.release(worker, size);
+        self.refund(team, size);
+        self.offer_room(worker);
+        self.forget_if_gone(worker);
+        worker
+    }
+
+    /// Lets the classes that may fit on a worker be tried again.
+    pub(crate) fn offer_room(&mut self, worker: WorkerNo) {
+        let Some(entry) = self.workers.at(worker as usize) else {
+            return;
+        };
+        if entry.takes_tasks() {
+            self.queue.unblock_fitting(entry.free());
+        }
+    }
+
+    pub(crate) fn forget_if_gone(&mut self, worker: WorkerNo) {
+        let entry = self.workers.get(worker);
+        let is_gone = entry.state == crate::spec::WorkerState::Gone;
+        if is_gone && entry.is_empty() {
+            self.workers.remove(worker);
+            self.forget_worker(worker);
+        }
+    }
+
+    /// Drops a removed worker's number wherever it is kept, because numbers are used again.
+    fn forget_worker(&mut self, worker: WorkerNo) {
+        let numbers: Vec<JobNo> = self.jobs.iter().map(|(number, _)| number).collect();
+        for number in numbers {
+            let job = self.jobs.get_mut(number);
+            job.avoid.retain(|avoided| *avoided != worker);
+        }
+    }
+
+    /// Starts a waiting task on a worker with room for it.
+    pub(crate) fn start(
+        &mut self,
+        number: JobNo,
+        index: u32,
+        worker: WorkerNo,
+        now: Millis,
+    ) -> Start {
+        let job = self.jobs.get(number);
+        let size = job.spec.shape.size;
+        let since = job.slots[index as usize].since;
+        let waited = now.saturating_sub(since);
+        self.stats.record_wait(&job.spec, waited);
+        self.occupy(number, index, worker, size, TaskState::Starting, now);
+        let job = self.jobs.get(number);
+        Start {
+            task: job.task(index),
+            worker: self.workers.get(worker).name.clone(),
+            workload: job.spec.workload.clone(),
+            size,
+        }
+    }
+
+    /// Puts an ended or lost task back to wait as a new attempt.
+    pub(crate) fn renew(&mut self, number: JobNo, index: u32, now: Millis) {
+        let job = self.jobs.get_mut(number);
+        let slot = &mut job.slots[index as usize];
+        slot.become_state(TaskState::Queued);
+        slot.attempt += 1;
+        slot.since = now;
+        slot.finished = false;
+    }
+
+    /// Lets a waiting task be started: at once, or when its backoff is over.
+    pub(crate) fn wait(&mut self, number: JobNo, index: u32, backoff: Millis, now: Millis) {
+        let job = self.jobs.get_mut(number);
+        if backoff == Millis::ZERO {
+            job.pending.push(index);
+            self.enqueue(number);
+            return;
+        }
+        let until = now.saturating_add(backoff);
+        job.backoff_until = until;
+        let task = job.task(index);
+        self.timers.set(until, Due::Retry(task));
+    }
+
+    /// Marks every task that holds a worker as stopping and lists those that were not before.
+    pub(crate) fn stop_all(&mut self, number: JobNo) -> Vec<Placed> {
+        let job = self.jobs.get(number);
+        let count = u32::try_from(job.slots.len()).expect("tasks are numbered in 32 bits");
+        let mut stopped = Vec::new();
+        for index in 0..count {
+            stopped.extend(self.stop_one(number, index));
+        }
+        stopped
+    }
+
+    /// Marks one task as stopping, if it holds a worker and is not being stopped already.
+    pub(crate) fn stop_one(&mut self, number: JobNo, index: u32) -> Option<Placed> {
+        let job = self.jobs.get_mut(number);
+        let slot = &mut job.slots[index as usize];
+        if !slot.state.holds_worker() || slot.state == TaskState::Stopping {
+            return None;
+        }
+        slot.become_state(TaskState::Stopping);
+        let worker = slot.worker;
+        Some(Placed {
+            task: job.task(index),
+            worker: self.workers.get(worker).name.clone(),
+        })
+    }
+
+    /// Lets a job end with a result as soon as no task of it holds a worker.
+    pub(crate) fn end_job(&mut self, number: JobNo, result: JobResult, reason: &str) -> Effect {
+        self.dequeue(number);
+        let job = self.jobs.get_mut(number);
+        job.pending.clear();
+        job.ending = Some((result, Name::new(reason)));
+        let stop = self.stop_all(number);
+        Effect {
+            applied: true,
+            stop,
+            done: self.finish_if_idle(number),
+            ..Effect::default()
+        }
+    }
+
+    /// Forgets a job that is to end once no task of it holds a worker.
+    pub(crate) fn finish_if_idle(&mut self, number: JobNo) -> Option<JobDone> {
+        let job = self.jobs.get(number);
+        if job.active > 0 {
+            return None;
+        }
+        let (result, reason) = job.ending.clone()?;
+        let job = self.forget_job(number);
+        Some(JobDone {
+            job: job.spec.id,
+            result,
+            reason,
+        })
+    }
+
+    pub(crate) fn forget_job(&mut self, number: JobNo) -> Job {
+        self.dequeue(number);
+        self.jobs.remove(number)
+    }
+}
+
+fn class_key(job: &Job) -> ClassKey {
+    let size = job.spec.shape.size;
+    ClassKey {
+        priority: job.spec.priority,
+        gang: job.is_gang(),
+        service: job.is_service(),
+        checkpoint: job.spec.shape.checkpoint,
+        accelerators: size.accelerators,
+        cpu_step: step(size.cpu_milli),
+        memory_step: step(size.memory_mib),
+    }
+}
--- /dev/null
+++ b/crates/placement/src/stats.rs
@@ -0,0 +1,83 @@
+//! Waiting times and what is learned from usage and run times.
+
+use kspan_model::{Millis, Priority};
+use serde::Serialize;
+
+use crate::spec::JobSpec;
+
+/// Buckets of waiting time, each twice as long as the one before; the first is below 1 ms.
+const BUCKETS: usize = 40;
+
+/// Waiting times of one priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Waits {
+    /// How many tasks were started.
+    pub count: u64,
+    /// Sum of their waiting times.
+    pub sum: Millis,
+    /// Longest waiting time.
+    pub max: Millis,
+    #[serde(skip)]
+    buckets: [u64; BUCKETS],
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        Self {
+            count: 0,
+            sum: Millis::ZERO,
+            max: Millis::ZERO,
+            buckets: [0; BUCKETS],
+        }
+    }
+}
+
+impl Waits {
+    fn record(&mut self, waited: Millis) {
+        self.count += 1;
+        self.sum = self.sum.saturating_add(waited);
+        self.max = self.max.max(waited);
+        let bucket = (u64::BITS - waited.0.leading_zeros()) as usize;
+        self.buckets[bucket.min(BUCKETS - 1)] += 1;
+    }
+
+    /// Returns the mean waiting time; zero where nothing was started.
+    pub fn mean(&self) -> Millis {
+        Millis(self.sum.0.checked_div(self.count).unwrap_or(0))
+    }
+
+    /// Returns a waiting time that at least `part` of the tasks did not exceed, at most twice the
+    /// exact one.
+    pub fn quantile(&self, part: f64) -> Millis {
+        let wanted = part * self.count as f64;
+        let mut seen = 0;
+        for (bucket, count) in self.buckets.iter().enumerate() {
+            seen += count;
+            if seen as f64 >= wanted {
+                return Millis((1_u64 << bucket) - 1).min(self.max);
+            }
+        }
+        self.max
+    }
+}
+
+/// Statistics of a cell.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Stats {
+    waits: [Waits; 4],
+}
+
+impl Stats {
+    pub(crate) fn record_wait(&mut self, spec: &JobSpec, waited: Millis) {
+        self.waits[spec.priority as usize].record(waited);
+    }
+
+    pub(crate) fn waits(&self, priority: Priority) -> Waits {
+        self.waits[priority as usize]
+    }
+
+    /// Returns how long a task is expected to run; zero where that is not known.
+    pub(crate) fn expected_run_time(&self, spec: &JobSpec) -> Millis {
+        spec.run_time
+    }
+}
--- /dev/null
+++ b/crates/placement/src/team.rs
@@ -0,0 +1,154 @@
+//! Teams, their quotas and their shares.
+//!
+//! Fairness is weighted dominant-resource fairness: among teams within their quota, and then
+//! among those that borrow, the team with the smallest weighted dominant share goes first.
+//! Shares are compared in bands an eighth of an octave wide, so that a single start rarely
+//! changes a team's place in the order and keeping the order costs little.
+
+use kspan_model::{Name, Resources, document::Team as TeamSpec};
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+/// Number of a team within its cell.
+pub(crate) type TeamNo = u32;
+
+/// Bands in one octave of weighted share.
+const BANDS_PER_OCTAVE: f64 = 8.0;
+/// Weighted shares below two to the minus this power share the first band.
+const OCTAVES: f64 = 20.0;
+/// Weight of a team that is not declared but holds adopted tasks.
+const UNDECLARED_WEIGHT: f64 = 1.0;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Team {
+    pub(crate) name: Name,
+    pub(crate) quota: Resources,
+    pub(crate) weight: f64,
+    pub(crate) borrow: bool,
+    pub(crate) declared: bool,
+    pub(crate) committed: Resources,
+    pub(crate) standing: Standing,
+    /// Queue classes in which the team has waiting jobs.
+    pub(crate) classes: SmallVec<[u32; 8]>,
+    /// Queue classes whose jobs wait for the team's own quota.
+    pub(crate) parked: Vec<u32>,
+}
+
+/// A team's place in the order of teams; smaller goes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Standing {
+    /// Whether the team holds its quota already and would borrow.
+    pub(crate) borrows: bool,
+    pub(crate) band: u16,
+}
+
+impl Team {
+    /// Returns whether the team may hold `size` more.
+    pub(crate) fn admits(&self, size: Resources) -> bool {
+        self.borrow || self.is_within_quota(size)
+    }
+
+    /// Returns whether the team stays within its quota with `size` more.
+    pub(crate) fn is_within_quota(&self, size: Resources) -> bool {
+        self.committed.saturating_add(size).fits_in(self.quota)
+    }
+
+    pub(crate) fn weighted_share(&self, total: Resources) -> f64 {
+        self.committed.dominant_share(total) / self.weight
+    }
+
+    fn standing_now(&self, total: Resources) -> Standing {
+        Standing {
+            borrows: self.committed.dominant_share(self.quota) >= 1.0,
+            band: band(self.weighted_share(total)),
+        }
+    }
+}
+
+fn band(share: f64) -> u16 {
+    if share <= 0.0 {
+        return 0;
+    }
+    let raw = (share.log2() + OCTAVES) * BANDS_PER_OCTAVE;
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped to the range.
+    let band = raw.clamp(0.0, f64::from(u16::MAX - 1)) as u16;
+    band + 1
+}
+
+/// All teams.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Teams {
+    teams: Vec<Team>,
+    by_name: FxHashMap<Name, TeamNo>,
+}
+
+impl Teams {
+    pub(crate) fn number(&self, name: &Name) -> Option<TeamNo> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the team's number, adding an undeclared team where it is not known.
+    pub(crate) fn number_or_add(&mut self, name: &Name) -> TeamNo {
+        if let Some(number) = self.number(name) {
+            return number;
+        }
+        let number = TeamNo::try_from(self.teams.len()).expect("teams are numbered in 32 bits");
+        self.teams.push(Team {
+            name: name.clone(),
+            quota: Resources::ZERO,
+            weight: UNDECLARED_WEIGHT,
+            borrow: false,
+            declared: false,
+            committed: Resources::ZERO,
+            standing: Standing::default(),
+            classes: SmallVec::new(),
+            parked: Vec::new(),
+        });
+        self.by_name.insert(name.clone(), number);
+        number
+    }
+
+    pub(crate) fn get(&self, number: TeamNo) -> &Team {
+        &self.teams[number as usize]
+    }
+
+    pub(crate) fn get_mut(&mut self, number: TeamNo) -> &mut Team {
+        &mut self.teams[number as usize]
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Team> {
+        self.teams.iter()
+    }
+
+    pub(crate) fn numbers(&self) -> std::ops::Range<TeamNo> {
+        0..TeamNo::try_from(self.teams.len()).expect("teams are numbered in 32 bits")
+    }
+
+    /// Replaces the declarations. Teams that are no longer declared keep what they hold.
+    pub(crate) fn declare(&mut self, specs: &[TeamSpec]) {
+        for team in &mut self.teams {
+            team.declared = false;
+            team.quota = Resources::ZERO;
+            team.borrow = false;
+        }
+        for spec in specs {
+            let number = self.number_or_add(&spec.name);
+            let team = self.get_mut(number);
+            team.declared = true;
+            team.quota = spec.quota;
+            team.weight = if spec.weight > 0.0 {
+                spec.weight
+            } else {
+                f64::MIN_POSITIVE
+            };
+            team.borrow = spec.borrow;
+        }
+    }
+
+    /// Brings a team's standing up to date and returns whether it has changed.
+    pub(crate) fn restand(&mut self, number: TeamNo, total: Resources) -> bool {
+        let team = self.get_mut(number);
+        let standing = team.standing_now(total);
+        std::mem::replace(&mut team.standing, standing) != standing
+    }
+}
--- /dev/null
+++ b/crates/placement/src/worker.rs
@@ -0,0 +1,227 @@
+//! Workers of the shard and what is committed to them.
+//!
+//! Commitments count what was promised, never what usage reports say: usage lags.
+
+use kspan_model::{Name, Resources};
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::{health::Health, index::FreeIndex, spec::WorkerState};
+
+/// Number of a worker within its cell.
+pub(crate) type WorkerNo = u32;
+/// Number of a rack within its cell.
+pub(crate) type RackNo = u32;
+
+/// A task that a worker holds: its job's number and its index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) job: u32,
+    pub(crate) index: u32,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) name: Name,
+    pub(crate) rack: RackNo,
+    pub(crate) capacity: Resources,
+    pub(crate) committed: Resources,
+    /// Capacity held back by reservations.
+    pub(crate) reserved: Resources,
+    /// Sum of the usage reported last for each task.
+    pub(crate) usage: Resources,
+    pub(crate) state: WorkerState,
+    pub(crate) tasks: SmallVec<[Held; 4]>,
+    pub(crate) orphans: u32,
+    pub(crate) health: Health,
+}
+
+impl Worker {
+    /// Returns what neither a task nor a reservation takes.
+    pub(crate) fn free(&self) -> Resources {
+        let taken = self.committed.saturating_add(self.reserved);
+        self.capacity.saturating_sub(taken)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tasks.is_empty() && self.orphans == 0
+    }
+
+    /// Returns whether new tasks may be placed here.
+    pub(crate) fn takes_tasks(&self) -> bool {
+        let trusted = self.health.takes_tasks(self.is_empty());
+        self.state == WorkerState::Available && trusted
+    }
+}
+
+/// All workers, with the index of their free capacity.
+#[derive(Clone, Debug)]
+pub(crate) struct Workers {
+    slots: Vec<Option<Worker>>,
+    vacant: Vec<WorkerNo>,
+    by_name: FxHashMap<Name, WorkerNo>,
+    racks: FxHashMap<Name, RackNo>,
+    pub(crate) index: FreeIndex,
+    /// Capacity of all workers that are not gone.
+    pub(crate) total: Resources,
+    pub(crate) committed: Resources,
+    /// How many workers of each capacity are not gone.
+    shapes: FxHashMap<Resources, u32>,
+}
+
+impl Workers {
+    pub(crate) fn new() -> Self {
+        Self {
+            slots: Vec::new(),
+            vacant: Vec::new(),
+            by_name: FxHashMap::default(),
+            racks: FxHashMap::default(),
+            index: FreeIndex::new(),
+            total: Resources::ZERO,
+            committed: Resources::ZERO,
+            shapes: FxHashMap::default(),
+        }
+    }
+
+    /// Returns each capacity that workers have, and how many have it.
+    pub(crate) fn shapes(&self) -> impl Iterator<Item = (Resources, u32)> {
+        self.shapes.iter().map(|(&shape, &count)| (shape, count))
+    }
+
+    fn count_in(&mut self, capacity: Resources) {
+        self.total = self.total.saturating_add(capacity);
+        *self.shapes.entry(capacity).or_insert(0) += 1;
+    }
+
+    fn count_out(&mut self, capacity: Resources) {
+        self.total = self.total.saturating_sub(capacity);
+        if let Some(count) = self.shapes.get_mut(&capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.shapes.remove(&capacity);
+            }
+        }
+    }
+
+    pub(crate) fn number(&self, name: &Name) -> Option<WorkerNo> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn get(&self, number: WorkerNo) -> &Worker {
+        self.slots[number as usize]
+            .as_ref()
+            .expect("numbers of removed workers are not kept")
+    }
+
+    pub(crate) fn get_mut(&mut self, number: WorkerNo) -> &mut Worker {
+        self.slots[number as usize]
+            .as_mut()
+            .expect("numbers of removed workers are not kept")
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerNo, &Worker)> {
+        (0..)
+            .zip(&self.slots)
+            .filter_map(|(number, slot)| slot.as_ref().map(|worker| (number, worker)))
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Returns the worker in a slot, if there is one.
+    pub(crate) fn at(&self, slot: usize) -> Option<&Worker> {
+        self.slots.get(slot)?.as_ref()
+    }
+
+    pub(crate) fn rack(&mut self, name: &Name) -> RackNo {
+        if let Some(&rack) = self.racks.get(name) {
+            return rack;
+        }
+        let rack = RackNo::try_from(self.racks.len()).expect("racks are numbered in 32 bits");
+        self.racks.insert(name.clone(), rack);
+        rack
+    }
+
+    /// Returns the number of racks ever seen; every rack's number is below it.
+    pub(crate) fn racks(&self) -> usize {
+        self.racks.len()
+    }
+
+    pub(crate) fn insert(&mut self, worker: Worker) -> WorkerNo {
+        let name = worker.name.clone();
+        if worker.state != WorkerState::Gone {
+            self.count_in(worker.capacity);
+        }
+        let number = self.vacant.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            WorkerNo::try_from(self.slots.len() - 1).expect("workers are numbered in 32 bits")
+        });
+        self.slots[number as usize] = Some(worker);
+        self.by_name.insert(name, number);
+        self.refresh(number);
+        number
+    }
+
+    pub(crate) fn set_capacity(&mut self, number: WorkerNo, capacity: Resources) {
+        let worker = self.get_mut(number);
+        let before = std::mem::replace(&mut worker.capacity, capacity);
+        if worker.state != WorkerState::Gone {
+            self.count_out(before);
+            self.count_in(capacity);
+        }
+        self.refresh(number);
+    }
+
+    pub(crate) fn set_state(&mut self, number: WorkerNo, state: WorkerState) {
+        let worker = self.get_mut(number);
+        let before = std::mem::replace(&mut worker.state, state);
+        let capacity = worker.capacity;
+        if before != WorkerState::Gone && state == WorkerState::Gone {
+            self.count_out(capacity);
+        }
+        if before == WorkerState::Gone && state != WorkerState::Gone {
+            self.count_in(capacity);
+        }
+        self.refresh(number);
+    }
+
+    /// Forgets a worker to which nothing is committed.
+    pub(crate) fn remove(&mut self, number: WorkerNo) {
+        self.index.take(number);
+        let worker = self.slots[number as usize]
+            .take()
+            .expect("numbers of removed workers are not kept");
+        if worker.state != WorkerState::Gone {
+            self.count_out(worker.capacity);
+        }
+        self.by_name.remove(&worker.name);
+        self.vacant.push(number);
+    }
+
+    pub(crate) fn commit(&mut self, number: WorkerNo, size: Resources) {
+        let worker = self.get_mut(number);
+        worker.committed = worker.committed.saturating_add(size);
+        self.committed = self.committed.saturating_add(size);
+        self.refresh(number);
+    }
+
+    pub(crate) fn release(&mut self, number: WorkerNo, size: Resources) {
+        let worker = self.get_mut(number);
+        worker.committed = worker.committed.saturating_sub(size);
+        self.committed = self.committed.saturating_sub(size);
+        self.refresh(number);
+    }
+
+    /// Brings the index up to date with one worker.
+    pub(crate) fn refresh(&mut self, number: WorkerNo) {
+        let worker = self.get(number);
+        if worker.takes_tasks() {
+            let free = worker.free();
+            let accelerated = worker.capacity.accelerators > 0;
+            self.index.put(number, free, accelerated);
+        } else {
+            self.index.take(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/life.rs
@@ -0,0 +1,207 @@
+//! The life of jobs and tasks, event by event.
+
+mod common;
+
+use common::{batch, cell, cores, gang, plan, service, starts, worker};
+use kspan_model::{JobId, JobResult, Millis, Name, TaskId};
+use kspan_placement::{
+    Adopted, Cancelled, End, Found, MOVES, Reason, Resized, StartRefusal, Submitted, TaskState,
+    Waiting, WorkerState,
+};
+
+#[test]
+fn a_batch_job_runs_each_task_once() {
+    let mut cell = cell(2, cores(4));
+    assert_eq!(cell.submit(batch(1, 3, cores(2))), Submitted::Queued);
+    assert_eq!(cell.submit(batch(1, 3, cores(2))), Submitted::AlreadyKnown);
+    let begun = starts(&plan(&mut cell, 1));
+    assert_eq!(begun.len(), 3);
+    for (position, start) in begun.iter().enumerate() {
+        cell.started(start.task, Millis(2));
+        let effect = cell.ended(start.task, End::Succeeded, Millis(9));
+        assert_eq!(effect.done.is_some(), position == 2);
+        assert!(!cell.ended(start.task, End::Succeeded, Millis(9)).applied);
+    }
+    assert!(cell.committed().is_zero());
+    assert_eq!(cell.explain(JobId(1)), None);
+}
+
+#[test]
+fn a_full_cell_makes_jobs_wait_and_says_why() {
+    let mut cell = cell(1, cores(4));
+    cell.submit(batch(1, 2, cores(4)));
+    let begun = starts(&plan(&mut cell, 1));
+    assert_eq!(begun.len(), 1);
+    assert_eq!(cell.explain(JobId(1)), Some(Waiting::Capacity(cores(4))));
+    cell.ended(begun[0].task, End::Succeeded, Millis(5));
+    assert_eq!(starts(&plan(&mut cell, 6)).len(), 1);
+}
+
+#[test]
+fn an_impossible_job_is_told_at_once() {
+    let mut cell = cell(2, cores(4));
+    let needed = cores(5);
+    let largest = cores(4);
+    let answer = cell.submit(batch(1, 1, needed));
+    let reason = Reason::NoWorkerLargeEnough { needed, largest };
+    assert_eq!(answer, Submitted::Impossible(reason));
+    let answer = cell.submit(gang(2, 3, cores(3), false));
+    let reason = Reason::GangTooLarge { tasks: 3, room: 2 };
+    assert_eq!(answer, Submitted::Impossible(reason));
+    assert_eq!(cell.counts().jobs, 0);
+}
+
+#[test]
+fn cancelled_before_a_start_is_not_run() {
+    let mut cell = cell(1, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    cell.submit(batch(2, 1, cores(4)));
+    let begun = starts(&plan(&mut cell, 1));
+    let (running, waiting) = match begun[0].task.job {
+        JobId(1) => (JobId(1), JobId(2)),
+        _ => (JobId(2), JobId(1)),
+    };
+    assert_eq!(cell.cancel(waiting), Cancelled::NotRun);
+    let Cancelled::Running(stop) = cell.cancel(running) else {
+        panic!("a start was decided");
+    };
+    assert_eq!(stop[0].task, begun[0].task);
+    let done = cell.ended(begun[0].task, End::Stopped, Millis(3)).done;
+    assert_eq!(done.map(|done| done.result), Some(JobResult::Cancelled));
+    assert_eq!(cell.cancel(running), Cancelled::Unknown);
+}
+
+#[test]
+fn an_unresolved_start_stays_committed() {
+    let mut cell = cell(1, cores(4));
+    cell.submit(batch(1, 2, cores(4)));
+    let task = starts(&plan(&mut cell, 1))[0].task;
+    cell.start_unresolved(task);
+    assert!(starts(&plan(&mut cell, 60_000)).is_empty());
+    assert_eq!(cell.committed(), cores(4));
+    let retry = cell.ended(task, End::Lost, Millis(70_000)).retry;
+    assert_eq!(retry.map(|task| task.attempt), Some(1));
+}
+
+#[test]
+fn a_refused_start_is_repeated_as_a_new_attempt() {
+    let mut cell = cell(2, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let first = starts(&plan(&mut cell, 1))[0].clone();
+    cell.start_refused(first.task, StartRefusal::NoCapacity, Millis(2));
+    assert!(starts(&plan(&mut cell, 3)).is_empty());
+    let second = starts(&plan(&mut cell, 5_000))[0].clone();
+    assert_eq!(second.task.attempt, 1);
+    assert_ne!(second.worker, first.worker);
+    assert!(!cell.started(first.task, Millis(5_001)).applied);
+}
+
+#[test]
+fn a_job_fails_after_its_retries() {
+    let mut cell = cell(8, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let mut now = 0;
+    for attempt in 0..3 {
+        now += 100_000;
+        let task = starts(&plan(&mut cell, now))[0].task;
+        assert_eq!(task.attempt, attempt);
+        let effect = cell.ended(task, End::Failed, Millis(now));
+        assert_eq!(effect.done.is_some(), attempt == 2);
+    }
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all_and_restarts_whole() {
+    let mut cell = cell(3, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let first = starts(&plan(&mut cell, 1))[0].task;
+    cell.submit(gang(2, 3, cores(4), false));
+    assert!(starts(&plan(&mut cell, 2)).is_empty());
+    cell.ended(first, End::Succeeded, Millis(3));
+    let begun = starts(&plan(&mut cell, 4));
+    assert_eq!(begun.len(), 3);
+    let stop = cell.ended(begun[0].task, End::Lost, Millis(5)).stop;
+    assert_eq!(stop.len(), 2);
+    assert!(starts(&plan(&mut cell, 6)).is_empty());
+    for placed in stop {
+        cell.ended(placed.task, End::Stopped, Millis(7));
+    }
+    assert_eq!(starts(&plan(&mut cell, 8)).len(), 3);
+}
+
+#[test]
+fn a_service_keeps_its_number_of_runners() {
+    let mut cell = cell(16, cores(4));
+    cell.submit(service(1, 2, cores(2)));
+    let begun = starts(&plan(&mut cell, 1));
+    assert_eq!(begun.len(), 2);
+    let racks: Vec<bool> = begun
+        .iter()
+        .map(|start| is_in_first_rack(&start.worker))
+        .collect();
+    assert_ne!(racks[0], racks[1], "two runners stand in two racks");
+    cell.ended(begun[0].task, End::Lost, Millis(2));
+    assert_eq!(starts(&plan(&mut cell, 3)).len(), 1);
+    let Resized::Changed(stop) = cell.resize(JobId(1), 1, Millis(4)) else {
+        panic!("the service is known");
+    };
+    assert_eq!(stop.len(), 1);
+    cell.ended(stop[0].task, End::Stopped, Millis(5));
+    assert!(starts(&plan(&mut cell, 90_000)).is_empty());
+    cell.resize(JobId(1), 2, Millis(90_001));
+    let again = starts(&plan(&mut cell, 90_002));
+    assert!(again[0].task.attempt > stop[0].task.attempt);
+}
+
+fn is_in_first_rack(name: &Name) -> bool {
+    (0..8).any(|number| *name == worker(number, cores(4)).name)
+}
+
+#[test]
+fn a_successor_takes_over_what_workers_run() {
+    let mut cell = cell(2, cores(4));
+    let name = worker(0, cores(4)).name;
+    let found = Found {
+        task: TaskId::new(JobId(1), 0, 3),
+        size: cores(4),
+        state: TaskState::Running,
+        started: Millis(0),
+    };
+    assert_eq!(cell.adopt(&name, found), Adopted::Orphan);
+    assert_eq!(cell.committed(), cores(4));
+    cell.submit(batch(1, 2, cores(4)));
+    assert_eq!(cell.adopt(&name, found), Adopted::Known);
+    let begun = starts(&plan(&mut cell, 1));
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].task.index, 1);
+    let older = Found {
+        task: TaskId::new(JobId(1), 0, 2),
+        ..found
+    };
+    assert_eq!(cell.adopt(&begun[0].worker, older), Adopted::Superseded);
+    // An end that an earlier owner did not live to see.
+    cell.ended(begun[0].task, End::Succeeded, Millis(2));
+    cell.submit(batch(9, 1, cores(1)));
+    let unseen = TaskId::new(JobId(9), 0, 1);
+    assert!(cell.ended(unseen, End::Succeeded, Millis(3)).done.is_some());
+}
+
+#[test]
+fn a_gone_worker_is_forgotten_with_its_last_task() {
+    let mut cell = cell(1, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let start = starts(&plan(&mut cell, 1))[0].clone();
+    cell.set_worker_state(&start.worker, WorkerState::Gone);
+    assert_eq!(cell.counts().workers, 1);
+    cell.ended(start.task, End::Lost, Millis(2));
+    assert_eq!(cell.counts().workers, 0);
+}
+
+#[test]
+fn the_table_of_moves_has_no_way_back_from_the_end_but_a_new_attempt() {
+    for (from, to) in MOVES {
+        let over = matches!(from, TaskState::Ended | TaskState::Lost);
+        assert!(!over || *to == TaskState::Queued, "{from} to {to}");
+        assert!(from != to);
+    }
+}
