Read and check the operators' document

Cause: nothing could be declared yet, and a document must report every fault at once with its place. Conclusion: a `Document` that exists is valid; warnings tell what can never run.

--- a/crates/model/src/document/mod.rs
+++ b/crates/model/src/document/mod.rs
@@ -4,15 +4,28 @@
 //! schema and converted, with every fault reported, before anything here exists; a `Document`
 //! that exists is valid.
 
+mod border;
+mod convert;
+mod fault;
 mod fleet;
+mod locate;
+mod meaning;
+pub mod parse;
 mod policy;
+pub mod quantity;
+mod repair;
+mod schema;
 mod service;
 mod team;
 mod workload;
 
 pub use self::{
+    fault::{Fault, Faults, Severity},
     fleet::{EntryHosts, Fleet, Region, WorkerGroup},
+    parse::{Checked, MAX_DOCUMENT_BYTES, check, parse},
     policy::{Policy, Preset, Weights},
+    quantity::{QuantityError, format_cpu, format_memory, parse_cpu, parse_duration, parse_memory},
+    schema::SCHEMA,
     service::{RequestClass, Service},
     team::Team,
     workload::{Batch, Gang, Spread, TaskShape},
--- /dev/null
+++ b/crates/model/src/document/parse.rs
@@ -0,0 +1,153 @@
+//! Reads a document's text, reporting every fault at once.
+
+use serde_json::Value;
+
+use crate::document::{Document, Fault, Faults, border, convert, locate, meaning, repair, schema};
+
+/// Result of reading a document.
+pub type Result<T> = std::result::Result<T, Faults>;
+
+/// Largest text of a document, in bytes. A record of the log holds it with its escapes.
+pub const MAX_DOCUMENT_BYTES: usize = 192 * 1024;
+
+/// Deepest nesting of a document's text. The schema needs six levels.
+const MAX_INDENT_BYTES: usize = 256;
+
+/// What was found in a text.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checked {
+    /// The document, where no fault refuses it.
+    pub document: Option<Document>,
+    /// Every fault, warnings included, in the order of the lines.
+    pub faults: Faults,
+}
+
+/// Reads a text as a document.
+///
+/// # Errors
+///
+/// Returns every fault where at least one refuses the document.
+///
+/// # Examples
+///
+/// ```
+/// use kspan_model::document::parse;
+///
+/// let text = "
+/// cell: small
+/// regions: [{name: north, data_centres: [north-1]}]
+/// fleet: {entry_hosts: 1, workers: [{count: 2, cpu: 4, memory: 16GiB}]}
+/// teams: [{name: ops, quota: {cpu: 8, memory: 32GiB}}]
+/// ";
+/// assert_eq!(parse(text).unwrap().teams[0].quota.cpu_milli, 8_000);
+///
+/// let faults = parse(&text.replace("32GiB", "32GB")).unwrap_err();
+/// assert_eq!(faults.0[0].path, "teams[0].quota.memory");
+/// assert_eq!(faults.0[0].line, 5);
+/// ```
+pub fn parse(text: &str) -> Result<Document> {
+    let checked = check(text);
+    checked.document.ok_or(checked.faults)
+}
+
+/// Reads a text and returns the document, if it is valid, with every fault and warning.
+pub fn check(text: &str) -> Checked {
+    let (root, value) = match read_yaml(text) {
+        Ok(read) => read,
+        Err(fault) => {
+            return Checked {
+                document: None,
+                faults: Faults(vec![fault]),
+            };
+        }
+    };
+    let mut faults = schema::check_form(&value);
+    let document = convert_checked(&value, &mut faults);
+    for fault in &mut faults {
+        fault.line = locate::line_of(&root, &fault.path);
+    }
+    faults.sort_by_key(|fault| fault.line);
+    let faults = Faults(faults);
+    let document = document.filter(|_| !faults.has_errors());
+    Checked { document, faults }
+}
+
+fn read_yaml(text: &str) -> std::result::Result<(marked_yaml::Node, Value), Fault> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let message = format!(
+            "the text has {} bytes, {MAX_DOCUMENT_BYTES} at most",
+            text.len()
+        );
+        return Err(Fault::new("", message, "make it shorter"));
+    }
+    check_nesting(text)?;
+    let hint = "mend the YAML syntax; anchors, tags and duplicate keys are not taken";
+    let options = marked_yaml::LoaderOptions::default().error_on_duplicate_keys(true);
+    let root = marked_yaml::parse_yaml_with_options(0, text, options).map_err(|err| {
+        let line = syntax_line(&err);
+        Fault::new("", err.to_string(), hint).with_line(line)
+    })?;
+    let value = serde_norway::from_str(text).map_err(|err| {
+        let line = err.location().map_or(0, |place| place.line());
+        Fault::new("", err.to_string(), hint).with_line(line)
+    })?;
+    Ok((root, value))
+}
+
+/// Refuses texts whose nesting would exhaust the stack of a recursive parser.
+fn check_nesting(text: &str) -> std::result::Result<(), Fault> {
+    let mut depth = 0usize;
+    for (index, line) in text.lines().enumerate() {
+        let indent = line.len() - line.trim_start().len();
+        let dashes = line
+            .trim_start()
+            .split(' ')
+            .take_while(|part| *part == "-")
+            .count();
+        let opened = line.bytes().filter(|b| matches!(b, b'[' | b'{')).count();
+        let closed = line.bytes().filter(|b| matches!(b, b']' | b'}')).count();
+        let deepest = indent + dashes + depth + opened;
+        depth = (depth + opened).saturating_sub(closed);
+        if deepest > MAX_INDENT_BYTES {
+            let message = "the text is nested too deeply";
+            return Err(Fault::new("", message, "flatten it").with_line(index + 1));
+        }
+    }
+    Ok(())
+}
+
+fn syntax_line(err: &marked_yaml::LoadError) -> usize {
+    use marked_yaml::LoadError;
+    match err {
+        LoadError::TopLevelMustBeMapping(mark)
+        | LoadError::TopLevelMustBeSequence(mark)
+        | LoadError::UnexpectedAnchor(mark)
+        | LoadError::MappingKeyMustBeScalar(mark)
+        | LoadError::UnexpectedTag(mark)
+        | LoadError::ScanError(mark, _) => mark.line(),
+        LoadError::DuplicateKey(inner) => inner.key.span().start().map_or(0, |mark| mark.line()),
+    }
+}
+
+/// Converts whatever has the right form and checks its meaning, so that faults of meaning are
+/// found even where something else has a fault of form.
+fn convert_checked(value: &Value, faults: &mut Vec<Fault>) -> Option<Document> {
+    let (copy, replaced) = repair::with_placeholders(value, faults);
+    let text: border::DocumentText = match serde_json::from_value(copy) {
+        Ok(text) => text,
+        // The schema is stricter than the types, so this can't follow a clean check of form.
+        Err(err) => {
+            assert!(
+                !faults.is_empty(),
+                "the types refuse what the schema accepts: {err}"
+            );
+            return None;
+        }
+    };
+    let mut found = Vec::new();
+    let document = convert::document(&text, &mut found);
+    found.extend(meaning::check_meaning(&document));
+    found.retain(|fault| !replaced.covers(&fault.path));
+    faults.append(&mut found);
+    Some(document)
+}
--- /dev/null
+++ b/crates/model/src/document/schema.rs
@@ -0,0 +1,89 @@
+//! Checks of a document's form against its JSON schema.
+
+use std::sync::LazyLock;
+
+use jsonschema::{ValidationError, Validator, error::ValidationErrorKind};
+use serde_json::Value;
+
+use crate::document::Fault;
+
+/// Text of the JSON schema that documents obey.
+pub const SCHEMA: &str = include_str!("../../schema/document.schema.json");
+
+static PARSED: LazyLock<Value> =
+    LazyLock::new(|| serde_json::from_str(SCHEMA).expect("the committed schema is JSON"));
+
+static VALIDATOR: LazyLock<Validator> =
+    LazyLock::new(|| jsonschema::validator_for(&PARSED).expect("the committed schema is valid"));
+
+/// Returns every fault of form.
+pub(super) fn check_form(value: &Value) -> Vec<Fault> {
+    VALIDATOR
+        .iter_errors(value)
+        .flat_map(|err| faults_of(&err))
+        .collect()
+}
+
+fn faults_of(err: &ValidationError<'_>) -> Vec<Fault> {
+    let path = dotted(&err.instance_path().to_string());
+    match err.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => unexpected
+            .iter()
+            .map(|key| Fault::new(join(&path, key), "unknown key", known_keys(err)))
+            .collect(),
+        ValidationErrorKind::Required { property } => {
+            let key = property.as_str().unwrap_or_default();
+            let hint = format!("add `{key}`");
+            vec![Fault::new(join(&path, key), "missing key", hint)]
+        }
+        ValidationErrorKind::Pattern { .. } => {
+            let message = format!("{} has the wrong form", err.instance());
+            vec![Fault::new(path, message, describe(err))]
+        }
+        _ => vec![Fault::new(path, err.to_string(), describe(err))],
+    }
+}
+
+/// Returns the description of the schema that a value failed.
+fn describe(err: &ValidationError<'_>) -> String {
+    parent_schema(err)
+        .and_then(|schema| schema.get("description"))
+        .and_then(Value::as_str)
+        .map_or_else(|| "see the document reference".to_owned(), str::to_owned)
+}
+
+fn known_keys(err: &ValidationError<'_>) -> String {
+    let keys = parent_schema(err)
+        .and_then(|schema| schema.get("properties"))
+        .and_then(Value::as_object)
+        .map(|keys| keys.keys().cloned().collect::<Vec<_>>().join(", "));
+    format!("known keys: {}", keys.unwrap_or_default())
+}
+
+/// Returns the schema object that holds the keyword which failed.
+fn parent_schema(err: &ValidationError<'_>) -> Option<&'static Value> {
+    let location = err.schema_path().to_string();
+    let (parent, _) = location.rsplit_once('/')?;
+    PARSED.pointer(parent)
+}
+
+/// Turns a JSON pointer into a dotted path.
+fn dotted(pointer: &str) -> String {
+    let mut path = String::new();
+    for part in pointer.split('/').filter(|part| !part.is_empty()) {
+        if part.bytes().all(|b| b.is_ascii_digit()) {
+            path.push_str(&format!("[{part}]"));
+        } else {
+            path = join(&path, part);
+        }
+    }
+    path
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
