Add clients of workers and runners

Cause: schedulers need to exchange with workers, and routers to ask runners for their health. Change: one HTTP call under one timeout, whose failures say whether the request may have taken effect; a closure delays or cuts the link in tests.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,3 +4,8 @@
 //! operation may be repeated is decided by its callers.
 
 pub mod border;
+mod call;
+pub mod error;
+pub mod link;
+pub mod runner;
+pub mod worker;
