--- a/crates/fold/src/lib.rs
+++ b/crates/fold/src/lib.rs
@@ -4,3 +4,9 @@
 //! accept and refuse alike. The fold has no I/O and no clock.
 
 pub mod record;
+mod state;
+
+pub use self::{
+    record::{Body, Record, RecordId},
+    state::{Applied, State},
+};
