--- a/crates/model/tests/document.rs
+++ b/crates/model/tests/document.rs
@@ -56,124 +56,125 @@
     );
 }
 
+/// Text to replace, replacement, and the fault that must come: path, line, severity.
+const CASES: [(&str, &str, &str, usize, Severity); 16] = [
+    (
+        "quota: {cpu: 8",
+        "quota: {cpu: 8GB",
+        "teams[0].quota.cpu",
+        9,
+        Severity::Error,
+    ),
+    (
+        "memory: 32GiB",
+        "memory: 32GB",
+        "teams[0].quota.memory",
+        9,
+        Severity::Error,
+    ),
+    (
+        "deadline: 1s",
+        "deadline: 1",
+        "services[0].classes[0].deadline",
+        18,
+        Severity::Error,
+    ),
+    (
+        "deadline: 1s",
+        "deadline: 0s",
+        "services[0].classes[0].deadline",
+        18,
+        Severity::Error,
+    ),
+    (
+        "    slots: 8",
+        "    slot: 8",
+        "services[0].slot",
+        15,
+        Severity::Error,
+    ),
+    (
+        "    slots: 8\n",
+        "",
+        "services[0].slots",
+        11,
+        Severity::Error,
+    ),
+    (
+        "slots: 8",
+        "slots: 0",
+        "services[0].slots",
+        15,
+        Severity::Error,
+    ),
+    (
+        "connections: 64",
+        "connections: 7",
+        "services[0].connections",
+        16,
+        Severity::Error,
+    ),
+    (
+        "runners: 2",
+        "runners: -2",
+        "services[0].runners",
+        13,
+        Severity::Error,
+    ),
+    (
+        "runners: 2",
+        "runners: 0",
+        "services[0].runners",
+        13,
+        Severity::Warning,
+    ),
+    (
+        "    team: ops",
+        "    team: op",
+        "services[0].team",
+        12,
+        Severity::Error,
+    ),
+    (
+        "name: nightly",
+        "name: web",
+        "batch[0].name",
+        20,
+        Severity::Error,
+    ),
+    (
+        "data_centres: [north-1]",
+        "data_centres: [a, a]",
+        "regions[0].data_centres[1]",
+        3,
+        Severity::Error,
+    ),
+    (
+        "idempotent: true",
+        "idempotent: false, hedge: true",
+        "services[0].classes[0].hedge",
+        18,
+        Severity::Error,
+    ),
+    (
+        "task: {cpu: 1, memory: 1GiB}, run",
+        "task: {cpu: 5, memory: 1GiB}, run",
+        "batch[0].task",
+        20,
+        Severity::Warning,
+    ),
+    (
+        "quota: {cpu: 8, memory: 32GiB}",
+        "quota: {cpu: 0, memory: 0GiB}\n    borrow: false",
+        "batch[0].team",
+        21,
+        Severity::Warning,
+    ),
+];
+
 #[test]
 fn each_fault_names_its_path_and_line() {
-    // (text to replace, replacement, path, line, severity)
-    let cases = [
-        (
-            "quota: {cpu: 8",
-            "quota: {cpu: 8GB",
-            "teams[0].quota.cpu",
-            9,
-            Severity::Error,
-        ),
-        (
-            "memory: 32GiB",
-            "memory: 32GB",
-            "teams[0].quota.memory",
-            9,
-            Severity::Error,
-        ),
-        (
-            "deadline: 1s",
-            "deadline: 1",
-            "services[0].classes[0].deadline",
-            18,
-            Severity::Error,
-        ),
-        (
-            "deadline: 1s",
-            "deadline: 0s",
-            "services[0].classes[0].deadline",
-            18,
-            Severity::Error,
-        ),
-        (
-            "    slots: 8",
-            "    slot: 8",
-            "services[0].slot",
-            15,
-            Severity::Error,
-        ),
-        (
-            "    slots: 8\n",
-            "",
-            "services[0].slots",
-            11,
-            Severity::Error,
-        ),
-        (
-            "slots: 8",
-            "slots: 0",
-            "services[0].slots",
-            15,
-            Severity::Error,
-        ),
-        (
-            "connections: 64",
-            "connections: 7",
-            "services[0].connections",
-            16,
-            Severity::Error,
-        ),
-        (
-            "runners: 2",
-            "runners: -2",
-            "services[0].runners",
-            13,
-            Severity::Error,
-        ),
-        (
-            "runners: 2",
-            "runners: 0",
-            "services[0].runners",
-            13,
-            Severity::Warning,
-        ),
-        (
-            "    team: ops",
-            "    team: op",
-            "services[0].team",
-            12,
-            Severity::Error,
-        ),
-        (
-            "name: nightly",
-            "name: web",
-            "batch[0].name",
-            20,
-            Severity::Error,
-        ),
-        (
-            "data_centres: [north-1]",
-            "data_centres: [a, a]",
-            "regions[0].data_centres[1]",
-            3,
-            Severity::Error,
-        ),
-        (
-            "idempotent: true",
-            "idempotent: false, hedge: true",
-            "services[0].classes[0].hedge",
-            18,
-            Severity::Error,
-        ),
-        (
-            "task: {cpu: 1, memory: 1GiB}, run",
-            "task: {cpu: 5, memory: 1GiB}, run",
-            "batch[0].task",
-            20,
-            Severity::Warning,
-        ),
-        (
-            "quota: {cpu: 8, memory: 32GiB}",
-            "quota: {cpu: 0, memory: 0GiB}\n    borrow: false",
-            "batch[0].team",
-            21,
-            Severity::Warning,
-        ),
-    ];
-    for (from, to, path, line, severity) in cases {
+    for (from, to, path, line, severity) in CASES {
         let text = SMALL.replacen(from, to, 1);
         assert_ne!(text, SMALL, "{from} is in the text");
         let checked = check(&text);
