--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -24,8 +24,6 @@
     pub(crate) worker: WorkerNo,
     /// Failures that count against the job.
     pub(crate) failures: u32,
-    /// Failures that were forgiven because the worker was under suspicion.
-    pub(crate) forgiven: u32,
     pub(crate) size: Resources,
     pub(crate) usage: Resources,
     /// When the present state began, as far as waiting and running are concerned.
@@ -132,7 +130,6 @@
             attempt: 0,
             worker: NO_WORKER,
             failures: 0,
-            forgiven: 0,
             size,
             usage: Resources::ZERO,
             since,
