--- /dev/null
+++ b/crates/placement/src/audit.rs
@@ -0,0 +1,144 @@
+//! A check that the cell's books agree with each other.
+//!
+//! It walks over everything, so it is for tests and for dumps, not for hot paths.
+
+use kspan_model::{Name, Resources};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::{
+    Cell, TaskState,
+    job::{Job, JobNo},
+    state::Inner,
+    worker::WorkerNo,
+};
+
+/// Sums that the books are compared with.
+#[derive(Default)]
+struct Sums {
+    committed: FxHashMap<WorkerNo, Resources>,
+    reserved: FxHashMap<WorkerNo, Resources>,
+    teams: FxHashMap<Name, Resources>,
+    reserved_tasks: FxHashSet<(JobNo, u32)>,
+}
+
+impl Cell {
+    /// Returns every disagreement between the cell's books, as sentences; nothing where all is
+    /// well.
+    pub fn audit(&self) -> Vec<String> {
+        let inner = &self.inner;
+        let mut faults = Vec::new();
+        let sums = inner.sums();
+        inner.audit_workers(&sums, &mut faults);
+        inner.audit_teams(&sums, &mut faults);
+        for (number, job) in inner.jobs.iter() {
+            inner.audit_job(number, job, &sums, &mut faults);
+        }
+        faults
+    }
+}
+
+impl Inner {
+    fn sums(&self) -> Sums {
+        let mut sums = Sums::default();
+        for (_, job) in self.jobs.iter() {
+            for slot in job.slots.iter().filter(|slot| slot.state.holds_worker()) {
+                add(sums.committed.entry(slot.worker).or_default(), slot.size);
+                let team = sums.teams.entry(job.spec.team.clone()).or_default();
+                add(team, slot.size);
+            }
+        }
+        for orphan in self.orphans.values().flatten() {
+            let committed = sums.committed.entry(orphan.worker).or_default();
+            add(committed, orphan.found.size);
+        }
+        for reservation in &self.reservations {
+            for planned in &reservation.tasks {
+                let reserved = sums.reserved.entry(planned.worker).or_default();
+                add(reserved, reservation.size);
+                sums.reserved_tasks.insert((reservation.job, planned.index));
+            }
+        }
+        sums
+    }
+
+    fn audit_workers(&self, sums: &Sums, faults: &mut Vec<String>) {
+        let mut total = Resources::ZERO;
+        for (number, worker) in self.workers.iter() {
+            let committed = sums.committed.get(&number).copied().unwrap_or_default();
+            let reserved = sums.reserved.get(&number).copied().unwrap_or_default();
+            add(&mut total, committed);
+            if committed != worker.committed || reserved != worker.reserved {
+                faults.push(format!("the sums of {} are wrong", worker.name));
+            }
+            if !committed.fits_in(worker.capacity) {
+                faults.push(format!("{} is committed beyond its capacity", worker.name));
+            }
+            for held in &worker.tasks {
+                if self.jobs.get(held.job).slots[held.index as usize].worker != number {
+                    faults.push(format!("{} lists a task of another worker", worker.name));
+                }
+            }
+        }
+        if total != self.workers.committed {
+            faults.push("the total of commitments is wrong".to_owned());
+        }
+    }
+
+    fn audit_teams(&self, sums: &Sums, faults: &mut Vec<String>) {
+        for team in self.teams.iter() {
+            let held = sums.teams.get(&team.name).copied().unwrap_or_default();
+            if held != team.committed {
+                faults.push(format!("the sum of team {} is wrong", team.name));
+            }
+        }
+    }
+
+    fn audit_job(&self, number: JobNo, job: &Job, sums: &Sums, faults: &mut Vec<String>) {
+        let id = job.spec.id;
+        let holding = job.slots.iter().filter(|slot| slot.state.holds_worker());
+        if holding.count() != job.active as usize {
+            faults.push(format!("job {id} counts its active tasks wrongly"));
+        }
+        let is_settled = job.ending.is_none() && !job.restarting;
+        if !is_settled {
+            if job.active == 0 && !self.orphans.contains_key(&id) {
+                faults.push(format!("job {id} has nothing to wait for"));
+            }
+            return;
+        }
+        if job.pending.is_empty() == job.entry.is_some() {
+            faults.push(format!(
+                "job {id} is queued without need, or the other way round"
+            ));
+        }
+        let mut waiting = 0;
+        for index in 0..job.spec.tasks {
+            let slot = &job.slots[index as usize];
+            let is_reserved = sums.reserved_tasks.contains(&(number, index));
+            if is_reserved != (slot.state == TaskState::Reserved) {
+                faults.push(format!("task {id}.{index} is reserved in one book only"));
+            }
+            // A gang waits on the timer of its first task.
+            let timed = if job.is_gang() { 0 } else { index };
+            let is_lined_up = job.pending.contains(&index);
+            let comes_up = is_lined_up || self.timers.has_retry(job.task(timed));
+            let lost = slot.state == TaskState::Queued && !comes_up;
+            let over = matches!(slot.state, TaskState::Ended | TaskState::Lost) && !slot.finished;
+            if lost || over {
+                faults.push(format!("task {id}.{index} is forgotten"));
+            }
+            waiting += u32::from(matches!(
+                slot.state,
+                TaskState::Queued | TaskState::Reserved
+            ));
+        }
+        let is_mended_next = self.gangs_found.contains(&id);
+        if job.is_gang() && job.active > 0 && waiting > 0 && !is_mended_next {
+            faults.push(format!("gang {id} runs in part"));
+        }
+    }
+}
+
+fn add(sum: &mut Resources, amount: Resources) {
+    *sum = sum.saturating_add(amount);
+}
--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -3,7 +3,7 @@
 //! A bounded number of candidates is scored, so that the cost does not follow the number of
 //! workers. The score is a weighted sum; the weights are the policy's.
 
-use kspan_model::Resources;
+use kspan_model::{Millis, Resources};
 use rand::Rng;
 
 use crate::{
@@ -20,6 +20,9 @@
 /// Workers looked at for one task, those without room included.
 const LOOKED_AT: usize = 256;
 
+/// Part of a worker's processors that may be in use before another worker is preferred.
+const COOL: f64 = 0.8;
+
 #[derive(Clone, Copy)]
 struct Best {
     worker: WorkerNo,
@@ -31,6 +34,7 @@
     pub(crate) fn choose(&self, number: JobNo, rng: &mut impl Rng) -> Option<WorkerNo> {
         let job = self.jobs.get(number);
         let need = job.spec.shape.size;
+        let used = self.estimates.usage(&job.spec);
         let mut best: Option<Best> = None;
         let (mut scored, mut looked_at, mut in_cell) = (0, 0, 0);
         let mut last_cell = None;
@@ -43,7 +47,7 @@
             looked_at += 1;
             let worker = self.workers.get(number);
             if need.fits_in(worker.free()) && !job.avoid.contains(&number) {
-                let cost = self.cost(job, worker, need);
+                let cost = self.cost(job, worker, need, used);
                 if best.is_none_or(|best| cost < best.cost) {
                     best = Some(Best {
                         worker: number,
@@ -64,8 +68,40 @@
         best.map(|best| best.worker)
     }
 
+    /// Returns a worker whose reserved capacity the job's next task may use meanwhile: it ends
+    /// before that is needed, or can be checkpointed then.
+    pub(crate) fn choose_backfill(&self, number: JobNo, now: Millis) -> Option<WorkerNo> {
+        if self.reservations.is_empty() {
+            return None;
+        }
+        let job = self.jobs.get(number);
+        let need = job.spec.shape.size;
+        let ends = match self.estimates.careful_run_time(&job.spec) {
+            Millis::ZERO => Millis::MAX,
+            run_time => now.saturating_add(run_time),
+        };
+        let checkpoint = job.spec.shape.checkpoint && !job.is_service();
+        let mut found = None;
+        let mut looked_at = 0;
+        self.workers.backfill.search(need, 0, |_, number| {
+            looked_at += 1;
+            let worker = self.workers.get(number);
+            let in_time = checkpoint || ends <= worker.needed_at;
+            let has_room = need.fits_in(worker.uncommitted());
+            if in_time && has_room && !job.avoid.contains(&number) {
+                found = Some(number);
+            }
+            if found.is_some() || looked_at >= LOOKED_AT {
+                Visit::Stop
+            } else {
+                Visit::Next
+            }
+        });
+        found
+    }
+
     /// Returns the cost of a worker for the job's next task; less is better.
-    fn cost(&self, job: &Job, worker: &Worker, need: Resources) -> f64 {
+    fn cost(&self, job: &Job, worker: &Worker, need: Resources, used: Resources) -> f64 {
         let weights = self.policy.weights;
         let after = worker.free().saturating_sub(need);
         let cpu = part(after.cpu_milli, worker.capacity.cpu_milli);
@@ -75,6 +111,9 @@
             let stranded = part(after.accelerators, worker.capacity.accelerators);
             cost += weights.fragmentation * (stranded + f64::from(need.accelerators == 0));
         }
+        let busy = worker.usage.saturating_add(used).cpu_milli;
+        let heat = part(busy, worker.capacity.cpu_milli) - COOL;
+        cost += weights.waiting * heat.max(0.0);
         if job.is_spread() {
             let near = job.racks.get(&worker.rack).copied().unwrap_or(0);
             cost += weights.spread * f64::from(near);
--- a/crates/placement/src/commands.rs
+++ b/crates/placement/src/commands.rs
@@ -1,7 +1,7 @@
 //! Commands: what operators, the host list and the log ask of a cell.
 
 use kspan_model::{
-    JobId, JobResult, Millis, Name, Resources, TaskId,
+    JobId, JobResult, Millis, Name, Priority, Resources, TaskId,
     document::{Policy, Team},
 };
 
@@ -14,9 +14,13 @@
         WorkerState,
     },
     state::{Inner, Orphan},
+    timers::Due,
     worker::Worker,
 };
 
+/// Wait after which low and normal work rises by one priority, so that none starves.
+pub(crate) const PROMOTED_AFTER: Millis = Millis::from_secs(600);
+
 impl Cell {
     /// Replaces the placement policy. Jobs that wait keep their place; later ones follow the new
     /// policy.
@@ -55,6 +59,7 @@
                 capacity: spec.capacity,
                 committed: Resources::ZERO,
                 reserved: Resources::ZERO,
+                needed_at: Millis::MAX,
                 usage: Resources::ZERO,
                 state: WorkerState::Available,
                 tasks: smallvec::SmallVec::new(),
@@ -85,6 +90,9 @@
             return;
         }
         inner.workers.set_state(number, state);
+        if state != WorkerState::Available {
+            inner.drop_reservations_on(number);
+        }
         inner.offer_room(number);
         inner.forget_if_gone(number);
     }
@@ -106,6 +114,10 @@
         }
         let team = inner.teams.number_or_add(&spec.team);
         let id = spec.id;
+        if spec.priority < Priority::High {
+            let due = spec.submitted.saturating_add(PROMOTED_AFTER);
+            inner.timers.set(due, Due::Age(id));
+        }
         let number = inner.jobs.insert(Job::new(spec, team));
         for orphan in inner.orphans.remove(&id).unwrap_or_default() {
             inner.release_orphan(&orphan);
@@ -138,8 +150,8 @@
         let Some(number) = inner.jobs.number(job) else {
             return Cancelled::Unknown;
         };
-        if !inner.jobs.get(number).started {
-            inner.drop_reservation(number);
+        let has_orphans = inner.orphans.contains_key(&job);
+        if !inner.jobs.get(number).started && !has_orphans {
             inner.forget_job(number);
             return Cancelled::NotRun;
         }
@@ -165,6 +177,9 @@
     fn adopt(&mut self, number: JobNo, orphan: Orphan) -> Adopted {
         let Orphan { worker, found } = orphan;
         let task = found.task;
+        if self.jobs.get(number).reserved > 0 {
+            self.drop_reservations(number);
+        }
         let job = self.jobs.get_mut(number);
         if job.current(task).is_some_and(|slot| slot.worker == worker) {
             self.catch_up(number, task, found.state);
@@ -173,13 +188,17 @@
         let wanted = task.index < job.spec.tasks && job.ending.is_none() && !job.restarting;
         let slot = job.slots.get_mut(task.index as usize);
         let takes = slot.filter(|slot| {
-            let waits = matches!(slot.state, TaskState::Queued | TaskState::Reserved);
+            let waits = slot.state == TaskState::Queued;
             wanted && waits && slot.attempt <= task.attempt
         });
         let Some(slot) = takes else {
             return self.keep_orphan(orphan, Adopted::Superseded);
         };
         slot.attempt = task.attempt;
+        if job.is_gang() {
+            self.gangs_found.insert(task.job);
+        }
+        let job = self.jobs.get_mut(number);
         job.pending.retain(|index| *index != task.index);
         if job.pending.is_empty() {
             self.dequeue(number);
@@ -242,6 +261,7 @@
     }
 
     fn shrink(&mut self, number: JobNo, tasks: u32) -> Vec<Placed> {
+        self.drop_reservations(number);
         let job = self.jobs.get_mut(number);
         job.pending.retain(|index| *index < tasks);
         let count = u32::try_from(job.slots.len()).expect("tasks are numbered in 32 bits");
@@ -253,9 +273,6 @@
             .collect()
     }
 
-    /// Drops what is held back for a job.
-    pub(crate) fn drop_reservation(&mut self, _number: JobNo) {}
-
     /// Forgets every queued job that can no longer ever run.
     pub(crate) fn take_impossible(&mut self) -> Vec<(JobId, crate::spec::Reason)> {
         let queued: Vec<JobNo> = self.queue.jobs().collect();
@@ -269,7 +286,6 @@
                 continue;
             };
             found.push((job.spec.id, reason));
-            self.drop_reservation(number);
             self.forget_job(number);
         }
         found
--- /dev/null
+++ b/crates/placement/src/drain.rs
@@ -0,0 +1,46 @@
+//! Moving tasks away from workers that are leaving.
+//!
+//! Runners go a few at a time and only while another worker has room, tasks that can be
+//! checkpointed go at once, and all others may end where they are.
+
+use rand::Rng;
+
+use crate::{
+    TaskState,
+    spec::{Decision, WorkerState},
+    state::Inner,
+    worker::Held,
+};
+
+/// One in this many runners of a service may be on the move at once.
+const RUNNERS_PER_MOVE: usize = 10;
+
+impl Inner {
+    /// Decides which tasks leave draining workers now.
+    pub(crate) fn evacuate(&mut self, rng: &mut impl Rng, decisions: &mut Vec<Decision>) {
+        let workers = self.workers.iter();
+        let draining = workers.filter(|(_, worker)| worker.state == WorkerState::Draining);
+        let held: Vec<Held> = draining
+            .flat_map(|(_, worker)| worker.tasks.clone())
+            .collect();
+        for held in held {
+            if self.may_leave(held, rng) {
+                decisions.extend(self.preempt(held.job, held.index));
+            }
+        }
+    }
+
+    fn may_leave(&self, held: Held, rng: &mut impl Rng) -> bool {
+        let job = self.jobs.get(held.job);
+        if job.slots[held.index as usize].state != TaskState::Running {
+            return false;
+        }
+        if !job.is_service() {
+            return job.spec.shape.checkpoint && !job.is_gang();
+        }
+        let moving = job.slots.iter().filter(|slot| slot.is_leaving()).count();
+        let most = (job.spec.tasks as usize / RUNNERS_PER_MOVE).max(1);
+        // A runner that waits already stands for the room that a further one would need.
+        moving < most && job.pending.is_empty() && self.choose(held.job, rng).is_some()
+    }
+}
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -78,8 +78,11 @@
         if let Some(number) = inner.take_unseen(task) {
             return inner.conclude(number, task.index, end, true, now);
         }
+        let applied = inner.end_orphan(task);
+        let number = inner.jobs.number(task.job);
         Effect {
-            applied: inner.end_orphan(task),
+            applied,
+            done: number.and_then(|number| inner.finish_if_idle(number)),
             ..Effect::default()
         }
     }
@@ -94,6 +97,9 @@
         let before = std::mem::replace(&mut slot.usage, used);
         let worker = inner.workers.get_mut(slot.worker);
         worker.usage = worker.usage.saturating_sub(before).saturating_add(used);
+        let size = slot.size;
+        let workload = inner.jobs.get(number).spec.workload.clone();
+        inner.estimates.observe_usage(&workload, used, size);
         Effect {
             applied: true,
             ..Effect::default()
@@ -115,17 +121,29 @@
             End::Lost => TaskState::Lost,
             _ => TaskState::Ended,
         };
-        let worker = self.vacate(number, task.index, next);
+        let worker = slot.worker;
+        let mut forgiven = was_asked;
+        if !was_asked && matches!(end, End::Succeeded | End::Failed) {
+            forgiven = self.judge(number, task, worker, end == End::Failed, now);
+        }
+        if end == End::Succeeded {
+            let ran = now.saturating_sub(self.jobs.get(number).slots[task.index as usize].since);
+            self.estimates.observe_run(&self.jobs.get(number).spec, ran);
+        }
+        self.vacate(number, task.index, next);
         if end == End::Failed && !was_asked {
             self.avoid(number, worker);
         }
-        self.conclude(number, task.index, end, was_asked, now)
+        self.conclude(number, task.index, end, forgiven, now)
     }
 
     /// Takes a waiting task out of the queue whose end was found in an inventory: the attempt was
     /// started by an earlier owner of the shard.
     fn take_unseen(&mut self, task: TaskId) -> Option<JobNo> {
         let number = self.jobs.number(task.job)?;
+        if self.jobs.get(number).reserved > 0 {
+            self.drop_reservations(number);
+        }
         let job = self.jobs.get_mut(number);
         let slot = job.slots.get_mut(task.index as usize)?;
         if slot.state != TaskState::Queued || slot.attempt > task.attempt {
@@ -134,6 +152,10 @@
         slot.attempt = task.attempt;
         slot.become_state(TaskState::Ended);
         job.started = true;
+        if job.is_gang() {
+            self.gangs_found.insert(task.job);
+        }
+        let job = self.jobs.get_mut(number);
         job.pending.retain(|index| *index != task.index);
         if job.pending.is_empty() {
             self.dequeue(number);
@@ -152,11 +174,7 @@
     ) -> Effect {
         let job = self.jobs.get(number);
         if job.ending.is_some() {
-            return Effect {
-                applied: true,
-                done: self.finish_if_idle(number),
-                ..Effect::default()
-            };
+            return self.wind_up(number);
         }
         match end {
             End::Succeeded if !job.is_service() && !job.restarting => {
@@ -164,12 +182,22 @@
             }
             End::Succeeded => self.repeat(number, index, FIRST_BACKOFF, now),
             End::Failed if !forgiven && !job.restarting => self.fail_task(number, index, now),
+            End::Failed if !job.restarting => self.repeat(number, index, FIRST_BACKOFF, now),
             End::Failed | End::Stopped | End::Checkpointed | End::LeaseLapsed | End::Lost => {
                 self.repeat(number, index, Millis::ZERO, now)
             }
         }
     }
 
+    /// Goes on with a job that only waits for its tasks to end.
+    fn wind_up(&mut self, number: JobNo) -> Effect {
+        Effect {
+            applied: true,
+            done: self.finish_if_idle(number),
+            ..Effect::default()
+        }
+    }
+
     fn finish_task(&mut self, number: JobNo, index: u32) -> Effect {
         let job = self.jobs.get_mut(number);
         job.slots[index as usize].finished = true;
@@ -202,6 +230,9 @@
     /// Lets a task, or the whole of its gang, run again.
     fn repeat(&mut self, number: JobNo, index: u32, backoff: Millis, now: Millis) -> Effect {
         let job = self.jobs.get(number);
+        if job.ending.is_some() {
+            return self.wind_up(number);
+        }
         if job.is_gang() {
             return self.repeat_gang(number, backoff, now);
         }
@@ -222,7 +253,7 @@
     }
 
     /// Stops what still runs of a gang, and queues it whole once all of it has ended.
-    fn repeat_gang(&mut self, number: JobNo, backoff: Millis, now: Millis) -> Effect {
+    pub(crate) fn repeat_gang(&mut self, number: JobNo, backoff: Millis, now: Millis) -> Effect {
         let job = self.jobs.get_mut(number);
         job.restarting = true;
         job.backoff_until = job.backoff_until.max(now.saturating_add(backoff));
@@ -252,8 +283,6 @@
         job.restarting = false;
         job.finished = 0;
         let backoff = job.backoff_until.saturating_sub(now);
-        // The first task's timer queues the whole gang.
-        job.pending = (1..tasks).rev().collect();
         self.wait(number, 0, backoff, now);
         Some(self.jobs.get(number).task(0))
     }
@@ -265,6 +294,7 @@
         let avoid = &mut self.jobs.get_mut(number).avoid;
         if !avoid.contains(&worker) {
             avoid.push(worker);
+            self.jobs.get_mut(number).failed_workers += 1;
         }
     }
 
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -29,7 +29,9 @@
     ) -> usize {
         let Some(places) = self.room_for_gang(next.job) else {
             let size = self.jobs.get(next.job).spec.shape.size;
-            self.queue.block(next.class, size);
+            if !self.reserve_soonest(next.job, now) {
+                self.queue.block(next.class, size);
+            }
             return 0;
         };
         let tasks = places.len();
@@ -40,12 +42,37 @@
         tasks
     }
 
+    /// Restarts the gangs of which an earlier owner of the shard left only a part.
+    pub(crate) fn mend_gangs(&mut self, now: Millis, decisions: &mut Vec<Decision>) {
+        for id in std::mem::take(&mut self.gangs_found) {
+            if let Some(number) = self.jobs.number(id) {
+                self.mend_gang(number, now, decisions);
+            }
+        }
+    }
+
+    fn mend_gang(&mut self, number: JobNo, now: Millis, decisions: &mut Vec<Decision>) {
+        let job = self.jobs.get(number);
+        let waiting = job.pending.len();
+        let is_whole = waiting == 0 || waiting == job.spec.tasks as usize;
+        if is_whole || job.restarting || job.ending.is_some() {
+            return;
+        }
+        let effect = self.repeat_gang(number, Millis::ZERO, now);
+        let stops = effect.stop.into_iter().map(|placed| Decision::Preempt {
+            task: placed.task,
+            worker: placed.worker,
+            checkpoint: false,
+        });
+        decisions.extend(stops);
+    }
+
     /// Returns a worker for each task of a gang, or `None` where not all of them have room.
-    fn room_for_gang(&self, number: JobNo) -> Option<Vec<WorkerNo>> {
+    pub(crate) fn room_for_gang(&self, number: JobNo) -> Option<Vec<WorkerNo>> {
         let job = self.jobs.get(number);
         let size = job.spec.shape.size;
         let wanted = u64::from(job.spec.tasks);
-        let mut rooms = self.rooms(size, &job.avoid);
+        let mut rooms = self.rooms(number, size, &job.avoid);
         let total: u64 = rooms.iter().map(|room| room.tasks).sum();
         if total < wanted {
             return None;
@@ -68,10 +95,16 @@
         Some(places)
     }
 
-    fn rooms(&self, size: Resources, avoid: &[WorkerNo]) -> Vec<Room> {
+    fn rooms(&self, job: JobNo, size: Resources, avoid: &[WorkerNo]) -> Vec<Room> {
+        let own = self.reserved_for(job);
         let mut rooms = Vec::new();
         for (number, worker) in self.workers.iter() {
-            let free = worker.free();
+            let mut free = worker.free();
+            if let Some(&own) = own.get(&number) {
+                let others = worker.reserved.saturating_sub(own);
+                let taken = worker.committed.saturating_add(others);
+                free = worker.capacity.saturating_sub(taken);
+            }
             if !size.fits_in(free) || !worker.takes_tasks() || avoid.contains(&number) {
                 continue;
             }
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -1,6 +1,6 @@
 //! Jobs and the state of each of their tasks.
 
-use kspan_model::{JobId, JobResult, Millis, Name, Resources, TaskId};
+use kspan_model::{JobId, JobResult, Millis, Name, Priority, Resources, TaskId};
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
@@ -24,6 +24,8 @@
     pub(crate) worker: WorkerNo,
     /// Failures that count against the job.
     pub(crate) failures: u32,
+    /// Failures that were not counted because the worker was under suspicion.
+    pub(crate) forgiven: u32,
     pub(crate) size: Resources,
     pub(crate) usage: Resources,
     /// When the present state began, as far as waiting and running are concerned.
@@ -61,6 +63,13 @@
     pub(crate) failures: u32,
     /// When the retry that was put off last is due.
     pub(crate) backoff_until: Millis,
+    /// Tasks for which capacity is held back.
+    pub(crate) reserved: u32,
+    pub(crate) no_reservation_before: Millis,
+    /// Levels of priority that the job has gained by waiting.
+    pub(crate) promoted: u32,
+    /// Workers on which a task of the job failed, counted each time anew.
+    pub(crate) failed_workers: u32,
     /// Workers on which a task of the job failed.
     pub(crate) avoid: SmallVec<[WorkerNo; 4]>,
     /// Tasks in each rack, kept where the job is spread.
@@ -86,6 +95,10 @@
             restarting: false,
             failures: 0,
             backoff_until: Millis::ZERO,
+            reserved: 0,
+            no_reservation_before: Millis::ZERO,
+            promoted: 0,
+            failed_workers: 0,
             avoid: SmallVec::new(),
             racks: FxHashMap::default(),
         }
@@ -95,6 +108,19 @@
         TaskId::new(self.spec.id, index, self.slots[index as usize].attempt)
     }
 
+    /// Returns the priority with what the job has gained by waiting.
+    pub(crate) fn priority(&self) -> Priority {
+        let mut priority = self.spec.priority;
+        for _ in 0..self.promoted {
+            priority = match priority {
+                Priority::Low => Priority::Normal,
+                Priority::Normal | Priority::High => Priority::High,
+                Priority::Urgent => Priority::Urgent,
+            };
+        }
+        priority
+    }
+
     pub(crate) fn is_gang(&self) -> bool {
         matches!(self.spec.kind, Kind::Gang { .. })
     }
@@ -130,6 +156,7 @@
             attempt: 0,
             worker: NO_WORKER,
             failures: 0,
+            forgiven: 0,
             size,
             usage: Resources::ZERO,
             since,
@@ -137,6 +164,11 @@
         }
     }
 
+    /// Returns whether the task was told to go.
+    pub(crate) fn is_leaving(&self) -> bool {
+        matches!(self.state, TaskState::Checkpointing | TaskState::Stopping)
+    }
+
     /// Moves the task to another state.
     ///
     /// # Panics
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,7 +7,9 @@
 //!
 //! It does not know leases or fences. The program must not plan before it has adopted what the
 //! shard's workers run already, and must report a task as lost only when the task's lease has
-//! provably lapsed.
+//! provably lapsed. It must let a worker forget an ended attempt only when a later attempt of the
+//! same index has started or the job's end is durable: a successor learns from the inventories
+//! which attempts were used, and hands their ends to [`Cell::ended`].
 //!
 //! # Examples
 //!
@@ -55,9 +57,12 @@
 //! assert!(effect.done.is_some());
 //! ```
 
+mod audit;
 mod cell;
 mod choose;
 mod commands;
+mod drain;
+mod estimate;
 mod events;
 mod feasible;
 mod gang;
@@ -65,8 +70,12 @@
 mod index;
 mod job;
 mod plan;
+mod preempt;
+mod probation;
 mod queries;
 mod queue;
+mod reserve;
+mod soonest;
 mod spec;
 mod state;
 mod stats;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,12 +1,21 @@
 //! The plan: which waiting tasks start now, and where.
 
-use kspan_model::Millis;
+use kspan_model::{JobId, Millis, Name, Priority};
 use rand::Rng;
 
-use crate::{Cell, queue::Next, spec::Decision, state::Inner, timers::Due};
+use crate::{
+    Cell, commands::PROMOTED_AFTER, preempt::SEARCHES_PER_PLAN, queue::Next, spec::Decision,
+    state::Inner, timers::Due,
+};
 
 /// How long a job waits for another worker than those on which it failed.
 const AVOIDANCE: Millis = Millis::from_secs(5);
+/// Wait after which room is held back for a task that finds none.
+const RESERVED_AFTER: Millis = Millis::from_secs(30);
+/// Shortest time between two tries of a gang that found no room.
+const GANG_INTERVAL: Millis = Millis(20);
+/// Interval at which everything that waits is tried again.
+pub(crate) const SWEEP_INTERVAL: Millis = Millis(250);
 
 impl Cell {
     /// Decides what is to be done now, at most `budget` starts. A gang is never split by the
@@ -19,13 +28,17 @@
         let inner = &mut self.inner;
         let mut decisions = Vec::new();
         inner.run_timers(now);
+        inner.searches_left = SEARCHES_PER_PLAN;
         inner.measure_shares();
         if std::mem::take(&mut inner.recheck) {
             let found = inner.take_impossible();
             let found = found.into_iter();
             decisions.extend(found.map(|(job, reason)| Decision::Impossible { job, reason }));
         }
-        let mut left = budget;
+        inner.mend_gangs(now, &mut decisions);
+        inner.sweep(now, rng, &mut decisions);
+        let reserved = inner.serve_reservations(now, &mut decisions);
+        let mut left = budget.saturating_sub(reserved);
         while left > 0 {
             let Some(next) = inner.queue.next() else {
                 break;
@@ -42,6 +55,8 @@
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Retry(task) => self.end_backoff(task),
+                Due::Trial(name) => self.end_probation(&name),
+                Due::Age(job) => self.promote(job, now),
             }
         }
     }
@@ -64,13 +79,9 @@
         if job.is_gang() {
             return self.try_gang(next, now, decisions);
         }
-        let size = job.spec.shape.size;
-        let Some(worker) = self.choose(next.job, rng) else {
-            if self.jobs.get(next.job).avoid.is_empty() {
-                self.queue.block(next.class, size);
-            } else {
-                self.put_off(next.job, now);
-            }
+        let found = self.choose(next.job, rng);
+        let Some(worker) = found.or_else(|| self.choose_backfill(next.job, now)) else {
+            self.hold_up(next, now, rng, decisions);
             return 0;
         };
         let index = self.take_pending(next.job);
@@ -78,6 +89,73 @@
         1
     }
 
+    /// Decides what becomes of a job that found no room.
+    fn hold_up(
+        &mut self,
+        next: Next,
+        now: Millis,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) {
+        if self.make_room(next, now, rng, decisions) {
+            return;
+        }
+        let job = self.jobs.get(next.job);
+        if !job.avoid.is_empty() {
+            self.put_off(next.job, now);
+            return;
+        }
+        let size = job.spec.shape.size;
+        let waited = now.saturating_sub(job.spec.submitted);
+        if waited >= RESERVED_AFTER && self.reserve_soonest(next.job, now) {
+            return;
+        }
+        self.queue.block(next.class, size);
+    }
+
+    /// Looks again at what no event brings up: classes that wait, gangs, draining workers.
+    fn sweep(&mut self, now: Millis, rng: &mut impl Rng, decisions: &mut Vec<Decision>) {
+        let gangs_due = now >= self.gangs_tried.saturating_add(GANG_INTERVAL);
+        if gangs_due && std::mem::take(&mut self.room_for_gangs) {
+            self.gangs_tried = now;
+            self.queue.unblock_gangs();
+        }
+        if now < self.swept.saturating_add(SWEEP_INTERVAL) {
+            return;
+        }
+        self.swept = now;
+        self.queue.unblock_all();
+        self.evacuate(rng, decisions);
+    }
+
+    fn end_probation(&mut self, name: &Name) {
+        let Some(number) = self.workers.number(name) else {
+            return;
+        };
+        self.workers.get_mut(number).health.begin_trial();
+        self.workers.refresh(number);
+        self.offer_room(number);
+    }
+
+    /// Raises the priority of a job that still waits.
+    fn promote(&mut self, id: JobId, now: Millis) {
+        let Some(number) = self.jobs.number(id) else {
+            return;
+        };
+        let job = self.jobs.get(number);
+        if job.priority() >= Priority::High {
+            return;
+        }
+        self.timers
+            .set(now.saturating_add(PROMOTED_AFTER), Due::Age(id));
+        if job.entry.is_none() || job.started {
+            return;
+        }
+        self.dequeue(number);
+        self.jobs.get_mut(number).promoted += 1;
+        self.enqueue(number);
+    }
+
     /// Puts a job off that avoids some workers, so that it does not hold up its class. It avoids
     /// nothing any more when it is tried again.
     fn put_off(&mut self, number: u32, now: Millis) {
@@ -105,8 +183,7 @@
         let slot = &job.slots[task.index as usize];
         let waits = slot.state == crate::TaskState::Queued && slot.attempt == task.attempt;
         if wanted && waits {
-            job.pending.push(task.index);
-            self.enqueue(number);
+            self.line_up(number, task.index);
         }
     }
 }
--- /dev/null
+++ b/crates/placement/src/preempt.rs
@@ -0,0 +1,220 @@
+//! Pre-emption: urgent work takes the place of low and normal work, and teams within their quota
+//! take back what others borrow.
+//!
+//! Tasks that can be checkpointed go first, then those that lose the least. The room is held
+//! back for the task that asked for it until the tasks there have ended. Services stay put.
+
+use kspan_model::{Millis, Priority, Resources};
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::{
+    TaskState,
+    job::JobNo,
+    queue::Next,
+    reserve::{Planned, Reservation, SHORTEST},
+    spec::Decision,
+    state::Inner,
+    worker::{Held, Worker, WorkerNo},
+};
+
+/// Workers that are weighed for one pre-emption.
+const WEIGHED: usize = 64;
+/// Workers that are looked at for one pre-emption, those that are too small included.
+const LOOKED_AT: usize = 1_024;
+/// Pre-empting searches in one plan.
+pub(crate) const SEARCHES_PER_PLAN: usize = 64;
+/// Searches that one without success counts for besides itself.
+const FAILED_SEARCH: usize = 7;
+/// How long a job within its quota waits before it takes back what others borrow.
+const RECLAIM_AFTER: Millis = Millis::from_secs(2);
+/// Expected time until a pre-empted task has gone.
+const EXPECTED_GRACE: Millis = Millis(500);
+/// Cost of a victim that cannot be checkpointed, before the time it has run.
+const LOST_WORK: u64 = 10_000;
+/// Run time beyond which a victim costs no more.
+const RUN_HORIZON: Millis = Millis::from_secs(3_600);
+/// Cost of normal work over low work.
+const NORMAL_WORK: u64 = 1_000;
+
+/// Why tasks may be pre-empted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ground {
+    Urgent,
+    Reclaim,
+}
+
+type Victims = SmallVec<[Held; 4]>;
+
+impl Inner {
+    /// Makes room for the next task of a job that found none, if it may. Returns whether room is
+    /// on its way.
+    pub(crate) fn make_room(
+        &mut self,
+        next: Next,
+        now: Millis,
+        rng: &mut impl Rng,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let job = self.jobs.get(next.job);
+        let size = job.spec.shape.size;
+        let team = self.teams.get(next.team);
+        if !team.is_within_quota(size) || self.searches_left == 0 {
+            return false;
+        }
+        let ground = if job.spec.priority == Priority::Urgent {
+            Ground::Urgent
+        } else if now >= job.spec.submitted.saturating_add(RECLAIM_AFTER) {
+            Ground::Reclaim
+        } else {
+            return false;
+        };
+        if ground == Ground::Reclaim && !self.teams.any_borrows() {
+            return false;
+        }
+        self.searches_left -= 1;
+        let Some((worker, victims)) = self.find_victims(next.job, ground, now, rng) else {
+            self.searches_left = self.searches_left.saturating_sub(FAILED_SEARCH);
+            return false;
+        };
+        for held in victims {
+            decisions.extend(self.preempt(held.job, held.index));
+        }
+        let index = self.take_pending(next.job);
+        self.reserve(Reservation {
+            job: next.job,
+            size,
+            tasks: vec![Planned { index, worker }],
+            made: now,
+            ready_at: now.saturating_add(EXPECTED_GRACE),
+            until: now.saturating_add(SHORTEST),
+            tried: now,
+        });
+        true
+    }
+
+    /// Marks a task as going and returns the decision.
+    pub(crate) fn preempt(&mut self, number: JobNo, index: u32) -> Option<Decision> {
+        let job = self.jobs.get_mut(number);
+        let checkpoint = job.spec.shape.checkpoint;
+        let slot = &mut job.slots[index as usize];
+        if slot.is_leaving() || !slot.state.holds_worker() {
+            return None;
+        }
+        slot.become_state(if checkpoint {
+            TaskState::Checkpointing
+        } else {
+            TaskState::Stopping
+        });
+        let worker = slot.worker;
+        Some(Decision::Preempt {
+            task: job.task(index),
+            worker: self.workers.get(worker).name.clone(),
+            checkpoint,
+        })
+    }
+
+    fn find_victims(
+        &self,
+        number: JobNo,
+        ground: Ground,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Option<(WorkerNo, Victims)> {
+        let job = self.jobs.get(number);
+        let need = job.spec.shape.size;
+        let slots = self.workers.slots();
+        let start = rng.random_range(0..slots.max(1));
+        let mut best: Option<(u64, WorkerNo, Victims)> = None;
+        let mut weighed = 0;
+        for offset in 0..slots.min(LOOKED_AT) {
+            let slot = (start + offset) % slots;
+            let Some(worker) = self.workers.at(slot) else {
+                continue;
+            };
+            if !need.fits_in(worker.capacity) || !worker.takes_tasks() {
+                continue;
+            }
+            if let Some((cost, victims)) = self.victims_on(worker, need, ground, now) {
+                weighed += 1;
+                if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    let number = WorkerNo::try_from(slot).expect("numbered in 32 bits");
+                    best = Some((cost, number, victims));
+                }
+            }
+            if weighed >= WEIGHED {
+                break;
+            }
+        }
+        best.map(|(_, worker, victims)| (worker, victims))
+    }
+
+    /// Returns the cheapest tasks whose going makes room on a worker, and their cost.
+    fn victims_on(
+        &self,
+        worker: &Worker,
+        need: Resources,
+        ground: Ground,
+        now: Millis,
+    ) -> Option<(u64, Victims)> {
+        // What is going already is spoken for by the reservations on the worker.
+        let mut staying = worker.committed;
+        let mut candidates: SmallVec<[(u64, Held, Resources); 8]> = SmallVec::new();
+        for &held in &worker.tasks {
+            let slot = &self.jobs.get(held.job).slots[held.index as usize];
+            if slot.is_leaving() {
+                staying = staying.saturating_sub(slot.size);
+            } else if let Some(cost) = self.victim_cost(held, ground, now) {
+                candidates.push((cost, held, slot.size));
+            }
+        }
+        candidates.sort_unstable_by_key(|(cost, ..)| *cost);
+        let mut victims = Victims::new();
+        let mut total = 0;
+        for (cost, held, size) in candidates {
+            if has_room(worker, staying, need) {
+                break;
+            }
+            staying = staying.saturating_sub(size);
+            total += cost;
+            victims.push(held);
+        }
+        let is_enough = has_room(worker, staying, need);
+        is_enough.then_some((total, victims))
+    }
+
+    /// Returns what it costs to pre-empt a task, or `None` where it may not be.
+    fn victim_cost(&self, held: Held, ground: Ground, now: Millis) -> Option<u64> {
+        let job = self.jobs.get(held.job);
+        let slot = &job.slots[held.index as usize];
+        if job.is_service() || job.is_gang() || slot.state != TaskState::Running {
+            return None;
+        }
+        let may_go = match ground {
+            Ground::Urgent => job.spec.priority <= Priority::Normal,
+            Ground::Reclaim => {
+                let team = self.teams.get(job.team);
+                // The team must hold its quota even without the task.
+                let rest = team.committed.saturating_sub(slot.size);
+                job.spec.priority <= Priority::High && rest.dominant_share(team.quota) >= 1.0
+            }
+        };
+        if !may_go {
+            return None;
+        }
+        let mut cost = 1;
+        if job.spec.priority >= Priority::Normal {
+            cost += NORMAL_WORK;
+        }
+        if !job.spec.shape.checkpoint {
+            let ran = now.saturating_sub(slot.since).min(RUN_HORIZON);
+            cost += LOST_WORK + ran.0;
+        }
+        Some(cost)
+    }
+}
+
+fn has_room(worker: &Worker, staying: Resources, need: Resources) -> bool {
+    let taken = staying.saturating_add(worker.reserved);
+    taken.saturating_add(need).fits_in(worker.capacity)
+}
--- a/crates/placement/src/queries.rs
+++ b/crates/placement/src/queries.rs
@@ -6,7 +6,9 @@
 use crate::{
     Cell, TaskState, Waits,
     job::NO_WORKER,
+    plan::SWEEP_INTERVAL,
     spec::{Placed, Waiting, WorkerState},
+    worker::Worker,
 };
 
 /// What a team holds and is owed.
@@ -92,6 +94,9 @@
         let inner = &self.inner;
         let number = inner.jobs.number(job)?;
         let job = inner.jobs.get(number);
+        if let Some(until) = inner.reserved_until(number) {
+            return Some(Waiting::Reserved { until });
+        }
         let Some(entry) = job.entry else {
             let delayed = job.slots.iter().any(|slot| slot.state == TaskState::Queued);
             return Some(if delayed {
@@ -198,7 +203,10 @@
 
     /// Returns when the cell next wants to plan without any event before.
     pub fn next_due(&self) -> Option<Millis> {
-        self.inner.timers.next()
+        let inner = &self.inner;
+        let waits = inner.queue.any_blocked() || !inner.reservations.is_empty();
+        let sweep = waits.then(|| inner.swept.saturating_add(SWEEP_INTERVAL));
+        inner.timers.next().into_iter().chain(sweep).min()
     }
 
     /// Returns the whole state for a dump.
@@ -212,7 +220,7 @@
         ];
         let workers = inner.workers.iter().map(|(_, worker)| WorkerRow {
             name: worker.name.clone(),
-            state: describe(worker.state, worker.takes_tasks()),
+            state: describe(worker),
             capacity: worker.capacity,
             committed: worker.committed,
             reserved: worker.reserved,
@@ -229,9 +237,9 @@
     }
 }
 
-fn describe(state: WorkerState, takes_tasks: bool) -> String {
-    if state == WorkerState::Available && !takes_tasks {
+fn describe(worker: &Worker) -> String {
+    if worker.state == WorkerState::Available && worker.health.is_on_probation() {
         return "on probation".to_owned();
     }
-    state.to_string()
+    worker.state.to_string()
 }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -164,9 +164,24 @@
         self.rank_class(class);
     }
 
-    /// Takes back the classes whose first job may now fit in `free`.
+    /// Takes back the classes whose first job may now fit in `free`. Gangs are taken back on their
+    /// own, because trying one costs a walk over all workers.
     pub(crate) fn unblock_fitting(&mut self, free: Resources) {
-        self.unblock(|need, _| need.fits_in(free));
+        self.unblock(|need, key| !key.gang && need.fits_in(free));
+    }
+
+    /// Takes back every class of gangs.
+    pub(crate) fn unblock_gangs(&mut self) {
+        self.unblock(|_, key| key.gang);
+    }
+
+    /// Takes back every class.
+    pub(crate) fn unblock_all(&mut self) {
+        self.unblock(|_, _| true);
+    }
+
+    pub(crate) fn any_blocked(&self) -> bool {
+        !self.blocked.is_empty()
     }
 
     fn unblock(&mut self, may_fit: impl Fn(Resources, &ClassKey) -> bool) {
--- /dev/null
+++ b/crates/placement/src/reserve.rs
@@ -0,0 +1,283 @@
+//! Reservations: capacity held back for tasks that found no room.
+//!
+//! A reservation names the workers on which its tasks will start, because the tasks there end
+//! soonest or are being pre-empted. It expires, and a job whose reservation expired lets others
+//! go first for a while, so that no job hoards. Work that ends before the reservation is needed,
+//! or can be checkpointed, may use the capacity meanwhile.
+
+use kspan_model::{Millis, Resources};
+use rustc_hash::FxHashMap;
+
+use crate::{TaskState, job::JobNo, spec::Decision, state::Inner, worker::WorkerNo};
+
+/// Shortest life of a reservation.
+pub(crate) const SHORTEST: Millis = Millis::from_secs(30);
+/// Longest life of a reservation.
+pub(crate) const LONGEST: Millis = Millis::from_secs(3_600);
+/// How long a job whose reservation expired makes none.
+const PAUSE: Millis = Millis::from_secs(30);
+/// Interval at which a gang with a reservation is tried on the whole cell.
+const GANG_RETRY: Millis = Millis(250);
+
+/// A task with the worker that is to take it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Planned {
+    pub(crate) index: u32,
+    pub(crate) worker: WorkerNo,
+}
+
+/// Capacity held back for tasks of one job that start together.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) job: JobNo,
+    pub(crate) size: Resources,
+    pub(crate) tasks: Vec<Planned>,
+    pub(crate) made: Millis,
+    /// When the last of the capacity should be there.
+    pub(crate) ready_at: Millis,
+    pub(crate) until: Millis,
+    pub(crate) tried: Millis,
+}
+
+impl Inner {
+    /// Makes a reservation. The tasks must not stand in `pending` any more.
+    pub(crate) fn reserve(&mut self, reservation: Reservation) {
+        for planned in &reservation.tasks {
+            let job = self.jobs.get_mut(reservation.job);
+            job.slots[planned.index as usize].become_state(TaskState::Reserved);
+            job.reserved += 1;
+            let worker = self.workers.get_mut(planned.worker);
+            worker.needed_at = worker.needed_at.min(reservation.ready_at);
+            self.workers.reserve(planned.worker, reservation.size);
+        }
+        self.reservations.push(reservation);
+    }
+
+    /// Starts what has its room now, frees room that backfilled tasks take, and drops what has
+    /// expired.
+    pub(crate) fn serve_reservations(
+        &mut self,
+        now: Millis,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
+        let mut started = 0;
+        let mut position = 0;
+        while position < self.reservations.len() {
+            if self.has_room(&self.reservations[position]) {
+                let reservation = self.take_reservation(position);
+                started += self.start_reserved(&reservation, now, decisions);
+            } else if self.reservations[position].until <= now {
+                let reservation = self.take_reservation(position);
+                self.requeue_reserved(&reservation, now);
+            } else if let Some(places) = self.room_elsewhere(position, now) {
+                let mut reservation = self.take_reservation(position);
+                for (planned, worker) in reservation.tasks.iter_mut().zip(places) {
+                    planned.worker = worker;
+                }
+                started += self.start_reserved(&reservation, now, decisions);
+            } else {
+                self.clear_backfill(position, now, decisions);
+                position += 1;
+            }
+        }
+        started
+    }
+
+    /// Drops every reservation of a job; its tasks wait again.
+    pub(crate) fn drop_reservations(&mut self, number: JobNo) {
+        if self.jobs.get(number).reserved > 0 {
+            self.drop_where(|reservation| reservation.job == number);
+        }
+    }
+
+    /// Drops every reservation that counts on a worker; the tasks wait again.
+    pub(crate) fn drop_reservations_on(&mut self, worker: WorkerNo) {
+        self.drop_where(|reservation| {
+            let mut tasks = reservation.tasks.iter();
+            tasks.any(|planned| planned.worker == worker)
+        });
+    }
+
+    fn drop_where(&mut self, is_dropped: impl Fn(&Reservation) -> bool) {
+        let mut position = 0;
+        while position < self.reservations.len() {
+            if !is_dropped(&self.reservations[position]) {
+                position += 1;
+                continue;
+            }
+            let reservation = self.take_reservation(position);
+            self.give_back(&reservation);
+        }
+    }
+
+    pub(crate) fn reserved_until(&self, number: JobNo) -> Option<Millis> {
+        let of_job = self.reservations.iter().filter(|entry| entry.job == number);
+        of_job.map(|reservation| reservation.until).min()
+    }
+
+    /// Returns what is held back for a job on each worker.
+    pub(crate) fn reserved_for(&self, number: JobNo) -> FxHashMap<WorkerNo, Resources> {
+        let mut reserved: FxHashMap<WorkerNo, Resources> = FxHashMap::default();
+        if self.jobs.get(number).reserved == 0 {
+            return reserved;
+        }
+        for reservation in self.reservations.iter().filter(|entry| entry.job == number) {
+            for planned in &reservation.tasks {
+                let sum = reserved.entry(planned.worker).or_default();
+                *sum = sum.saturating_add(reservation.size);
+            }
+        }
+        reserved
+    }
+
+    fn has_room(&self, reservation: &Reservation) -> bool {
+        let need = reservation.size.times(reservation.tasks.len() as u64);
+        let team = self.jobs.get(reservation.job).team;
+        if !self.teams.get(team).admits(need) {
+            return false;
+        }
+        let mut position = 0;
+        while position < reservation.tasks.len() {
+            let worker = reservation.tasks[position].worker;
+            let count = count_on(reservation, position);
+            let entry = self.workers.get(worker);
+            let need = reservation.size.times(count as u64);
+            if !need.fits_in(entry.uncommitted()) || !entry.takes_tasks() {
+                return false;
+            }
+            position += count;
+        }
+        true
+    }
+
+    fn room_elsewhere(&mut self, position: usize, now: Millis) -> Option<Vec<WorkerNo>> {
+        let reservation = &self.reservations[position];
+        let job = self.jobs.get(reservation.job);
+        let is_admitted = self.teams.get(job.team).admits(job.next_need());
+        if !job.is_gang() || !is_admitted || now < reservation.tried.saturating_add(GANG_RETRY) {
+            return None;
+        }
+        let number = reservation.job;
+        self.reservations[position].tried = now;
+        self.room_for_gang(number)
+    }
+
+    fn take_reservation(&mut self, position: usize) -> Reservation {
+        let reservation = self.reservations.swap_remove(position);
+        for planned in &reservation.tasks {
+            self.jobs.get_mut(reservation.job).reserved -= 1;
+            self.workers.unreserve(planned.worker, reservation.size);
+        }
+        let mut last = None;
+        for planned in &reservation.tasks {
+            if last.replace(planned.worker) != Some(planned.worker) {
+                self.recompute_needed_at(planned.worker);
+                self.offer_room(planned.worker);
+            }
+        }
+        reservation
+    }
+
+    /// Finds again when the capacity held back on a worker is needed first.
+    fn recompute_needed_at(&mut self, worker: WorkerNo) {
+        if self.workers.get(worker).reserved.is_zero() {
+            self.workers.get_mut(worker).needed_at = Millis::MAX;
+            return;
+        }
+        let on_worker = self.reservations.iter().filter(|reservation| {
+            let mut tasks = reservation.tasks.iter();
+            tasks.any(|planned| planned.worker == worker)
+        });
+        let first = on_worker.map(|reservation| reservation.ready_at).min();
+        self.workers.get_mut(worker).needed_at = first.unwrap_or(Millis::MAX);
+    }
+
+    fn start_reserved(
+        &mut self,
+        reservation: &Reservation,
+        now: Millis,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
+        for planned in &reservation.tasks {
+            let start = self.start(reservation.job, planned.index, planned.worker, now);
+            decisions.push(Decision::Start(start));
+        }
+        reservation.tasks.len()
+    }
+
+    fn requeue_reserved(&mut self, reservation: &Reservation, now: Millis) {
+        let job = self.jobs.get_mut(reservation.job);
+        job.no_reservation_before = now.saturating_add(PAUSE);
+        self.give_back(reservation);
+    }
+
+    fn give_back(&mut self, reservation: &Reservation) {
+        let job = self.jobs.get_mut(reservation.job);
+        for planned in reservation.tasks.iter().rev() {
+            job.slots[planned.index as usize].become_state(TaskState::Queued);
+            job.pending.push(planned.index);
+        }
+        self.enqueue(reservation.job);
+    }
+
+    /// Checkpoints backfilled tasks if nothing else is missing, or the time has come.
+    fn clear_backfill(&mut self, position: usize, now: Millis, decisions: &mut Vec<Decision>) {
+        let reservation = &self.reservations[position];
+        let is_due = reservation.ready_at <= now;
+        let (size, made) = (reservation.size, reservation.made);
+        let mut victims = Vec::new();
+        let mut first = 0;
+        while first < reservation.tasks.len() {
+            let worker = reservation.tasks[first].worker;
+            let count = count_on(reservation, first);
+            first += count;
+            let need = size.times(count as u64);
+            let covered = self.backfill_victims(worker, need, made, &mut victims);
+            if !covered && !is_due {
+                return;
+            }
+        }
+        for (job, index) in victims {
+            decisions.extend(self.preempt(job, index));
+        }
+    }
+
+    /// Collects backfilled tasks that must go to make room for `need`. Returns whether that, and
+    /// what is going already, is enough.
+    fn backfill_victims(
+        &self,
+        worker: WorkerNo,
+        need: Resources,
+        made: Millis,
+        victims: &mut Vec<(JobNo, u32)>,
+    ) -> bool {
+        let entry = self.workers.get(worker);
+        let mut coming = entry.uncommitted();
+        for held in &entry.tasks {
+            let slot = &self.jobs.get(held.job).slots[held.index as usize];
+            if slot.is_leaving() {
+                coming = coming.saturating_add(slot.size);
+            }
+        }
+        for held in &entry.tasks {
+            if need.fits_in(coming) {
+                break;
+            }
+            let job = self.jobs.get(held.job);
+            let slot = &job.slots[held.index as usize];
+            let is_backfilled = job.spec.shape.checkpoint && !job.is_gang() && slot.since >= made;
+            if is_backfilled && slot.state == TaskState::Running {
+                victims.push((held.job, held.index));
+                coming = coming.saturating_add(slot.size);
+            }
+        }
+        need.fits_in(coming)
+    }
+}
+
+/// Returns how many consecutive tasks from `first` are planned on the same worker.
+fn count_on(reservation: &Reservation, first: usize) -> usize {
+    let worker = reservation.tasks[first].worker;
+    let rest = reservation.tasks[first..].iter();
+    rest.take_while(|planned| planned.worker == worker).count()
+}
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -3,13 +3,18 @@
 //! The steps keep the books in agreement: a task's state, its worker's commitments, its team's
 //! share, the index of free capacity and the queue always change together here.
 
+use std::collections::BTreeSet;
+
 use kspan_model::{JobId, JobResult, Millis, Name, Resources, document::Policy};
 use rustc_hash::FxHashMap;
 
 use crate::{
     TaskState,
+    estimate::Estimates,
+    health::FailureRate,
     job::{Job, JobNo, Jobs, NO_WORKER},
     queue::{ClassKey, Queue, step},
+    reserve::Reservation,
     spec::{Effect, Found, JobDone, Placed, Start},
     stats::Stats,
     team::{TeamNo, Teams},
@@ -40,6 +45,17 @@
     pub(crate) orphans: FxHashMap<JobId, Vec<Orphan>>,
     pub(crate) timers: Timers,
     pub(crate) stats: Stats,
+    pub(crate) estimates: Estimates,
+    pub(crate) failure_rate: FailureRate,
+    pub(crate) reservations: Vec<Reservation>,
+    /// Pre-empting searches left in the plan under way.
+    pub(crate) searches_left: usize,
+    /// Whether room has come since gangs were tried last.
+    pub(crate) room_for_gangs: bool,
+    pub(crate) gangs_tried: Millis,
+    pub(crate) swept: Millis,
+    /// Gangs of which tasks were found that an earlier owner started.
+    pub(crate) gangs_found: BTreeSet<JobId>,
     /// Capacity that shares are measured against; follows the workers at each plan.
     pub(crate) measure: Resources,
     /// Workers that the operators expect, besides those that are known.
@@ -59,6 +75,14 @@
             orphans: FxHashMap::default(),
             timers: Timers::default(),
             stats: Stats::default(),
+            estimates: Estimates::default(),
+            failure_rate: FailureRate::default(),
+            reservations: Vec::new(),
+            searches_left: 0,
+            room_for_gangs: false,
+            gangs_tried: Millis::ZERO,
+            swept: Millis::ZERO,
+            gangs_found: BTreeSet::new(),
             measure: Resources::ZERO,
             fleet: Vec::new(),
             recheck: false,
@@ -146,7 +170,7 @@
     /// moves by a bounded span, so that no job is overtaken for ever.
     fn order_key(&self, job: &Job) -> u64 {
         let weights = self.policy.weights;
-        let run_time = self.stats.expected_run_time(&job.spec).0;
+        let run_time = self.estimates.run_time(&job.spec).0;
         let behind = weights.waiting * run_time.min(RUN_TIME_HORIZON.0) as f64;
         let share = job.spec.shape.size.dominant_share(self.largest());
         let ahead = weights.packing * share.min(1.0) * SIZE_HEAD_START.0 as f64;
@@ -237,7 +261,8 @@
             return;
         };
         if entry.takes_tasks() {
-            self.queue.unblock_fitting(entry.free());
+            self.queue.unblock_fitting(entry.uncommitted());
+            self.room_for_gangs = true;
         }
     }
 
@@ -294,29 +319,48 @@
 
     /// Lets a waiting task be started: at once, or when its backoff is over.
     pub(crate) fn wait(&mut self, number: JobNo, index: u32, backoff: Millis, now: Millis) {
-        let job = self.jobs.get_mut(number);
         if backoff == Millis::ZERO {
-            job.pending.push(index);
-            self.enqueue(number);
+            self.line_up(number, index);
             return;
         }
+        let job = self.jobs.get_mut(number);
         let until = now.saturating_add(backoff);
         job.backoff_until = until;
         let task = job.task(index);
         self.timers.set(until, Due::Retry(task));
     }
 
+    /// Queues a task, or the whole gang that it belongs to.
+    pub(crate) fn line_up(&mut self, number: JobNo, index: u32) {
+        let job = self.jobs.get_mut(number);
+        if job.is_gang() {
+            job.pending = (0..job.spec.tasks).rev().collect();
+        } else {
+            job.pending.push(index);
+        }
+        self.enqueue(number);
+    }
+
     /// Marks every task that holds a worker as stopping and lists those that were not before.
     pub(crate) fn stop_all(&mut self, number: JobNo) -> Vec<Placed> {
         let job = self.jobs.get(number);
         let count = u32::try_from(job.slots.len()).expect("tasks are numbered in 32 bits");
-        let mut stopped = Vec::new();
+        let mut stopped = self.orphans_of(job.spec.id);
         for index in 0..count {
             stopped.extend(self.stop_one(number, index));
         }
         stopped
     }
 
+    fn orphans_of(&self, job: JobId) -> Vec<Placed> {
+        let orphans = self.orphans.get(&job).into_iter().flatten();
+        let placed = orphans.map(|orphan| Placed {
+            task: orphan.found.task,
+            worker: self.workers.get(orphan.worker).name.clone(),
+        });
+        placed.collect()
+    }
+
     /// Marks one task as stopping, if it holds a worker and is not being stopped already.
     pub(crate) fn stop_one(&mut self, number: JobNo, index: u32) -> Option<Placed> {
         let job = self.jobs.get_mut(number);
@@ -334,6 +378,7 @@
 
     /// Lets a job end with a result as soon as no task of it holds a worker.
     pub(crate) fn end_job(&mut self, number: JobNo, result: JobResult, reason: &str) -> Effect {
+        self.drop_reservations(number);
         self.dequeue(number);
         let job = self.jobs.get_mut(number);
         job.pending.clear();
@@ -350,7 +395,7 @@
     /// Forgets a job that is to end once no task of it holds a worker.
     pub(crate) fn finish_if_idle(&mut self, number: JobNo) -> Option<JobDone> {
         let job = self.jobs.get(number);
-        if job.active > 0 {
+        if job.active > 0 || self.orphans.contains_key(&job.spec.id) {
             return None;
         }
         let (result, reason) = job.ending.clone()?;
@@ -363,6 +408,7 @@
     }
 
     pub(crate) fn forget_job(&mut self, number: JobNo) -> Job {
+        self.drop_reservations(number);
         self.dequeue(number);
         self.jobs.remove(number)
     }
@@ -371,7 +417,7 @@
 fn class_key(job: &Job) -> ClassKey {
     let size = job.spec.shape.size;
     ClassKey {
-        priority: job.spec.priority,
+        priority: job.priority(),
         gang: job.is_gang(),
         service: job.is_service(),
         checkpoint: job.spec.shape.checkpoint,
--- a/crates/placement/src/stats.rs
+++ b/crates/placement/src/stats.rs
@@ -75,9 +75,4 @@
     pub(crate) fn waits(&self, priority: Priority) -> Waits {
         self.waits[priority as usize]
     }
-
-    /// Returns how long a task is expected to run; zero where that is not known.
-    pub(crate) fn expected_run_time(&self, spec: &JobSpec) -> Millis {
-        spec.run_time
-    }
 }
--- a/crates/placement/src/team.rs
+++ b/crates/placement/src/team.rs
@@ -79,6 +79,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Teams {
     teams: Vec<Team>,
+    /// How many teams hold more than their quota.
+    borrowing: usize,
     by_name: FxHashMap<Name, TeamNo>,
 }
 
@@ -145,10 +147,18 @@
         }
     }
 
+    /// Returns whether any team holds its quota or more.
+    pub(crate) fn any_borrows(&self) -> bool {
+        self.borrowing > 0
+    }
+
     /// Brings a team's standing up to date and returns whether it has changed.
     pub(crate) fn restand(&mut self, number: TeamNo, total: Resources) -> bool {
         let team = self.get_mut(number);
         let standing = team.standing_now(total);
-        std::mem::replace(&mut team.standing, standing) != standing
+        let before = std::mem::replace(&mut team.standing, standing);
+        self.borrowing += usize::from(standing.borrows);
+        self.borrowing -= usize::from(before.borrows);
+        before != standing
     }
 }
--- a/crates/placement/src/timers.rs
+++ b/crates/placement/src/timers.rs
@@ -2,11 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use kspan_model::{Millis, TaskId};
+use kspan_model::{JobId, Millis, Name, TaskId};
 
 /// What falls due.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Due {
+    /// A job has waited so long that its priority rises.
+    Age(JobId),
+    /// A worker's probation is over.
+    Trial(Name),
     /// The backoff of a task that waits for its next attempt is over.
     Retry(TaskId),
 }
@@ -31,6 +35,11 @@
         self.due.pop_first().map(|(_, due)| due)
     }
 
+    /// Returns whether the task waits for its backoff to end.
+    pub(crate) fn has_retry(&self, task: TaskId) -> bool {
+        self.due.iter().any(|(_, due)| *due == Due::Retry(task))
+    }
+
     /// Returns when the next thing falls due.
     pub(crate) fn next(&self) -> Option<Millis> {
         self.due.first().map(|(at, _)| *at)
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -2,7 +2,7 @@
 //!
 //! Commitments count what was promised, never what usage reports say: usage lags.
 
-use kspan_model::{Name, Resources};
+use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
@@ -28,6 +28,8 @@
     pub(crate) committed: Resources,
     /// Capacity held back by reservations.
     pub(crate) reserved: Resources,
+    /// When the reserved capacity is needed first.
+    pub(crate) needed_at: Millis,
     /// Sum of the usage reported last for each task.
     pub(crate) usage: Resources,
     pub(crate) state: WorkerState,
@@ -43,6 +45,11 @@
         self.capacity.saturating_sub(taken)
     }
 
+    /// Returns what no task takes, reservations or not.
+    pub(crate) fn uncommitted(&self) -> Resources {
+        self.capacity.saturating_sub(self.committed)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.tasks.is_empty() && self.orphans == 0
     }
@@ -62,6 +69,8 @@
     by_name: FxHashMap<Name, WorkerNo>,
     racks: FxHashMap<Name, RackNo>,
     pub(crate) index: FreeIndex,
+    /// Workers with reserved capacity, by what no task takes.
+    pub(crate) backfill: FreeIndex,
     /// Capacity of all workers that are not gone.
     pub(crate) total: Resources,
     pub(crate) committed: Resources,
@@ -77,6 +86,7 @@
             by_name: FxHashMap::default(),
             racks: FxHashMap::default(),
             index: FreeIndex::new(),
+            backfill: FreeIndex::new(),
             total: Resources::ZERO,
             committed: Resources::ZERO,
             shapes: FxHashMap::default(),
@@ -129,6 +139,11 @@
         self.by_name.len()
     }
 
+    /// Returns the number of slots, vacant ones included; every worker's number is below it.
+    pub(crate) fn slots(&self) -> usize {
+        self.slots.len()
+    }
+
     /// Returns the worker in a slot, if there is one.
     pub(crate) fn at(&self, slot: usize) -> Option<&Worker> {
         self.slots.get(slot)?.as_ref()
@@ -189,6 +204,7 @@
     /// Forgets a worker to which nothing is committed.
     pub(crate) fn remove(&mut self, number: WorkerNo) {
         self.index.take(number);
+        self.backfill.take(number);
         let worker = self.slots[number as usize]
             .take()
             .expect("numbers of removed workers are not kept");
@@ -213,15 +229,35 @@
         self.refresh(number);
     }
 
+    pub(crate) fn reserve(&mut self, number: WorkerNo, size: Resources) {
+        let worker = self.get_mut(number);
+        worker.reserved = worker.reserved.saturating_add(size);
+        self.refresh(number);
+    }
+
+    pub(crate) fn unreserve(&mut self, number: WorkerNo, size: Resources) {
+        let worker = self.get_mut(number);
+        worker.reserved = worker.reserved.saturating_sub(size);
+        self.refresh(number);
+    }
+
     /// Brings the index up to date with one worker.
     pub(crate) fn refresh(&mut self, number: WorkerNo) {
         let worker = self.get(number);
         if worker.takes_tasks() {
             let free = worker.free();
             let accelerated = worker.capacity.accelerators > 0;
+            let uncommitted = worker.uncommitted();
+            let is_reserved = !worker.reserved.is_zero();
             self.index.put(number, free, accelerated);
+            if is_reserved {
+                self.backfill.put(number, uncommitted, accelerated);
+            } else {
+                self.backfill.take(number);
+            }
         } else {
             self.index.take(number);
+            self.backfill.take(number);
         }
     }
 }
