Detect failures, propose views and guard homes as pure decisions

Cause: homes, owners and views need beliefs about other processes that can be tried in every schedule of losses and pauses. Change: a detector with bounded fanout and indirect probes, a proposer that batches joins and keeps silent regions, a guard by tail reads or majorities of acknowledgements; frames, codec, and clients of the log and the host list.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! This crate agrees on nothing by itself: the log orders views, workers compare fences.
 
+pub mod detector;
 pub mod guard;
 pub mod liveness;
 pub mod ownership;
+pub mod proposer;
 
 pub use self::{guard::GuardState, liveness::Liveness};
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,3 +4,6 @@
 //! operation may be repeated is decided by its callers.
 
 pub mod border;
+pub mod hosts;
+mod http;
+pub mod log;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,4 +6,6 @@
 //! This crate does not decide who is a member; it is told, and counts and drops what comes from
 //! anyone else.
 
+pub mod codec;
 pub mod message;
+pub mod stream;
