--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,3 +7,8 @@
 pub mod hosts;
 mod http;
 pub mod log;
+mod call;
+pub mod error;
+pub mod link;
+pub mod runner;
+pub mod worker;
