Run the node's threads

Cause: programs need a running node: views, messages, appends, health. Change: threads for the log, heartbeats, streams, admin HTTP and signals behind the node's interface; appends with unique ids whose lost answers are resolved by reading on; joins batched by the lowest live member; planned leaves. Conclusion: routers and schedulers can run on it; the fold knows views only so far.

--- a/crates/fold/src/lib.rs
+++ b/crates/fold/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use self::{
     record::{Body, Record, RecordId},
-    state::{Applied, State},
+    state::{Applied, State, Verdict},
 };
--- a/crates/fold/src/state.rs
+++ b/crates/fold/src/state.rs
@@ -7,19 +7,28 @@
 
 use kspan_model::{JobEnd, JobId, Name, Submission, UnixMillis, View, document::Document};
 
-use crate::record::{Body, Record};
+use crate::record::{Body, Record, RecordId};
 
 /// What became of one log entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Applied {
+pub struct Applied {
+    /// Id of the record; none where the entry is no record.
+    pub id: Option<RecordId>,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
+/// What became of one record, by the same rule on every process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
     /// It is in force.
     Accepted,
     /// It changed nothing because it was known already.
     Known,
-    /// It was refused, by the same rule on every process.
+    /// It was refused.
     Refused(Name),
     /// It is no record at all.
-    Poisoned(Name),
+    Poisoned,
 }
 
 /// What is in force. Cheap to clone: the parts are shared until one changes.
@@ -49,26 +58,30 @@
     /// Applies the entry at `offset`, taken by the log at `time`.
     pub fn apply(&mut self, offset: u64, time: UnixMillis, data: &str) -> Applied {
         let _ = time;
+        let record = serde_json::from_str::<Record>(data);
+        let id = record.as_ref().ok().map(|record| record.id);
         if offset < self.applied {
-            return Applied::Known;
+            let verdict = Verdict::Known;
+            return Applied { id, verdict };
         }
         self.applied = offset + 1;
-        match serde_json::from_str::<Record>(data) {
+        let verdict = match record {
             Ok(record) => self.apply_body(offset, record.body),
-            Err(err) => Applied::Poisoned(err.to_string().into()),
-        }
+            Err(_) => Verdict::Poisoned,
+        };
+        Applied { id, verdict }
     }
 
-    fn apply_body(&mut self, offset: u64, body: Body) -> Applied {
+    fn apply_body(&mut self, offset: u64, body: Body) -> Verdict {
         if let Body::View { base, members } = body {
             if base != self.view.number {
-                return Applied::Refused("the view has changed since".into());
+                return Verdict::Refused("the view has changed since".into());
             }
             self.view = Arc::new(View {
                 number: offset,
                 members,
             });
         }
-        Applied::Accepted
+        Verdict::Accepted
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,17 +3,28 @@
 //! This crate does not know what a router or a scheduler decides; it brings them events and
 //! carries out what they ask.
 
+mod admin;
+mod append;
 mod event;
+mod follow;
+mod heartbeat;
 mod inner;
 mod links;
+pub mod logging;
 mod node;
+mod notices;
 pub mod ring;
 pub mod settings;
+mod signals;
 mod slot;
+mod start;
+mod wire;
 
 pub use self::{
+    append::APPEND_DEADLINE,
     event::{Append, Event, Sent},
     links::Links,
-    node::{Node, Result, StartError, start},
+    node::Node,
+    start::{Result, StartError, start},
 };
 pub use kspan_membership::{GuardState, Liveness};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,85 +1,37 @@
 //! The handle through which a program uses its node.
 
-use std::{
-    sync::{Arc, Mutex, atomic::AtomicBool},
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::sync::Arc;
 
 use kspan_fold::{Body, State};
 use kspan_membership::{GuardState, Liveness};
 use kspan_model::{Millis, NodeId, Role, UnixMillis, View};
 use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::Message;
-use quick_error::quick_error;
-use tokio::time::Instant;
 
 use crate::{
-    event::{Append, Event, Sent},
-    inner::Inner,
+    event::{Append, Sent},
+    inner::{Inner, Outgoing, Phase, unix_now},
     links::Links,
-    ring,
     settings::Settings,
-    slot::{Slot, lock},
+    slot::lock,
 };
 
-/// Result of starting a node.
-pub type Result<T> = std::result::Result<T, StartError>;
-
-quick_error! {
-    /// Why a node could not start.
-    #[derive(Debug)]
-    pub enum StartError {
-        /// An address could not be listened on, or a thread not started.
-        Io(what: &'static str, err: std::io::Error) {
-            display("{what}: {err}")
-            source(err)
-        }
-    }
-}
-
-/// Events that may wait for the program.
-const EVENTS: usize = 8_192;
-
 /// A handle on the node; clones share it.
 #[derive(Clone)]
 pub struct Node {
-    inner: Arc<Inner>,
-}
-
-/// Starts the threads of a node.
-///
-/// # Errors
-///
-/// Returns an error where an address can't be listened on.
-pub fn start(cfg: Settings, role: Role) -> Result<(Node, ring::Receiver<Event>)> {
-    let (_tx, rx) = ring::bounded(EVENTS);
-    let id = NodeId::new(cfg.name.clone(), unix_now().0);
-    let links = Links::new(cfg.site(), cfg.faults.clone().unwrap_or_default());
-    let inner = Arc::new(Inner {
-        id,
-        role,
-        started: Instant::now(),
-        links,
-        fold: Slot::default(),
-        hosts: Slot::default(),
-        liveness: Slot::default(),
-        guard: Mutex::default(),
-        dump: Mutex::default(),
-        ready: AtomicBool::new(false),
-        cfg,
-    });
-    Ok((Node { inner }, rx))
+    pub(crate) inner: Arc<Inner>,
+    pub(crate) signals: signal_hook::iterator::Handle,
 }
 
 impl Node {
     /// Returns this process and its life.
     pub fn id(&self) -> &NodeId {
-        &self.inner.id
+        &self.inner.me.node
     }
 
     /// Returns the program that this process runs.
     pub fn role(&self) -> Role {
-        self.inner.role
+        self.inner.role()
     }
 
     /// Returns the settings.
@@ -89,8 +41,7 @@
 
     /// Returns the time since the start, on the runtime's clock.
     pub fn now(&self) -> Millis {
-        let elapsed = self.inner.started.elapsed().as_millis();
-        Millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
+        self.inner.now()
     }
 
     /// Returns the wall clock.
@@ -100,12 +51,12 @@
 
     /// Returns the newest view that this process knows.
     pub fn view(&self) -> Arc<View> {
-        Arc::clone(&self.inner.fold.get().view)
+        Arc::clone(&self.inner.fold.borrow().view)
     }
 
     /// Returns everything in force, as far as this process has read the log.
     pub fn fold(&self) -> Arc<State> {
-        self.inner.fold.get()
+        self.inner.state()
     }
 
     /// Returns the platform's host list, which lags by seconds.
@@ -115,25 +66,30 @@
 
     /// Returns what this process believes of another.
     pub fn liveness(&self, node: &NodeId) -> Liveness {
-        let known = self.inner.liveness.get();
-        known.get(node).copied().unwrap_or_default()
+        self.inner.liveness_of(node)
     }
 
     /// Returns what this process may do at this instant.
     pub fn guard(&self) -> GuardState {
-        lock(&self.inner.guard).clone()
+        self.inner.guard_state()
     }
 
     /// Sends a message to a member without waiting.
     pub fn send(&self, to: &NodeId, message: Message) -> Sent {
-        let _ = (to, message);
-        Sent::NotMember
+        let state = self.inner.state();
+        let Some(to) = state.view.member(to).cloned() else {
+            return Sent::NotMember;
+        };
+        match self.inner.outgoing.try_send(Outgoing { to, message }) {
+            Ok(()) => Sent::Queued,
+            Err(_) => Sent::Full,
+        }
     }
 
-    /// Appends a record and waits until it is known what became of it.
+    /// Appends a record and waits until it is known what became of it, for some seconds at most.
     pub async fn append(&self, body: Body) -> Append {
-        let _ = body;
-        Append::Unavailable
+        let by = &self.inner.me.node.name;
+        self.inner.appender.append(by, unix_now(), body).await
     }
 
     /// Returns the artificial link faults in force.
@@ -151,13 +107,21 @@
         self.inner.set_ready(ready);
     }
 
-    /// Ends a planned stop: leaves the view and ends the threads.
-    pub fn finish(&self) {}
-}
-
-fn unix_now() -> UnixMillis {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    UnixMillis(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+    /// Ends a planned stop: leaves the view and ends the threads. Waits for both, for some
+    /// seconds at most.
+    pub fn finish(&self) {
+        self.inner.phase.send_if_modified(|phase| {
+            let running = *phase == Phase::Running;
+            if running {
+                *phase = Phase::Leaving;
+            }
+            running
+        });
+        self.signals.close();
+        let threads = std::mem::take(&mut *lock(&self.inner.threads));
+        for thread in threads {
+            // A thread that panicked has said so on standard error.
+            let _ = thread.join();
+        }
+    }
 }
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,169 @@
+//! The wire thread: streams between members.
+//!
+//! Each member that messages are sent to has a task with a bounded queue and one connection.
+//! Messages may be lost with a connection; they are never sent twice.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use kspan_model::{Member, NodeId};
+use kspan_wire::{codec, message::MAX_FRAME_BYTES, stream};
+use tokio::{
+    io::BufReader,
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+use crate::{
+    inner::{Inner, Outgoing, Phase, count_dropped},
+    ring::Receiver,
+};
+
+/// Messages that may wait for one member.
+const QUEUE: usize = 1_024;
+
+/// Connections that are read at once.
+const MAX_CONNECTIONS: usize = 512;
+
+/// Longest wait for a connection, and for the peer to take one frame.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed connection, during which messages are dropped.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// A frame and when it may leave.
+struct Frame {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Runs the thread until the process ends.
+pub(crate) async fn run(inner: Arc<Inner>, listener: TcpListener, outgoing: Receiver<Outgoing>) {
+    let mut phase = inner.phase.subscribe();
+    tokio::select! {
+        () = accept(&inner, listener) => {}
+        () = send(&inner, outgoing) => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Ended) => {}
+    }
+}
+
+async fn accept(inner: &Arc<Inner>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((conn, _)) => {
+                let inner = Arc::clone(inner);
+                tokio::task::spawn_local(async move {
+                    receive(&inner, conn).await;
+                    drop(permit);
+                });
+            }
+            Err(err) => {
+                log::warn!("wire: accept failed: {err}");
+                sleep(RECONNECT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn receive(inner: &Inner, conn: TcpStream) {
+    let Ok(remote) = conn.peer_addr() else {
+        return;
+    };
+    let mut rx = BufReader::new(conn);
+    let mut buf = Vec::new();
+    while let Ok(true) = stream::read_frame(&mut rx, &mut buf).await {
+        let envelope = match codec::decode(&buf, MAX_FRAME_BYTES, &inner.cfg.cell) {
+            Ok(envelope) => envelope,
+            Err(err) => {
+                log::debug!("wire: dropped a frame of {remote}: {err}");
+                count_dropped("malformed");
+                return;
+            }
+        };
+        let view = inner.state();
+        let sender = view.view.member(&envelope.from);
+        let Some(sender) = sender.filter(|member| member.wire.ip() == remote.ip()) else {
+            count_dropped("not-member");
+            continue;
+        };
+        if envelope.to != inner.me.node {
+            count_dropped("other-life");
+        } else if inner.is_cut(sender) {
+            count_dropped("cut");
+        } else {
+            inner.notices.message(envelope.from, envelope.message);
+        }
+    }
+}
+
+async fn send(inner: &Arc<Inner>, outgoing: Receiver<Outgoing>) {
+    let mut peers: HashMap<NodeId, mpsc::Sender<Frame>> = HashMap::new();
+    while let Some(Outgoing { to, message }) = outgoing.recv().await {
+        if inner.is_cut(&to) {
+            count_dropped("cut");
+            continue;
+        }
+        let envelope = inner.envelope(&to.node, message);
+        let bytes = match codec::encode(&envelope, MAX_FRAME_BYTES) {
+            Ok(bytes) => bytes,
+            Err(err) => {
+                log::error!("wire: a message to {} was not sent: {err}", to.node);
+                count_dropped("too-large");
+                continue;
+            }
+        };
+        let due = Instant::now() + inner.links.delay(&to.site);
+        if !peers.contains_key(&to.node) {
+            let view = inner.state();
+            peers.retain(|node, _| view.view.member(node).is_some());
+        }
+        let peer = peers.entry(to.node.clone()).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            tokio::task::spawn_local(send_to(to, rx));
+            tx
+        });
+        if peer.try_send(Frame { due, bytes }).is_err() {
+            count_dropped("queue-full");
+        }
+    }
+}
+
+/// Sends frames to one member until nobody queues any more.
+async fn send_to(to: Member, mut frames: mpsc::Receiver<Frame>) {
+    let mut conn: Option<TcpStream> = None;
+    while let Some(Frame { due, bytes }) = frames.recv().await {
+        sleep_until(due).await;
+        if conn.is_none() {
+            conn = connect(&to).await;
+        }
+        let Some(tx) = conn.as_mut() else {
+            count_dropped("unreachable");
+            drop_for(RECONNECT_PAUSE, &mut frames).await;
+            continue;
+        };
+        let sent = timeout(SEND_TIMEOUT, stream::write_frame(tx, &bytes)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            count_dropped("connection-lost");
+            conn = None;
+        }
+    }
+}
+
+async fn connect(to: &Member) -> Option<TcpStream> {
+    let conn = timeout(SEND_TIMEOUT, TcpStream::connect(to.wire)).await;
+    let conn = conn.ok()?.ok()?;
+    conn.set_nodelay(true).ok()?;
+    Some(conn)
+}
+
+/// Drops what is queued for a while, so that nothing stale waits for a member that is away.
+async fn drop_for(pause: Duration, frames: &mut mpsc::Receiver<Frame>) {
+    sleep(pause).await;
+    while frames.try_recv().is_ok() {
+        count_dropped("unreachable");
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,11 @@
 //! operation may be repeated is decided by its callers.
 
 pub mod border;
-pub mod hosts;
-mod http;
-pub mod log;
 mod call;
 pub mod error;
+pub mod hosts;
+mod http;
 pub mod link;
+pub mod log;
 pub mod runner;
 pub mod worker;
