Add the router program

Callers had nothing to talk to. Adds kspan-router: one thread that listens to callers, claims idempotency keys, waits for runner slots, dispatches over bounded connections, and tells the outcome; a planned stop finishes what is in flight.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,8 +1,51 @@
 //! The request router.
+//!
+//! One thread owns the routing state, the callers' HTTP listener and the connections to runners,
+//! so that a request crosses no thread and takes no lock. The node's threads reach it through a
+//! bounded ring. Decisions are made by [`kspan_routing`]; this crate carries them out.
+//!
+//! A caller that goes away does not cancel its request: a request once dispatched is seen to its
+//! end, because only then is it known what became of it.
+
+mod app;
+mod args;
+mod dispatch;
+pub mod error;
+mod events;
+mod exchange;
+mod http;
+mod server;
+mod tally;
+mod upstream;
 
 use std::process::ExitCode;
 
+use kspan_model::Role;
+use kspan_node::settings::Settings;
+
+use crate::{args::Args, error::Result};
+
 /// Runs the program with the process's arguments and returns its exit code.
 pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    let args: Args = argh::from_env();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("kspan-router: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<()> {
+    let cfg = Settings::read(&args.settings)?;
+    if args.check {
+        println!("{}: ok", args.settings.display());
+        return Ok(());
+    }
+    let (node, events) = kspan_node::start(cfg, Role::Router)?;
+    server::serve(&node, events)?;
+    node.finish();
+    log::info!("router: Stopped.");
+    Ok(())
 }
--- a/crates/routing/src/engine/admit.rs
+++ b/crates/routing/src/engine/admit.rs
@@ -235,6 +235,7 @@
                 ticket: Ticket(self.tickets),
                 runner: runner.task,
                 endpoint: runner.endpoint,
+                place: runner.place.clone(),
                 connections: connection_share(runner.connections, self.routers),
                 remote: runner.tier == Tier::Remote,
                 hedge_after: self.services[index].latency.high(),
@@ -260,6 +261,7 @@
                 runner.health.succeed();
                 false
             }
+            Finish::Unused => false,
             Finish::Unsent | Finish::Abandoned => runner.health.fail(),
         };
         if ejectable && self.may_eject_one(dispatch.service, now) {
--- a/crates/routing/src/engine/effect.rs
+++ b/crates/routing/src/engine/effect.rs
@@ -1,9 +1,9 @@
 //! What an engine wants done.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use derive_more::Display;
-use kspan_model::{Millis, NodeId, RequestId, TaskId};
+use kspan_model::{Millis, Name, NodeId, RequestId, Site, TaskId};
 use kspan_wire::message::routing::{Message, Ruling};
 
 use crate::ledger::Reading;
@@ -44,8 +44,17 @@
     },
 }
 
+/// Where a runner runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its worker.
+    pub worker: Name,
+    /// Its site.
+    pub site: Site,
+}
+
 /// A request to dispatch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Start {
     /// The request.
     pub request: RequestId,
@@ -55,6 +64,8 @@
     pub runner: TaskId,
     /// Where the runner answers.
     pub endpoint: SocketAddr,
+    /// Where the runner runs.
+    pub place: Arc<Place>,
     /// Connections that this router may hold to the runner.
     pub connections: u32,
     /// Whether the runner stands in another region.
@@ -64,12 +75,14 @@
 }
 
 /// A health question.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Read {
     /// The runner.
     pub runner: TaskId,
     /// Where it answers.
     pub endpoint: SocketAddr,
+    /// Where the runner runs.
+    pub place: Arc<Place>,
     /// What was known when the question was sent.
     pub reading: Reading,
     /// Life of the account that the reading is for.
@@ -115,6 +128,8 @@
     },
     /// No connection could be made, so nothing was sent.
     Unsent,
+    /// The request needed the slot no more, and nothing was sent.
+    Unused,
     /// The answer was missing, late, cut short or not HTTP. The runner may still work on it.
     Abandoned,
 }
--- a/crates/routing/src/engine/query.rs
+++ b/crates/routing/src/engine/query.rs
@@ -1,6 +1,6 @@
 //! What an engine tells about itself.
 
-use kspan_model::{Millis, Name, NodeId, TaskId};
+use kspan_model::{Fence, Millis, Name, NodeId, TaskId};
 use serde::Serialize;
 
 use super::Engine;
@@ -62,6 +62,12 @@
         indices.map(|index| self.dump_service(index, now)).collect()
     }
 
+    /// Returns whether a shard's runner table of that version is newer than the one known.
+    pub fn lacks_table(&self, shard: &Name, fence: Fence, version: u64) -> bool {
+        let known = self.shards.get(shard);
+        known.is_none_or(|known| *known < (fence, version))
+    }
+
     /// Returns how many requests wait, and how many are dispatched.
     pub fn load(&self) -> (usize, usize) {
         let queued = self
--- a/crates/routing/src/engine/runner.rs
+++ b/crates/routing/src/engine/runner.rs
@@ -1,9 +1,10 @@
 //! One runner as a router knows it.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
-use kspan_model::{Millis, Name, NodeId, Site, TaskId};
+use kspan_model::{Millis, Name, NodeId, TaskId};
 
+use super::effect::Place;
 use crate::{choice::Tier, health::Health, latency::Latency, ledger::Ledger, loan::Loan};
 
 /// How often a home asks its runners for their health.
@@ -29,9 +30,8 @@
     pub(super) task: TaskId,
     pub(super) service: usize,
     pub(super) shard: Name,
-    pub(super) worker: Name,
     pub(super) endpoint: SocketAddr,
-    pub(super) site: Site,
+    pub(super) place: Arc<Place>,
     pub(super) tier: Tier,
     pub(super) slots: u32,
     pub(super) connections: u32,
--- a/crates/routing/src/engine/table.rs
+++ b/crates/routing/src/engine/table.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Authority, Engine,
-    effect::{Effect, Read},
+    effect::{Effect, Place, Read},
     runner::{Runner, number},
     service::Service,
 };
@@ -103,7 +103,7 @@
                 continue;
             };
             let was_leaving = runner.is_leaving();
-            runner.host_leaving = self.leaving_hosts.contains(&runner.worker);
+            runner.host_leaving = self.leaving_hosts.contains(&runner.place.worker);
             let leaves = !was_leaving && runner.is_leaving();
             let index = number(index);
             self.refresh(index, now);
@@ -115,7 +115,7 @@
     }
 
     /// Takes a runner's health; `health` is none when it could not be had.
-    pub fn finish_reading(&mut self, read: Read, health: Option<RunnerHealth>, now: Millis) {
+    pub fn finish_reading(&mut self, read: &Read, health: Option<RunnerHealth>, now: Millis) {
         let Some((index, runner)) = self.runner_mut(read.runner) else {
             return;
         };
@@ -284,7 +284,7 @@
         let Some(runner) = &mut self.runners[index as usize] else {
             return;
         };
-        runner.home = (self.cfg.runner_home)(&self.view, runner.task, &runner.site);
+        runner.home = (self.cfg.runner_home)(&self.view, runner.task, &runner.place.site);
         let mine = runner.home.as_ref() == Some(&self.cfg.me);
         if !mine {
             runner.ledger = None;
@@ -339,6 +339,7 @@
     Read {
         runner: runner.task,
         endpoint: runner.endpoint,
+        place: runner.place.clone(),
         reading,
         generation: runner.generation,
     }
@@ -355,9 +356,11 @@
         task: told.task,
         service,
         shard: table.shard.clone(),
-        worker: told.worker.clone(),
         endpoint: told.endpoint,
-        site: table.site.clone(),
+        place: Arc::new(Place {
+            worker: told.worker.clone(),
+            site: table.site.clone(),
+        }),
         tier,
         slots: told.slots,
         connections: told.connections,
