lab: stand-ins, load, checker and the first `run`

Cause: nothing can start the programs or judge what they do. Change: stand-ins for log, host list, workers and runners behind their published protocols; the real programs started on loopback; an open, seeded load of requests and jobs; typed records; a pure checker; a report.

--- /dev/null
+++ b/crates/lab/src/args.rs
@@ -0,0 +1,50 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Runs the system against stand-ins of the platform, breaks it, and checks every promise.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    /// Runs a deployment under load.
+    Run(Run),
+}
+
+/// Run a deployment under a mixed load without faults and check every promise.
+///
+/// Example: kspan-lab run --deployment examples/haugland.yaml --seconds 20 --seed 1 --report out/
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub(crate) struct Run {
+    /// the deployment's document (default: the built-in copy of examples/haugland.yaml)
+    #[argh(option)]
+    pub(crate) deployment: Option<PathBuf>,
+    /// length of the load in seconds (default: 20)
+    #[argh(option, default = "20")]
+    pub(crate) seconds: u64,
+    /// seed of everything random (default: 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// directory of the report (default: out)
+    #[argh(option, default = "PathBuf::from(\"out\")")]
+    pub(crate) report: PathBuf,
+    /// requests a second (default: 600)
+    #[argh(option, default = "600.0")]
+    pub(crate) rate: f64,
+    /// jobs submitted a second (default: 1.5)
+    #[argh(option, default = "1.5")]
+    pub(crate) jobs: f64,
+    /// load nothing and go on until interrupted, to try the programs by hand
+    #[argh(switch)]
+    pub(crate) idle: bool,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,8 +1,131 @@
 //! Stand-ins for the platform, load, faults, checker and reports.
+//!
+//! The lab starts the real programs against small stand-ins, loads them, breaks them, and
+//! judges from the stand-ins' own records whether every promise held. It is a test tool and no
+//! cluster simulator: it has no virtual network and no second scheduler.
 
-use std::process::ExitCode;
+mod args;
+pub mod cell;
+pub mod check;
+pub mod clock;
+pub mod error;
+pub mod experiment;
+pub mod http;
+pub mod load;
+pub mod process;
+pub mod record;
+pub mod report;
+pub mod sample;
+pub mod stage;
+pub mod standin;
+pub mod token;
+
+use std::{fs, path::Path, process::ExitCode};
+
+use ntex::rt::{DefaultRuntime, System};
+
+use crate::{
+    args::{Args, Command, Run},
+    error::{LabError, Result},
+    experiment::Options,
+    report::Report,
+};
+
+/// The deployment that is run where none is named.
+const DEFAULT_DEPLOYMENT: &str = include_str!("../../../examples/haugland.yaml");
+
+/// Exit status for a broken promise or an experiment that could not be carried out.
+const FAILED: u8 = 1;
+
+/// Exit status for bad usage.
+const BAD_USAGE: u8 = 2;
 
 /// Runs the program with the process's arguments and returns its exit code.
 pub fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let args = match <Args as argh::FromArgs>::from_args(&["kspan-lab"], &words[1..]) {
+        Ok(args) => args,
+        Err(early) => return exit_early(&early),
+    };
+    start_logging();
+    match execute(args) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(FAILED),
+        Err(err @ LabError::Usage(_)) => {
+            eprintln!("kspan-lab: {err}");
+            ExitCode::from(BAD_USAGE)
+        }
+        Err(err) => {
+            eprintln!("kspan-lab: {err}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn exit_early(early: &argh::EarlyExit) -> ExitCode {
+    if early.status.is_ok() {
+        println!("{}", early.output);
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("{}", early.output);
+    ExitCode::from(BAD_USAGE)
+}
+
+fn start_logging() {
+    let cfg = simplelog::ConfigBuilder::new()
+        .add_filter_allow_str("kspan_lab")
+        .build();
+    // A second start only happens in tests, where the first one serves.
+    let _ = simplelog::TermLogger::init(
+        simplelog::LevelFilter::Info,
+        cfg,
+        simplelog::TerminalMode::Stderr,
+        simplelog::ColorChoice::Never,
+    );
+}
+
+fn execute(args: Args) -> Result<bool> {
+    match args.command {
+        Command::Run(run) => execute_run(run),
+    }
+}
+
+fn execute_run(run: Run) -> Result<bool> {
+    let options = Options {
+        name: "run".to_owned(),
+        text: read_deployment(run.deployment.as_deref())?,
+        seconds: run.seconds,
+        seed: run.seed,
+        rate: run.rate,
+        jobs: run.jobs,
+        dir: run.report,
+    };
+    let report = block_on(async move {
+        if run.idle {
+            experiment::idle(options).await
+        } else {
+            experiment::run(options).await
+        }
+    })?;
+    Ok(show(&report))
+}
+
+fn show(report: &Report) -> bool {
+    print!("{}", report.summary());
+    report.passed()
+}
+
+fn read_deployment(path: Option<&Path>) -> Result<String> {
+    let Some(path) = path else {
+        return Ok(DEFAULT_DEPLOYMENT.to_owned());
+    };
+    fs::read_to_string(path).map_err(|err| LabError::Usage(format!("{}: {err}", path.display())))
+}
+
+fn block_on<T: 'static>(future: impl Future<Output = T> + 'static) -> T {
+    System::build()
+        .name("lab")
+        .build(DefaultRuntime)
+        .block_on(future)
 }
--- /dev/null
+++ b/crates/lab/src/standin/hosts.rs
@@ -0,0 +1,102 @@
+//! The lagging host list.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use kspan_platform::border::hosts::{Host, HostList, HostState};
+use ntex::http::{Request, Response, StatusCode};
+
+use crate::{
+    clock::{Micros, now},
+    http::{self, Pool, Serving},
+};
+
+/// How far the published list is behind.
+const DEFAULT_LAG: Micros = Micros::from_millis(2_000);
+
+struct State {
+    /// Versions by the time at which they became true, oldest first; never empty.
+    versions: VecDeque<(Micros, HostList)>,
+    lag: Micros,
+}
+
+/// The host list stand-in.
+#[derive(Clone)]
+pub struct Hosts(Arc<Mutex<State>>);
+
+impl Hosts {
+    /// Creates the list; these hosts are visible at once.
+    pub fn new(hosts: Vec<Host>) -> Self {
+        Self(Arc::new(Mutex::new(State {
+            versions: VecDeque::from([(Micros::default(), HostList { hosts })]),
+            lag: DEFAULT_LAG,
+        })))
+    }
+
+    /// Serves it over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where the address can't be bound.
+    pub fn serve(&self, pool: &Pool, address: SocketAddr) -> io::Result<Serving> {
+        let hosts = self.clone();
+        let answer = http::handler(move |req| answer(hosts.clone(), req));
+        pool.serve(address, http::open_gate(), answer)
+    }
+
+    /// Changes how far the published list is behind.
+    pub fn set_lag(&self, lag: Micros) {
+        self.state().lag = lag;
+    }
+
+    /// Marks a host; callers see it after the lag.
+    pub fn set_state(&self, name: &str, to: HostState) {
+        let mut state = self.state();
+        let mut list = state.newest();
+        if let Some(host) = list.hosts.iter_mut().find(|host| host.name == name) {
+            host.state = to;
+        }
+        state.versions.push_back((now(), list));
+    }
+
+    /// Takes a host off the list; callers see it after the lag.
+    pub fn remove(&self, name: &str) {
+        let mut state = self.state();
+        let mut list = state.newest();
+        list.hosts.retain(|host| host.name != name);
+        state.versions.push_back((now(), list));
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no user of the host list panics")
+    }
+}
+
+impl State {
+    fn newest(&self) -> HostList {
+        self.versions
+            .back()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+
+    fn published(&mut self) -> HostList {
+        let horizon = now().since(self.lag);
+        while self.versions.len() > 1 && self.versions[1].0 <= horizon {
+            self.versions.pop_front();
+        }
+        self.versions[0].1.clone()
+    }
+}
+
+async fn answer(hosts: Hosts, req: Request) -> Response {
+    if req.path() != "/v1/hosts" {
+        return Response::new(StatusCode::NOT_FOUND);
+    }
+    let list = hosts.state().published();
+    Response::build(StatusCode::OK).json(&list)
+}
--- /dev/null
+++ b/crates/lab/src/standin/log.rs
@@ -0,0 +1,292 @@
+//! The append-only log.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use kspan_platform::border::log::{Appended, Batch, Entry, MAX_RECORD_BYTES};
+use ntex::{
+    http::{Request, Response, StatusCode},
+    util::{Bytes, stream_recv},
+};
+use tokio::sync::watch;
+
+use crate::{
+    clock::{Micros, now, unix_ms},
+    http::{self, Pool, Serving},
+};
+
+/// Offset of the first record. The system reads zero as "none yet".
+const FIRST_OFFSET: u64 = 1;
+
+/// Appends that may come at once before the rate limit is felt.
+const BURST: f64 = 100.0;
+
+/// Most records in one answer.
+const MAX_BATCH: usize = 1_000;
+
+/// Time for which an answer that gets lost is held back; longer than any client waits.
+const LOST_ANSWER_HOLD: Duration = Duration::from_secs(30);
+
+/// How the log behaves. May change at any time.
+#[derive(Clone, Copy, Debug)]
+pub struct Conduct {
+    /// Appends a second that it takes.
+    pub appends_per_second: f64,
+    /// Records that it keeps.
+    pub retention: usize,
+    /// Whether it answers `503` to everything.
+    pub outage: bool,
+    /// Time added to every answer.
+    pub delay: Duration,
+    /// Every how many appends the answer is lost after the append took effect; zero for never.
+    pub lose_every: u64,
+}
+
+impl Default for Conduct {
+    fn default() -> Self {
+        Self {
+            appends_per_second: 400.0,
+            retention: 1_000_000,
+            outage: false,
+            delay: Duration::from_millis(2),
+            lose_every: 0,
+        }
+    }
+}
+
+/// What the log counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Bytes of them.
+    pub append_bytes: u64,
+    /// Appends refused for their rate.
+    pub limited: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Bytes of the records read.
+    pub read_bytes: u64,
+}
+
+struct State {
+    entries: VecDeque<Entry>,
+    next: u64,
+    conduct: Conduct,
+    counts: Counts,
+    tokens: f64,
+    refilled: Micros,
+}
+
+struct Inner {
+    state: Mutex<State>,
+    grown: watch::Sender<u64>,
+}
+
+/// The log stand-in.
+#[derive(Clone)]
+pub struct Log(Arc<Inner>);
+
+impl Default for Log {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Log {
+    /// Creates an empty log.
+    pub fn new() -> Self {
+        Self(Arc::new(Inner {
+            state: Mutex::new(State {
+                entries: VecDeque::new(),
+                next: FIRST_OFFSET,
+                conduct: Conduct::default(),
+                counts: Counts::default(),
+                tokens: BURST,
+                refilled: now(),
+            }),
+            grown: watch::Sender::new(FIRST_OFFSET),
+        }))
+    }
+
+    /// Serves it over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system where the address can't be bound.
+    pub fn serve(&self, pool: &Pool, address: SocketAddr) -> io::Result<Serving> {
+        let log = self.clone();
+        let answer = http::handler(move |req| answer(log.clone(), req));
+        pool.serve(address, http::open_gate(), answer)
+    }
+
+    /// Changes how it behaves.
+    pub fn set_conduct(&self, change: impl FnOnce(&mut Conduct)) {
+        change(&mut self.state().conduct);
+    }
+
+    /// Returns what it counted.
+    pub fn counts(&self) -> Counts {
+        self.state().counts
+    }
+
+    /// Returns all records kept, in order.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.state().entries.iter().cloned().collect()
+    }
+
+    /// Appends a record past every limit, as an operator's tool on a good day does.
+    pub fn append(&self, data: String) -> u64 {
+        let offset = self.state().append(data);
+        self.0.grown.send_replace(offset + 1);
+        offset
+    }
+
+    /// Forgets every record up to the newest `keep`.
+    pub fn forget_all_but(&self, keep: usize) {
+        self.state().truncate(keep);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().expect("no user of the log panics")
+    }
+}
+
+impl State {
+    fn append(&mut self, data: String) -> u64 {
+        let offset = self.next;
+        self.next += 1;
+        self.counts.appends += 1;
+        self.counts.append_bytes += data.len() as u64;
+        self.entries.push_back(Entry {
+            offset,
+            time_ms: unix_ms(),
+            data,
+        });
+        self.truncate(self.conduct.retention);
+        offset
+    }
+
+    fn truncate(&mut self, keep: usize) {
+        let surplus = self.entries.len().saturating_sub(keep);
+        self.entries.drain(..surplus);
+    }
+
+    fn take_token(&mut self) -> bool {
+        let now = now();
+        let gained = now.since(self.refilled).as_secs_f64() * self.conduct.appends_per_second;
+        self.refilled = now;
+        self.tokens = (self.tokens + gained).min(BURST);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn batch(&mut self, from: u64, max: usize) -> Batch {
+        let first = self.next - self.entries.len() as u64;
+        let skip = usize::try_from(from.saturating_sub(first)).unwrap_or(usize::MAX);
+        let records: Vec<Entry> = self.entries.iter().skip(skip).take(max).cloned().collect();
+        self.counts.reads += 1;
+        self.counts.read_bytes += records
+            .iter()
+            .map(|entry| entry.data.len() as u64)
+            .sum::<u64>();
+        Batch {
+            first,
+            next: self.next,
+            records,
+        }
+    }
+}
+
+async fn answer(log: Log, req: Request) -> Response {
+    let conduct = log.state().conduct;
+    tokio::time::sleep(conduct.delay).await;
+    if conduct.outage {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    match req.path() {
+        "/v1/append" => answer_append(&log, req).await,
+        "/v1/read" => answer_read(&log, &req).await,
+        _ => Response::new(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn answer_append(log: &Log, mut req: Request) -> Response {
+    // One byte past the limit is enough to know that the record is too large.
+    let body = match read_limited(&mut req).await {
+        Ok(body) => body,
+        Err(status) => return Response::new(status),
+    };
+    let Ok(data) = String::from_utf8(body) else {
+        return Response::new(StatusCode::BAD_REQUEST);
+    };
+    let (offset, lost) = {
+        let mut state = log.state();
+        if state.conduct.outage {
+            return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if !state.take_token() {
+            state.counts.limited += 1;
+            return Response::build(StatusCode::TOO_MANY_REQUESTS)
+                .header("retry-after", "1")
+                .finish();
+        }
+        let offset = state.append(data);
+        let every = state.conduct.lose_every;
+        (
+            offset,
+            every > 0 && state.counts.appends.is_multiple_of(every),
+        )
+    };
+    log.0.grown.send_replace(offset + 1);
+    if lost {
+        tokio::time::sleep(LOST_ANSWER_HOLD).await;
+        return Response::new(StatusCode::GATEWAY_TIMEOUT);
+    }
+    Response::build(StatusCode::OK).json(&Appended { offset })
+}
+
+async fn read_limited(req: &mut Request) -> Result<Vec<u8>, StatusCode> {
+    let mut payload = req.take_payload();
+    let mut buf = Vec::new();
+    while let Some(chunk) = stream_recv(&mut payload).await {
+        let chunk: Bytes = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
+        if buf.len() + chunk.len() > MAX_RECORD_BYTES {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf)
+}
+
+async fn answer_read(log: &Log, req: &Request) -> Response {
+    let query = req.uri().query().unwrap_or_default();
+    let from = query_number(query, "from").unwrap_or(FIRST_OFFSET);
+    let max = query_number(query, "max").unwrap_or(u64::MAX);
+    let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0));
+    let max = usize::try_from(max).unwrap_or(usize::MAX).min(MAX_BATCH);
+    let mut grown = log.0.grown.subscribe();
+    // Running out of time only means that the answer is empty.
+    let _ = tokio::time::timeout(wait, grown.wait_for(|next| *next > from)).await;
+    if log.state().conduct.outage {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let batch = log.state().batch(from, max);
+    Response::build(StatusCode::OK).json(&batch)
+}
+
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/lab/src/standin/worker/state.rs
@@ -0,0 +1,410 @@
+//! A worker's state: the control lease and the tasks.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kspan_model::{JobId, Name, Resources, TaskId};
+use kspan_platform::border::worker::{
+    Command, CommandResult, Exchange, Refusal, Report, Start, TaskState, Token,
+};
+
+use super::{
+    Spec,
+    entry::{self, Entry, Stop, resources, size},
+};
+use crate::{
+    clock::{Micros, unix_ms},
+    http::Serving,
+    record::{Book, EventKind, TaskRun, WorkerInfo},
+    standin::runner::{self, Runner},
+};
+
+/// How a worker behaves. May change at any time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Conduct {
+    /// Whether every task that it starts fails.
+    pub fails_everything: bool,
+    /// Whether it answers nothing.
+    pub silent: bool,
+    /// Whether it takes no new tasks.
+    pub leaving: bool,
+}
+
+/// What decides how tasks really go.
+#[derive(Clone, Copy, Debug)]
+pub struct Ground {
+    /// Seed of run times and sizes.
+    pub seed: u64,
+    /// Longest true run time of a task, so that short experiments see ends.
+    pub longest_run: Duration,
+}
+
+impl Default for Ground {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            longest_run: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Something to do outside the state's lock.
+pub(super) enum Effect {
+    /// A runner is to listen.
+    Listen { task: String, runner: Runner },
+}
+
+pub(super) struct State {
+    name: Name,
+    capacity: Resources,
+    ground: Ground,
+    book: Book,
+    pub(super) conduct: Conduct,
+    runner_conduct: runner::Conduct,
+    incarnation: u64,
+    token: Token,
+    owner: String,
+    lease_until: Micros,
+    tasks: BTreeMap<String, Entry>,
+    version: u64,
+}
+
+impl State {
+    pub(super) fn new(spec: &Spec, ground: Ground, book: Book) -> Self {
+        book.records().workers.push(WorkerInfo {
+            name: spec.name.clone(),
+            capacity: spec.capacity,
+        });
+        Self {
+            name: spec.name.clone(),
+            capacity: spec.capacity,
+            ground,
+            book,
+            conduct: Conduct::default(),
+            runner_conduct: runner::Conduct::default(),
+            incarnation: 1,
+            token: Token::default(),
+            owner: String::new(),
+            lease_until: Micros::default(),
+            tasks: BTreeMap::new(),
+            version: 1,
+        }
+    }
+
+    pub(super) fn exchange(&mut self, exchange: &Exchange, now: Micros) -> (Report, Vec<Effect>) {
+        let mut effects = self.tick(now);
+        if !self.grants(exchange, now) {
+            self.book.records().refused_tokens += 1;
+            return (self.report(exchange, false, Vec::new(), now), effects);
+        }
+        self.token = exchange.token;
+        self.owner.clone_from(&exchange.owner);
+        self.lease_until = Micros(now.0 + exchange.control_lease_ms * 1_000);
+        let task_lease = Micros(now.0 + exchange.task_lease_ms * 1_000);
+        for entry in self.tasks.values_mut() {
+            entry.lease_until = task_lease;
+        }
+        let mut results = Vec::with_capacity(exchange.commands.len());
+        for command in &exchange.commands {
+            results.push(self.carry_out(command, task_lease, now, &mut effects));
+        }
+        if exchange.release {
+            self.lease_until = now;
+        }
+        (self.report(exchange, true, results, now), effects)
+    }
+
+    fn grants(&self, exchange: &Exchange, now: Micros) -> bool {
+        let asked = exchange.token;
+        if asked < self.token {
+            return false;
+        }
+        if asked == self.token {
+            return exchange.owner == self.owner;
+        }
+        now >= self.lease_until || owner_name(&exchange.owner) == owner_name(&self.owner)
+    }
+
+    fn carry_out(
+        &mut self,
+        command: &Command,
+        lease: Micros,
+        now: Micros,
+        effects: &mut Vec<Effect>,
+    ) -> CommandResult {
+        let (task, refused) = match command {
+            Command::Start(start) => (&start.task, self.start(start, lease, now, effects).err()),
+            Command::Stop { task, grace_ms } => (task, self.stop(task, *grace_ms, now).err()),
+            Command::Checkpoint { task } => (
+                task,
+                self.end_running(task, TaskState::Checkpointed, now).err(),
+            ),
+            Command::Throttle { task, cpu_milli } => (task, self.throttle(task, *cpu_milli).err()),
+            Command::Forget { task } => (task, self.forget(task).err()),
+        };
+        CommandResult {
+            task: task.clone(),
+            refused,
+        }
+    }
+
+    fn start(
+        &mut self,
+        start: &Start,
+        lease: Micros,
+        now: Micros,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), Refusal> {
+        if self.tasks.contains_key(&start.task) {
+            return Ok(());
+        }
+        if self.conduct.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if unix_ms() > start.sent_unix_ms.saturating_add(start.not_after_ms) {
+            return Err(Refusal::TooLate);
+        }
+        let task = parse_task(&start.task).ok_or(Refusal::NoSuchTask)?;
+        let size = resources(start.size);
+        if !self.committed().saturating_add(size).fits_in(self.capacity) {
+            self.book.records().refused_starts += 1;
+            return Err(Refusal::NoCapacity);
+        }
+        let record = self.record_start(task, start, size, now);
+        let runner = (start.slots > 0).then(|| self.new_runner(task, start));
+        if let Some(runner) = &runner {
+            effects.push(Effect::Listen {
+                task: start.task.clone(),
+                runner: runner.clone(),
+            });
+        }
+        self.version += 1;
+        let entry = Entry {
+            run_for: entry::true_run_time(start, &self.ground, self.conduct.fails_everything),
+            start: start.clone(),
+            state: TaskState::Starting,
+            usage_cpu_limit: None,
+            started: now,
+            lease_until: lease,
+            stop: None,
+            ended: None,
+            runner,
+            serving: None,
+            version: self.version,
+            record,
+        };
+        self.tasks.insert(start.task.clone(), entry);
+        Ok(())
+    }
+
+    fn record_start(&self, task: TaskId, start: &Start, size: Resources, now: Micros) -> usize {
+        let mut records = self.book.records();
+        records.tasks.push(TaskRun {
+            worker: self.name.clone(),
+            task,
+            workload: Name::new(&start.workload),
+            size,
+            token: self.token,
+            started: now,
+            ended: None,
+            end: None,
+        });
+        records.tasks.len() - 1
+    }
+
+    fn new_runner(&self, task: TaskId, start: &Start) -> Runner {
+        let (slots, connections) = (start.slots, start.connections);
+        let conduct = self.runner_conduct;
+        Runner::new(task, slots, connections, conduct, self.book.clone())
+    }
+
+    fn stop(&mut self, task: &str, grace_ms: u64, now: Micros) -> Result<(), Refusal> {
+        let entry = self.tasks.get_mut(task).ok_or(Refusal::NoSuchTask)?;
+        if entry.state.is_ended() || entry.stop.is_some() {
+            return Ok(());
+        }
+        let force_at = Micros(now.0 + grace_ms * 1_000);
+        let Some(runner) = &entry.runner else {
+            return self.end_running(task, TaskState::Stopped, now);
+        };
+        runner.drain();
+        entry.stop = Some(Stop {
+            asked: now,
+            force_at,
+        });
+        let record = entry.record;
+        self.set_state(task, TaskState::Stopping);
+        self.note_leaving(record);
+        Ok(())
+    }
+
+    fn note_leaving(&self, record: usize) {
+        let task = self.book.records().tasks[record].task;
+        self.book.note(EventKind::Leaving { task });
+    }
+
+    fn throttle(&mut self, task: &str, cpu_milli: u64) -> Result<(), Refusal> {
+        let entry = self.tasks.get_mut(task).ok_or(Refusal::NoSuchTask)?;
+        entry.usage_cpu_limit = Some(cpu_milli);
+        Ok(())
+    }
+
+    fn forget(&mut self, task: &str) -> Result<(), Refusal> {
+        match self.tasks.get(task) {
+            None => Err(Refusal::NoSuchTask),
+            Some(entry) if !entry.state.is_ended() => Err(Refusal::NoSuchTask),
+            Some(_) => {
+                self.tasks.remove(task);
+                Ok(())
+            }
+        }
+    }
+
+    fn end_running(&mut self, task: &str, end: TaskState, now: Micros) -> Result<(), Refusal> {
+        let entry = self.tasks.get_mut(task).ok_or(Refusal::NoSuchTask)?;
+        if entry.state.is_ended() {
+            return Ok(());
+        }
+        entry.ended = Some(now);
+        entry.serving = None;
+        let record = entry.record;
+        self.set_state(task, end);
+        let mut records = self.book.records();
+        records.tasks[record].ended = Some(now);
+        records.tasks[record].end = Some(end);
+        Ok(())
+    }
+
+    fn set_state(&mut self, task: &str, state: TaskState) {
+        self.version += 1;
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.state = state;
+            entry.version = self.version;
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Micros) -> Vec<Effect> {
+        let due: Vec<(String, TaskState)> = self
+            .tasks
+            .iter()
+            .filter_map(|(name, entry)| Some((name.clone(), entry.next_state(now)?)))
+            .collect();
+        for (name, state) in due {
+            let failed = self.conduct.fails_everything && state == TaskState::Succeeded;
+            let state = if failed { TaskState::Failed } else { state };
+            if state.is_ended() {
+                self.end_running(&name, state, now)
+                    .expect("the task was found just now");
+            } else {
+                self.set_state(&name, state);
+            }
+        }
+        Vec::new()
+    }
+
+    pub(super) fn listening(&mut self, task: &str, serving: Serving) {
+        self.version += 1;
+        // A task that ended meanwhile drops the listener at once.
+        if let Some(entry) = self
+            .tasks
+            .get_mut(task)
+            .filter(|entry| !entry.state.is_ended())
+        {
+            entry.serving = Some(serving);
+            entry.version = self.version;
+        }
+    }
+
+    pub(super) fn set_runner_conduct(&mut self, conduct: runner::Conduct) {
+        self.runner_conduct = conduct;
+        for runner in self
+            .tasks
+            .values()
+            .filter_map(|entry| entry.runner.as_ref())
+        {
+            runner.set_conduct(conduct);
+        }
+    }
+
+    pub(super) fn drain_runners(&mut self) {
+        let running = self.tasks.values().filter(|entry| !entry.state.is_ended());
+        let mut draining = Vec::new();
+        for entry in running {
+            if let Some(runner) = &entry.runner {
+                runner.drain();
+                draining.push(entry.record);
+            }
+        }
+        for record in draining {
+            self.note_leaving(record);
+        }
+    }
+
+    pub(super) fn restart(&mut self, now: Micros) {
+        let names: Vec<String> = self.tasks.keys().cloned().collect();
+        for name in names {
+            self.end_running(&name, TaskState::Failed, now)
+                .expect("the task was found just now");
+        }
+        self.tasks.clear();
+        self.incarnation += 1;
+        self.lease_until = now;
+        self.version = 1;
+    }
+
+    pub(super) fn committed(&self) -> Resources {
+        self.tasks
+            .values()
+            .filter(|entry| !entry.state.is_ended())
+            .fold(Resources::ZERO, |sum, entry| {
+                sum.saturating_add(resources(entry.start.size))
+            })
+    }
+
+    pub(super) fn runners_up(&self) -> usize {
+        let up = |entry: &&Entry| entry.serving.is_some() && entry.state == TaskState::Running;
+        self.tasks.values().filter(up).count()
+    }
+
+    fn report(
+        &self,
+        exchange: &Exchange,
+        granted: bool,
+        results: Vec<CommandResult>,
+        now: Micros,
+    ) -> Report {
+        let full = exchange.known_version == 0 || exchange.known_version > self.version;
+        let since = if full { 0 } else { exchange.known_version };
+        Report {
+            incarnation: self.incarnation,
+            granted,
+            token: self.token,
+            lease_left_ms: self.lease_until.since(now).as_millis(),
+            capacity: size(self.capacity),
+            leaving: self.conduct.leaving,
+            results,
+            version: self.version,
+            full,
+            tasks: self
+                .tasks
+                .values()
+                .filter(|entry| entry.version > since)
+                .map(|entry| entry.describe(now))
+                .collect(),
+        }
+    }
+}
+
+fn owner_name(owner: &str) -> &str {
+    owner.split('#').next().unwrap_or(owner)
+}
+
+fn parse_task(text: &str) -> Option<TaskId> {
+    let mut parts = text.split('.');
+    let job: JobId = parts.next()?.parse().ok()?;
+    let index = parts.next()?.parse().ok()?;
+    let attempt = parts.next()?.parse().ok()?;
+    parts
+        .next()
+        .is_none()
+        .then_some(TaskId::new(job, index, attempt))
+}
