--- a/crates/fold/src/lib.rs
+++ b/crates/fold/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod history;
 mod objects;
 pub mod record;
+pub mod search;
 pub mod snapshot;
 mod state;
 
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -317,6 +317,7 @@
         self.carry_out(now, changed.into_iter().collect());
         match message {
             membership::Message::Ping(ping) => {
+                self.inner.fetch_from(node, ping.applied);
                 let answer = membership::Message::Ack(self.ping(now, ping.seq));
                 self.send(from, answer);
             }
@@ -344,6 +345,7 @@
             in_doubt: ack.in_doubt,
         };
         lock(&self.inner.guard).acknowledged(from, asked, standing);
+        self.inner.fetch_from(from, ack.applied);
         if !self.is_member() {
             self.proposer.member_answered(now);
         }
--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -15,13 +15,15 @@
 use kspan_membership::{GuardState, Liveness, guard::Guard};
 use kspan_model::{Member, Millis, NodeId, Role, UnixMillis};
 use kspan_platform::border::hosts::HostList;
-use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION};
+use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, relay};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
     append::Appender,
+    event::Sent,
     links::Links,
     notices::{Newest, Notices},
+    recent::Recent,
     ring::Sender,
     settings::Settings,
     slot::{Slot, lock},
@@ -62,6 +64,9 @@
     pub(crate) notices: Notices,
     pub(crate) outgoing: Sender<Outgoing>,
     pub(crate) appender: Appender,
+    pub(crate) recent: Recent,
+    /// Entries from other members, on their way to the log thread.
+    pub(crate) relayed: Sender<Vec<relay::Entry>>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) dump: Mutex<Option<Dump>>,
     pub(crate) ready: AtomicBool,
@@ -140,6 +145,44 @@
         self.ready.store(ready, Ordering::Release);
     }
 
+    /// Sends a message to a member without waiting.
+    pub(crate) fn send(&self, to: &NodeId, message: Message) -> Sent {
+        let state = self.state();
+        let Some(to) = state.view.member(to).cloned() else {
+            return Sent::NotMember;
+        };
+        match self.outgoing.try_send(Outgoing { to, message }) {
+            Ok(()) => Sent::Queued,
+            Err(_) => Sent::Full,
+        }
+    }
+
+    /// Asks a member for the entries that it has applied and this process has not.
+    pub(crate) fn fetch_from(&self, node: &NodeId, its_applied: u64) {
+        let from = self.state().applied;
+        let founded = self.founded.load(Ordering::Acquire);
+        if founded && its_applied > from && self.recent.is_lagging(self.now(), from) {
+            self.send(node, Message::Relay(relay::Message::Fetch { from }));
+        }
+    }
+
+    /// Takes in a relay message of a member.
+    pub(crate) fn receive_relay(&self, from: &NodeId, message: relay::Message) {
+        match message {
+            relay::Message::Fetch { from: offset } => {
+                let entries = self.recent.from(offset);
+                if !entries.is_empty() {
+                    self.send(from, Message::Relay(relay::Message::Entries(entries)));
+                }
+            }
+            relay::Message::Entries(entries) => {
+                if self.relayed.try_send(entries).is_err() {
+                    count_dropped("relay-full");
+                }
+            }
+        }
+    }
+
     /// Returns why the process is not ready; nothing when it is.
     pub(crate) fn not_ready(&self) -> Option<&'static str> {
         if !self.founded.load(Ordering::Acquire) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     event::{Append, Sent},
-    inner::{Inner, Outgoing, Phase, unix_now},
+    inner::{Inner, Phase, unix_now},
     links::Links,
     settings::Settings,
     slot::lock,
@@ -76,14 +76,7 @@
 
     /// Sends a message to a member without waiting.
     pub fn send(&self, to: &NodeId, message: Message) -> Sent {
-        let state = self.inner.state();
-        let Some(to) = state.view.member(to).cloned() else {
-            return Sent::NotMember;
-        };
-        match self.inner.outgoing.try_send(Outgoing { to, message }) {
-            Ok(()) => Sent::Queued,
-            Err(_) => Sent::Full,
-        }
+        self.inner.send(to, message)
     }
 
     /// Appends a record and waits until it is known what became of it, for some seconds at most.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -23,6 +23,7 @@
     links::Links,
     node::Node,
     notices::Notices,
+    recent::Recent,
     ring,
     settings::Settings,
     signals,
@@ -60,6 +61,9 @@
 /// Appends that may wait for the log thread.
 const APPENDS: usize = 1_024;
 
+/// Batches of relayed log entries that may wait for the log thread.
+const RELAYED: usize = 16;
+
 /// Starts the threads of a node.
 ///
 /// # Errors
@@ -72,6 +76,7 @@
     let (events_tx, events) = ring::bounded(EVENTS);
     let (outgoing_tx, outgoing) = ring::bounded(OUTGOING);
     let (appends_tx, appends) = ring::bounded(APPENDS);
+    let (relayed_tx, relayed) = ring::bounded(RELAYED);
     let me = member(&cfg, role);
     let inner = Arc::new(Inner {
         started: Instant::now(),
@@ -84,6 +89,8 @@
         notices: Notices::new(events_tx),
         outgoing: outgoing_tx,
         appender: Appender::new(appends_tx),
+        recent: Recent::default(),
+        relayed: relayed_tx,
         phase: watch::Sender::new(Phase::Running),
         dump: Mutex::default(),
         ready: AtomicBool::new(false),
@@ -100,7 +107,7 @@
     let shared = Arc::clone(&inner);
     spawn(&inner, "signals", move || signals::run(&shared, signals))?;
     let shared = Arc::clone(&inner);
-    spawn(&inner, "log", move || follow::run(shared, appends))?;
+    spawn(&inner, "log", move || follow::run(shared, appends, relayed))?;
     let shared = Arc::clone(&inner);
     spawn(&inner, "wire", move || {
         run_local(async move {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,7 +6,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use kspan_model::{Member, NodeId};
-use kspan_wire::{codec, message::MAX_FRAME_BYTES, stream};
+use kspan_wire::{
+    codec,
+    message::{MAX_FRAME_BYTES, Message},
+    stream,
+};
 use tokio::{
     io::BufReader,
     net::{TcpListener, TcpStream},
@@ -95,7 +99,10 @@
         } else if inner.is_cut(sender) {
             count_dropped("cut");
         } else {
-            inner.notices.message(envelope.from, envelope.message);
+            match envelope.message {
+                Message::Relay(message) => inner.receive_relay(&envelope.from, message),
+                message => inner.notices.message(envelope.from, message),
+            }
         }
     }
 }
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -1,6 +1,7 @@
 //! Typed messages.
 
 pub mod membership;
+pub mod relay;
 pub mod routing;
 pub mod tasks;
 
@@ -40,4 +41,6 @@
     Routing(routing::Message),
     /// Runner tables, submissions and questions about jobs.
     Tasks(tasks::Message),
+    /// Log entries. Programs never see them.
+    Relay(relay::Message),
 }
