Add the operators' command line and web forms

Cause: operators need to validate, publish, look and drain. Change: kspan-operator folds the log and publishes with lost answers resolved by reading on; kspanctl; kspan-console with forms built from the schema.

--- /dev/null
+++ b/crates/console/src/asset.rs
@@ -0,0 +1,3 @@
+//! The style sheet, served from the program itself.
+
+pub(crate) const STYLE: &str = include_str!("../templates/style.css");
--- /dev/null
+++ b/crates/console/src/form.rs
@@ -0,0 +1,221 @@
+//! Form fields built from the document's JSON schema.
+
+use std::sync::LazyLock;
+
+use kspan_model::document::{Fault, SCHEMA};
+use serde_json::Value;
+
+static ROOT: LazyLock<Value> =
+    LazyLock::new(|| serde_json::from_str(SCHEMA).expect("the committed schema is JSON"));
+
+/// One field or group of fields.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Field {
+    /// Path of the value, such as `services[0].slots`; the name of the input.
+    pub path: String,
+    /// Label that people read.
+    pub label: String,
+    /// Description from the schema.
+    pub help: String,
+    /// Whether the schema requires it.
+    pub required: bool,
+    /// Faults that belong here.
+    pub faults: Vec<String>,
+    /// What it holds.
+    pub kind: Kind,
+}
+
+/// What a field holds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// One line of text, with its present value.
+    Text(String),
+    /// One of some choices; the first is empty where the field may be absent.
+    Choice {
+        /// The choices.
+        options: Vec<String>,
+        /// The present one.
+        selected: String,
+    },
+    /// Fields of an object.
+    Group(Vec<Field>),
+    /// Items of a list, and what one item is called.
+    List {
+        /// The items.
+        items: Vec<Field>,
+        /// Name of one item.
+        item: String,
+    },
+}
+
+/// Builds the fields of a whole document.
+pub fn build_fields(document: &Value, faults: &[Fault]) -> Vec<Field> {
+    let cx = Context { faults };
+    cx.properties("", &ROOT, Some(document))
+}
+
+struct Context<'a> {
+    faults: &'a [Fault],
+}
+
+impl Context<'_> {
+    fn properties(&self, path: &str, schema: &Value, value: Option<&Value>) -> Vec<Field> {
+        let Some(properties) = schema["properties"].as_object() else {
+            return Vec::new();
+        };
+        let fields = properties.iter().map(|(key, property)| {
+            let child = if path.is_empty() {
+                key.clone()
+            } else {
+                format!("{path}.{key}")
+            };
+            let value = value.and_then(|value| value.get(key));
+            self.field(&child, key, property, value, requires(schema, key))
+        });
+        let mut fields: Vec<Field> = fields.collect();
+        // Names and plain values come before lists, as people fill them in.
+        fields.sort_by_key(|field| (rank(field), !field.required));
+        fields
+    }
+
+    fn field(
+        &self,
+        path: &str,
+        key: &str,
+        schema: &Value,
+        value: Option<&Value>,
+        required: bool,
+    ) -> Field {
+        let target = resolve(schema);
+        Field {
+            path: path.to_owned(),
+            label: label_of(key),
+            help: description(schema, target),
+            required,
+            faults: self.faults_at(path),
+            kind: self.kind(path, key, target, value),
+        }
+    }
+
+    fn kind(&self, path: &str, key: &str, schema: &Value, value: Option<&Value>) -> Kind {
+        if let Some(options) = schema["enum"].as_array() {
+            let options = options
+                .iter()
+                .filter_map(Value::as_str)
+                .map(str::to_owned)
+                .collect();
+            return Kind::Choice {
+                options,
+                selected: text_of(value),
+            };
+        }
+        match schema["type"].as_str() {
+            Some("boolean") => {
+                let options = vec!["true".to_owned(), "false".to_owned()];
+                Kind::Choice {
+                    options,
+                    selected: text_of(value),
+                }
+            }
+            Some("object") => Kind::Group(self.properties(path, schema, value)),
+            Some("array") => self.list(path, key, schema, value),
+            _ => Kind::Text(text_of(value)),
+        }
+    }
+
+    fn list(&self, path: &str, key: &str, schema: &Value, value: Option<&Value>) -> Kind {
+        let item = singular(key);
+        let values = value
+            .and_then(Value::as_array)
+            .map_or(&[][..], Vec::as_slice);
+        let fields = values.iter().enumerate().map(|(index, value)| {
+            let path = format!("{path}[{index}]");
+            let name = value.get("name").and_then(Value::as_str);
+            let mut field = self.field(&path, &item, &schema["items"], Some(value), true);
+            field.label = match name {
+                Some(name) => format!("{} {name}", label_of(&item)),
+                None => format!("{} {}", label_of(&item), index + 1),
+            };
+            field
+        });
+        Kind::List {
+            items: fields.collect(),
+            item: label_of(&item).to_lowercase(),
+        }
+    }
+
+    fn faults_at(&self, path: &str) -> Vec<String> {
+        let here = self.faults.iter().filter(|fault| fault.path == path);
+        here.map(|fault| format!("{}: {} ({})", fault.severity, fault.message, fault.hint))
+            .collect()
+    }
+}
+
+/// Returns the schema at a path that may hold indexes; none where the schema knows no such path.
+pub(crate) fn schema_at(path: &str) -> Option<&'static Value> {
+    let mut schema: &'static Value = &ROOT;
+    for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
+        schema = match step.strip_suffix(']') {
+            Some(_) => schema.get("items")?,
+            None => schema.get("properties")?.get(step)?,
+        };
+        schema = resolve(schema);
+    }
+    Some(schema)
+}
+
+fn resolve(schema: &Value) -> &Value {
+    let Some(reference) = schema["$ref"].as_str() else {
+        return schema;
+    };
+    ROOT.pointer(reference.trim_start_matches('#'))
+        .unwrap_or(schema)
+}
+
+fn description(schema: &Value, target: &Value) -> String {
+    let text = schema["description"]
+        .as_str()
+        .or_else(|| target["description"].as_str());
+    text.unwrap_or_default().to_owned()
+}
+
+fn requires(schema: &Value, key: &str) -> bool {
+    let required = schema["required"].as_array();
+    required.is_some_and(|keys| keys.iter().any(|known| known == key))
+}
+
+fn rank(field: &Field) -> u8 {
+    match (&field.kind, field.label.as_str()) {
+        (_, "Name" | "Cell") => 0,
+        (Kind::Text(_) | Kind::Choice { .. }, _) => 1,
+        (Kind::Group(_), _) => 2,
+        (Kind::List { .. }, _) => 3,
+    }
+}
+
+fn text_of(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn label_of(key: &str) -> String {
+    let text = key.replace('_', " ");
+    let mut chars = text.chars();
+    let first = chars
+        .next()
+        .map(|c| c.to_uppercase().to_string())
+        .unwrap_or_default();
+    first + chars.as_str()
+}
+
+fn singular(key: &str) -> String {
+    match key {
+        "classes" => "class".to_owned(),
+        "batch" => "batch workload".to_owned(),
+        "workers" => "group of workers".to_owned(),
+        _ => key.strip_suffix('s').unwrap_or(key).to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/console/src/handler.rs
@@ -0,0 +1,374 @@
+//! Answers to browsers.
+
+use askama::Template;
+use kspan_model::{
+    Name,
+    document::{Fault, check},
+};
+use kspan_operator::{Change, Error, Published, diff};
+use ntex::{
+    http::{Response, StatusCode, header},
+    web::{self, HttpResponse, types},
+};
+use serde_json::Value;
+
+use crate::{
+    asset::STYLE,
+    draft::{Draft, Edit},
+    form::{Field, Kind, build_fields},
+    page::{EditPage, ResultPage, ReviewPage, TablesPage},
+    rows::{objects, processes},
+    site::Site,
+};
+
+type Fields = Vec<(String, String)>;
+
+pub(crate) async fn style() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/css; charset=utf-8")
+        .body(STYLE)
+}
+
+pub(crate) async fn overview(site: types::State<Site>) -> HttpResponse {
+    let state = match site.state().await {
+        Ok(state) => state,
+        Err(err) => return unreachable(&err),
+    };
+    let report = site.cell_report().await;
+    let note = match (&state.document, &report) {
+        (None, _) => "No document is in force yet.".to_owned(),
+        (Some(_), Err(err)) => format!("Version {} is in force. {err}.", state.document_version),
+        (Some(_), Ok(_)) => format!("Version {} is in force.", state.document_version),
+    };
+    let report = report.unwrap_or(Value::Null);
+    let columns = [
+        ("name", "Workload"),
+        ("kind", "Kind"),
+        ("state", "State"),
+        ("running", "Running"),
+        ("waiting", "Waiting"),
+        ("reason", "Why it waits"),
+    ];
+    let tables = vec![objects("Workloads", report.get("workloads"), &columns)];
+    html(&TablesPage {
+        title: "Overview".to_owned(),
+        note,
+        tables,
+    })
+}
+
+pub(crate) async fn hosts(site: types::State<Site>) -> HttpResponse {
+    let report = match site.cell_report().await {
+        Ok(report) => report,
+        Err(err) => return unreachable(&err),
+    };
+    let columns = [
+        ("name", "Host"),
+        ("rack", "Rack"),
+        ("data_centre", "Data centre"),
+        ("state", "State"),
+        ("capacity", "Capacity"),
+        ("committed", "Committed"),
+    ];
+    let tables = vec![objects(
+        "Hosts and their commitments",
+        report.get("hosts"),
+        &columns,
+    )];
+    html(&TablesPage {
+        title: "Hosts".to_owned(),
+        note: String::new(),
+        tables,
+    })
+}
+
+pub(crate) async fn process_list(site: types::State<Site>) -> HttpResponse {
+    match site.member_statuses().await {
+        Ok(statuses) => {
+            let tables = vec![processes(&statuses)];
+            html(&TablesPage {
+                title: "Processes".to_owned(),
+                note: String::new(),
+                tables,
+            })
+        }
+        Err(err) => unreachable(&err),
+    }
+}
+
+pub(crate) async fn outcomes(site: types::State<Site>) -> HttpResponse {
+    match site.state().await {
+        Ok(state) => {
+            let ends = state
+                .ends
+                .values()
+                .map(|end| serde_json::json!(end))
+                .collect();
+            let columns = [
+                ("job", "Job"),
+                ("result", "Result"),
+                ("reason", "Reason"),
+                ("ended", "Ended (Unix ms)"),
+            ];
+            let tables = vec![objects(
+                "Newest ends of jobs",
+                Some(&Value::Array(ends)),
+                &columns,
+            )];
+            html(&TablesPage {
+                title: "Outcomes".to_owned(),
+                note: String::new(),
+                tables,
+            })
+        }
+        Err(err) => unreachable(&err),
+    }
+}
+
+pub(crate) async fn edit_in_force(site: types::State<Site>) -> HttpResponse {
+    match site.state().await {
+        Ok(state) => {
+            let draft = Draft::from_text(&state.document_text);
+            let comments = has_comments(&state.document_text);
+            edit_page(&draft, state.document_version, "", comments, &[])
+        }
+        Err(err) => unreachable(&err),
+    }
+}
+
+pub(crate) async fn edit(site: types::State<Site>, form: types::Form<Fields>) -> HttpResponse {
+    let pairs = form
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()));
+    let mut draft = Draft::from_fields(pairs);
+    let (base, author) = (base_of(&form), value_of(&form, "author"));
+    let button = value_of(&form, "button");
+    if button == "review" {
+        return review_page(&site, base, author, draft.to_text()).await;
+    }
+    if let Some(edit) = Edit::from_button(button) {
+        draft.apply(&edit);
+        return edit_page(&draft, base, author, false, &[]);
+    }
+    let faults = check(&draft.to_text()).faults.0;
+    edit_page(&draft, base, author, false, &faults)
+}
+
+pub(crate) async fn text_in_force(site: types::State<Site>) -> HttpResponse {
+    match site.state().await {
+        Ok(state) => {
+            let text = state.document_text.to_string();
+            review_page(&site, state.document_version, "", text).await
+        }
+        Err(err) => unreachable(&err),
+    }
+}
+
+pub(crate) async fn text(site: types::State<Site>, form: types::Form<Fields>) -> HttpResponse {
+    let (base, author) = (base_of(&form), value_of(&form, "author").trim());
+    // Browsers send line ends as CR LF.
+    let text = value_of(&form, "text").replace("\r\n", "\n");
+    match value_of(&form, "button") {
+        "download" => download(&text),
+        "publish" if author.is_empty() => refused(
+            "Not published",
+            "Give your name, so that other operators know whom to ask.",
+            text,
+        ),
+        "publish" => publish(&site, base, author, text).await,
+        _ => review_page(&site, base, author, text).await,
+    }
+}
+
+async fn publish(site: &Site, base: u64, author: &str, text: String) -> HttpResponse {
+    if check(&text).document.is_none() {
+        return review_page(site, base, author, text).await;
+    }
+    match site.publish(&Name::new(author), base, text.clone()).await {
+        Ok(published) => result_page(site, &published, base, author, text).await,
+        Err(err) => unreachable(&err),
+    }
+}
+
+async fn result_page(
+    site: &Site,
+    published: &Published,
+    base: u64,
+    author: &str,
+    text: String,
+) -> HttpResponse {
+    let newest = site
+        .state()
+        .await
+        .map_or(base, |state| state.document_version);
+    let mut page = ResultPage {
+        title: "Not published".to_owned(),
+        message: String::new(),
+        text: text.clone(),
+        author: author.to_owned(),
+        newest,
+        ours: Vec::new(),
+        theirs: Vec::new(),
+        conflict: false,
+    };
+    match published {
+        Published::Accepted { offset } => {
+            page.title = "Published".to_owned();
+            page.message =
+                format!("Version {offset} is accepted. See Processes for where it is in force.");
+            page.text = String::new();
+        }
+        Published::Refused { reason, .. } => {
+            page.title = "Another change came first".to_owned();
+            page.message = reason.to_string();
+            page.conflict = true;
+            page.ours = changes_since(site, base, &text).await;
+            if let Some(theirs) = site.text_of(newest).await {
+                page.theirs = changes_since(site, base, &theirs).await;
+            }
+        }
+        Published::NotPublished { reason } => {
+            page.message = format!("{reason}. Nothing was changed.")
+        }
+        Published::Unresolved { id } => {
+            page.message = format!(
+                "The answer was lost and the log can't be read on. Look at the overview before \
+                 you publish again. Record {id}."
+            );
+        }
+    }
+    html(&page)
+}
+
+async fn changes_since(site: &Site, base: u64, text: &str) -> Vec<Change> {
+    let Some(old) = site.text_of(base).await else {
+        return Vec::new();
+    };
+    diff(&Draft::from_text(&old).value, &Draft::from_text(text).value)
+}
+
+async fn review_page(site: &Site, base: u64, author: &str, text: String) -> HttpResponse {
+    let checked = check(&text);
+    let changes = match site.text_of(base).await {
+        None if base == 0 => diff(&serde_json::json!({}), &Draft::from_text(&text).value),
+        _ => changes_since(site, base, &text).await,
+    };
+    html(&ReviewPage {
+        base,
+        author: author.to_owned(),
+        faults: checked.faults.0.iter().map(Fault::to_string).collect(),
+        valid: checked.document.is_some(),
+        changes,
+        text,
+    })
+}
+
+fn edit_page(
+    draft: &Draft,
+    base: u64,
+    author: &str,
+    comments: bool,
+    faults: &[Fault],
+) -> HttpResponse {
+    let fields = build_fields(&draft.value, faults);
+    let shown = |fault: &Fault| fields.iter().any(|field| shows(field, &fault.path));
+    let elsewhere = faults
+        .iter()
+        .filter(|fault| !shown(fault))
+        .map(Fault::to_string)
+        .collect();
+    html(&EditPage {
+        base,
+        author: author.to_owned(),
+        faults: elsewhere,
+        fault_count: faults.len(),
+        comments,
+        fields,
+    })
+}
+
+/// Returns whether a field or one below it has a path.
+fn shows(field: &Field, path: &str) -> bool {
+    let below = match &field.kind {
+        Kind::Group(fields) => fields.as_slice(),
+        Kind::List { items, .. } => items.as_slice(),
+        Kind::Text(_) | Kind::Choice { .. } => &[],
+    };
+    field.path == path || below.iter().any(|field| shows(field, path))
+}
+
+fn value_of<'a>(form: &'a Fields, name: &str) -> &'a str {
+    // The button that was pressed comes after fields of the same name.
+    let found = form.iter().rev().find(|(key, _)| key == name);
+    found.map_or("", |(_, value)| value.as_str())
+}
+
+fn base_of(form: &Fields) -> u64 {
+    value_of(form, "base").parse().unwrap_or(0)
+}
+
+fn has_comments(text: &str) -> bool {
+    text.lines()
+        .any(|line| line.trim_start().starts_with('#') || line.contains(" #"))
+}
+
+fn download(text: &str) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/yaml; charset=utf-8")
+        .header(
+            header::CONTENT_DISPOSITION,
+            "attachment; filename=\"cell.yaml\"",
+        )
+        .body(text.to_owned())
+}
+
+fn refused(title: &str, message: &str, text: String) -> HttpResponse {
+    html(&ResultPage {
+        title: title.to_owned(),
+        message: message.to_owned(),
+        text,
+        author: String::new(),
+        newest: 0,
+        ours: Vec::new(),
+        theirs: Vec::new(),
+        conflict: false,
+    })
+}
+
+fn unreachable(err: &Error) -> HttpResponse {
+    let page = TablesPage {
+        title: "The cell can't be reached".to_owned(),
+        note: format!("{err}. Nothing was changed; try again later."),
+        tables: Vec::new(),
+    };
+    page_with(StatusCode::SERVICE_UNAVAILABLE, &page)
+}
+
+fn html(page: &impl Template) -> HttpResponse {
+    page_with(StatusCode::OK, page)
+}
+
+fn page_with(status: StatusCode, page: &impl Template) -> HttpResponse {
+    match page.render() {
+        Ok(text) => Response::build(status)
+            .content_type("text/html; charset=utf-8")
+            .body(text),
+        Err(err) => {
+            log::error!("console: A page could not be rendered: {err}.");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
+
+/// Adds every page to the server's routes.
+pub(crate) fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.route("/style.css", web::get().to(style))
+        .route("/", web::get().to(overview))
+        .route("/edit", web::get().to(edit_in_force))
+        .route("/edit", web::post().to(edit))
+        .route("/text", web::get().to(text_in_force))
+        .route("/text", web::post().to(text))
+        .route("/hosts", web::get().to(hosts))
+        .route("/processes", web::get().to(process_list))
+        .route("/outcomes", web::get().to(outcomes));
+}
--- /dev/null
+++ b/crates/console/src/program.rs
@@ -0,0 +1,90 @@
+//! The program: arguments, settings and the server.
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use ntex::web::{self, App, types};
+
+use crate::{handler, settings::Settings, site::Site};
+
+/// Largest form that is taken, in bytes. Field names repeat their paths.
+const MAX_FORM_BYTES: usize = 4 * 1024 * 1024;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// Serves the operators' web forms.
+#[derive(FromArgs, Debug)]
+#[argh(example = "kspan-console --settings console.yaml")]
+struct Args {
+    /// settings file: `listen` and `log`, each an address
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// checks the settings and ends
+    #[argh(switch)]
+    check: bool,
+}
+
+pub(crate) fn main() -> ExitCode {
+    let words: Vec<String> = env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let args = match Args::from_args(&["kspan-console"], words.get(1..).unwrap_or_default()) {
+        Ok(args) => args,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => {
+            eprintln!("kspan-console: {}", early.output.trim_end());
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let cfg = match Settings::read(&args.settings) {
+        Ok(cfg) => cfg,
+        Err(err) => {
+            eprintln!("kspan-console: {}: {err}", args.settings.display());
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if args.check {
+        println!("{}: valid", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    start_logging();
+    let system = ntex::rt::System::build()
+        .name("console")
+        .build(ntex::rt::DefaultRuntime);
+    match system.block_on(serve(cfg)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("console: The server ended: {err}.");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn start_logging() {
+    use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
+    let cfg = ConfigBuilder::new().set_time_format_rfc3339().build();
+    // A logger that is set already serves as well.
+    let _ = TermLogger::init(
+        LevelFilter::Info,
+        cfg,
+        TerminalMode::Stderr,
+        ColorChoice::Never,
+    );
+}
+
+async fn serve(cfg: Settings) -> std::io::Result<()> {
+    let app = async move || {
+        App::new()
+            .state(Site::new(cfg.log))
+            .state(types::FormConfig::default().limit(MAX_FORM_BYTES))
+            .configure(handler::routes)
+    };
+    // One thread, so that all pages share one reading of the log.
+    let server = web::server(app).workers(1).bind(cfg.listen)?;
+    log::info!("console: Listening on {}.", cfg.listen);
+    server.run().await
+}
--- /dev/null
+++ b/crates/console/src/settings.rs
@@ -0,0 +1,50 @@
+//! Settings of the console.
+
+use std::{net::SocketAddr, path::Path};
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+quick_error! {
+    /// Why settings could not be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file could not be read.
+        Read(err: std::io::Error) {
+            display("{err}")
+            source(err)
+            from()
+        }
+        /// The text is not valid settings.
+        Parse(err: serde_norway::Error) {
+            display("{err}")
+            source(err)
+            from()
+        }
+    }
+}
+
+/// Settings of the console.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Address that browsers use.
+    pub listen: SocketAddr,
+    /// Address of the platform's log.
+    pub log: SocketAddr,
+}
+
+impl Settings {
+    /// Reads settings from a YAML file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the file can't be read, has unknown or missing keys, or values of
+    /// the wrong form.
+    pub fn read(path: &Path) -> Result<Self> {
+        Ok(serde_norway::from_str(&std::fs::read_to_string(path)?)?)
+    }
+}
--- /dev/null
+++ b/crates/console/src/site.rs
@@ -0,0 +1,106 @@
+//! What the pages share: the cell and the versions of the document that were seen.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
+
+use kspan_fold::{Body, State};
+use kspan_model::{Name, Role};
+use kspan_operator::{Cell, Error, MemberStatus, Published, Result};
+use ntex::http::Method;
+use serde_json::Value;
+use tokio::sync::Mutex;
+
+/// Versions of the document whose texts are kept, to show both sides of a conflict.
+const MAX_VERSIONS: usize = 32;
+
+/// The cell behind the pages. Clones share it within one thread.
+#[derive(Clone)]
+pub(crate) struct Site {
+    inner: Rc<Mutex<Inner>>,
+    log: SocketAddr,
+}
+
+#[derive(Default)]
+struct Inner {
+    cell: Option<Cell>,
+    versions: BTreeMap<u64, Arc<str>>,
+}
+
+impl Site {
+    pub(crate) fn new(log: SocketAddr) -> Self {
+        Self {
+            inner: Rc::default(),
+            log,
+        }
+    }
+
+    /// Reads the log to its end and returns what is in force.
+    pub(crate) async fn state(&self) -> Result<State> {
+        let mut inner = self.inner.lock().await;
+        self.refresh(&mut inner).await.cloned()
+    }
+
+    /// Returns the text of a version of the document that was in force while this runs.
+    pub(crate) async fn text_of(&self, version: u64) -> Option<Arc<str>> {
+        self.inner.lock().await.versions.get(&version).cloned()
+    }
+
+    pub(crate) async fn publish(
+        &self,
+        author: &Name,
+        base: u64,
+        text: String,
+    ) -> Result<Published> {
+        let mut inner = self.inner.lock().await;
+        self.refresh(&mut inner).await?;
+        let cell = inner.cell.as_mut().ok_or(Error::NoMember("process"))?;
+        let published = cell.publish(author, Body::Document { base, text }).await?;
+        self.refresh(&mut inner).await?;
+        Ok(published)
+    }
+
+    pub(crate) async fn member_statuses(&self) -> Result<Vec<MemberStatus>> {
+        let mut inner = self.inner.lock().await;
+        self.refresh(&mut inner).await?;
+        let cell = inner.cell.as_ref().ok_or(Error::NoMember("process"))?;
+        Ok(cell.member_statuses().await)
+    }
+
+    /// Returns what one scheduler after another tells about the cell, until one answers.
+    pub(crate) async fn cell_report(&self) -> Result<Value> {
+        let mut inner = self.inner.lock().await;
+        self.refresh(&mut inner).await?;
+        let cell = inner.cell.as_ref().ok_or(Error::NoMember("process"))?;
+        let mut failed = Error::NoMember("scheduler");
+        for member in cell.members(Role::Scheduler) {
+            match cell.ask(member.http, Method::GET, "/v1/cell").await {
+                Ok(answer) if answer.status == 200 => return Ok(answer.body),
+                Ok(answer) => {
+                    failed = Error::Process(member.node.name.to_string(), answer.status.to_string())
+                }
+                Err(err) => failed = err,
+            }
+        }
+        Err(failed)
+    }
+
+    async fn refresh<'a>(&self, inner: &'a mut Inner) -> Result<&'a State> {
+        match inner.cell.as_mut() {
+            Some(cell) => cell.refresh().await?,
+            None => inner.cell = Some(Cell::connect(self.log).await?),
+        }
+        let state = inner
+            .cell
+            .as_ref()
+            .ok_or(Error::NoMember("process"))?
+            .state();
+        if state.document.is_some() {
+            inner
+                .versions
+                .insert(state.document_version, Arc::clone(&state.document_text));
+        }
+        while inner.versions.len() > MAX_VERSIONS {
+            inner.versions.pop_first();
+        }
+        Ok(state)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/publish.rs
@@ -0,0 +1,156 @@
+//! Publishing: appends of an operator's records, each resolved to what became of it.
+
+use kspan_fold::{Applied, Body, Record, RecordId};
+use kspan_model::{Millis, Name, UnixMillis};
+use kspan_platform::log::AppendAnswer;
+
+use crate::{
+    cell::{Cell, Met},
+    error::{Error, Result},
+};
+
+/// First words of the comment that names the version a text was edited from.
+pub const BASE_COMMENT: &str = "# edited from version:";
+
+/// Appends tried, each only after the log was read without finding the one before.
+const MAX_APPENDS: u32 = 5;
+
+/// Time between a lost answer and reading on for its record.
+const READ_ON_AFTER: Millis = Millis(300);
+
+/// What became of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Published {
+    /// It was accepted at this offset.
+    Accepted {
+        /// Offset; the version, for a document.
+        offset: u64,
+    },
+    /// It stands in the log and every process refuses it.
+    Refused {
+        /// Offset.
+        offset: u64,
+        /// Why.
+        reason: Name,
+    },
+    /// It certainly did not reach the log.
+    NotPublished {
+        /// Why.
+        reason: Name,
+    },
+    /// Its answer was lost and the log can't be read on yet. Ask again with the same id.
+    Unresolved {
+        /// Id of the record.
+        id: RecordId,
+    },
+}
+
+impl Cell {
+    /// Appends `body` in the name of `author` and finds out what became of it.
+    ///
+    /// After a lost answer the log is read on before anything is appended again, and the record
+    /// keeps its id, so that it can take effect only once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the log can't be read before the first append.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the record can't be written as JSON, which plain data always can.
+    pub async fn publish(&mut self, author: &Name, body: Body) -> Result<Published> {
+        self.refresh().await?;
+        let record = Record {
+            id: RecordId::from(rand::random::<u128>()),
+            by: author.clone(),
+            written: unix_now(),
+            body,
+        };
+        let text = serde_json::to_string(&record).expect("a record is plain data");
+        let mut lost = false;
+        for _ in 0..MAX_APPENDS {
+            match self.log().append(&text).await {
+                AppendAnswer::Appended { offset } => {
+                    return Ok(self
+                        .resolve(&record)
+                        .await?
+                        .unwrap_or(Published::Accepted { offset }));
+                }
+                AppendAnswer::TooLarge => return Ok(not_published("the record is too large")),
+                AppendAnswer::Throttled { after } => tokio::time::sleep(after).await,
+                AppendAnswer::Down if !lost => return Ok(not_published("the log is down")),
+                AppendAnswer::Down | AppendAnswer::Lost => {
+                    lost = true;
+                    tokio::time::sleep(READ_ON_AFTER.as_duration()).await;
+                }
+            }
+            if lost {
+                match self.resolve(&record).await {
+                    Ok(Some(published)) => return Ok(published),
+                    Ok(None) => {}
+                    Err(Error::Log(_)) => return Ok(Published::Unresolved { id: record.id }),
+                    Err(err) => return Err(err),
+                }
+            }
+        }
+        Ok(if lost {
+            Published::Unresolved { id: record.id }
+        } else {
+            not_published("the log's append rate is used up")
+        })
+    }
+
+    async fn resolve(&mut self, record: &Record) -> Result<Option<Published>> {
+        Ok(self.read_until(Some(record)).await?.map(published))
+    }
+}
+
+fn published(met: Met) -> Published {
+    let offset = met.offset;
+    match met.applied {
+        Applied::Accepted | Applied::Known => Published::Accepted { offset },
+        Applied::Refused(reason) | Applied::Poisoned(reason) => {
+            Published::Refused { offset, reason }
+        }
+    }
+}
+
+fn not_published(reason: &str) -> Published {
+    Published::NotPublished {
+        reason: reason.into(),
+    }
+}
+
+fn unix_now() -> UnixMillis {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let millis = since.map_or(0, |span| span.as_millis());
+    UnixMillis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// Returns the version that a text says it was edited from.
+///
+/// # Examples
+///
+/// ```
+/// use kspan_operator::{base_of, with_base};
+///
+/// let text = with_base("cell: small\n", 42);
+/// assert_eq!(base_of(&text), Some(42));
+/// assert_eq!(base_of(&with_base(&text, 43)), Some(43));
+/// assert_eq!(base_of("cell: small\n"), None);
+/// ```
+pub fn base_of(text: &str) -> Option<u64> {
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix(BASE_COMMENT))?;
+    line.trim().parse().ok()
+}
+
+/// Returns a text whose first line names the version that it is edited from.
+pub fn with_base(text: &str, base: u64) -> String {
+    let rest: Vec<&str> = text
+        .lines()
+        .filter(|line| !line.starts_with(BASE_COMMENT))
+        .collect();
+    format!("{BASE_COMMENT} {base}\n{}\n", rest.join("\n"))
+}
