Resolve an operator's append by the record's id

Cause: the fold tells a record's id beside its verdict, so the tools need not parse records themselves. Change: reading on compares ids and keeps the verdict of the first meeting. Conclusion: one rule for accepted and refused, the fold's.

--- a/crates/operator/src/cell.rs
+++ b/crates/operator/src/cell.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kspan_fold::{Applied, Record, State};
+use kspan_fold::{RecordId, State, Verdict};
 use kspan_model::{Member, Millis, Role};
 use kspan_platform::log::LogClient;
 use ntex::{client::Client, http::Method};
@@ -76,7 +76,7 @@
 
     /// Reads to the end and returns what became of the record with the id of `wanted`, if it was
     /// met on the way.
-    pub(crate) async fn read_until(&mut self, wanted: Option<&Record>) -> Result<Option<Met>> {
+    pub(crate) async fn read_until(&mut self, wanted: Option<RecordId>) -> Result<Option<Met>> {
         let mut met = None;
         loop {
             let batch = self
@@ -87,10 +87,11 @@
             for entry in &batch.records {
                 let time = kspan_model::UnixMillis(entry.time_ms);
                 let applied = self.state.apply(entry.offset, time, &entry.data);
-                if wanted.is_some_and(|record| holds(&entry.data, record)) && met.is_none() {
+                if wanted.is_some() && applied.id == wanted && met.is_none() {
+                    let verdict = applied.verdict;
                     met = Some(Met {
                         offset: entry.offset,
-                        applied,
+                        verdict,
                     });
                 }
             }
@@ -147,11 +148,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Met {
     pub(crate) offset: u64,
-    pub(crate) applied: Applied,
-}
-
-fn holds(data: &str, wanted: &Record) -> bool {
-    serde_json::from_str::<Record>(data).is_ok_and(|record| record.id == wanted.id)
+    pub(crate) verdict: Verdict,
 }
 
 fn json_or_text(bytes: &[u8]) -> Value {
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -1,6 +1,6 @@
 //! Publishing: appends of an operator's records, each resolved to what became of it.
 
-use kspan_fold::{Applied, Body, Record, RecordId};
+use kspan_fold::{Body, Record, RecordId, Verdict};
 use kspan_model::{Millis, Name, UnixMillis};
 use kspan_platform::log::AppendAnswer;
 
@@ -72,7 +72,7 @@
             match self.log().append(&text).await {
                 AppendAnswer::Appended { offset } => {
                     return Ok(self
-                        .resolve(&record)
+                        .resolve(record.id)
                         .await?
                         .unwrap_or(Published::Accepted { offset }));
                 }
@@ -85,7 +85,7 @@
                 }
             }
             if lost {
-                match self.resolve(&record).await {
+                match self.resolve(record.id).await {
                     Ok(Some(published)) => return Ok(published),
                     Ok(None) => {}
                     Err(Error::Log(_)) => return Ok(Published::Unresolved { id: record.id }),
@@ -100,18 +100,20 @@
         })
     }
 
-    async fn resolve(&mut self, record: &Record) -> Result<Option<Published>> {
-        Ok(self.read_until(Some(record)).await?.map(published))
+    async fn resolve(&mut self, id: RecordId) -> Result<Option<Published>> {
+        Ok(self.read_until(Some(id)).await?.map(published))
     }
 }
 
 fn published(met: Met) -> Published {
     let offset = met.offset;
-    match met.applied {
-        Applied::Accepted | Applied::Known => Published::Accepted { offset },
-        Applied::Refused(reason) | Applied::Poisoned(reason) => {
-            Published::Refused { offset, reason }
-        }
+    match met.verdict {
+        Verdict::Accepted | Verdict::Known => Published::Accepted { offset },
+        Verdict::Refused(reason) => Published::Refused { offset, reason },
+        Verdict::Poisoned => Published::Refused {
+            offset,
+            reason: "it is no record".into(),
+        },
     }
 }
 
