Carry relayed entries among the node's own messages

Cause: a new kind of message beside the programs' own broke every program's match, though none of them ever sees one. Change: relay messages are membership messages, which programs ignore. Conclusion: programs compile unchanged.

--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -332,6 +332,7 @@
             membership::Message::Leave => self.proposer.is_leaving(node.clone()),
             // Handled before the sender is looked up.
             membership::Message::Join { .. } => {}
+            membership::Message::Relay(_) => count_dropped("not-in-a-datagram"),
         }
     }
 
--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -15,7 +15,7 @@
 use kspan_membership::{GuardState, Liveness, guard::Guard};
 use kspan_model::{Member, Millis, NodeId, Role, UnixMillis};
 use kspan_platform::border::hosts::HostList;
-use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, relay};
+use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, membership, relay};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -162,17 +162,23 @@
         let from = self.state().applied;
         let founded = self.founded.load(Ordering::Acquire);
         if founded && its_applied > from && self.recent.is_lagging(self.now(), from) {
-            self.send(node, Message::Relay(relay::Message::Fetch { from }));
+            self.send_relay(node, relay::Message::Fetch { from });
         }
     }
 
+    /// A relay message that is dropped is asked for again.
+    fn send_relay(&self, to: &NodeId, message: relay::Message) {
+        let message = membership::Message::Relay(message);
+        self.send(to, Message::Membership(message));
+    }
+
     /// Takes in a relay message of a member.
     pub(crate) fn receive_relay(&self, from: &NodeId, message: relay::Message) {
         match message {
             relay::Message::Fetch { from: offset } => {
                 let entries = self.recent.from(offset);
                 if !entries.is_empty() {
-                    self.send(from, Message::Relay(relay::Message::Entries(entries)));
+                    self.send_relay(from, relay::Message::Entries(entries));
                 }
             }
             relay::Message::Entries(entries) => {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -8,7 +8,7 @@
 use kspan_model::{Member, NodeId};
 use kspan_wire::{
     codec,
-    message::{MAX_FRAME_BYTES, Message},
+    message::{MAX_FRAME_BYTES, Message, membership},
     stream,
 };
 use tokio::{
@@ -100,7 +100,10 @@
             count_dropped("cut");
         } else {
             match envelope.message {
-                Message::Relay(message) => inner.receive_relay(&envelope.from, message),
+                Message::Membership(membership::Message::Relay(message)) => {
+                    inner.receive_relay(&envelope.from, message);
+                }
+                Message::Membership(_) => count_dropped("not-on-a-stream"),
                 message => inner.notices.message(envelope.from, message),
             }
         }
--- a/crates/wire/src/message/membership.rs
+++ b/crates/wire/src/message/membership.rs
@@ -3,7 +3,10 @@
 use kspan_model::{Member, NodeId};
 use serde::{Deserialize, Serialize};
 
-/// A membership message. All of them fit in a datagram.
+use crate::message::relay;
+
+/// A message of the node itself; programs never see one. All but [`Message::Relay`] travel in
+/// datagrams and fit in one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Tells that the sender is alive and asks for an acknowledgement.
@@ -33,6 +36,8 @@
     },
     /// Tells that the sender is leaving the view for good.
     Leave,
+    /// Asks for log entries or carries them, on a stream.
+    Relay(relay::Message),
 }
 
 /// A numbered heartbeat with the sender's standing.
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -41,6 +41,4 @@
     Routing(routing::Message),
     /// Runner tables, submissions and questions about jobs.
     Tasks(tasks::Message),
-    /// Log entries. Programs never see them.
-    Relay(relay::Message),
 }
