lab: add experiments with faults

Cause: nothing brings the failures that the promises are made for. Conclusion: the same checker judges runs with and without faults.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -18,6 +18,8 @@
 pub(crate) enum Command {
     /// Runs a deployment under load.
     Run(Run),
+    /// Runs a deployment and breaks something.
+    Fault(Fault),
 }
 
 /// Run a deployment under a mixed load without faults and check every promise.
@@ -48,3 +50,35 @@
     #[argh(switch)]
     pub(crate) idle: bool,
 }
+
+/// Run a deployment, break something, and check every promise.
+///
+/// Example: kspan-lab fault kill-scheduler --seconds 25 --seed 1 --report out/
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fault")]
+pub(crate) struct Fault {
+    /// the fault's name; see --list
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+    /// list the faults
+    #[argh(switch)]
+    pub(crate) list: bool,
+    /// run every fault, one after another
+    #[argh(switch)]
+    pub(crate) all: bool,
+    /// the deployment's document (default: the built-in copy of examples/haugland.yaml)
+    #[argh(option)]
+    pub(crate) deployment: Option<PathBuf>,
+    /// length of the load in seconds (default: 25)
+    #[argh(option, default = "25")]
+    pub(crate) seconds: u64,
+    /// seed of everything random (default: 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// directory of the report (default: out)
+    #[argh(option, default = "PathBuf::from(\"out\")")]
+    pub(crate) report: PathBuf,
+    /// requests a second (default: 300)
+    #[argh(option, default = "300.0")]
+    pub(crate) rate: f64,
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -16,7 +16,7 @@
     load::{
         balancer::Balancer,
         jobs::{self, Jobs},
-        requests::{self, Load, new_client},
+        requests::{self, Impatience, Load, new_client},
     },
     process::Signal,
     record::{EventKind, Records},
@@ -74,6 +74,8 @@
     pub began: Micros,
     /// Length of the load.
     pub length: Duration,
+    /// How many sends callers give up early.
+    pub impatience: Impatience,
 }
 
 impl Running {
@@ -97,12 +99,13 @@
 /// Returns an error where the system does not come up or files can't be written.
 pub async fn run(options: Options) -> Result<Report> {
     let quiet = true;
-    run_with(options, quiet, async |running: &mut Running| {
+    let (_, report) = run_with(options, quiet, async |running: &mut Running| {
         running.wait_until(REPUBLISH_AT).await;
         republish(running);
         Ok(())
     })
-    .await
+    .await?;
+    Ok(report)
 }
 
 /// Starts everything and loads nothing, until the process is interrupted or the time is over.
@@ -124,6 +127,7 @@
         client: new_client(Millis(5_000)).await,
         began: now(),
         length: Duration::ZERO,
+        impatience: Impatience::default(),
     };
     let records = running.stage.book.records().clone();
     Ok(judge(&options, &running, &records, now()))
@@ -145,7 +149,7 @@
     options: Options,
     quiet: bool,
     script: impl AsyncFnOnce(&mut Running) -> Result<()>,
-) -> Result<Report> {
+) -> Result<(Records, Report)> {
     let document = parse(&options.text)?;
     let cell = Cell::new(document);
     let stage = Stage::new(cell, options.text.clone(), options.seed, &options.dir)?;
@@ -155,6 +159,7 @@
         client,
         began: now(),
         length: Duration::from_secs(options.seconds),
+        impatience: Impatience::default(),
     };
     let mut shortfalls = bring_up(&mut running).await?;
     let sampler = running.stage.sampler.clone();
@@ -188,7 +193,7 @@
         report.shortfalls.extend(aims(&report));
     }
     report.write(&options.dir)?;
-    Ok(report)
+    Ok((records, report))
 }
 
 /// Parses a deployment.
@@ -230,6 +235,7 @@
         rate: options.rate,
         seed: options.seed,
         threads: 2,
+        impatience: running.impatience.clone(),
     };
     let load = Load::start(&plan, document, &routers, &stage.book);
     let plan = jobs::Plan {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod error;
 pub mod experiment;
+pub mod fault;
 pub mod http;
 pub mod load;
 pub mod process;
@@ -25,7 +26,7 @@
 use ntex::rt::{DefaultRuntime, System};
 
 use crate::{
-    args::{Args, Command, Run},
+    args::{Args, Command, Fault, Run},
     error::{LabError, Result},
     experiment::Options,
     report::Report,
@@ -34,6 +35,9 @@
 /// The deployment that is run where none is named.
 const DEFAULT_DEPLOYMENT: &str = include_str!("../../../examples/haugland.yaml");
 
+/// Jobs submitted a second while something is broken.
+const FAULT_JOBS_PER_SECOND: f64 = 1.0;
+
 /// Exit status for a broken promise or an experiment that could not be carried out.
 const FAILED: u8 = 1;
 
@@ -88,6 +92,7 @@
 fn execute(args: Args) -> Result<bool> {
     match args.command {
         Command::Run(run) => execute_run(run),
+        Command::Fault(fault) => execute_fault(fault),
     }
 }
 
@@ -111,6 +116,49 @@
     Ok(show(&report))
 }
 
+fn execute_fault(args: Fault) -> Result<bool> {
+    if args.list {
+        for scenario in fault::SCENARIOS {
+            println!("{:<26} {}", scenario.name, scenario.about);
+        }
+        return Ok(true);
+    }
+    if args.all {
+        process::Programs::find()?;
+        return fault::run_all(&fault_words(&args), &args.report);
+    }
+    let Some(name) = &args.name else {
+        return Err(LabError::Usage(
+            "name a fault, or give --list or --all".to_owned(),
+        ));
+    };
+    let scenario = fault::find(name)?;
+    let options = Options {
+        name: name.clone(),
+        text: read_deployment(args.deployment.as_deref())?,
+        seconds: args.seconds,
+        seed: args.seed,
+        rate: args.rate,
+        jobs: FAULT_JOBS_PER_SECOND,
+        dir: args.report,
+    };
+    let report = block_on(fault::run(scenario, options))?;
+    Ok(show(&report))
+}
+
+/// Returns the options that every fault of `--all` gets.
+fn fault_words(args: &Fault) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut add = |name: &str, value: String| words.extend([name.to_owned(), value]);
+    add("--seconds", args.seconds.to_string());
+    add("--seed", args.seed.to_string());
+    add("--rate", args.rate.to_string());
+    if let Some(path) = &args.deployment {
+        add("--deployment", path.display().to_string());
+    }
+    words
+}
+
 fn show(report: &Report) -> bool {
     print!("{}", report.summary());
     report.passed()
--- a/crates/lab/src/load/requests.rs
+++ b/crates/lab/src/load/requests.rs
@@ -4,7 +4,7 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -27,7 +27,7 @@
     clock::{now, unix_ms},
     http::Pool,
     record::{Answer, Book, Call, Send},
-    token::{expected_body, segment},
+    token::{expected_body, mix, segment},
 };
 
 /// Sends of one request before its caller gives up.
@@ -42,6 +42,9 @@
 /// Time past a request's deadline for which its caller waits for the answer.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time after which an impatient caller gives a send up; about as long as an answer takes.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(20);
+
 /// Connections that one load thread keeps to one entry host.
 const CONNECTIONS: usize = 512;
 
@@ -57,6 +60,25 @@
     pub seed: u64,
     /// Threads that send.
     pub threads: usize,
+    /// How many sends are given up early.
+    pub impatience: Impatience,
+}
+
+/// One of how many sends is given up early; zero for none. Shared with the senders.
+#[derive(Clone, Debug, Default)]
+pub struct Impatience(Arc<AtomicU32>);
+
+impl Impatience {
+    /// Changes the share of sends that are given up early.
+    pub fn set(&self, one_in: u32) {
+        self.0.store(one_in, Ordering::Release);
+    }
+
+    /// Only the first send of a request is given up, so that every request gets an outcome.
+    fn gives_up(&self, token: u64, attempt: u32) -> bool {
+        let one_in = u64::from(self.0.load(Ordering::Acquire));
+        attempt == 1 && one_in > 0 && mix(token).is_multiple_of(one_in)
+    }
 }
 
 /// Requests under way.
@@ -71,6 +93,7 @@
     book: Book,
     document: Document,
     open: Arc<AtomicU64>,
+    impatience: Impatience,
 }
 
 impl Load {
@@ -92,6 +115,7 @@
                         book,
                         document,
                         open,
+                        impatience: plan.impatience.clone(),
                     };
                     generate(Rc::new(sender), &plan, index, &stop).await;
                     // The threads end with the last pool handle, and calls may be open still.
@@ -225,7 +249,11 @@
         let Some(class) = self.class(call) else {
             return Answer::NotConnected;
         };
-        let patience = class.deadline.as_duration() + PATIENCE;
+        let patience = if self.impatience.gives_up(call.token, attempt) {
+            GIVE_UP_AFTER
+        } else {
+            class.deadline.as_duration() + PATIENCE
+        };
         let asked = self.ask(call, class, target, attempt, created);
         tokio::time::timeout(patience, asked)
             .await
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -41,6 +41,26 @@
     pub end: Option<TaskState>,
 }
 
+/// A worker's control lease, granted to another owner than before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// When.
+    pub at: Micros,
+    /// The worker.
+    pub worker: Name,
+    /// The owner's name and life.
+    pub owner: String,
+    /// The owner's token.
+    pub token: Token,
+}
+
+impl Grant {
+    /// Returns the owner's name without its life.
+    pub fn owner_name(&self) -> &str {
+        self.owner.split('#').next().unwrap_or(&self.owner)
+    }
+}
+
 /// One execution of a request by a runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Execution {
@@ -213,6 +233,8 @@
     pub workers: Vec<WorkerInfo>,
     /// Tasks on workers.
     pub tasks: Vec<TaskRun>,
+    /// Control leases, whenever the owner changes.
+    pub grants: Vec<Grant>,
     /// Requests on runners.
     pub executions: Vec<Execution>,
     /// Requests of callers.
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -260,6 +260,19 @@
         processes.position(|process| process.name().as_str() == name)
     }
 
+    /// Returns the positions of all processes with a role.
+    pub fn with_role(&self, role: Role) -> Vec<usize> {
+        let has_role = |index: &usize| self.processes[*index].role == role;
+        (0..self.processes.len()).filter(has_role).collect()
+    }
+
+    /// Returns the position of the process that owns the workers of a data centre.
+    pub fn owner_in(&self, data_centre: &Name) -> Option<usize> {
+        let inside = |worker: &&Worker| worker.spec().site.data_centre == *data_centre;
+        let worker = self.workers.iter().find(inside)?;
+        self.position(&worker.owner())
+    }
+
     fn not_ready(&self, what: &str, which: &[usize]) -> LabError {
         let names: Vec<&str> = which
             .iter()
--- a/crates/lab/src/standin/worker.rs
+++ b/crates/lab/src/standin/worker.rs
@@ -105,6 +105,16 @@
         self.state().drain_runners();
     }
 
+    /// Records that its runners are leaving, because someone said so elsewhere.
+    pub fn note_runners_leaving(&self) {
+        self.state().note_runners_leaving();
+    }
+
+    /// Returns the name of the process that its control lease was last granted to.
+    pub fn owner(&self) -> String {
+        self.state().owner().to_owned()
+    }
+
     /// Loses every task and starts a new life.
     pub fn restart(&self) {
         self.state().restart(now());
--- a/crates/lab/src/standin/worker/state.rs
+++ b/crates/lab/src/standin/worker/state.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock::{Micros, unix_ms},
     http::Serving,
-    record::{Book, EventKind, TaskRun, WorkerInfo},
+    record::{Book, EventKind, Grant, TaskRun, WorkerInfo},
     standin::runner::{self, Runner},
 };
 
@@ -96,6 +96,9 @@
             self.book.records().refused_tokens += 1;
             return (self.report(exchange, false, Vec::new(), now), effects);
         }
+        if self.owner != exchange.owner {
+            self.record_grant(exchange, now);
+        }
         self.token = exchange.token;
         self.owner.clone_from(&exchange.owner);
         self.lease_until = Micros(now.0 + exchange.control_lease_ms * 1_000);
@@ -113,6 +116,15 @@
         (self.report(exchange, true, results, now), effects)
     }
 
+    fn record_grant(&self, exchange: &Exchange, now: Micros) {
+        self.book.records().grants.push(Grant {
+            at: now,
+            worker: self.name.clone(),
+            owner: exchange.owner.clone(),
+            token: exchange.token,
+        });
+    }
+
     fn grants(&self, exchange: &Exchange, now: Micros) -> bool {
         let asked = exchange.token;
         if asked < self.token {
@@ -327,15 +339,16 @@
 
     pub(super) fn drain_runners(&mut self) {
         let running = self.tasks.values().filter(|entry| !entry.state.is_ended());
-        let mut draining = Vec::new();
-        for entry in running {
-            if let Some(runner) = &entry.runner {
-                runner.drain();
-                draining.push(entry.record);
-            }
-        }
-        for record in draining {
-            self.note_leaving(record);
+        running
+            .filter_map(|entry| entry.runner.as_ref())
+            .for_each(Runner::drain);
+        self.note_runners_leaving();
+    }
+
+    pub(super) fn note_runners_leaving(&self) {
+        let running = self.tasks.values().filter(|entry| !entry.state.is_ended());
+        for entry in running.filter(|entry| entry.runner.is_some()) {
+            self.note_leaving(entry.record);
         }
     }
 
@@ -360,6 +373,10 @@
             })
     }
 
+    pub(super) fn owner(&self) -> &str {
+        owner_name(&self.owner)
+    }
+
     pub(super) fn runners_up(&self) -> usize {
         let up = |entry: &&Entry| entry.serving.is_some() && entry.state == TaskState::Running;
         self.tasks.values().filter(up).count()
