--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod border;
 mod call;
 pub mod error;
+pub mod hosts;
+mod http;
 pub mod link;
+pub mod log;
 pub mod runner;
 pub mod worker;
