--- a/crates/lab/tests/stand_ins.rs
+++ b/crates/lab/tests/stand_ins.rs
@@ -85,8 +85,9 @@
 impl Fixture {
     async fn send(&self, exchange: &Exchange) -> Report {
         let url = format!("http://{}/v1/exchange", self.serving.address);
-        let res = self.client.post(url).send_json(exchange).await.unwrap();
-        res.json().await.unwrap()
+        let sent = self.client.post(url).send_json(exchange).await;
+        let res = sent.expect("the worker answers");
+        res.json().await.expect("a report")
     }
 
     async fn command(&self, command: Command) -> Report {
