placement: keep attempts unique over a change of owner

Cause: longer random sequences found that a successor could use an attempt again, a gang could wait for ever on a worker that it avoids, an ended gang member broke the gang's backoff, and a service shrunk to nothing was called not run although a runner had been started. Change: ends of unseen attempts use their numbers up, gangs avoid a worker for a while only, a gang in part is mended by its tasks' states, and found tasks count as started; each fault has a test of its own.

--- a/crates/placement/src/commands.rs
+++ b/crates/placement/src/commands.rs
@@ -177,6 +177,7 @@
     fn adopt(&mut self, number: JobNo, orphan: Orphan) -> Adopted {
         let Orphan { worker, found } = orphan;
         let task = found.task;
+        self.jobs.get_mut(number).started = true;
         if self.jobs.get(number).reserved > 0 {
             self.drop_reservations(number);
         }
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -7,13 +7,15 @@
 
 use crate::{
     Cell, TaskState,
-    job::JobNo,
+    job::{JobNo, Slot},
     spec::{Effect, End, StartRefusal},
     state::Inner,
 };
 
 /// Wait before the first retry; each further one doubles it.
 const FIRST_BACKOFF: Millis = Millis::from_secs(1);
+/// Runners of one service beyond which an index is not believed.
+const MOST_RUNNERS: u32 = 1 << 16;
 /// Longest wait before a retry.
 const LONGEST_BACKOFF: Millis = Millis::from_secs(60);
 
@@ -40,7 +42,7 @@
     pub fn start_refused(&mut self, task: TaskId, refusal: StartRefusal, now: Millis) -> Effect {
         let inner = &mut self.inner;
         let Some(number) = inner.current(task) else {
-            return Effect::default();
+            return inner.settle_orphan(task);
         };
         let worker = inner.vacate(number, task.index, TaskState::Ended);
         if refusal != StartRefusal::TooLate {
@@ -75,15 +77,20 @@
         if let Some(number) = inner.current(task) {
             return inner.end_current(number, task, end, now);
         }
-        if let Some(number) = inner.take_unseen(task) {
-            return inner.conclude(number, task.index, end, true, now);
+        let orphan = inner.settle_orphan(task);
+        if orphan.applied {
+            return orphan;
         }
-        let applied = inner.end_orphan(task);
-        let number = inner.jobs.number(task.job);
-        Effect {
-            applied,
-            done: number.and_then(|number| inner.finish_if_idle(number)),
-            ..Effect::default()
+        inner.cover_index(task);
+        if inner.use_up(task) {
+            return Effect {
+                applied: true,
+                ..Effect::default()
+            };
+        }
+        match inner.take_unseen(task) {
+            Some(number) => inner.conclude(number, task.index, end, true, now),
+            None => Effect::default(),
         }
     }
 
@@ -137,6 +144,40 @@
         self.conclude(number, task.index, end, forgiven, now)
     }
 
+    /// Makes a place for a runner that an earlier owner of the shard started when its service had
+    /// more of them.
+    fn cover_index(&mut self, task: TaskId) {
+        let Some(number) = self.jobs.number(task.job) else {
+            return;
+        };
+        let job = self.jobs.get_mut(number);
+        if !job.is_service() || task.index > MOST_RUNNERS {
+            return;
+        }
+        while job.slots.len() <= task.index as usize {
+            let slot = Slot::new(job.spec.shape.size, job.spec.submitted);
+            job.slots.push(slot);
+        }
+    }
+
+    /// Remembers that an earlier owner of the shard used a later attempt of a task that has ended
+    /// here too, so that its number is not used again. Returns whether that is so.
+    fn use_up(&mut self, task: TaskId) -> bool {
+        let Some(number) = self.jobs.number(task.job) else {
+            return false;
+        };
+        let slots = &mut self.jobs.get_mut(number).slots;
+        let Some(slot) = slots.get_mut(task.index as usize) else {
+            return false;
+        };
+        let is_over = matches!(slot.state, TaskState::Ended | TaskState::Lost);
+        if !is_over || slot.attempt >= task.attempt {
+            return false;
+        }
+        slot.attempt = task.attempt;
+        true
+    }
+
     /// Takes a waiting task out of the queue whose end was found in an inventory: the attempt was
     /// started by an earlier owner of the shard.
     fn take_unseen(&mut self, task: TaskId) -> Option<JobNo> {
@@ -298,6 +339,21 @@
         }
     }
 
+    /// Releases a task that its job did not take over.
+    fn settle_orphan(&mut self, task: TaskId) -> Effect {
+        let applied = self.end_orphan(task);
+        let number = self.jobs.number(task.job);
+        if applied && number.is_some_and(|number| task.index >= self.jobs.get(number).spec.tasks) {
+            self.cover_index(task);
+            self.take_unseen(task);
+        }
+        Effect {
+            applied,
+            done: number.and_then(|number| self.finish_if_idle(number)),
+            ..Effect::default()
+        }
+    }
+
     fn end_orphan(&mut self, task: TaskId) -> bool {
         let Some(kept) = self.orphans.get_mut(&task.job) else {
             return false;
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -5,6 +5,7 @@
 use crate::{
     feasible::times_fitting,
     job::JobNo,
+    plan::AVOIDANCE,
     queue::Next,
     spec::{Decision, Kind},
     state::Inner,
@@ -29,7 +30,9 @@
     ) -> usize {
         let Some(places) = self.room_for_gang(next.job) else {
             let size = self.jobs.get(next.job).spec.shape.size;
-            if !self.reserve_soonest(next.job, now) {
+            if !self.jobs.get(next.job).avoid.is_empty() {
+                self.put_gang_off(next.job, now);
+            } else if !self.reserve_soonest(next.job, now) {
                 self.queue.block(next.class, size);
             }
             return 0;
@@ -42,6 +45,15 @@
         tasks
     }
 
+    /// Puts a gang off that avoids some workers; it avoids nothing when it is tried again.
+    fn put_gang_off(&mut self, number: JobNo, now: Millis) {
+        self.dequeue(number);
+        let job = self.jobs.get_mut(number);
+        job.pending.clear();
+        job.avoid.clear();
+        self.wait(number, 0, AVOIDANCE, now);
+    }
+
     /// Restarts the gangs of which an earlier owner of the shard left only a part.
     pub(crate) fn mend_gangs(&mut self, now: Millis, decisions: &mut Vec<Decision>) {
         for id in std::mem::take(&mut self.gangs_found) {
@@ -53,7 +65,7 @@
 
     fn mend_gang(&mut self, number: JobNo, now: Millis, decisions: &mut Vec<Decision>) {
         let job = self.jobs.get(number);
-        let waiting = job.pending.len();
+        let waiting = job.waiting();
         let is_whole = waiting == 0 || waiting == job.spec.tasks as usize;
         if is_whole || job.restarting || job.ending.is_some() {
             return;
--- a/crates/placement/src/job.rs
+++ b/crates/placement/src/job.rs
@@ -125,6 +125,12 @@
         matches!(self.spec.kind, Kind::Gang { .. })
     }
 
+    /// Returns how many tasks wait, whether or not their turn has come.
+    pub(crate) fn waiting(&self) -> usize {
+        let slots = self.slots.iter().take(self.spec.tasks as usize);
+        slots.filter(|slot| slot.state == TaskState::Queued).count()
+    }
+
     pub(crate) fn is_service(&self) -> bool {
         self.spec.kind == Kind::Service
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,7 +9,7 @@
 //! shard's workers run already, and must report a task as lost only when the task's lease has
 //! provably lapsed. It must let a worker forget an ended attempt only when a later attempt of the
 //! same index has started or the job's end is durable: a successor learns from the inventories
-//! which attempts were used, and hands their ends to [`Cell::ended`].
+//! which attempts were used, and hands their ends to [`Cell::ended`], the latest first.
 //!
 //! # Examples
 //!
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -9,7 +9,7 @@
 };
 
 /// How long a job waits for another worker than those on which it failed.
-const AVOIDANCE: Millis = Millis::from_secs(5);
+pub(crate) const AVOIDANCE: Millis = Millis::from_secs(5);
 /// Wait after which room is held back for a task that finds none.
 const RESERVED_AFTER: Millis = Millis::from_secs(30);
 /// Shortest time between two tries of a gang that found no room.
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -334,6 +334,9 @@
     pub(crate) fn line_up(&mut self, number: JobNo, index: u32) {
         let job = self.jobs.get_mut(number);
         if job.is_gang() {
+            if job.waiting() < job.spec.tasks as usize {
+                return; // It is mended first.
+            }
             job.pending = (0..job.spec.tasks).rev().collect();
         } else {
             job.pending.push(index);
--- a/crates/placement/tests/properties.rs
+++ b/crates/placement/tests/properties.rs
@@ -416,7 +416,7 @@
 
 #[test]
 fn the_promises_hold_over_any_sequence_of_events() {
-    let mut runner = TestRunner::new(config(20, 160));
+    let mut runner = TestRunner::new(config(77, 300));
     let sequences = (preset(), proptest::collection::vec(step(), 1..160));
     runner
         .run(&sequences, |(preset, steps)| {
@@ -432,7 +432,7 @@
 
 #[test]
 fn the_promises_hold_over_a_change_of_owner() {
-    let mut runner = TestRunner::new(config(21, 100));
+    let mut runner = TestRunner::new(config(78, 300));
     let steps = || proptest::collection::vec(step(), 1..80);
     runner
         .run(&(preset(), steps(), steps()), |(preset, before, after)| {
--- /dev/null
+++ b/crates/placement/tests/recovery.rs
@@ -0,0 +1,109 @@
+//! Faults that the random sequences brought up, each as a short sequence of its own.
+
+mod common;
+
+use common::{batch, cell, cores, gang, plan, service, starts, worker};
+use kspan_model::{JobId, JobResult, Millis, TaskId};
+use kspan_placement::{Adopted, Cancelled, Cell, End, Found, StartRefusal, TaskState, WorkerState};
+
+fn found(task: TaskId) -> Found {
+    Found {
+        task,
+        size: cores(4),
+        state: TaskState::Running,
+        started: Millis(0),
+    }
+}
+
+fn adopt(cell: &mut Cell, number: u32, task: TaskId) -> Adopted {
+    cell.adopt(&worker(number, cores(4)).name, found(task))
+}
+
+#[test]
+fn a_gang_that_failed_on_a_worker_it_needs_runs_there_again() {
+    let mut cell = cell(2, cores(4));
+    cell.submit(gang(1, 2, cores(4), false));
+    let begun = starts(&plan(&mut cell, 1));
+    cell.ended(begun[0].task, End::Failed, Millis(2));
+    cell.ended(begun[1].task, End::Stopped, Millis(3));
+    assert!(starts(&plan(&mut cell, 2_000)).is_empty());
+    assert_eq!(starts(&plan(&mut cell, 8_000)).len(), 2);
+}
+
+#[test]
+fn a_refused_start_ends_a_cancelled_job() {
+    let mut cell = cell(1, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let task = starts(&plan(&mut cell, 1))[0].task;
+    cell.cancel(JobId(1));
+    let done = cell
+        .start_refused(task, StartRefusal::TooLate, Millis(2))
+        .done;
+    assert_eq!(done.map(|done| done.result), Some(JobResult::Cancelled));
+}
+
+#[test]
+fn a_gang_found_in_part_is_stopped_and_starts_whole() {
+    let mut cell = cell(3, cores(4));
+    adopt(&mut cell, 0, TaskId::new(JobId(1), 0, 4));
+    cell.submit(gang(1, 2, cores(4), false));
+    let decisions = plan(&mut cell, 1);
+    assert_eq!(
+        decisions.len(),
+        1,
+        "the part that runs is stopped: {decisions:?}"
+    );
+    cell.ended(TaskId::new(JobId(1), 0, 4), End::Stopped, Millis(2));
+    let begun = starts(&plan(&mut cell, 3));
+    assert_eq!(begun.len(), 2);
+}
+
+#[test]
+fn a_successor_does_not_use_an_attempt_again() {
+    let mut cell = cell(3, cores(4));
+    cell.submit(gang(1, 2, cores(4), false));
+    for attempt in 0..2 {
+        cell.ended(TaskId::new(JobId(1), 0, attempt), End::Stopped, Millis(1));
+    }
+    let begun = starts(&plan(&mut cell, 60_000));
+    let first = begun.iter().find(|start| start.task.index == 0);
+    assert_eq!(first.map(|start| start.task.attempt), Some(2));
+}
+
+#[test]
+fn a_cancelled_job_ends_after_its_superseded_tasks() {
+    let mut cell = cell(2, cores(4));
+    cell.submit(service(1, 0, cores(4)));
+    let task = TaskId::new(JobId(1), 0, 0);
+    assert_eq!(adopt(&mut cell, 0, task), Adopted::Superseded);
+    let Cancelled::Running(stop) = cell.cancel(JobId(1)) else {
+        panic!("a task of the job was found");
+    };
+    assert_eq!(stop[0].task, task);
+    assert!(cell.ended(task, End::Stopped, Millis(2)).done.is_some());
+}
+
+#[test]
+fn an_ended_runner_beyond_the_number_wanted_was_started_all_the_same() {
+    let mut cell = cell(2, cores(4));
+    cell.submit(service(1, 0, cores(4)));
+    cell.ended(TaskId::new(JobId(1), 3, 0), End::Stopped, Millis(1));
+    assert_eq!(cell.cancel(JobId(1)), Cancelled::Running(Vec::new()));
+}
+
+#[test]
+fn a_reservation_does_not_count_on_a_worker_that_leaves() {
+    let mut cell = cell(2, cores(4));
+    cell.submit(batch(1, 2, cores(4)));
+    let begun = starts(&plan(&mut cell, 1));
+    cell.submit(gang(2, 2, cores(4), false));
+    plan(&mut cell, 300);
+    assert!(matches!(
+        cell.explain(JobId(2)),
+        Some(kspan_placement::Waiting::Reserved { .. })
+    ));
+    cell.set_worker_state(&begun[0].worker, WorkerState::Gone);
+    cell.ended(begun[0].task, End::Lost, Millis(400));
+    assert_eq!(cell.counts().workers, 1);
+    assert!(cell.audit().is_empty());
+}
