Test publishing and forms against failures

Cause: the operators' tools had no proof of what they do on lost answers, outages and races, and the form turned whole numbers into fractions. Change: tests against the log stand-in; whole numbers stay whole; an infinite number stays text, so that it shows as a fault; a button needs a path. Conclusion: of two racing operators one is refused with both names.

--- a/crates/console/src/draft.rs
+++ b/crates/console/src/draft.rs
@@ -27,7 +27,7 @@
     /// Reads the value of a button, such as `add:teams` or `remove:teams[1]`.
     pub fn from_button(text: &str) -> Option<Self> {
         let (verb, path) = text.split_once(':')?;
-        schema_at(path)?;
+        schema_at(path).filter(|_| !path.is_empty())?;
         match verb {
             "add" => Some(Self::Add(path.to_owned())),
             "remove" => Some(Self::Remove(path.to_owned())),
@@ -131,13 +131,13 @@
     if has("boolean") && (text == "true" || text == "false") {
         return Value::Bool(text == "true");
     }
-    if has("integer")
-        && let Ok(number) = text.parse::<i64>()
-    {
+    let is_number = has("integer") || has("number");
+    if is_number && let Ok(number) = text.parse::<i64>() {
         return Value::from(number);
     }
+    // JSON has no infinity; such a text stays text, so that the operator sees the fault.
     if has("number")
-        && let Ok(number) = text.parse::<f64>()
+        && let Some(number) = text.parse().ok().filter(|number: &f64| number.is_finite())
     {
         return Value::from(number);
     }
--- /dev/null
+++ b/crates/console/tests/draft.rs
@@ -0,0 +1,131 @@
+//! Forms and drafts: what goes out as fields comes back as the same document.
+
+use kspan_console::{Draft, Edit, Field, Kind, build_fields};
+use kspan_model::document::{check, parse};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const EXAMPLES: [&str; 2] = [
+    include_str!("../../../examples/haugland.yaml"),
+    include_str!("../../../examples/cuarto-oscuro.yaml"),
+];
+
+/// Returns the fields as a browser sends them.
+fn sent(fields: &[Field]) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    for field in fields {
+        match &field.kind {
+            Kind::Text(text) => pairs.push((field.path.clone(), text.clone())),
+            Kind::Choice { selected, .. } => pairs.push((field.path.clone(), selected.clone())),
+            Kind::Group(fields) => pairs.extend(sent(fields)),
+            Kind::List { items, .. } => {
+                for item in items {
+                    if matches!(item.kind, Kind::Group(_)) {
+                        pairs.push((item.path.clone(), String::new()));
+                    }
+                    pairs.extend(sent(std::slice::from_ref(item)));
+                }
+            }
+        }
+    }
+    pairs
+}
+
+fn returned(draft: &Draft) -> Draft {
+    let pairs = sent(&build_fields(&draft.value, &[]));
+    Draft::from_fields(
+        pairs
+            .iter()
+            .map(|(path, text)| (path.as_str(), text.as_str())),
+    )
+}
+
+#[test]
+fn a_document_survives_its_form() {
+    for text in EXAMPLES {
+        let draft = returned(&Draft::from_text(text));
+        assert_eq!(parse(&draft.to_text()), parse(text));
+    }
+}
+
+#[test]
+fn buttons_add_and_remove_items() {
+    let mut draft = Draft::from_text(EXAMPLES[0]);
+    let teams = |draft: &Draft| draft.value["teams"].as_array().map_or(0, Vec::len);
+    draft.apply(&Edit::from_button("add:teams").expect("a known path"));
+    draft = returned(&draft);
+    assert_eq!(teams(&draft), 4);
+    assert!(check(&draft.to_text()).faults.has_errors());
+    draft.apply(&Edit::from_button("remove:teams[3]").expect("a known path"));
+    assert_eq!(parse(&draft.to_text()), parse(EXAMPLES[0]));
+    draft.apply(&Edit::from_button("add:regions[1].data_centres").expect("a known path"));
+    assert_eq!(
+        draft.value["regions"][1]["data_centres"]
+            .as_array()
+            .map(Vec::len),
+        Some(2)
+    );
+}
+
+#[test]
+fn buttons_outside_the_schema_do_nothing() {
+    for button in [
+        "",
+        "add",
+        "add:",
+        "add:nothing",
+        "remove:teams[0].frob",
+        "drop:teams[0]",
+    ] {
+        assert_eq!(Edit::from_button(button), None, "{button}");
+    }
+}
+
+#[test]
+fn each_fault_stands_beside_its_field() {
+    let text = EXAMPLES[0].replace("deadline: 2s", "deadline: soon");
+    let faults = check(&text).faults.0;
+    let fields = build_fields(&Draft::from_text(&text).value, &faults);
+    let found = find(&fields, "services[0].classes[1].deadline").expect("the field is there");
+    assert_eq!(found.faults.len(), 1, "{found:?}");
+}
+
+fn find<'a>(fields: &'a [Field], path: &str) -> Option<&'a Field> {
+    fields.iter().find_map(|field| {
+        let below = match &field.kind {
+            Kind::Group(fields) => fields.as_slice(),
+            Kind::List { items, .. } => items.as_slice(),
+            Kind::Text(_) | Kind::Choice { .. } => &[],
+        };
+        if field.path == path {
+            Some(field)
+        } else {
+            find(below, path)
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_fields_make_a_bounded_draft(
+        pairs in prop::collection::vec(("[a-z_]{1,8}(\\[[0-9]{1,12}\\])?(\\.[a-z_]{1,8})?", "\\PC{0,12}"), 0..20)
+    ) {
+        let draft = Draft::from_fields(pairs.iter().map(|(p, t)| (p.as_str(), t.as_str())));
+        prop_assert!(draft.to_text().len() < 4_096);
+    }
+
+    #[test]
+    fn known_fields_with_any_text_make_a_draft(
+        index in 0usize..60_000, text in "\\PC{0,24}"
+    ) {
+        let path = format!("services[{index}].classes[0].deadline");
+        let draft = Draft::from_fields([(path.as_str(), text.as_str())]);
+        prop_assert!(draft.to_text().len() < 4_096);
+    }
+}
--- /dev/null
+++ b/crates/operator/tests/publish.rs
@@ -0,0 +1,107 @@
+//! Publishing against a log that loses answers, refuses, is down, and is shared by operators.
+
+use std::future::Future;
+
+use kspan_fold::Body;
+use kspan_lab::{http::Pool, standin::log::Log};
+use kspan_model::Name;
+use kspan_operator::{Cell, Error, Published};
+
+const TEXT: &str = include_str!("../../../examples/haugland.yaml");
+
+fn block_on(f: impl Future<Output = ()> + 'static) {
+    let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
+    system.block_on(f);
+}
+
+fn document(base: u64, from: &str, to: &str) -> Body {
+    let text = TEXT.replacen(from, to, 1);
+    Body::Document { base, text }
+}
+
+async fn publish(cell: &mut Cell, author: &str, body: Body) -> Published {
+    let author = Name::new(author);
+    cell.publish(&author, body)
+        .await
+        .expect("the log can be read")
+}
+
+fn version(published: &Published) -> u64 {
+    match published {
+        Published::Accepted { offset } => *offset,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// Runs `f` with a log of its own and a cell connected to it.
+fn with_log<F: Future<Output = ()>>(f: impl FnOnce(Log, Cell) -> F + 'static) {
+    let pool = Pool::new(1);
+    let log = Log::new();
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let serving = log.serve(&pool, address).expect("the log listens");
+    block_on(async move {
+        let cell = Cell::connect(serving.address)
+            .await
+            .expect("the log answers");
+        f(log, cell).await;
+    });
+}
+
+#[test]
+fn a_lost_answer_is_resolved_without_a_second_record() {
+    with_log(|log, mut cell| async move {
+        log.set_conduct(|conduct| conduct.lose_every = 1);
+        let published = publish(&mut cell, "ada", document(0, "", "")).await;
+        assert_eq!(version(&published), cell.state().document_version);
+        assert_eq!(log.entries().len(), 1);
+    });
+}
+
+#[test]
+fn an_outage_refuses_and_appends_nothing() {
+    with_log(|log, mut cell| async move {
+        log.set_conduct(|conduct| conduct.outage = true);
+        let author = Name::new("ada");
+        let err = cell.publish(&author, document(0, "", "")).await;
+        assert!(matches!(err, Err(Error::Log(_))), "{err:?}");
+        assert!(log.entries().is_empty());
+    });
+}
+
+#[test]
+fn of_two_operators_that_change_the_same_object_one_is_refused_with_both_names() {
+    with_log(|_log, mut cell| async move {
+        let first = version(&publish(&mut cell, "ada", document(0, "", "")).await);
+        let raise = document(first, "runners: 50", "runners: 60");
+        version(&publish(&mut cell, "ada", raise).await);
+        let lower = document(first, "runners: 50", "runners: 40");
+        let Published::Refused { reason, .. } = publish(&mut cell, "eve", lower).await else {
+            panic!("the stale change was accepted");
+        };
+        assert!(reason.contains("ada") && reason.contains("eve"), "{reason}");
+        let document = cell
+            .state()
+            .document
+            .clone()
+            .expect("a document is in force");
+        assert_eq!(document.services[0].runners, 60);
+    });
+}
+
+#[test]
+fn changes_of_unlike_objects_from_the_same_version_are_both_in_force() {
+    with_log(|_log, mut cell| async move {
+        let first = version(&publish(&mut cell, "ada", document(0, "", "")).await);
+        let runners = document(first, "runners: 50", "runners: 60");
+        version(&publish(&mut cell, "ada", runners).await);
+        let weight = document(first, "weight: 2", "weight: 3");
+        version(&publish(&mut cell, "eve", weight).await);
+        let document = cell
+            .state()
+            .document
+            .clone()
+            .expect("a document is in force");
+        assert_eq!(document.services[0].runners, 60);
+        assert!((document.teams[1].weight - 3.0).abs() < f64::EPSILON);
+    });
+}
