lab: measure slopes

Cause: the capacity page needs what each role costs as a cell grows. Change: `kspan-lab slopes` runs cells of several sizes, fits lines with their spread, and writes a table; reports tell costs by role; output of an earlier experiment is removed.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -20,6 +20,8 @@
     Run(Run),
     /// Runs a deployment and breaks something.
     Fault(Fault),
+    /// Measures what each role costs as a cell grows.
+    Slopes(Slopes),
 }
 
 /// Run a deployment under a mixed load without faults and check every promise.
@@ -82,3 +84,20 @@
     #[argh(option, default = "300.0")]
     pub(crate) rate: f64,
 }
+
+/// Measure what each role costs at several sizes, fit lines, and write the table.
+///
+/// Example: kspan-lab slopes --seconds 8 --report out/slopes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+pub(crate) struct Slopes {
+    /// length of each cell's load in seconds (default: 8)
+    #[argh(option, default = "8")]
+    pub(crate) seconds: u64,
+    /// seed of everything random (default: 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// directory of the table and the reports (default: out/slopes)
+    #[argh(option, default = "PathBuf::from(\"out/slopes\")")]
+    pub(crate) report: PathBuf,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod record;
 pub mod report;
 pub mod sample;
+pub mod slopes;
 pub mod stage;
 pub mod standin;
 pub mod token;
@@ -26,7 +27,7 @@
 use ntex::rt::{DefaultRuntime, System};
 
 use crate::{
-    args::{Args, Command, Fault, Run},
+    args::{Args, Command, Fault, Run, Slopes},
     error::{LabError, Result},
     experiment::Options,
     report::Report,
@@ -93,6 +94,7 @@
     match args.command {
         Command::Run(run) => execute_run(run),
         Command::Fault(fault) => execute_fault(fault),
+        Command::Slopes(slopes) => execute_slopes(&slopes),
     }
 }
 
@@ -159,6 +161,13 @@
     words
 }
 
+fn execute_slopes(args: &Slopes) -> Result<bool> {
+    process::Programs::find()?;
+    let slopes = slopes::measure(&args.report, args.seconds, args.seed)?;
+    print!("{}", slopes::table(&slopes));
+    Ok(true)
+}
+
 fn show(report: &Report) -> bool {
     print!("{}", report.summary());
     report.passed()
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -152,6 +152,16 @@
         &self.cfg.name
     }
 
+    /// Removes what an earlier experiment left in the report's directory.
+    pub fn forget_output(&self) {
+        // There is nothing to remove the first time.
+        let _ = fs::remove_file(self.output());
+    }
+
+    fn output(&self) -> PathBuf {
+        self.dir.join(self.name().as_str()).with_extension("log")
+    }
+
     /// Starts it; its output goes to a file in the report's directory.
     ///
     /// # Errors
@@ -162,11 +172,10 @@
     ///
     /// Panics where settings can't be written as YAML, which plain data always can.
     pub fn start(&mut self) -> Result<()> {
-        let base = self.dir.join(self.name().as_str());
-        let settings = base.with_extension("yaml");
+        let settings = self.dir.join(self.name().as_str()).with_extension("yaml");
         let text = serde_norway::to_string(&self.cfg).expect("settings are plain data");
         fs::write(&settings, text).map_err(LabError::io(settings.display().to_string()))?;
-        let output = base.with_extension("log");
+        let output = self.output();
         let output = File::options()
             .create(true)
             .append(true)
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -94,8 +94,19 @@
     pub accelerator: f64,
 }
 
-/// What the system itself spent.
+/// What one process of a role spent, mean over processes.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct RoleCost {
+    /// Processor time in percent of a core.
+    pub cpu_percent: f64,
+    /// Most resident memory.
+    pub memory_mb: f64,
+    /// Bytes sent between the system's own processes.
+    pub bytes_per_second: f64,
+}
+
+/// What the system itself spent.
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Control {
     /// Processor time of both processes of an entry host, mean over hosts, in percent of a core.
     pub cpu_percent_per_host: f64,
@@ -111,6 +122,8 @@
     pub cross_region_bytes_per_second: f64,
     /// Appends that took effect in the log.
     pub log_appends_per_second: f64,
+    /// Costs of one process, by role.
+    pub roles: BTreeMap<String, RoleCost>,
 }
 
 /// What a fault cost.
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::{Micros, now},
     record::{Book, VersionSample},
-    report::Control,
+    report::{Control, RoleCost},
 };
 
 /// How often processes are sampled.
@@ -128,6 +128,7 @@
             bytes_per_second_per_host: sent / hosts,
             cross_region_bytes_per_second: away,
             log_appends_per_second: 0.0,
+            roles: roles(&usage),
         }
     }
 
@@ -175,6 +176,27 @@
     }
 }
 
+/// Averages over the processes whose names end in each role.
+fn roles(usage: &BTreeMap<Life, Usage>) -> BTreeMap<String, RoleCost> {
+    let mut sums: BTreeMap<String, (RoleCost, f64)> = BTreeMap::new();
+    for ((_, name, _), usage) in usage {
+        let role = name.rsplit('-').next().unwrap_or(name).to_owned();
+        let (sum, count) = sums.entry(role).or_default();
+        sum.cpu_percent += usage.cpu_percent();
+        sum.memory_mb += usage.memory / MB;
+        sum.bytes_per_second += usage.rate(usage.sent);
+        *count += 1.0;
+    }
+    let mean = |(sum, count): (RoleCost, f64)| RoleCost {
+        cpu_percent: sum.cpu_percent / count,
+        memory_mb: sum.memory_mb / count,
+        bytes_per_second: sum.bytes_per_second / count,
+    };
+    sums.into_iter()
+        .map(|(role, sum)| (role, mean(sum)))
+        .collect()
+}
+
 impl Usage {
     fn span(&self) -> Option<f64> {
         let (first, last) = (self.first?, self.last?);
--- /dev/null
+++ b/crates/lab/src/slopes/mod.rs
@@ -0,0 +1,272 @@
+//! Slopes: what each role costs as the cell grows.
+//!
+//! Runs the real programs at several sizes and fits lines through what they used. The lines are
+//! what the capacity page extrapolates from.
+
+pub mod fit;
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use serde::Serialize;
+use serde_json::Value;
+
+use self::fit::{Line, Point, fit};
+use crate::error::{LabError, Result};
+
+/// Entry hosts of every measured cell: one in each of its three regions.
+const ENTRY_HOSTS: u32 = 3;
+
+/// Workers while something else grows.
+const BASE_WORKERS: u32 = 48;
+
+/// Requests a second while something else grows.
+const BASE_RATE: f64 = 60.0;
+
+/// Jobs a second while something else grows.
+const BASE_JOBS: f64 = 0.5;
+
+/// Tasks of the batch workload.
+const TASKS_PER_JOB: u32 = 4;
+
+/// One cell to measure.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Size {
+    workers: u32,
+    rate: f64,
+    jobs: f64,
+}
+
+/// What grows.
+struct Series {
+    name: &'static str,
+    unit: &'static str,
+    sizes: &'static [Size],
+    /// The size that one process sees.
+    x: fn(&Size) -> f64,
+}
+
+const fn size(workers: u32, rate: f64, jobs: f64) -> Size {
+    Size {
+        workers,
+        rate,
+        jobs,
+    }
+}
+
+const SERIES: &[Series] = &[
+    Series {
+        name: "workers",
+        unit: "worker with a runner, of one shard",
+        sizes: &[
+            size(24, BASE_RATE, BASE_JOBS),
+            size(48, BASE_RATE, BASE_JOBS),
+            size(96, BASE_RATE, BASE_JOBS),
+            size(192, BASE_RATE, BASE_JOBS),
+        ],
+        x: |size| f64::from(size.workers) / f64::from(ENTRY_HOSTS),
+    },
+    Series {
+        name: "requests",
+        unit: "request a second, of one router",
+        sizes: &[
+            size(BASE_WORKERS, 60.0, BASE_JOBS),
+            size(BASE_WORKERS, 300.0, BASE_JOBS),
+            size(BASE_WORKERS, 600.0, BASE_JOBS),
+            size(BASE_WORKERS, 1_200.0, BASE_JOBS),
+        ],
+        x: |size| size.rate / f64::from(ENTRY_HOSTS),
+    },
+    Series {
+        name: "starts",
+        unit: "task start a second, of one shard",
+        sizes: &[
+            size(BASE_WORKERS, BASE_RATE, 0.5),
+            size(BASE_WORKERS, BASE_RATE, 3.0),
+            size(BASE_WORKERS, BASE_RATE, 6.0),
+            size(BASE_WORKERS, BASE_RATE, 12.0),
+        ],
+        x: |size| size.jobs * f64::from(TASKS_PER_JOB) / f64::from(ENTRY_HOSTS),
+    },
+];
+
+/// Roles, as the report names them.
+const ROLES: [&str; 2] = ["router", "scheduler"];
+
+/// What is measured of each role: field of the report, unit of the slope.
+const QUANTITIES: [(&str, &str); 3] = [
+    ("cpu_percent", "% of a core"),
+    ("memory_mb", "MB"),
+    ("bytes_per_second", "B/s"),
+];
+
+/// One fitted line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// What grew.
+    pub series: &'static str,
+    /// Unit of its size.
+    pub per: &'static str,
+    /// Role.
+    pub role: &'static str,
+    /// What was measured.
+    pub quantity: &'static str,
+    /// Unit of what was measured.
+    pub unit: &'static str,
+    /// Points, sizes as one process sees them.
+    pub points: Vec<Point>,
+    /// The line; none where the points don't give one.
+    pub line: Option<Line>,
+}
+
+/// Measures all series and writes `slopes.json` and `slopes.md`.
+///
+/// # Errors
+///
+/// Returns an error where a cell could not be measured or files can't be written.
+///
+/// # Panics
+///
+/// Panics where slopes can't be written as JSON, which plain data always can.
+pub fn measure(dir: &Path, seconds: u64, seed: u64) -> Result<Vec<Slope>> {
+    let mut slopes = Vec::new();
+    for series in SERIES {
+        let mut reports = Vec::new();
+        for (index, size) in series.sizes.iter().enumerate() {
+            eprintln!("slopes: {} {size:?}", series.name);
+            let dir = dir.join(format!("{}-{index}", series.name));
+            reports.push(((series.x)(size), run(size, &dir, seconds, seed)?));
+        }
+        slopes.extend(fit_series(series, &reports));
+    }
+    let json = serde_json::to_string_pretty(&slopes).expect("slopes are plain data");
+    write(&dir.join("slopes.json"), &(json + "\n"))?;
+    write(&dir.join("slopes.md"), &table(&slopes))?;
+    Ok(slopes)
+}
+
+/// Returns the slopes as a Markdown table.
+pub fn table(slopes: &[Slope]) -> String {
+    let mut lines = vec![
+        "| role | what | at zero | slope | per |".to_owned(),
+        "|---|---|---|---|---|".to_owned(),
+    ];
+    for slope in slopes {
+        let Some(line) = slope.line else { continue };
+        let spread = line
+            .spread
+            .map_or("?".to_owned(), |spread| format!("{spread:.4}"));
+        lines.push(format!(
+            "| {} | {} | {:.3} {} | {:.4} ± {spread} | {} |",
+            slope.role, slope.quantity, line.intercept, slope.unit, line.slope, slope.per
+        ));
+    }
+    lines.join("\n") + "\n"
+}
+
+fn fit_series(series: &Series, reports: &[(f64, Value)]) -> Vec<Slope> {
+    let mut slopes = Vec::new();
+    for role in ROLES {
+        for (quantity, unit) in QUANTITIES {
+            let measured = |report: &Value| report["control"]["roles"][role][quantity].as_f64();
+            let points: Vec<Point> = reports
+                .iter()
+                .filter_map(|(x, report)| {
+                    let y = measured(report)?;
+                    Some(Point { x: *x, y })
+                })
+                .collect();
+            slopes.push(Slope {
+                series: series.name,
+                per: series.unit,
+                role,
+                quantity,
+                unit,
+                line: fit(&points),
+                points,
+            });
+        }
+    }
+    slopes
+}
+
+/// Runs one cell in a process of its own, so that none inherits another's threads.
+fn run(size: &Size, dir: &Path, seconds: u64, seed: u64) -> Result<Value> {
+    fs::create_dir_all(dir).map_err(LabError::io(dir.display().to_string()))?;
+    let deployment: PathBuf = dir.join("deployment.yaml");
+    write(&deployment, &document(size))?;
+    let own = std::env::current_exe().map_err(LabError::io("finding the lab's program"))?;
+    let output = Command::new(own)
+        .arg("run")
+        .arg("--deployment")
+        .arg(&deployment)
+        .args(["--seconds", &seconds.to_string()])
+        .args(["--seed", &seed.to_string()])
+        .args(["--rate", &size.rate.to_string()])
+        .args(["--jobs", &size.jobs.to_string()])
+        .arg("--report")
+        .arg(dir)
+        // The programs are built by now.
+        .env_remove("CARGO")
+        .output()
+        .map_err(LabError::io("starting the lab"))?;
+    let path = dir.join("report.json");
+    let text = fs::read_to_string(&path).map_err(|_| {
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        LabError::NotReady(format!("{size:?} could not be measured: {said}"))
+    })?;
+    if !output.status.success() {
+        eprintln!("slopes: {size:?} broke a promise; see {}", path.display());
+    }
+    serde_json::from_str(&text)
+        .map_err(|err| LabError::NotReady(format!("{}: {err}", path.display())))
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(LabError::io(path.display().to_string()))
+}
+
+/// A plain cell: one runner a worker, and one batch workload.
+fn document(size: &Size) -> String {
+    let Size { workers, .. } = size;
+    format!(
+        "cell: slopes
+regions:
+  - {{name: one, data_centres: [one-1]}}
+  - {{name: two, data_centres: [two-1]}}
+  - {{name: three, data_centres: [three-1]}}
+fleet:
+  entry_hosts: {ENTRY_HOSTS}
+  workers:
+    - {{count: {workers}, cpu: 32, memory: 128GiB, per_rack: 8}}
+  delays: {{data_centre: 1ms, region: 8ms, caller: 3ms}}
+teams:
+  - {{name: team, quota: {{cpu: 10000, memory: 40000GiB}}, weight: 1}}
+policy:
+  preset: packing-first
+services:
+  - name: service
+    team: team
+    runners: {workers}
+    task: {{cpu: 8, memory: 32GiB}}
+    spread: data-centre
+    slots: 8
+    connections: 64
+    retry_budget: 0.1
+    classes:
+      - {{name: once, idempotent: false, deadline: 5s}}
+      - {{name: often, idempotent: true, deadline: 5s}}
+batch:
+  - name: batch
+    team: team
+    tasks: {TASKS_PER_JOB}
+    task: {{cpu: 1, memory: 2GiB}}
+    run_time: 2s
+    retries: 3
+gangs: []
+"
+    )
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -304,6 +304,7 @@
         for role in [Role::Scheduler, Role::Router] {
             let ports = Ports::find(host.ip)?;
             let process = Process::new(programs, role, host, cell, platform, &ports, dir);
+            process.forget_output();
             processes.push(process);
             held.push(ports);
         }
