--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -317,6 +317,7 @@
         self.carry_out(now, changed.into_iter().collect());
         match message {
             membership::Message::Ping(ping) => {
+                self.inner.fetch_from(node, ping.applied);
                 let answer = membership::Message::Ack(self.ping(now, ping.seq));
                 self.send(from, answer);
             }
@@ -331,6 +332,7 @@
             membership::Message::Leave => self.proposer.is_leaving(node.clone()),
             // Handled before the sender is looked up.
             membership::Message::Join { .. } => {}
+            membership::Message::Relay(_) => count_dropped("not-in-a-datagram"),
         }
     }
 
@@ -344,6 +346,7 @@
             in_doubt: ack.in_doubt,
         };
         lock(&self.inner.guard).acknowledged(from, asked, standing);
+        self.inner.fetch_from(from, ack.applied);
         if !self.is_member() {
             self.proposer.member_answered(now);
         }
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -1,6 +1,7 @@
 //! Typed messages.
 
 pub mod membership;
+pub mod relay;
 pub mod routing;
 pub mod tasks;
 
