Run the scheduler: claims, recovery, placement and callers' HTTP

Cause: declared services and submitted jobs were started by nobody. Change: state machines without I/O for worker leases, ownership of shards, recovery from inventories and the life of jobs; a program of three threads around them, which exchanges with workers, records submissions, cancellations and ends in groups, and tells routers the runners.

--- /dev/null
+++ b/crates/scheduler/src/choice.rs
@@ -0,0 +1,69 @@
+//! Chooses the shard of a submission.
+//!
+//! A job stays in its shard for life, so the choice looks for room now. Two candidates are drawn
+//! and the roomier one is taken: all entry hosts see the same summaries for a second, and if each
+//! took the best shard they would all take the same one.
+
+use kspan_model::{Name, Resources, document::Document};
+use kspan_wire::message::tasks::ShardSummary;
+use rand::{Rng, seq::IndexedRandom};
+
+use crate::deal::shards_of;
+
+/// What a submission needs, as far as the choice of its shard goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Regions that may hold the tasks; empty for all.
+    pub regions: &'a [Name],
+    /// Size of one task.
+    pub task: Resources,
+    /// Number of tasks.
+    pub tasks: u32,
+}
+
+/// Returns the shard of a submission; none where the document has no data centre for it.
+pub fn choose_shard(
+    document: &Document,
+    need: Need<'_>,
+    summaries: &[ShardSummary],
+    rng: &mut impl Rng,
+) -> Option<Name> {
+    let shards = shards_of(document, need.regions);
+    let summary_of = |shard: &Name| summaries.iter().find(|summary| summary.shard == *shard);
+    let able: Vec<&Name> = shards
+        .iter()
+        .filter(|shard| summary_of(shard).is_none_or(|known| can_hold(known, need)))
+        .collect();
+    let candidates = if able.is_empty() {
+        shards.iter().collect()
+    } else {
+        able
+    };
+    let drawn: Vec<&&Name> = candidates.choose_multiple(rng, 2).collect();
+    drawn
+        .into_iter()
+        .max_by(|a, b| {
+            let room = |shard: &Name| summary_of(shard).map_or(0.0, |known| room(known, need));
+            room(a).total_cmp(&room(b))
+        })
+        .map(|shard| (*shard).clone())
+}
+
+/// Returns whether the shard, empty, has as much as one task needs.
+fn can_hold(summary: &ShardSummary, need: Need<'_>) -> bool {
+    need.task.fits_in(summary.capacity)
+}
+
+/// Returns how much of its capacity would stay free; below zero where work would wait.
+fn room(summary: &ShardSummary, need: Need<'_>) -> f64 {
+    let wanted = need
+        .task
+        .times(u64::from(need.tasks) + u64::from(summary.waiting));
+    let free = 1.0 - used_share(summary);
+    free - wanted.dominant_share(summary.capacity).min(f64::MAX)
+}
+
+fn used_share(summary: &ShardSummary) -> f64 {
+    let used = summary.capacity.saturating_sub(summary.free);
+    used.dominant_share(summary.capacity)
+}
--- /dev/null
+++ b/crates/scheduler/src/shard/claim.rs
@@ -0,0 +1,124 @@
+//! Commands: the steps from a first probe to a recovered shard, and the way back.
+
+use kspan_model::{Fence, Millis, UnixMillis};
+
+use super::{Phase, Shard, Verdict};
+use crate::times::{QUORUM_GRACE, SUPERSEDED_STOP};
+
+/// A claim that has not won a majority after this is probed anew.
+const CLAIM_TIMEOUT: Millis = Millis::from_secs(5);
+
+/// Longest wait for workers to confirm that their leases were given up.
+const RELEASE_TIMEOUT: Millis = Millis(1_500);
+
+impl Shard {
+    /// Goes on under the token of a newer view, without a break in the ownership.
+    pub fn refence(&mut self, fence: Fence) {
+        self.fence = fence;
+    }
+
+    /// Begins to give the shard up: no more starts, and each worker's lease is released.
+    pub fn release(&mut self, now: Millis) {
+        if !matches!(self.phase, Phase::Releasing { .. }) {
+            self.phase = Phase::Releasing { since: now };
+            for worker in self.workers.values_mut() {
+                worker.queue.withdraw_unsent_starts();
+                worker.claimable = false;
+            }
+        }
+    }
+
+    /// Returns whether more than half of the listed workers certainly obey this owner.
+    pub fn has_majority(&self, now: Millis) -> bool {
+        self.is_majority(|worker| worker.lease.is_controlled(now))
+    }
+
+    fn is_majority(&self, counts: impl Fn(&crate::worker::Worker) -> bool) -> bool {
+        let listed = || {
+            self.workers
+                .values()
+                .filter(|worker| worker.standing.listed)
+        };
+        listed().filter(|worker| counts(worker)).count() * 2 > listed().count()
+    }
+
+    pub(super) fn advance_claim(
+        &mut self,
+        now: Millis,
+        unix: UnixMillis,
+        may_act: bool,
+    ) -> Verdict {
+        match self.phase {
+            Phase::Probing => {
+                if self.is_majority(|worker| worker.claimable) {
+                    self.begin_recovery(now, unix);
+                }
+                Verdict::Keep
+            }
+            Phase::Recovering | Phase::Active => {
+                self.follow_majority(now);
+                if self.phase == Phase::Recovering && self.is_recovered() {
+                    self.phase = Phase::Active;
+                    log::info!("scheduler: shard {} recovered", self.site.data_centre);
+                }
+                self.judge_majority(now, may_act)
+            }
+            Phase::Releasing { since } => {
+                let confirmed = self.workers.values().all(|worker| worker.claimable);
+                if confirmed || now >= since + RELEASE_TIMEOUT {
+                    Verdict::Released
+                } else {
+                    Verdict::Keep
+                }
+            }
+        }
+    }
+
+    fn begin_recovery(&mut self, now: Millis, unix: UnixMillis) {
+        self.phase = Phase::Recovering;
+        self.claimed = now;
+        self.claimed_unix = unix;
+        log::info!(
+            "scheduler: shard {} claimed under {}",
+            self.site.data_centre,
+            self.fence
+        );
+    }
+
+    fn follow_majority(&mut self, now: Millis) {
+        if !self.has_majority(now) {
+            self.majority_lost.get_or_insert(now);
+            return;
+        }
+        self.majority_lost = None;
+        if self.majority_since.is_none() {
+            self.majority_since = Some(now);
+            // An earlier owner that can still reach some worker stops renewing by then.
+            for worker in self.workers.values_mut() {
+                if !worker.resolved {
+                    worker.lease.renewed_by_others(now + SUPERSEDED_STOP);
+                }
+            }
+        }
+    }
+
+    fn judge_majority(&self, now: Millis, may_act: bool) -> Verdict {
+        if self.majority_since.is_none() {
+            return if now >= self.claimed + CLAIM_TIMEOUT {
+                Verdict::Reclaim("no majority of its workers granted the claim")
+            } else {
+                Verdict::Keep
+            };
+        }
+        let lost_for = self.majority_lost.map(|lost| now.saturating_sub(lost));
+        if !may_act && lost_for.is_some_and(|span| span >= QUORUM_GRACE) {
+            return Verdict::Reclaim("its workers' majority was lost");
+        }
+        Verdict::Keep
+    }
+
+    /// Returns whether everything that any worker can be running is known.
+    fn is_recovered(&self) -> bool {
+        self.majority_since.is_some() && self.workers.values().all(|worker| worker.resolved)
+    }
+}
