placement: fill a freed room from the classes set aside

Cause: each end of a task took every class that fits back into the order and each then failed again; and a team on the edge of a band changed its place with each start. Change: rooms that came free are filled one by one from a walk over the classes set aside; bands overlap; a search for victims that found nothing pauses.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,11 +4,17 @@
 //! small baselines run beside the real policy, so that a figure is also a ratio within one run.
 //! Only decisions are measured here, without processes or sockets.
 
+mod baseline;
+mod cost;
 mod figure;
+mod fluid;
+mod placement;
+mod replay;
 pub mod routing;
 mod run;
+mod trace;
 
 pub use crate::{
     figure::{Comparison, Figure},
-    run::{BenchOptions, Error, Report, Result, run},
+    run::{BenchOptions, Error, Report, Result, main_with, run},
 };
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -1,11 +1,11 @@
 //! A whole run: every figure, printed and written.
 
-use std::{io, path::PathBuf};
+use std::{io, path::PathBuf, process::ExitCode};
 
 use quick_error::quick_error;
 use serde::Serialize;
 
-use crate::{Figure, routing};
+use crate::{Figure, cost, placement, routing};
 
 quick_error! {
     /// Why a run could not be carried out.
@@ -41,6 +41,13 @@
 }
 
 impl Report {
+    fn print_all(&mut self, figures: Vec<Figure>) {
+        for figure in &figures {
+            println!("{}", figure.line());
+        }
+        self.figures.extend(figures);
+    }
+
     /// Returns the figures that miss their target.
     pub fn misses(&self) -> Vec<&Figure> {
         let figures = self.figures.iter();
@@ -55,16 +62,36 @@
 /// Returns an error if a file cannot be written. A missed target is no error; see
 /// [`Report::misses`].
 pub fn run(options: &BenchOptions) -> Result<Report> {
-    let report = Report {
-        figures: routing::figures(),
+    let mut report = Report {
+        figures: Vec::new(),
     };
-    for figure in &report.figures {
-        println!("{}", figure.line());
-    }
+    let (costs, _curve) = cost::figures();
+    report.print_all(costs);
+    let decided = placement::decided();
+    report.print_all(decided.figures);
+    report.print_all(routing::figures());
     write_json(options, &report)?;
     Ok(report)
 }
 
+/// Runs everything and returns the exit code: 1 if a file could not be written, or if a target
+/// was missed and the options ask for a check.
+pub fn main_with(options: &BenchOptions) -> ExitCode {
+    let report = match run(options) {
+        Ok(report) => report,
+        Err(err) => {
+            eprintln!("bench: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let missed = report.misses().len();
+    println!("{missed} of {} targets missed", report.figures.len());
+    if options.check && missed > 0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
 fn write_json(options: &BenchOptions, report: &Report) -> Result<()> {
     let text = serde_json::to_string_pretty(report).expect("figures are plain data");
     std::fs::write(&options.out, text).map_err(|err| Error::Write(options.out.clone(), err))
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,11 +1,11 @@
 //! The plan: which waiting tasks start now, and where.
 
-use kspan_model::{JobId, Millis, Name, Priority};
+use kspan_model::{JobId, Millis, Name, Priority, Resources};
 use rand::Rng;
 
 use crate::{
     Cell, commands::PROMOTED_AFTER, preempt::SEARCHES_PER_PLAN, queue::Next, spec::Decision,
-    state::Inner, timers::Due,
+    state::Inner, timers::Due, worker::Worker,
 };
 
 /// How long a job waits for another worker than those on which it failed.
@@ -14,6 +14,12 @@
 const RESERVED_AFTER: Millis = Millis::from_secs(30);
 /// Shortest time between two tries of a gang that found no room.
 const GANG_INTERVAL: Millis = Millis(20);
+/// Classes that may fail on a room before it is left.
+const TRIED_FOR_A_ROOM: usize = 8;
+/// Best classes set aside that a sweep takes back.
+const SWEPT_BEST: usize = 48;
+/// Further classes set aside that a sweep takes back, in turn.
+const SWEPT_IN_TURN: usize = 16;
 /// Interval at which everything that waits is tried again.
 pub(crate) const SWEEP_INTERVAL: Millis = Millis(250);
 
@@ -39,12 +45,21 @@
         inner.sweep(now, rng, &mut decisions);
         let reserved = inner.serve_reservations(now, &mut decisions);
         let mut left = budget.saturating_sub(reserved);
+        // Classes that failed on the room that is being filled.
+        let mut tried = Vec::new();
         while left > 0 {
-            let Some(next) = inner.queue.next() else {
+            let next = inner.next_for_rooms(&mut tried);
+            let Some(next) = next.or_else(|| inner.queue.next()) else {
                 break;
             };
+            let was_blocked = inner.queue.is_blocked(next.class);
             let started = inner.try_next(next, now, rng, &mut decisions);
             left = left.saturating_sub(started);
+            if was_blocked && started > 0 {
+                inner.queue.expect_any_size(next.class);
+            } else if was_blocked && !inner.queue.is_parked(next.class, next.team) {
+                tried.push(next.class);
+            }
         }
         decisions
     }
@@ -61,6 +76,27 @@
         }
     }
 
+    /// Returns the best job set aside that may fit where room has come free, if it goes before
+    /// everything that is not set aside.
+    fn next_for_rooms(&mut self, tried: &mut Vec<u32>) -> Option<Next> {
+        while let Some(&worker) = self.rooms.last() {
+            let entry = self.workers.at(worker as usize);
+            let room = entry.filter(|entry| entry.takes_tasks());
+            let room = room.map_or(Resources::ZERO, Worker::uncommitted);
+            let fitting = self.queue.best_fitting(room, tried);
+            let is_worth_more = tried.len() < TRIED_FOR_A_ROOM;
+            if fitting.is_some() && is_worth_more {
+                return fitting;
+            }
+            if self.queue.next().is_some() {
+                return None;
+            }
+            self.rooms.pop();
+            tried.clear();
+        }
+        None
+    }
+
     /// Tries the next job of the queue and returns how many tasks were started.
     fn try_next(
         &mut self,
@@ -113,7 +149,7 @@
         self.queue.block(next.class, size);
     }
 
-    /// Looks again at what no event brings up: classes that wait, gangs, draining workers.
+    /// Looks again at what no event brings up: classes set aside, gangs, draining workers.
     fn sweep(&mut self, now: Millis, rng: &mut impl Rng, decisions: &mut Vec<Decision>) {
         let gangs_due = now >= self.gangs_tried.saturating_add(GANG_INTERVAL);
         if gangs_due && std::mem::take(&mut self.room_for_gangs) {
@@ -124,7 +160,7 @@
             return;
         }
         self.swept = now;
-        self.queue.unblock_all();
+        self.queue.unblock_some(SWEPT_BEST, SWEPT_IN_TURN);
         self.evacuate(rng, decisions);
     }
 
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -24,8 +24,10 @@
 const LOOKED_AT: usize = 1_024;
 /// Pre-empting searches in one plan.
 pub(crate) const SEARCHES_PER_PLAN: usize = 64;
-/// Searches that one without success counts for besides itself.
-const FAILED_SEARCH: usize = 7;
+/// Time without a search for urgent work after one that found nothing.
+const URGENT_PAUSE: Millis = Millis(20);
+/// Time without a search for work within its quota after one that found nothing.
+const RECLAIM_PAUSE: Millis = Millis(250);
 /// How long a job within its quota waits before it takes back what others borrow.
 const RECLAIM_AFTER: Millis = Millis::from_secs(2);
 /// Expected time until a pre-empted task has gone.
@@ -69,12 +71,17 @@
         } else {
             return false;
         };
-        if ground == Ground::Reclaim && !self.teams.any_borrows() {
+        let pauses = now < self.no_search_before[ground as usize];
+        if pauses || (ground == Ground::Reclaim && !self.teams.any_borrows()) {
             return false;
         }
         self.searches_left -= 1;
         let Some((worker, victims)) = self.find_victims(next.job, ground, now, rng) else {
-            self.searches_left = self.searches_left.saturating_sub(FAILED_SEARCH);
+            let pause = match ground {
+                Ground::Urgent => URGENT_PAUSE,
+                Ground::Reclaim => RECLAIM_PAUSE,
+            };
+            self.no_search_before[ground as usize] = now.saturating_add(pause);
             return false;
         };
         for held in victims {
--- a/crates/placement/src/queries.rs
+++ b/crates/placement/src/queries.rs
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Returns how many jobs have a task that waits.
+    pub fn queued_jobs(&self) -> usize {
+        self.inner.queue.len()
+    }
+
     /// Returns the waiting times of one priority.
     pub fn waits(&self, priority: Priority) -> Waits {
         self.inner.stats.waits(priority)
@@ -206,7 +211,9 @@
         let inner = &self.inner;
         let waits = inner.queue.any_blocked() || !inner.reservations.is_empty();
         let sweep = waits.then(|| inner.swept.saturating_add(SWEEP_INTERVAL));
-        inner.timers.next().into_iter().chain(sweep).min()
+        let rooms = (!inner.rooms.is_empty()).then_some(inner.swept);
+        let timer = inner.timers.next();
+        timer.into_iter().chain(sweep).chain(rooms).min()
     }
 
     /// Returns the whole state for a dump.
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -29,6 +29,25 @@
     pub(crate) memory_step: u32,
 }
 
+impl ClassKey {
+    /// Returns a size that no job of the class falls below.
+    fn smallest(&self) -> Resources {
+        Resources {
+            cpu_milli: smallest_of(self.cpu_step),
+            memory_mib: smallest_of(self.memory_step),
+            accelerators: self.accelerators,
+        }
+    }
+}
+
+/// Returns the smallest amount of a step.
+fn smallest_of(step: u32) -> u64 {
+    if step < 8 {
+        return u64::from(step);
+    }
+    u64::from(8 + step % 8) << (step / 8 - 3)
+}
+
 /// Returns the step of an amount; amounts of one step differ by less than an eighth.
 pub(crate) fn step(amount: u64) -> u32 {
     if amount < 8 {
@@ -63,8 +82,20 @@
     order: BTreeSet<(Rank, TeamNo)>,
     /// Where the class stands among the ready ones.
     ready: Option<Rank>,
-    /// What found no room; the class is set aside while this is set.
-    blocked: Option<Resources>,
+    /// Where the class stands among those that are set aside.
+    blocked: Option<usize>,
+}
+
+/// A class that is set aside. These are walked over for each room that comes free, so they lie
+/// close together.
+#[derive(Clone, Copy, Debug)]
+struct Blocked {
+    class: u32,
+    gang: bool,
+    /// What found no room, or may find some.
+    need: Resources,
+    /// Place of the class's first job; none while all its lines wait for quotas.
+    rank: Option<Rank>,
 }
 
 /// The next job to try.
@@ -82,7 +113,9 @@
     by_key: FxHashMap<ClassKey, u32>,
     vacant: Vec<u32>,
     ready: BTreeSet<(Rank, u32)>,
-    blocked: Vec<u32>,
+    blocked: Vec<Blocked>,
+    /// Where the last sweep ended.
+    swept: usize,
     len: usize,
 }
 
@@ -143,10 +176,7 @@
     /// Returns the job that is to be tried next.
     pub(crate) fn next(&self) -> Option<Next> {
         let &(_, class) = self.ready.first()?;
-        let entry = &self.classes[class as usize];
-        let &(_, team) = entry.order.first()?;
-        let &(_, job) = entry.lines.get(&team)?.jobs.first()?;
-        Some(Next { class, team, job })
+        self.first_of(class)
     }
 
     /// Brings a line's place up to date with its team's standing.
@@ -157,49 +187,106 @@
         }
     }
 
+    /// Returns the class set aside whose first job is the best one that may fit in `free`, with
+    /// that job, if it goes before everything that is not set aside. Gangs are left out, because
+    /// trying one costs a walk over all workers.
+    pub(crate) fn best_fitting(&self, free: Resources, except: &[u32]) -> Option<Next> {
+        let mut best = self.ready.first().map(|&(rank, _)| rank);
+        let mut found = None;
+        for entry in &self.blocked {
+            if entry.gang || !entry.need.fits_in(free) {
+                continue;
+            }
+            let Some(rank) = entry.rank else {
+                continue;
+            };
+            if best.is_none_or(|best| rank < best) && !except.contains(&entry.class) {
+                best = Some(rank);
+                found = Some(entry.class);
+            }
+        }
+        self.first_of(found?)
+    }
+
     /// Sets a class aside because `need` found no room.
     pub(crate) fn block(&mut self, class: u32, need: Resources) {
-        self.classes[class as usize].blocked = Some(need);
-        self.blocked.push(class);
+        let entry = &mut self.classes[class as usize];
+        if let Some(position) = entry.blocked {
+            self.blocked[position].need = need;
+            return;
+        }
+        entry.blocked = Some(self.blocked.len());
+        self.blocked.push(Blocked {
+            class,
+            gang: entry.key.gang,
+            need,
+            rank: None,
+        });
         self.rank_class(class);
     }
 
-    /// Takes back the classes whose first job may now fit in `free`. Gangs are taken back on their
-    /// own, because trying one costs a walk over all workers.
-    pub(crate) fn unblock_fitting(&mut self, free: Resources) {
-        self.unblock(|need, key| !key.gang && need.fits_in(free));
+    /// Lets any job of a class that is set aside be tried that its smallest size allows.
+    pub(crate) fn expect_any_size(&mut self, class: u32) {
+        let entry = &self.classes[class as usize];
+        if let Some(position) = entry.blocked {
+            self.blocked[position].need = entry.key.smallest();
+        }
     }
 
     /// Takes back every class of gangs.
     pub(crate) fn unblock_gangs(&mut self) {
-        self.unblock(|_, key| key.gang);
+        let gangs = self.blocked.iter().filter(|entry| entry.gang);
+        let gangs: Vec<u32> = gangs.map(|entry| entry.class).collect();
+        self.unblock(&gangs);
     }
 
-    /// Takes back every class.
-    pub(crate) fn unblock_all(&mut self) {
-        self.unblock(|_, _| true);
+    /// Takes back the best classes, and some others in turn.
+    pub(crate) fn unblock_some(&mut self, best: usize, in_turn: usize) {
+        let mut ranked: Vec<(Rank, u32)> = self
+            .blocked
+            .iter()
+            .filter_map(|entry| entry.rank.map(|rank| (rank, entry.class)))
+            .collect();
+        if ranked.len() > best {
+            ranked.select_nth_unstable(best);
+            ranked.truncate(best);
+        }
+        let mut back: Vec<u32> = ranked.into_iter().map(|(_, class)| class).collect();
+        for _ in 0..in_turn.min(self.blocked.len()) {
+            self.swept = (self.swept + 1) % self.blocked.len();
+            back.push(self.blocked[self.swept].class);
+        }
+        self.unblock(&back);
     }
 
     pub(crate) fn any_blocked(&self) -> bool {
         !self.blocked.is_empty()
     }
 
-    fn unblock(&mut self, may_fit: impl Fn(Resources, &ClassKey) -> bool) {
-        let mut position = 0;
-        while position < self.blocked.len() {
-            let number = self.blocked[position];
-            let class = &mut self.classes[number as usize];
-            let back = class.blocked.is_none_or(|need| may_fit(need, &class.key));
-            if back {
-                class.blocked = None;
-                self.blocked.swap_remove(position);
-                self.rank_class(number);
-            } else {
-                position += 1;
-            }
+    fn unblock(&mut self, classes: &[u32]) {
+        for &class in classes {
+            self.forget_blocked(class);
+            self.rank_class(class);
+        }
+    }
+
+    fn forget_blocked(&mut self, class: u32) {
+        let Some(position) = self.classes[class as usize].blocked.take() else {
+            return;
+        };
+        self.blocked.swap_remove(position);
+        if let Some(moved) = self.blocked.get(position) {
+            self.classes[moved.class as usize].blocked = Some(position);
         }
     }
 
+    fn first_of(&self, class: u32) -> Option<Next> {
+        let entry = &self.classes[class as usize];
+        let &(_, team) = entry.order.first()?;
+        let &(_, job) = entry.lines.get(&team)?.jobs.first()?;
+        Some(Next { class, team, job })
+    }
+
     /// Sets a team's line aside until its quota has room.
     pub(crate) fn park(&mut self, class: u32, team: TeamNo) {
         let entry = &mut self.classes[class as usize];
@@ -268,14 +355,11 @@
     }
 
     fn drop_if_empty(&mut self, number: u32) {
-        let class = &mut self.classes[number as usize];
-        if !class.lines.is_empty() {
+        if !self.classes[number as usize].lines.is_empty() {
             return;
         }
-        if class.blocked.take().is_some() {
-            self.blocked.retain(|&blocked| blocked != number);
-        }
-        self.by_key.remove(&class.key);
+        self.forget_blocked(number);
+        self.by_key.remove(&self.classes[number as usize].key);
         self.vacant.push(number);
     }
 
@@ -304,10 +388,10 @@
 
     fn rank_class(&mut self, number: u32) {
         let class = &mut self.classes[number as usize];
-        let first = match class.blocked {
-            Some(_) => None,
-            None => class.order.first().map(|&(rank, _)| rank),
-        };
+        let mut first = class.order.first().map(|&(rank, _)| rank);
+        if let Some(position) = class.blocked {
+            self.blocked[position].rank = first.take();
+        }
         if class.ready == first {
             return;
         }
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -50,6 +50,10 @@
     pub(crate) reservations: Vec<Reservation>,
     /// Pre-empting searches left in the plan under way.
     pub(crate) searches_left: usize,
+    /// When a search for victims is made again, for urgent work and for reclaim.
+    pub(crate) no_search_before: [Millis; 2],
+    /// Workers whose room has grown since the last plan.
+    pub(crate) rooms: Vec<WorkerNo>,
     /// Whether room has come since gangs were tried last.
     pub(crate) room_for_gangs: bool,
     pub(crate) gangs_tried: Millis,
@@ -79,6 +83,8 @@
             failure_rate: FailureRate::default(),
             reservations: Vec::new(),
             searches_left: 0,
+            no_search_before: [Millis::ZERO; 2],
+            rooms: Vec::new(),
             room_for_gangs: false,
             gangs_tried: Millis::ZERO,
             swept: Millis::ZERO,
@@ -255,13 +261,13 @@
         worker
     }
 
-    /// Lets the classes that may fit on a worker be tried again.
+    /// Lets the classes that may fit on a worker be tried in the next plan.
     pub(crate) fn offer_room(&mut self, worker: WorkerNo) {
         let Some(entry) = self.workers.at(worker as usize) else {
             return;
         };
         if entry.takes_tasks() {
-            self.queue.unblock_fitting(entry.uncommitted());
+            self.rooms.push(worker);
             self.room_for_gangs = true;
         }
     }
--- a/crates/placement/src/team.rs
+++ b/crates/placement/src/team.rs
@@ -14,6 +14,8 @@
 
 /// Bands in one octave of weighted share.
 const BANDS_PER_OCTAVE: f64 = 8.0;
+/// Part of a band by which it reaches into its neighbours for a team that stands in it.
+const OVERLAP: f64 = 0.5;
 /// Weighted shares below two to the minus this power share the first band.
 const OCTAVES: f64 = 20.0;
 /// Weight of a team that is not declared but holds adopted tasks.
@@ -60,19 +62,26 @@
     fn standing_now(&self, total: Resources) -> Standing {
         Standing {
             borrows: self.committed.dominant_share(self.quota) >= 1.0,
-            band: band(self.weighted_share(total)),
+            band: band(self.weighted_share(total), self.standing.band),
         }
     }
 }
 
-fn band(share: f64) -> u16 {
+/// Returns the band of a share. A share near the edge of the present band stays in it, so that a
+/// team does not change its place with each start and end.
+fn band(share: f64, present: u16) -> u16 {
     if share <= 0.0 {
         return 0;
     }
-    let raw = (share.log2() + OCTAVES) * BANDS_PER_OCTAVE;
+    let height = (share.log2() + OCTAVES) * BANDS_PER_OCTAVE + 1.0;
+    let height = height.clamp(1.0, f64::from(u16::MAX));
+    let middle = f64::from(present) + 0.5;
+    if present > 0 && (height - middle).abs() <= 0.5 + OVERLAP {
+        return present;
+    }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped to the range.
-    let band = raw.clamp(0.0, f64::from(u16::MAX - 1)) as u16;
-    band + 1
+    let band = height as u16;
+    band
 }
 
 /// All teams.
