Try partitions of the old view's majority

Cause: dropping the quota of earlier views from the guard went unnoticed by the schedules: hardly any cut off a majority that goes on reassuring itself. Change: steps that part the cell and heal it, and that case by name. Conclusion: the schedules reach what the quota is for.

--- a/crates/membership/tests/guard.rs
+++ b/crates/membership/tests/guard.rs
@@ -37,6 +37,10 @@
     CutLog(u8),
     /// Cuts two processes off from each other, or ends that.
     CutLink(u8, u8),
+    /// Cuts the processes that bits choose off from the log and from all others.
+    Partition(u8),
+    /// Ends all cuts.
+    Heal,
     Pause(u8),
     Wake(u8),
     /// Ends a process and starts its next life.
@@ -159,6 +163,11 @@
                 self.processes[i].log_cut ^= true;
             }
             Step::CutLink(a, b) => self.cut(self.index(a), self.index(b)),
+            Step::Partition(bits) => self.partition(bits),
+            Step::Heal => {
+                self.cuts.clear();
+                self.processes.iter_mut().for_each(|p| p.log_cut = false);
+            }
             Step::Pause(i) => {
                 let i = self.index(i);
                 self.processes[i].paused = true;
@@ -181,6 +190,20 @@
         }
     }
 
+    fn partition(&mut self, bits: u8) {
+        let is_apart = |i: usize| bits & (1 << i) != 0;
+        for a in 0..self.processes.len() {
+            self.processes[a].log_cut = is_apart(a);
+            let others = a + 1..self.processes.len();
+            self.cuts.retain(|cut| cut.0 != a);
+            self.cuts.extend(
+                others
+                    .filter(|b| is_apart(a) != is_apart(*b))
+                    .map(|b| (a, b)),
+            );
+        }
+    }
+
     fn advance(&mut self, ms: u64) {
         self.now += ms;
         for process in self.processes.iter_mut().filter(|p| !p.paused) {
@@ -319,6 +342,8 @@
         1 => any::<u8>().prop_map(Step::Repeat),
         1 => any::<u8>().prop_map(Step::CutLog),
         1 => (any::<u8>(), any::<u8>()).prop_map(|(a, b)| Step::CutLink(a, b)),
+        2 => any::<u8>().prop_map(Step::Partition),
+        1 => Just(Step::Heal),
         1 => any::<u8>().prop_map(Step::Pause),
         1 => any::<u8>().prop_map(Step::Wake),
         1 => any::<u8>().prop_map(Step::Restart),
@@ -498,6 +523,25 @@
     assert!(calm.homes().iter().all(|homes| homes.len() == 1));
 }
 
+#[test]
+fn a_cut_off_majority_of_the_old_view_keeps_its_keys_until_it_is_gone() {
+    let mut calm = Calm::new();
+    calm.run(settled(), |_| true, |_| true);
+    let before = calm.homes();
+    // b and c go on reassuring each other; a, d and e read that the view is theirs now.
+    calm.0.partition(0b00110);
+    calm.0.change(0b11001);
+    (0..40).for_each(|_| calm.0.calm());
+    for (before, now) in before.iter().zip(calm.homes()) {
+        let stays = before[0].starts_with('b') || before[0].starts_with('c');
+        assert!(!stays || now == *before, "{before:?} {now:?}");
+        assert!(now.len() <= 1);
+    }
+    calm.0.step(&Step::Heal);
+    (0..20).for_each(|_| calm.0.calm());
+    assert!(calm.homes().iter().all(|homes| homes.len() == 1));
+}
+
 #[test]
 fn a_process_that_wakes_acts_on_nothing_until_it_knows() {
     let mut calm = Calm::new();
