--- a/crates/fold/src/apply.rs
+++ b/crates/fold/src/apply.rs
@@ -261,7 +261,9 @@
     fn observe_snapshot(&mut self, offset: u64, part: SnapshotPart) -> Verdict {
         let through = part.through;
         let parts = Arc::make_mut(&mut self.parts);
-        if parts.add(part).is_some() {
+        let is_whole = parts.add(part).is_some();
+        // A slow writer's snapshot may be older than one that is there already.
+        if is_whole && self.snapshot.is_none_or(|newest| newest.through <= through) {
             self.snapshot = Some(SnapshotSeen { through, offset });
         }
         Verdict::Accepted
