--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -22,6 +22,8 @@
     Fault(Fault),
     /// Measures what each role costs as a cell grows.
     Slopes(Slopes),
+    /// Measures the decisions alone.
+    Bench(Bench),
 }
 
 /// Run a deployment under a mixed load without faults and check every promise.
@@ -101,3 +103,20 @@
     #[argh(option, default = "PathBuf::from(\"out/slopes\")")]
     pub(crate) report: PathBuf,
 }
+
+/// Measure the decisions alone, each figure beside its target.
+///
+/// Example: kspan-lab bench --check --plot out/charts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub(crate) struct Bench {
+    /// exit with status 1 where a target is missed
+    #[argh(switch)]
+    pub(crate) check: bool,
+    /// directory for charts
+    #[argh(option)]
+    pub(crate) plot: Option<PathBuf>,
+    /// file for the figures (default: bench.json)
+    #[argh(option, default = "PathBuf::from(\"bench.json\")")]
+    pub(crate) out: PathBuf,
+}
