node: connect from the address that the view lists

Cause: members accept streams only from the address of a member's wire endpoint, and on a host with several addresses (loopback among them) the system picked another source. Every message between processes was dropped as "not-member", so no router learnt a runner. Change: streams are bound to the process's own wire address.

--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,7 +3,12 @@
 //! Each member that messages are sent to has a task with a bounded queue and one connection.
 //! Messages may be lost with a connection; they are never sent twice.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use kspan_model::{Member, NodeId};
 use kspan_wire::{
@@ -13,7 +18,7 @@
 };
 use tokio::{
     io::BufReader,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{Semaphore, mpsc},
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -111,6 +116,7 @@
 }
 
 async fn send(inner: &Arc<Inner>, outgoing: Receiver<Outgoing>) {
+    let own = inner.me.wire.ip();
     let mut peers: HashMap<NodeId, mpsc::Sender<Frame>> = HashMap::new();
     while let Some(Outgoing { to, message }) = outgoing.recv().await {
         if inner.is_cut(&to) {
@@ -133,7 +139,7 @@
         }
         let peer = peers.entry(to.node.clone()).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(QUEUE);
-            tokio::task::spawn_local(send_to(to, rx));
+            tokio::task::spawn_local(send_to(to, own, rx));
             tx
         });
         if peer.try_send(Frame { due, bytes }).is_err() {
@@ -143,12 +149,12 @@
 }
 
 /// Sends frames to one member until nobody queues any more.
-async fn send_to(to: Member, mut frames: mpsc::Receiver<Frame>) {
+async fn send_to(to: Member, own: IpAddr, mut frames: mpsc::Receiver<Frame>) {
     let mut conn: Option<TcpStream> = None;
     while let Some(Frame { due, bytes }) = frames.recv().await {
         sleep_until(due).await;
         if conn.is_none() {
-            conn = connect(&to).await;
+            conn = connect(&to, own).await;
         }
         let Some(tx) = conn.as_mut() else {
             count_dropped("unreachable");
@@ -163,8 +169,15 @@
     }
 }
 
-async fn connect(to: &Member) -> Option<TcpStream> {
-    let conn = timeout(SEND_TIMEOUT, TcpStream::connect(to.wire)).await;
+/// Connects from the address that the view lists, because members accept no other.
+async fn connect(to: &Member, own: IpAddr) -> Option<TcpStream> {
+    let socket = match own {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.ok()?;
+    socket.bind(SocketAddr::new(own, 0)).ok()?;
+    let conn = timeout(SEND_TIMEOUT, socket.connect(to.wire)).await;
     let conn = conn.ok()?.ok()?;
     conn.set_nodelay(true).ok()?;
     Some(conn)
