--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -13,6 +13,9 @@
     record::{Answer, Records, TaskRun},
 };
 
+/// Longest time that a histogram tells apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
 /// Everything that an experiment found.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -365,7 +368,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are within the library's bounds")
+    Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are constants in order")
 }
 
 fn quantile_ms(times: &Histogram<u64>, quantile: f64) -> f64 {
