--- a/crates/console/src/form.rs
+++ b/crates/console/src/form.rs
@@ -48,6 +48,18 @@
     },
 }
 
+impl Field {
+    /// Returns whether this field or one below it has a path.
+    pub(crate) fn shows(&self, path: &str) -> bool {
+        let below = match &self.kind {
+            Kind::Group(fields) => fields.as_slice(),
+            Kind::List { items, .. } => items.as_slice(),
+            Kind::Text(_) | Kind::Choice { .. } => &[],
+        };
+        self.path == path || below.iter().any(|field| field.shows(path))
+    }
+}
+
 /// Builds the fields of a whole document.
 pub fn build_fields(document: &Value, faults: &[Fault]) -> Vec<Field> {
     let cx = Context { faults };
--- a/crates/console/src/handler.rs
+++ b/crates/console/src/handler.rs
@@ -15,8 +15,8 @@
 use crate::{
     asset::STYLE,
     draft::{Draft, Edit},
-    form::{Field, Kind, build_fields},
-    page::{EditPage, ResultPage, ReviewPage, TablesPage},
+    form::build_fields,
+    page::{EditPage, FaultLink, ResultPage, ReviewPage, TablesPage},
     rows::{objects, processes},
     site::Site,
 };
@@ -271,32 +271,19 @@
     faults: &[Fault],
 ) -> HttpResponse {
     let fields = build_fields(&draft.value, faults);
-    let shown = |fault: &Fault| fields.iter().any(|field| shows(field, &fault.path));
-    let elsewhere = faults
+    let faults = faults
         .iter()
-        .filter(|fault| !shown(fault))
-        .map(Fault::to_string)
+        .map(|fault| FaultLink::new(fault, &fields))
         .collect();
     html(&EditPage {
         base,
         author: author.to_owned(),
-        faults: elsewhere,
-        fault_count: faults.len(),
+        faults,
         comments,
         fields,
     })
 }
 
-/// Returns whether a field or one below it has a path.
-fn shows(field: &Field, path: &str) -> bool {
-    let below = match &field.kind {
-        Kind::Group(fields) => fields.as_slice(),
-        Kind::List { items, .. } => items.as_slice(),
-        Kind::Text(_) | Kind::Choice { .. } => &[],
-    };
-    field.path == path || below.iter().any(|field| shows(field, path))
-}
-
 fn value_of<'a>(form: &'a Fields, name: &str) -> &'a str {
     // The button that was pressed comes after fields of the same name.
     let found = form.iter().rev().find(|(key, _)| key == name);
--- a/crates/console/src/page.rs
+++ b/crates/console/src/page.rs
@@ -1,6 +1,7 @@
 //! Pages as templates.
 
 use askama::Template;
+use kspan_model::document::Fault;
 use kspan_operator::Change;
 
 use crate::{
@@ -27,7 +28,7 @@
     }
 
     fn id(&self) -> String {
-        self.field.path.replace(['[', ']', '.'], "-")
+        element_id(&self.field.path)
     }
 
     fn described_by(&self) -> String {
@@ -40,6 +41,33 @@
     }
 }
 
+/// A fault in the summary above the forms.
+pub(crate) struct FaultLink {
+    pub(crate) text: String,
+    /// Id of the field's element; empty where the fault belongs to no field.
+    pub(crate) id: String,
+}
+
+impl FaultLink {
+    pub(crate) fn new(fault: &Fault, fields: &[Field]) -> Self {
+        let shown = fields.iter().any(|field| field.shows(&fault.path));
+        let id = if shown {
+            element_id(&fault.path)
+        } else {
+            String::new()
+        };
+        Self {
+            text: format!("{}: {}", fault.path, fault.message),
+            id,
+        }
+    }
+}
+
+/// Returns the id of the element that shows a path.
+fn element_id(path: &str) -> String {
+    path.replace(['[', ']', '.'], "-")
+}
+
 /// The forms.
 #[derive(Template)]
 #[template(path = "edit.html")]
@@ -47,10 +75,8 @@
     pub(crate) base: u64,
     pub(crate) author: String,
     pub(crate) fields: Vec<Field>,
-    /// Faults that belong to no field.
-    pub(crate) faults: Vec<String>,
-    /// Faults in all, warnings included.
-    pub(crate) fault_count: usize,
+    /// Every fault, with a link to its field where it has one.
+    pub(crate) faults: Vec<FaultLink>,
     /// Whether the text in force has comments, which the forms can't keep.
     pub(crate) comments: bool,
 }
--- a/crates/console/src/program.rs
+++ b/crates/console/src/program.rs
@@ -66,7 +66,10 @@
 
 fn start_logging() {
     use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
-    let cfg = ConfigBuilder::new().set_time_format_rfc3339().build();
+    let cfg = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("kspan_")
+        .build();
     // A logger that is set already serves as well.
     let _ = TermLogger::init(
         LevelFilter::Info,
