Show the cell's work and workers from the schedulers' own report

Cause: console and command line read keys that no scheduler answers. Change: typed report in kspan-operator, shared by both; tables of open work, workers and ends of jobs; shards without a whole answer are named. Conclusion: a change of the report's form is now a typed error.

--- a/crates/console/src/handler.rs
+++ b/crates/console/src/handler.rs
@@ -10,14 +10,13 @@
     http::{Response, StatusCode, header},
     web::{self, HttpResponse, types},
 };
-use serde_json::Value;
 
 use crate::{
     asset::STYLE,
     draft::{Draft, Edit},
     form::build_fields,
     page::{EditPage, FaultLink, ResultPage, ReviewPage, TablesPage},
-    rows::{objects, processes},
+    rows::{ends, jobs, processes, workers},
     site::Site,
 };
 
@@ -40,16 +39,7 @@
         (Some(_), Err(err)) => format!("Version {} is in force. {err}.", state.document_version),
         (Some(_), Ok(_)) => format!("Version {} is in force.", state.document_version),
     };
-    let report = report.unwrap_or(Value::Null);
-    let columns = [
-        ("name", "Workload"),
-        ("kind", "Kind"),
-        ("state", "State"),
-        ("running", "Running"),
-        ("waiting", "Waiting"),
-        ("reason", "Why it waits"),
-    ];
-    let tables = vec![objects("Workloads", report.get("workloads"), &columns)];
+    let tables = vec![jobs(&report.unwrap_or_default())];
     html(&TablesPage {
         title: "Overview".to_owned(),
         note,
@@ -62,23 +52,18 @@
         Ok(report) => report,
         Err(err) => return unreachable(&err),
     };
-    let columns = [
-        ("name", "Host"),
-        ("rack", "Rack"),
-        ("data_centre", "Data centre"),
-        ("state", "State"),
-        ("capacity", "Capacity"),
-        ("committed", "Committed"),
-    ];
-    let tables = vec![objects(
-        "Hosts and their commitments",
-        report.get("hosts"),
-        &columns,
-    )];
+    let missing = report.incomplete_shards();
+    let note = match missing.as_slice() {
+        [] => String::new(),
+        names => {
+            let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+            format!("No whole answer from: {}.", names.join(", "))
+        }
+    };
     html(&TablesPage {
         title: "Hosts".to_owned(),
-        note: String::new(),
-        tables,
+        note,
+        tables: vec![workers(&report)],
     })
 }
 
@@ -99,22 +84,7 @@
 pub(crate) async fn outcomes(site: types::State<Site>) -> HttpResponse {
     match site.state().await {
         Ok(state) => {
-            let ends = state
-                .ends
-                .values()
-                .map(|end| serde_json::json!(end))
-                .collect();
-            let columns = [
-                ("job", "Job"),
-                ("result", "Result"),
-                ("reason", "Reason"),
-                ("ended", "Ended (Unix ms)"),
-            ];
-            let tables = vec![objects(
-                "Newest ends of jobs",
-                Some(&Value::Array(ends)),
-                &columns,
-            )];
+            let tables = vec![ends(&state)];
             html(&TablesPage {
                 title: "Outcomes".to_owned(),
                 note: String::new(),
--- a/crates/console/src/rows.rs
+++ b/crates/console/src/rows.rs
@@ -1,7 +1,11 @@
 //! Rows of the pages that only show.
 
-use kspan_operator::{MemberStatus, Reading};
-use serde_json::Value;
+use kspan_fold::State;
+use kspan_model::JobEnd;
+use kspan_operator::{CellReport, MemberStatus, Reading};
+
+/// Ends shown on the page.
+const MAX_ENDS: usize = 200;
 
 /// A table of text.
 pub(crate) struct Table {
@@ -36,25 +40,81 @@
     }
 }
 
-/// Returns a table of a list of objects, with one column for each key wanted.
-pub(crate) fn objects(caption: &str, list: Option<&Value>, columns: &[(&str, &str)]) -> Table {
-    let items = list.and_then(Value::as_array).into_iter().flatten();
-    let rows = items.map(|item| columns.iter().map(|(key, _)| cell(item, key)).collect());
+/// Returns a table of the open jobs, services included.
+pub(crate) fn jobs(report: &CellReport) -> Table {
+    let rows = report.job_rows().into_iter().map(|row| {
+        let tasks = row.job.tasks.unwrap_or_default();
+        vec![
+            row.job.workload.to_string(),
+            row.shard.to_string(),
+            row.job.state.to_string(),
+            tasks.running.to_string(),
+            tasks.queued.to_string(),
+            row.job.waits.to_string(),
+            row.job.job.to_string(),
+        ]
+    });
     Table {
-        caption: caption.to_owned(),
-        heading: columns
-            .iter()
-            .map(|(_, title)| (*title).to_owned())
-            .collect(),
+        caption: "Open work".to_owned(),
+        heading: words(&[
+            "Workload",
+            "Data centre",
+            "State",
+            "Running",
+            "Waiting",
+            "Why it waits",
+            "Job",
+        ]),
         rows: rows.collect(),
     }
 }
 
-fn cell(item: &Value, key: &str) -> String {
-    match item.get(key) {
-        None | Some(Value::Null) => String::new(),
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
+/// Returns a table of the workers with what is committed on each.
+pub(crate) fn workers(report: &CellReport) -> Table {
+    let rows = report.shards.iter().flat_map(|shard| {
+        shard.workers.iter().map(|worker| {
+            vec![
+                worker.worker.to_string(),
+                shard.shard.to_string(),
+                worker.rack.to_string(),
+                worker.state.to_string(),
+                worker.committed.to_string(),
+                worker.capacity.to_string(),
+                worker.tasks.to_string(),
+            ]
+        })
+    });
+    Table {
+        caption: "Workers and their commitments".to_owned(),
+        heading: words(&[
+            "Worker",
+            "Data centre",
+            "Rack",
+            "State",
+            "Committed",
+            "Capacity",
+            "Tasks",
+        ]),
+        rows: rows.collect(),
+    }
+}
+
+/// Returns a table of the newest ends of jobs, newest first.
+pub(crate) fn ends(state: &State) -> Table {
+    let mut ends: Vec<&JobEnd> = state.ends.values().collect();
+    ends.sort_by_key(|end| std::cmp::Reverse(end.ended));
+    let rows = ends.into_iter().take(MAX_ENDS).map(|end| {
+        vec![
+            end.job.to_string(),
+            end.result.to_string(),
+            end.reason.to_string(),
+            end.ended.0.to_string(),
+        ]
+    });
+    Table {
+        caption: "Newest ends of jobs".to_owned(),
+        heading: words(&["Job", "Result", "Reason", "Ended (ms since 1970)"]),
+        rows: rows.collect(),
     }
 }
 
--- a/crates/console/src/site.rs
+++ b/crates/console/src/site.rs
@@ -3,10 +3,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use kspan_fold::{Body, State};
-use kspan_model::{Name, Role};
-use kspan_operator::{Cell, Error, MemberStatus, Published, Result};
-use ntex::http::Method;
-use serde_json::Value;
+use kspan_model::Name;
+use kspan_operator::{Cell, CellReport, Error, MemberStatus, Published, Result};
 use tokio::sync::Mutex;
 
 /// Versions of the document whose texts are kept, to show both sides of a conflict.
@@ -65,22 +63,11 @@
         Ok(cell.member_statuses().await)
     }
 
-    /// Returns what one scheduler after another tells about the cell, until one answers.
-    pub(crate) async fn cell_report(&self) -> Result<Value> {
+    pub(crate) async fn cell_report(&self) -> Result<CellReport> {
         let mut inner = self.inner.lock().await;
         self.refresh(&mut inner).await?;
         let cell = inner.cell.as_ref().ok_or(Error::NoMember("process"))?;
-        let mut failed = Error::NoMember("scheduler");
-        for member in cell.members(Role::Scheduler) {
-            match cell.ask(member.http, Method::GET, "/v1/cell").await {
-                Ok(answer) if answer.status == 200 => return Ok(answer.body),
-                Ok(answer) => {
-                    failed = Error::Process(member.node.name.to_string(), answer.status.to_string())
-                }
-                Err(err) => failed = err,
-            }
-        }
-        Err(failed)
+        cell.report().await
     }
 
     async fn refresh<'a>(&self, inner: &'a mut Inner) -> Result<&'a State> {
--- a/crates/ctl/src/top.rs
+++ b/crates/ctl/src/top.rs
@@ -2,14 +2,11 @@
 
 use std::time::Duration;
 
-use kspan_operator::Cell;
-use ntex::http::Method;
-use serde_json::Value;
+use kspan_operator::{Cell, CellReport, JobRow};
 
 use crate::{
     args::Top,
     exit::{Exit, unreachable},
-    job::ask_scheduler,
     output::{Format, columns},
     show,
 };
@@ -25,8 +22,9 @@
         }
         print!("{CLEAR}");
         let _ = show::status(Format::Table, cell).await;
-        if let Ok((200, body)) = ask_scheduler(cell, Method::GET, "/v1/cell", None).await {
-            println!("\n{}", workloads(&body));
+        match cell.report().await {
+            Ok(report) => println!("\n{}", jobs(&report)),
+            Err(err) => println!("\n{err}"),
         }
         looks += 1;
         if looks == cmd.count {
@@ -36,27 +34,31 @@
     }
 }
 
-fn workloads(body: &Value) -> String {
-    let list = body.get("workloads").and_then(Value::as_array);
-    let rows: Vec<Vec<String>> = list
-        .into_iter()
-        .flatten()
-        .map(|row| {
-            ["name", "kind", "state", "running", "waiting", "reason"]
-                .map(|k| text(row, k))
-                .into()
-        })
-        .collect();
+fn jobs(report: &CellReport) -> String {
+    let rows: Vec<Vec<String>> = report.job_rows().iter().map(row).collect();
     columns(
-        &["WORKLOAD", "KIND", "STATE", "RUNNING", "WAITING", "REASON"],
+        &[
+            "WORKLOAD",
+            "SHARD",
+            "JOB",
+            "STATE",
+            "RUNNING",
+            "WAITING",
+            "WHY IT WAITS",
+        ],
         &rows,
     )
 }
 
-fn text(row: &Value, key: &str) -> String {
-    match row.get(key) {
-        None | Some(Value::Null) => String::new(),
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
-    }
+fn row(row: &JobRow) -> Vec<String> {
+    let tasks = row.job.tasks.unwrap_or_default();
+    vec![
+        row.job.workload.to_string(),
+        row.shard.to_string(),
+        row.job.job.to_string(),
+        row.job.state.to_string(),
+        tasks.running.to_string(),
+        tasks.queued.to_string(),
+        row.job.waits.to_string(),
+    ]
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod member;
 mod publish;
+mod report;
 
 pub use self::{
     cell::Cell,
@@ -18,4 +19,5 @@
     error::{Error, Result},
     member::{MemberStatus, Reading},
     publish::{BASE_COMMENT, Published, base_of, with_base},
+    report::{CellReport, JobReport, JobRow, ShardReport, TaskCounts, WorkerReport},
 };
