--- a/crates/routing/src/engine/admit.rs
+++ b/crates/routing/src/engine/admit.rs
@@ -215,7 +215,7 @@
             let chosen = self.services[index]
                 .candidates
                 .choose(&mut self.rng, cost)?;
-            let may_act = self.authority.may_act;
+            let may_act = self.may_act(now);
             let runner = self.runners[chosen as usize].as_mut();
             let taken = runner.and_then(|runner| Some((take_slot(runner, may_act, now)?, runner)));
             let Some((source, runner)) = taken else {
--- a/crates/routing/src/engine/keys.rs
+++ b/crates/routing/src/engine/keys.rs
@@ -92,7 +92,7 @@
     }
 
     pub(super) fn on_claim(&mut self, from: &NodeId, claim: &Claim, now: Millis, unix: UnixMillis) {
-        let effect = match self.memory_of(&claim.text, unix) {
+        let effect = match self.memory_of(&claim.text, now, unix) {
             Some(memory) => self.keys.home.claim(from, claim, memory, now),
             None => key::Effect {
                 to: from.clone(),
@@ -113,7 +113,7 @@
         now: Millis,
         unix: UnixMillis,
     ) {
-        let memory = self.memory_of(&settle.text, unix);
+        let memory = self.memory_of(&settle.text, now, unix);
         let effects = self.keys.home.settle(from, settle, memory, now);
         self.send_verdicts(effects);
     }
@@ -165,15 +165,15 @@
 
     /// Returns what this router's memory of a key covers, or none when it is not the key's home
     /// in the newest view, or may not act as such.
-    fn memory_of(&self, text: &str, now: UnixMillis) -> Option<Memory> {
+    fn memory_of(&self, text: &str, now: Millis, unix: UnixMillis) -> Option<Memory> {
         let home = |view: &kspan_model::View| (self.cfg.key_home)(view, text);
-        if !self.authority.may_act || home(&self.view).as_ref() != Some(&self.cfg.me) {
+        if !self.may_act(now) || home(&self.view).as_ref() != Some(&self.cfg.me) {
             return None;
         }
         let complete_since = self.keys.tenure.since(&self.cfg.me, home)?;
         Some(Memory {
             complete_since,
-            now,
+            now: unix,
         })
     }
 
--- a/crates/routing/src/engine/lend.rs
+++ b/crates/routing/src/engine/lend.rs
@@ -42,7 +42,7 @@
         let Some(index) = self.lender_of(keep.loan) else {
             return;
         };
-        let may_act = self.authority.may_act;
+        let may_act = self.may_act(now);
         let Some(runner) = &mut self.runners[index] else {
             return;
         };
@@ -85,7 +85,7 @@
     /// Lends free slots to routers that asked, those first that hold least. The home's own
     /// requests count as one more router.
     pub(super) fn serve_asks(&mut self, index: usize, now: Millis) {
-        if !self.authority.may_act {
+        if !self.may_act(now) {
             return;
         }
         while let Some(position) = self.neediest_ask(index) {
--- a/crates/routing/src/engine/mod.rs
+++ b/crates/routing/src/engine/mod.rs
@@ -38,6 +38,10 @@
 /// Longest time between two ticks after which this router may have been superseded unnoticed.
 const MAX_TICK_GAP: Millis = Millis(500);
 
+/// Oldest word of the guard that is acted on. A process that wakes from a pause asks again before
+/// it acts as a home.
+const MAX_AUTHORITY_AGE: Millis = Millis(200);
+
 /// Ranks the home of a runner in a view.
 pub type RunnerHome = Box<dyn Fn(&View, TaskId, &Site) -> Option<NodeId>>;
 
@@ -168,7 +172,7 @@
     }
 
     /// Does what is due: expires waits, loans and grants, and asks for what is needed. To be
-    /// called every 10 ms or so.
+    /// called every 10 ms or so, right after [`Engine::set_authority`].
     pub fn tick(&mut self, now: Millis) {
         self.observe(now);
         self.last_tick = now;
@@ -178,6 +182,11 @@
         self.tick_keys(now);
     }
 
+    /// Returns whether this router may act as a home now.
+    fn may_act(&self, now: Millis) -> bool {
+        self.authority.may_act && now.saturating_sub(self.last_tick) <= MAX_AUTHORITY_AGE
+    }
+
     /// Notes a gap in this router's own attention.
     fn observe(&mut self, now: Millis) {
         if now.saturating_sub(self.last_tick) > MAX_TICK_GAP {
--- a/crates/routing/src/engine/table.rs
+++ b/crates/routing/src/engine/table.rs
@@ -164,10 +164,11 @@
 
     /// Counts a runner's free slots anew.
     pub(super) fn refresh(&mut self, index: u32, now: Millis) {
+        let may_act = self.may_act(now);
         let Some(runner) = &mut self.runners[index as usize] else {
             return;
         };
-        let free = runner.count_free(self.authority.may_act, now);
+        let free = runner.count_free(may_act, now);
         let service = &mut self.services[runner.service];
         service.free = service.free - runner.free + free;
         runner.free = free;
