--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -14,7 +14,7 @@
     effect::{Effect, Finish, Read, Reason, Start},
 };
 use kspan_wire::message::{
-    routing::Message,
+    routing::{Message, Ruling},
     tasks::{Runner, RunnerTable},
 };
 use rand::{Rng, SeedableRng};
@@ -53,6 +53,15 @@
     service_ms: (5, 60),
 };
 
+/// A verdict as a router got it.
+#[derive(Debug)]
+pub(crate) struct Ruled {
+    pub(crate) router: usize,
+    pub(crate) request: RequestId,
+    pub(crate) home: NodeId,
+    pub(crate) ruling: Ruling,
+}
+
 #[derive(Debug)]
 enum Todo {
     Deliver {
@@ -94,7 +103,7 @@
     pub(crate) refused: BTreeMap<RequestId, (Millis, Reason)>,
     pub(crate) answered: BTreeMap<RequestId, Millis>,
     pub(crate) arrived: BTreeMap<RequestId, (Name, Millis)>,
-    pub(crate) ruled: Vec<(usize, RequestId, kspan_wire::message::routing::Ruling)>,
+    pub(crate) ruled: Vec<Ruled>,
     /// Runners that say they drain.
     pub(crate) draining: Vec<TaskId>,
     /// Whether dispatches on a runner fail at once.
@@ -456,8 +465,15 @@
                 self.later(delay, Todo::Sample { router, read });
             }
             Effect::Ruled {
-                request, ruling, ..
-            } => self.ruled.push((router, request, ruling)),
+                request,
+                home,
+                ruling,
+            } => self.ruled.push(Ruled {
+                router,
+                request,
+                home,
+                ruling,
+            }),
         }
     }
 
