--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -74,7 +74,7 @@
         let shared = Arc::clone(&dump);
         node.set_dump(move || shared.lock().map(|value| value.clone()).unwrap_or_default());
         Rc::new(Self {
-            upstreams: Upstreams::new(&node),
+            upstreams: Upstreams::new(node.links().clone()),
             tally: RefCell::default(),
             stopping: Cell::new(false),
             document: RefCell::default(),
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -26,46 +26,61 @@
 
 /// A request as it is sent to runners.
 #[derive(Clone, Debug)]
-pub(crate) struct Outgoing {
-    pub(crate) request: RequestId,
-    pub(crate) method: Method,
+pub struct Outgoing {
+    /// The request.
+    pub request: RequestId,
+    /// Method.
+    pub method: Method,
     /// Path and query.
-    pub(crate) target: String,
-    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
-    pub(crate) body: Bytes,
+    pub target: String,
+    /// Headers of the caller that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// A caller's idempotency key.
 #[derive(Clone, Debug)]
-pub(crate) struct Key {
-    pub(crate) id: KeyId,
-    pub(crate) text: Name,
-    pub(crate) fingerprint: u128,
-    pub(crate) created: Option<UnixMillis>,
+pub struct Key {
+    /// Identifies it within its service, class and caller.
+    pub id: KeyId,
+    /// As the caller sent it.
+    pub text: Name,
+    /// Hash of what is asked.
+    pub fingerprint: u128,
+    /// When the caller created it, where it tells.
+    pub created: Option<UnixMillis>,
 }
 
 /// A caller's request.
 #[derive(Clone, Debug)]
-pub(crate) struct Incoming {
-    pub(crate) out: Outgoing,
-    pub(crate) service: Name,
-    pub(crate) caller: Name,
-    pub(crate) priority: Priority,
-    pub(crate) idempotent: bool,
-    pub(crate) hedge: bool,
+pub struct Incoming {
+    /// What runners are sent.
+    pub out: Outgoing,
+    /// The service.
+    pub service: Name,
+    /// Who asks; empty where it is not told.
+    pub caller: Name,
+    /// Priority of its class.
+    pub priority: Priority,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// Whether it may be sent to a second runner while the first works on it.
+    pub hedge: bool,
     /// Number of the send, where the caller tells it.
-    pub(crate) attempt: Option<u32>,
-    pub(crate) key: Option<Key>,
+    pub attempt: Option<u32>,
+    /// Its idempotency key.
+    pub key: Option<Key>,
     /// When the answer is of no more use, on the process's own clock.
-    pub(crate) deadline: Millis,
+    pub deadline: Millis,
     /// The same on the runtime's clock.
-    pub(crate) until: Instant,
+    pub until: Instant,
 }
 
 impl Incoming {
     /// Returns whether no earlier send of this request can have been dispatched elsewhere, by
     /// the caller's word, or because sends without a key are requests of their own.
-    pub(crate) fn is_first_send(&self) -> bool {
+    pub fn is_first_send(&self) -> bool {
         match self.attempt {
             Some(attempt) => attempt == 1,
             None => self.key.is_none(),
@@ -75,27 +90,35 @@
 
 /// A whole answer of a runner.
 #[derive(Clone, Debug)]
-pub(crate) struct Whole {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// What the caller is told.
 #[derive(Clone, Debug)]
-pub(crate) struct Reply {
-    pub(crate) outcome: Outcome,
-    pub(crate) status: StatusCode,
+pub struct Reply {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// Status.
+    pub status: StatusCode,
     /// The answer of a runner, now or recorded.
-    pub(crate) answer: Option<Whole>,
-    pub(crate) replayed: bool,
-    pub(crate) retry_after: Option<Millis>,
-    pub(crate) reason: &'static str,
+    pub answer: Option<Whole>,
+    /// Whether the answer is a recorded one.
+    pub replayed: bool,
+    /// When the caller may try again.
+    pub retry_after: Option<Millis>,
+    /// Why there is no answer; empty where there is one.
+    pub reason: &'static str,
 }
 
 impl Reply {
     /// Creates a reply that passes an answer on.
-    pub(crate) fn ran(answer: Whole, replayed: bool) -> Self {
+    pub fn ran(answer: Whole, replayed: bool) -> Self {
         Self {
             outcome: Outcome::Ran,
             status: answer.status,
@@ -107,11 +130,7 @@
     }
 
     /// Creates a reply of the router's own.
-    pub(crate) fn without_answer(
-        outcome: Outcome,
-        status: StatusCode,
-        reason: &'static str,
-    ) -> Self {
+    pub fn without_answer(outcome: Outcome, status: StatusCode, reason: &'static str) -> Self {
         Self {
             outcome,
             status,
@@ -123,19 +142,19 @@
     }
 
     /// Tells the caller when it may try again.
-    pub(crate) fn with_retry_after(mut self, retry_after: Millis) -> Self {
+    pub fn with_retry_after(mut self, retry_after: Millis) -> Self {
         self.retry_after = Some(retry_after);
         self
     }
 }
 
 /// Returns whether a header is passed on between callers and runners.
-pub(crate) fn is_passed_on(name: &HeaderName) -> bool {
+pub fn is_passed_on(name: &HeaderName) -> bool {
     !CONNECTION_HEADERS.contains(name) && name.as_str() != "keep-alive"
 }
 
 /// Makes an answer ready to be kept for later sends of its key.
-pub(crate) fn record(answer: &Whole) -> Answer {
+pub fn record(answer: &Whole) -> Answer {
     let headers = answer.headers.iter().filter(|(name, _)| is_passed_on(name));
     let headers = headers.map(|(name, value)| Header {
         name: name.as_str().into(),
@@ -149,7 +168,7 @@
 }
 
 /// Turns a recorded answer back, or none where it is malformed.
-pub(crate) fn replay(answer: Answer) -> Option<Whole> {
+pub fn replay(answer: Answer) -> Option<Whole> {
     let mut headers = HeaderMap::new();
     for Header { name, value } in answer.headers {
         let name = HeaderName::try_from(name.as_str()).ok()?;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,11 +12,11 @@
 mod dispatch;
 pub mod error;
 mod events;
-mod exchange;
+pub mod exchange;
 mod http;
 mod server;
 mod tally;
-mod upstream;
+pub mod upstream;
 
 use std::process::ExitCode;
 
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -6,7 +6,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use kspan_node::Node;
+use kspan_node::Links;
 use kspan_platform::{border::runner::REQUEST_ID_HEADER, link::Link, runner::HealthClient};
 use kspan_routing::engine::{
     RunnerHealth,
@@ -41,7 +41,7 @@
 
 /// How an exchange with a runner ended.
 #[derive(Debug)]
-pub(crate) enum Answered {
+pub enum Answered {
     /// With a whole answer.
     Whole(Whole),
     /// Without a connection: nothing was sent.
@@ -59,22 +59,22 @@
 }
 
 /// Connections to all runners.
-pub(crate) struct Upstreams {
-    node: Node,
+pub struct Upstreams {
+    links: Links,
     known: RefCell<FxHashMap<SocketAddr, Upstream>>,
 }
 
 impl Upstreams {
     /// Creates the set without any connection.
-    pub(crate) fn new(node: &Node) -> Self {
+    pub fn new(links: Links) -> Self {
         Self {
-            node: node.clone(),
+            links,
             known: RefCell::default(),
         }
     }
 
     /// Sends a request and waits for its whole answer until `deadline`.
-    pub(crate) async fn send(&self, start: &Start, out: &Outgoing, deadline: Instant) -> Answered {
+    pub async fn send(&self, start: &Start, out: &Outgoing, deadline: Instant) -> Answered {
         let link = self.link(&start.place);
         if link.cut {
             // A cut link passes nothing and tells nothing.
@@ -89,7 +89,7 @@
     }
 
     /// Asks a runner for its health.
-    pub(crate) async fn health(&self, read: &Read) -> Option<RunnerHealth> {
+    pub async fn health(&self, read: &Read) -> Option<RunnerHealth> {
         let link = self.link(&read.place);
         let client = self.health_client(read.endpoint).await;
         let asked = client.with_link(move |_| link).health(read.endpoint).await;
@@ -100,17 +100,16 @@
     }
 
     /// Drops the connections to runners that were not used lately.
-    pub(crate) fn drop_idle(&self) {
+    pub fn drop_idle(&self) {
         let now = Instant::now();
         let mut known = self.known.borrow_mut();
         known.retain(|_, upstream| now - upstream.used < IDLE_RUNNER);
     }
 
     fn link(&self, place: &Place) -> Link {
-        let links = self.node.links();
         Link {
-            delay: links.delay(&place.site),
-            cut: links.is_cut(&place.worker, &place.site),
+            delay: self.links.delay(&place.site),
+            cut: self.links.is_cut(&place.worker, &place.site),
         }
     }
 
