--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -13,6 +13,9 @@
     record::{Answer, Records, TaskRun},
 };
 
+/// Longest time that a histogram tells apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
 /// Everything that an experiment found.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -94,8 +97,19 @@
     pub accelerator: f64,
 }
 
-/// What the system itself spent.
+/// What one process of a role spent, mean over processes.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct RoleCost {
+    /// Processor time in percent of a core.
+    pub cpu_percent: f64,
+    /// Most resident memory.
+    pub memory_mb: f64,
+    /// Bytes sent between the system's own processes.
+    pub bytes_per_second: f64,
+}
+
+/// What the system itself spent.
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Control {
     /// Processor time of both processes of an entry host, mean over hosts, in percent of a core.
     pub cpu_percent_per_host: f64,
@@ -111,6 +125,8 @@
     pub cross_region_bytes_per_second: f64,
     /// Appends that took effect in the log.
     pub log_appends_per_second: f64,
+    /// Costs of one process, by role.
+    pub roles: BTreeMap<String, RoleCost>,
 }
 
 /// What a fault cost.
@@ -352,7 +368,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are within the library's bounds")
+    Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are constants in order")
 }
 
 fn quantile_ms(times: &Histogram<u64>, quantile: f64) -> f64 {
