routing: make the engine's tests one program

The two test programs each left half of their shared world unused, which the linter refuses. Makes them modules of one program. No test is changed but for how a setup fault is worded.

--- a/crates/routing/tests/keys.rs
+++ b/crates/routing/tests/engine/keys.rs
@@ -1,7 +1,5 @@
 //! A key is dispatched at most once, whatever the network, the routers and the caller do.
 
-mod support;
-
 use std::collections::BTreeMap;
 
 use kspan_model::{Millis, NodeId, RequestId, UnixMillis};
@@ -101,7 +99,10 @@
             if ruled.ruling == Ruling::Waiting {
                 continue;
             }
-            let send = self.open.remove(&(ruled.router, ruled.request)).unwrap();
+            let send = self
+                .open
+                .remove(&(ruled.router, ruled.request))
+                .expect("the test set it up");
             if ruled.ruling == Ruling::Granted {
                 self.granted(ruled.router, ruled.home, send.claim);
             }
@@ -174,13 +175,14 @@
         let text = format!("key-{key}");
         let live = (0..4).filter(|i| self.world.engines[*i].is_some());
         let live: Vec<_> = live.map(|i| (i, &self.world.nodes[i])).collect();
-        let view = support::view(9, &live);
-        let home = kspan_membership::ownership::home_of_key(&view, &text, None).unwrap();
+        let view = crate::support::view(9, &live);
+        let home = kspan_membership::ownership::home_of_key(&view, &text, None)
+            .expect("the test set it up");
         self.world
             .nodes
             .iter()
             .position(|node| *node == home.node)
-            .unwrap()
+            .expect("the test set it up")
     }
 }
 
--- /dev/null
+++ b/crates/routing/tests/engine/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the engine, alone and several of them over a rough network.
+
+mod keys;
+mod slots;
+mod support;
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/engine/slots.rs
@@ -1,7 +1,5 @@
 //! Runner slots hold over all routers together, whatever the network and the routers do.
 
-mod support;
-
 use kspan_model::Millis;
 use kspan_routing::{engine::effect::Reason, ledger::TAKEOVER_WAIT};
 use proptest::{
@@ -117,10 +115,12 @@
 
 fn home_of_first_runner(world: &World) -> usize {
     let is_home = |router: &usize| {
-        let engine = world.engines[*router].as_ref().unwrap();
+        let engine = world.engines[*router].as_ref().expect("the test set it up");
         engine.home_of(task(0)) == Some(&world.nodes[*router])
     };
-    (0..world.nodes.len()).find(is_home).unwrap()
+    (0..world.nodes.len())
+        .find(is_home)
+        .expect("the test set it up")
 }
 
 #[test]
@@ -253,7 +253,10 @@
         world.submit(0, "a");
         world.run(2);
     }
-    let dump = world.engines[0].as_ref().unwrap().dump(world.now);
+    let dump = world.engines[0]
+        .as_ref()
+        .expect("the test set it up")
+        .dump(world.now);
     let ejected = dump[0]
         .runners
         .iter()
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/engine/support.rs
@@ -133,7 +133,7 @@
 }
 
 fn address() -> SocketAddr {
-    "127.0.0.1:1".parse().unwrap()
+    "127.0.0.1:1".parse().expect("the test set it up")
 }
 
 pub(crate) fn document() -> Document {
@@ -459,7 +459,7 @@
                 let earlier = self.refused.insert(request, (self.now, refusal.reason));
                 assert!(earlier.is_none(), "{request} is refused twice");
             }
-            Effect::Send { to, message } => self.send(router, &to, message),
+            Effect::Send { to, message } => self.send(router, &to, &message),
             Effect::Read(read) => {
                 let delay = self.delay();
                 self.later(delay, Todo::Sample { router, read });
@@ -477,7 +477,7 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: &NodeId, message: Message) {
+    fn send(&mut self, from: usize, to: &NodeId, message: &Message) {
         let to = self
             .nodes
             .iter()
