Take names with letters outside ASCII, and be ready only when settled

Two thirds of the requests of a fault-free run were refused with 400: callers and keys are named after regions such as Trøndelag, and header values were read as ASCII. Before that, all requests of the first seconds were refused, because a router said ready before it could spend its homes' slots. Header text is UTF-8 now, readiness waits for the homes, and a request that is refused unread is not-run only on its first send.

--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -41,6 +41,8 @@
     pub(crate) node: Node,
     pub(crate) upstreams: Upstreams,
     pub(crate) tally: RefCell<Tally>,
+    /// Whether this router has said that it is ready.
+    pub(crate) ready: Cell<bool>,
     /// Whether a planned stop has begun.
     pub(crate) stopping: Cell<bool>,
     pub(crate) document: RefCell<Arc<Document>>,
@@ -76,6 +78,7 @@
         Rc::new(Self {
             upstreams: Upstreams::new(node.links().clone()),
             tally: RefCell::default(),
+            ready: Cell::new(false),
             stopping: Cell::new(false),
             document: RefCell::default(),
             dump,
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -53,6 +53,7 @@
         });
         if count.is_multiple_of(TICKS_PER_SLOW) {
             look_slowly(&app);
+            observe_ready(&app);
         }
         count = count.wrapping_add(1);
     }
@@ -146,8 +147,20 @@
     );
     app.change(|engine, _, _| engine.set_document(document));
     app.document.replace(Arc::clone(document));
-    if !app.stopping.get() {
+}
+
+/// Says ready once there is a document and this router can serve. It stays so until a planned
+/// stop: a router that loses its rights as a home still borrows from others.
+fn observe_ready(app: &Rc<App>) {
+    if app.ready.get() || app.stopping.get() {
+        return;
+    }
+    let now = app.now();
+    let declared = app.node.fold().document.is_some();
+    if declared && app.query(|engine| engine.is_settled(now)) {
+        app.ready.set(true);
         app.node.set_ready(true);
+        log::info!("router: Ready after {now}.");
     }
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -153,6 +153,13 @@
     !CONNECTION_HEADERS.contains(name) && name.as_str() != "keep-alive"
 }
 
+/// Returns a header's text, or none where it is longer than `max_bytes` or not text. Names of
+/// regions and callers are UTF-8, which header values may carry though few libraries expect it.
+pub fn header_text(value: &HeaderValue, max_bytes: usize) -> Option<&str> {
+    let text = std::str::from_utf8(value.as_bytes()).ok()?;
+    (text.len() <= max_bytes).then_some(text)
+}
+
 /// Makes an answer ready to be kept for later sends of its key.
 pub fn record(answer: &Whole) -> Answer {
     let headers = answer.headers.iter().filter(|(name, _)| is_passed_on(name));
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -15,7 +15,7 @@
 use crate::{
     app::App,
     dispatch,
-    exchange::{Incoming, Key, Outgoing, Reply, is_passed_on},
+    exchange::{Incoming, Key, Outgoing, Reply, header_text, is_passed_on},
     tally::Ended,
 };
 
@@ -66,7 +66,7 @@
     let reply = match read(&app, &req, payload, id).await {
         // The exchange goes on when the caller's connection is gone.
         Ok(incoming) => run_apart(&app, incoming).await,
-        Err(bad) => Reply::without_answer(Outcome::NotRun, bad.status, bad.reason),
+        Err(bad) => Reply::without_answer(outcome_unread(&req), bad.status, bad.reason),
     };
     if reply.replayed {
         app.tally.borrow_mut().add_replay();
@@ -83,6 +83,19 @@
     respond(&app, id, reply)
 }
 
+/// Returns the outcome of a request that was not taken: an earlier send of it may have run.
+fn outcome_unread(req: &HttpRequest) -> Outcome {
+    let first = match req.headers().get(ATTEMPT_HEADER) {
+        Some(attempt) => attempt.as_bytes() == b"1",
+        None => !req.headers().contains_key(KEY_HEADER),
+    };
+    if first {
+        Outcome::NotRun
+    } else {
+        Outcome::Unknown
+    }
+}
+
 async fn run_apart(app: &Rc<App>, incoming: Incoming) -> Reply {
     let task = ntex::rt::spawn(dispatch::serve(Rc::clone(app), incoming));
     task.await.unwrap_or_else(|_| {
@@ -172,10 +185,8 @@
     let Some(value) = req.headers().get(name) else {
         return Ok(None);
     };
-    match value.to_str() {
-        Ok(text) if text.len() <= max_bytes => Ok(Some(text.to_owned())),
-        _ => Err(bad),
-    }
+    let text = header_text(value, max_bytes).ok_or(bad)?;
+    Ok(Some(text.to_owned()))
 }
 
 fn parse<T: std::str::FromStr>(req: &HttpRequest, name: &str) -> Result<Option<T>, Bad> {
--- a/crates/routing/src/engine/query.rs
+++ b/crates/routing/src/engine/query.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Engine;
+use crate::ledger::TAKEOVER_WAIT;
 
 /// State of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -62,6 +63,14 @@
         indices.map(|index| self.dump_service(index, now)).collect()
     }
 
+    /// Returns whether this router can spend the slots of runners that it is home to: it may act
+    /// on the newest view, and loans of earlier homes have lapsed.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let settled = self.activated_at.saturating_add(TAKEOVER_WAIT);
+        let activated = self.view.number > 0 && self.authority.activated >= self.view.number;
+        self.authority.may_act && activated && now >= settled
+    }
+
     /// Returns whether a shard's runner table of that version is newer than the one known.
     pub fn lacks_table(&self, shard: &Name, fence: Fence, version: u64) -> bool {
         let known = self.shards.get(shard);
