Read a process's versions where its dump has them

Cause: status showed no version, because the dump keeps them under its log. Change: the reading looks there. Conclusion: waiting for a version to be in force can now end.

--- a/crates/operator/src/member.rs
+++ b/crates/operator/src/member.rs
@@ -64,8 +64,8 @@
 }
 
 fn reading(dump: &Value, key: &str) -> Reading {
-    let node = dump.get("node").unwrap_or(dump);
-    node.get(key)
+    let log = dump.get("log").unwrap_or(dump);
+    log.get(key)
         .and_then(Value::as_u64)
         .map_or(Reading::Unknown, Reading::Known)
 }
