--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -42,6 +42,8 @@
     pub lose_answers: AtomicU32,
     /// Appends that are lost before they take effect, with an unusable answer.
     pub lose_requests: AtomicU32,
+    /// Whether the log goes down after the next append took effect.
+    pub down_after_append: AtomicBool,
     pub appends: AtomicU32,
 }
 
@@ -69,6 +71,9 @@
         return HttpResponse::BadGateway().finish();
     }
     let offset = shared.put(body);
+    if shared.down_after_append.swap(false, Ordering::SeqCst) {
+        shared.down.store(true, Ordering::SeqCst);
+    }
     if take_one(&shared.lose_answers) {
         return HttpResponse::BadGateway().finish();
     }
