--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -74,6 +74,13 @@
     pub refused: Option<Refusal>,
 }
 
+impl Settled {
+    /// Returns whether this is a start that was carried out.
+    pub fn is_start_done(&self) -> bool {
+        self.refused.is_none() && matches!(self.pending.order, Order::Start(_))
+    }
+}
+
 /// What is known of a start that was withdrawn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withdrawn {
--- a/crates/scheduler/src/shard/report.rs
+++ b/crates/scheduler/src/shard/report.rs
@@ -4,6 +4,8 @@
 //! worker's inventory, a refusal that can't be outrun by a late copy, or the lapse of the leases
 //! settles it.
 
+use std::collections::BTreeSet;
+
 use kspan_model::{Fence, Millis, Name, TaskId, UnixMillis};
 use kspan_placement::{Adopted, End, Found, StartRefusal, WorkerSpec};
 use kspan_platform::border::worker::{Refusal, Report, Task};
@@ -27,6 +29,10 @@
         now: Millis,
         unix: UnixMillis,
     ) -> Option<Fence> {
+        // A reply without an exchange in flight is a doubled one.
+        if !self.workers.get(name)?.lease.in_flight() {
+            return None;
+        }
         // Taken out, so that the worker and placement can be changed side by side.
         let mut worker = self.workers.remove(name)?;
         let mut notes = Vec::new();
@@ -48,7 +54,7 @@
             }
         }
         if matches!(self.phase, Phase::Releasing { .. }) {
-            worker.claimable = true;
+            worker.claimable = std::mem::take(&mut worker.releasing);
         }
         self.workers.insert(name.clone(), worker);
         self.tell(notes, now, unix);
@@ -111,15 +117,19 @@
                 worker.held.len()
             );
         }
-        let settled = worker.queue.settle(&report.results);
-        for settled in settled {
+        // Started by this very exchange, although a report of changes may leave them out.
+        let mut started = BTreeSet::new();
+        for settled in worker.queue.settle(&report.results) {
+            if settled.is_start_done() {
+                started.insert(settled.pending.task);
+            }
             settle(worker, settled, now, notes);
         }
         for row in &report.tasks {
             self.read_row(worker, row, now, notes);
         }
         if report.full || is_reborn {
-            drop_missing(worker, report, notes);
+            drop_missing(worker, report, started, notes);
         }
         worker.version = if is_reborn && !report.full {
             0
@@ -257,14 +267,17 @@
     }
 }
 
-/// Gives up tasks that a whole inventory doesn't list. A start that is still to be sent, or sent
-/// again, is none of them.
-fn drop_missing(worker: &mut Worker, report: &Report, notes: &mut Vec<Note>) {
-    let listed: std::collections::BTreeSet<TaskId> = report
-        .tasks
-        .iter()
-        .filter_map(|row| border::task_id(&row.task))
-        .collect();
+/// Gives up tasks that an inventory doesn't list. Those that were started just now, or whose
+/// start is still to be sent, are none of them.
+fn drop_missing(
+    worker: &mut Worker,
+    report: &Report,
+    started: BTreeSet<TaskId>,
+    notes: &mut Vec<Note>,
+) {
+    let rows = report.tasks.iter();
+    let mut listed = started;
+    listed.extend(rows.filter_map(|row| border::task_id(&row.task)));
     let queue = &worker.queue;
     worker.held.retain(|task, _| {
         let stays = listed.contains(task) || queue.is_starting(*task);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -100,8 +100,11 @@
     pub reports_leaving: bool,
     /// Whether what it runs is known, or has provably ended.
     pub resolved: bool,
-    /// Whether a probe found that it can be claimed.
+    /// Whether a probe found that it can be claimed; while a shard is given up, whether the
+    /// worker has answered the release.
     pub claimable: bool,
+    /// Whether the exchange in flight gives the leases up.
+    pub releasing: bool,
     /// Tasks that hold it.
     pub held: BTreeMap<TaskId, HeldTask>,
     /// Tasks that have ended there.
@@ -123,6 +126,7 @@
             reports_leaving: false,
             resolved: false,
             claimable: false,
+            releasing: false,
             held: BTreeMap::new(),
             ended: BTreeMap::new(),
         }
@@ -175,6 +179,7 @@
         unix: UnixMillis,
     ) -> Exchange {
         self.lease.sent(now, purpose);
+        self.releasing = release;
         match purpose {
             Purpose::Probe => probe(owner),
             Purpose::Renew => Exchange {
