--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -40,6 +40,9 @@
     AnswerLost,
 }
 
+/// Decides what becomes of an exchange of a seat with a worker at a time.
+pub(crate) type Rule = Box<dyn FnMut(usize, &ExchangeOrder, u64) -> Passage>;
+
 pub(crate) struct Seat {
     pub(crate) core: Core,
     pub(crate) node: NodeId,
@@ -56,7 +59,7 @@
     pub(crate) log_is_up: bool,
     pub(crate) hosts: HostList,
     /// Decides what becomes of an exchange of a seat with a worker.
-    pub(crate) passage: Box<dyn FnMut(usize, &ExchangeOrder, u64) -> Passage>,
+    pub(crate) passage: Rule,
     /// Delay between a process's silence and the others' belief in it.
     pub(crate) detect_ms: u64,
     silent_since: BTreeMap<usize, u64>,
