lab: wait for first answers, and tell how long a cell took to come up

Cause: a router says that it is ready seconds before its homes act, so the load's first seconds measured the start and not the run. Change: the load begins when every router has answered a request; the report tells when that was. Waiting is counted from a submission's first send, because a task can start before its caller has the acceptance. Conclusion: the start's cost stands in a figure of its own.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -16,11 +16,11 @@
     load::{
         balancer::Balancer,
         jobs::{self, Jobs},
-        requests::{self, Impatience, Load, new_client},
+        requests::{self, Impatience, Load, new_client, try_router},
     },
     process::Signal,
     record::{EventKind, Records},
-    report::{self, Report},
+    report::{self, BringUp, Report},
     stage::Stage,
 };
 
@@ -30,6 +30,9 @@
 /// Time that declared runners may take to come up.
 const RUNNERS_WITHIN: Duration = Duration::from_secs(30);
 
+/// Time that routers may take to answer a first request.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(20);
+
 /// Time that open requests have to settle after the load.
 const SETTLE_REQUESTS: Duration = Duration::from_secs(25);
 
@@ -161,7 +164,7 @@
         length: Duration::from_secs(options.seconds),
         impatience: Impatience::default(),
     };
-    let mut shortfalls = bring_up(&mut running).await?;
+    let (times, mut shortfalls) = bring_up(&mut running).await?;
     let sampler = running.stage.sampler.clone();
     ntex::rt::spawn(sampler.run(running.client.clone(), running.stage.book.clone()));
     running.stage.sampler.restart();
@@ -188,6 +191,7 @@
     write_records(&records, &options.dir)?;
     let mut report = judge(&options, &running, &records, until);
     report.control = control;
+    report.bring_up = times;
     report.shortfalls = shortfalls;
     if quiet {
         report.shortfalls.extend(aims(&report));
@@ -205,23 +209,57 @@
     kspan_model::document::parse(text).map_err(|faults| LabError::Usage(faults.to_string()))
 }
 
-async fn bring_up(running: &mut Running) -> Result<Vec<String>> {
+async fn bring_up(running: &mut Running) -> Result<(BringUp, Vec<String>)> {
     let stage = &mut running.stage;
     stage.publish();
     stage.start_all()?;
     let begun = now();
+    let passed = || now().since(begun).as_secs_f64();
     log::info!("lab: {} processes started", stage.processes.len());
     stage.wait_ready(&running.client, READY_WITHIN).await?;
-    log::info!("lab: all ready after {}", now().since(begun));
+    let ready = passed();
     let (up, wanted) = stage.wait_runners(RUNNERS_WITHIN).await;
-    log::info!(
-        "lab: {up} of {wanted} runners up after {}",
-        now().since(begun)
-    );
+    let runners = passed();
+    log::info!("lab: {up} of {wanted} runners up after {runners:.1} s");
+    let answering = wait_answers(running).await;
+    let first_answers = passed();
+    log::info!("lab: {answering} routers answer after {first_answers:.1} s");
+    let mut shortfalls = Vec::new();
     if up < wanted {
-        return Ok(vec![format!("only {up} of {wanted} runners came up")]);
+        shortfalls.push(format!("only {up} of {wanted} runners came up"));
+    }
+    let routers = running.stage.with_role(Role::Router).len();
+    if answering < routers {
+        shortfalls.push(format!(
+            "only {answering} of {routers} routers answered a first request"
+        ));
+    }
+    let times = BringUp {
+        ready,
+        runners,
+        first_answers,
+    };
+    Ok((times, shortfalls))
+}
+
+/// Waits until every router has answered a request, and returns how many have.
+async fn wait_answers(running: &Running) -> usize {
+    let deadline = tokio::time::Instant::now() + ANSWERS_WITHIN;
+    let stage = &running.stage;
+    let mut silent = stage.with_role(Role::Router);
+    let routers = silent.len();
+    while !silent.is_empty() && tokio::time::Instant::now() < deadline {
+        let mut still = Vec::new();
+        for index in silent {
+            let http = stage.processes[index].cfg.listen.http;
+            if !try_router(&running.client, &stage.cell.document, http).await {
+                still.push(index);
+            }
+        }
+        silent = still;
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    Ok(Vec::new())
+    routers - silent.len()
 }
 
 fn start_load(options: &Options, running: &Running) -> (Load, Jobs) {
@@ -312,6 +350,7 @@
         seconds: until.since(running.began).as_secs_f64(),
         violations: check::check(records, &Limits::new(now())),
         shortfalls: Vec::new(),
+        bring_up: BringUp::default(),
         requests: report::requests(records),
         tasks: report::tasks(records, &services),
         packing: report::packing(records, running.began, until),
--- a/crates/lab/src/load/requests.rs
+++ b/crates/lab/src/load/requests.rs
@@ -1,6 +1,7 @@
 //! Callers' requests.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     sync::{
         Arc,
@@ -161,6 +162,35 @@
         .expect("a client without TLS can always be built")
 }
 
+/// Asks one router for one idempotent request of every service, and returns whether all ran.
+/// These requests are not recorded as callers' requests.
+pub async fn try_router(client: &Client, document: &Document, http: SocketAddr) -> bool {
+    for service in &document.services {
+        let Some(class) = service.classes.iter().find(|class| class.idempotent) else {
+            continue;
+        };
+        let token = mix(now().0);
+        let url = format!(
+            "http://{http}/s/{}/{}/{}",
+            service.name,
+            class.name,
+            segment(token)
+        );
+        let asked = client.post(url).header("kspan-attempt", "1").send();
+        let answer = tokio::time::timeout(Duration::from_secs(1), asked).await;
+        let ran = answer.is_ok_and(|answer| {
+            answer.is_ok_and(|res| {
+                let header = res.header(Outcome::HEADER);
+                header.is_some_and(|value| value.as_bytes() == b"ran")
+            })
+        });
+        if !ran {
+            return false;
+        }
+    }
+    true
+}
+
 async fn generate(sender: Rc<Sender>, plan: &Plan, index: usize, stop: &AtomicBool) {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ ((index as u64) << 32));
     let mean = plan.threads as f64 / plan.rate;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -29,6 +29,8 @@
     pub violations: Vec<Violation>,
     /// What fell short of a run's aims without breaking a promise.
     pub shortfalls: Vec<String>,
+    /// How long the cell took to come up.
+    pub bring_up: BringUp,
     /// Requests.
     pub requests: Requests,
     /// Tasks by workload.
@@ -42,6 +44,17 @@
     pub fault: Option<FaultCost>,
 }
 
+/// How long the cell took to come up, from the start of its processes, in seconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct BringUp {
+    /// Until every process said that it is ready.
+    pub ready: f64,
+    /// Until every declared runner was up.
+    pub runners: f64,
+    /// Until every router had answered a first request.
+    pub first_answers: f64,
+}
+
 /// Requests.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Requests {
@@ -80,9 +93,9 @@
     pub jobs_ended: u64,
     /// Jobs that succeeded.
     pub jobs_succeeded: u64,
-    /// Half of the jobs' first starts came within this time of acceptance.
+    /// Half of the tasks started within this time of the submission's first send.
     pub wait_p50_ms: f64,
-    /// All but a hundredth of the tasks started within this time of acceptance.
+    /// All but a hundredth of the tasks started within this time of the submission's first send.
     pub wait_p99_ms: f64,
 }
 
@@ -197,18 +210,18 @@
     sums
 }
 
-/// Waiting times from acceptance to each task's first start.
+/// Waiting times from the first send of a submission to each task's first start.
 fn waits(records: &Records) -> BTreeMap<Name, Histogram<u64>> {
-    let mut accepted: BTreeMap<JobId, Micros> = BTreeMap::new();
+    let mut asked: BTreeMap<JobId, Micros> = BTreeMap::new();
     for job in &records.jobs {
-        if let (Some(job), Some(at)) = (job.job, job.accepted) {
-            accepted.insert(job, at);
+        if let Some(id) = job.job {
+            asked.insert(id, job.sent);
         }
     }
     let mut waits: BTreeMap<Name, Histogram<u64>> = BTreeMap::new();
     let first = |run: &&TaskRun| run.task.attempt == 0;
     for run in records.tasks.iter().filter(first) {
-        if let Some(at) = accepted.get(&run.task.job) {
+        if let Some(at) = asked.get(&run.task.job) {
             let waits = waits.entry(run.workload.clone()).or_insert_with(histogram);
             waits.saturating_record(run.started.since(*at).0);
         }
@@ -276,6 +289,15 @@
             "{}: {:.0} s, seed {}",
             self.experiment, self.seconds, self.seed
         )];
+        let BringUp {
+            ready,
+            runners,
+            first_answers,
+        } = self.bring_up;
+        lines.push(format!(
+            "up: ready after {ready:.1} s, runners after {runners:.1} s, \
+             first answers after {first_answers:.1} s"
+        ));
         lines.push(self.requests_line());
         lines.extend(self.tasks.iter().map(|(name, tasks)| tasks.line(name)));
         lines.push(format!(
