Throttle tasks beyond their size on crowded workers

Cause: a task that uses more than it declares starves the others of its worker. Change: once nine tenths of a worker's processors are in use, such tasks are limited to what they declare. Conclusion: a test on one crowded and one idle worker passes.

--- a/crates/scheduler/src/shard/report.rs
+++ b/crates/scheduler/src/shard/report.rs
@@ -137,6 +137,7 @@
             report.version
         };
         worker.resolved |= report.full;
+        worker.throttle_excess(now);
     }
 
     fn describe(&mut self, worker: &mut Worker, report: &Report) {
@@ -169,10 +170,11 @@
         if let Some(held) = worker.held.get_mut(&task) {
             held.state = state;
             held.endpoint = row.endpoint;
+            held.usage = border::resources(row.usage);
             if state == kspan_placement::TaskState::Running {
                 self.cell.started(task, now);
             }
-            self.cell.usage(task, border::resources(row.usage));
+            self.cell.usage(task, held.usage);
             return;
         }
         self.adopt(worker, task, row, state, now);
@@ -200,7 +202,8 @@
             size,
             endpoint: row.endpoint,
             leaving: adopted == Adopted::Superseded,
-            throttled: None,
+            usage: border::resources(row.usage),
+            throttled: false,
             start_unanswered: None,
         };
         worker.held.insert(task, held);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -16,6 +16,9 @@
     times::{CONTROL_LEASE, TASK_LEASE},
 };
 
+/// Share of a worker's processors in use from which tasks are held to what they declare.
+const CROWDED_PERCENT: u64 = 90;
+
 /// What is known of a task that holds a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldTask {
@@ -29,8 +32,10 @@
     pub endpoint: Option<SocketAddr>,
     /// Whether it was asked to end.
     pub leaving: bool,
-    /// Processor limit in force, in thousandths of a core.
-    pub throttled: Option<u64>,
+    /// What it used some seconds ago.
+    pub usage: Resources,
+    /// Whether it was limited to its declared size.
+    pub throttled: bool,
     /// Last time that a start was sent without an answer.
     pub start_unanswered: Option<Millis>,
 }
@@ -44,7 +49,8 @@
             size,
             endpoint: None,
             leaving: false,
-            throttled: None,
+            usage: Resources::ZERO,
+            throttled: false,
             start_unanswered: None,
         }
     }
@@ -168,6 +174,22 @@
         }
     }
 
+    /// Limits tasks that use more than they declare, once the worker's processors are nearly all
+    /// in use, so that they don't starve the others.
+    pub fn throttle_excess(&mut self, now: Millis) {
+        let used: u64 = self.held.values().map(|held| held.usage.cpu_milli).sum();
+        if used * 100 < self.capacity.cpu_milli * CROWDED_PERCENT {
+            return;
+        }
+        for (task, held) in &mut self.held {
+            let cpu_milli = held.size.cpu_milli;
+            if held.usage.cpu_milli > cpu_milli && !std::mem::replace(&mut held.throttled, true) {
+                let order = Order::Throttle { cpu_milli };
+                self.queue.push(*task, order, now);
+            }
+        }
+    }
+
     /// Makes the next exchange and notes that it is sent.
     pub fn next_exchange(
         &mut self,
--- a/crates/scheduler/tests/failures.rs
+++ b/crates/scheduler/tests/failures.rs
@@ -333,3 +333,17 @@
     bench.run_ms(40_000);
     assert_eq!(bench.owner(), Some(first));
 }
+
+#[test]
+fn tasks_beyond_their_size_are_throttled_on_a_crowded_worker_only() {
+    for (usage_cpu, throttled) in [(1_000, 0), (2_000, 4)] {
+        let mut bench = Bench::new(1, 1, 4);
+        for worker in bench.workers.values_mut() {
+            worker.usage_cpu = usage_cpu;
+        }
+        bench.run_ms(5_000);
+        let throttles = &bench.workers["worker-0"].throttles;
+        assert_eq!(throttles.len(), throttled);
+        assert!(throttles.iter().all(|(_, cpu_milli)| *cpu_milli == 1_000));
+    }
+}
--- a/crates/scheduler/tests/support/worker.rs
+++ b/crates/scheduler/tests/support/worker.rs
@@ -21,6 +21,9 @@
     pub(crate) starts: Vec<String>,
     /// Run time of every task that is no runner.
     pub(crate) run_ms: u64,
+    /// Processor time that every task uses, in thousandths of a core.
+    pub(crate) usage_cpu: u64,
+    pub(crate) throttles: Vec<(String, u64)>,
     incarnation: u64,
     token: Token,
     owner: String,
@@ -42,6 +45,8 @@
             leaving: false,
             starts: Vec::new(),
             run_ms: 2_000,
+            usage_cpu: 0,
+            throttles: Vec::new(),
             incarnation: 1,
             token: Token::default(),
             owner: String::new(),
@@ -131,7 +136,10 @@
             }
             Command::Stop { task, .. } => (task.clone(), self.set(task, TaskState::Stopping)),
             Command::Checkpoint { task } => (task.clone(), self.set(task, TaskState::Checkpointed)),
-            Command::Throttle { task, .. } => (task.clone(), None),
+            Command::Throttle { task, cpu_milli } => {
+                self.throttles.push((task.clone(), *cpu_milli));
+                (task.clone(), None)
+            }
             Command::Forget { task } => {
                 let known = self.rows.remove(task).is_some();
                 self.version = version;
@@ -202,7 +210,10 @@
                     workload: row.start.workload.clone(),
                     state: row.state,
                     size: row.start.size,
-                    usage: Size::default(),
+                    usage: Size {
+                        cpu_milli: self.usage_cpu,
+                        ..Size::default()
+                    },
                     endpoint: (row.start.slots > 0)
                         .then(|| "127.0.0.9:9000".parse().expect("a valid address")),
                     ran_ms: now - row.started,
