Ask all voters once a second at most

Cause: in an outage of the log every heartbeat asked all voters, 164 pings a second in a view of 42 routers, above a node's budget for control. Change: the guard tells when to ask, at most every half guard time. Conclusion: an outage does not raise control traffic above the budget.

--- a/crates/membership/src/guard.rs
+++ b/crates/membership/src/guard.rs
@@ -114,6 +114,8 @@
     tail_read: Option<Millis>,
     highest_heard: u64,
     last_tick: Millis,
+    /// When all voters were last asked.
+    asked_voters: Option<Millis>,
     /// When this process found that it had been paused, until it knows what it missed.
     woke: Option<Millis>,
 }
@@ -132,6 +134,7 @@
             tail_read: None,
             highest_heard: 0,
             last_tick: now,
+            asked_voters: None,
             woke: None,
         }
     }
@@ -227,13 +230,18 @@
         GuardState::new(may_act, self.activated, views)
     }
 
-    /// Returns whether acknowledgements are needed now: a view waits to become active, or the
-    /// log's tail has not been read for half of the guard time.
-    pub fn needs_votes(&self, now: Millis) -> bool {
-        let stale = self
-            .tail_read
-            .is_none_or(|asked| now.saturating_sub(asked).0 > GUARD_TIME.0 / 2);
-        stale || self.activated < self.newest()
+    /// Returns whether all voters should be asked now, and remembers that they are: a view waits
+    /// to become active, or the log's tail has not been read for half of the guard time.
+    pub fn take_vote(&mut self, now: Millis) -> bool {
+        let half = Millis(GUARD_TIME.0 / 2);
+        let is_old = |at: Millis| now.saturating_sub(at) >= half;
+        let is_stale = self.tail_read.is_none_or(is_old);
+        let wanted = is_stale || self.activated < self.newest();
+        if !wanted || !self.asked_voters.is_none_or(is_old) {
+            return false;
+        }
+        self.asked_voters = Some(now);
+        true
     }
 
     /// Returns the members whose acknowledgements count for the views that may still act.
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -346,3 +346,41 @@
     cell.run(Millis::from_secs(10));
     assert!(cell.names().contains("cdef"));
 }
+
+/// Bytes of a heartbeat with the names of a large cell, and of its UDP and IP headers.
+const HEARTBEAT_BYTES: usize = 110;
+
+/// What one node may send a second for control at the size that the design is for.
+const NODE_BYTES_PER_SECOND: usize = 18_000;
+
+#[test]
+fn heartbeats_of_a_large_view_stay_within_a_nodes_budget() {
+    let members: Vec<_> = (0..84)
+        .map(|i| member(&format!("n{i}"), 1, Role::Router, "north"))
+        .collect();
+    let view = view(1, members);
+    let mut detector = Detector::new(view.members[0].node.clone());
+    detector.set_view(Millis::ZERO, &view);
+    let mut pinged = BTreeSet::new();
+    let mut pings = 0;
+    let heartbeats = 8;
+    for i in 1..=heartbeats {
+        let now = Millis(i * HEARTBEAT.0);
+        for action in detector.tick(now, 0, |_| true) {
+            if let Action::Ping { target, .. } = action {
+                detector.heard(now, &target);
+                pinged.insert(target);
+                pings += 1;
+            }
+        }
+    }
+    assert_eq!(
+        pinged.len(),
+        83,
+        "all are pinged in {heartbeats} heartbeats"
+    );
+    let seconds = 2;
+    // As many acknowledgements are sent as pings, because all members ping alike.
+    let sent = 2 * pings * HEARTBEAT_BYTES / seconds;
+    assert!(sent <= NODE_BYTES_PER_SECOND, "{sent} bytes a second");
+}
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -157,7 +157,7 @@
             let is_listed = |member: &Member| inner.is_listed(member);
             let actions = self.detector.tick(now, rand::random(), is_listed);
             self.carry_out(now, actions);
-            if lock(&self.inner.guard).needs_votes(now) {
+            if lock(&self.inner.guard).take_vote(now) {
                 self.ask_voters(now);
             }
         } else {
