--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -21,7 +21,7 @@
 use crate::{
     append, found,
     inner::{Inner, Phase},
-    retention::{self, Retention},
+    retention::Retention,
     ring::Receiver,
     slot::lock,
 };
@@ -151,7 +151,7 @@
             lock(&self.inner.guard).tail_was_read(asked);
             if self.retention.take_turn(&self.inner, &self.state) {
                 let inner = Arc::clone(&self.inner);
-                ntex::rt::spawn(retention::write(inner, self.state.clone()));
+                self.retention.write(inner, self.state.clone());
             }
         }
         self.inner.flush_notices();
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -4,8 +4,10 @@
 //! itself.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -64,6 +66,8 @@
     view: Arc<View>,
     relays: BTreeMap<u64, Relay>,
     leaving_since: Option<Millis>,
+    /// Whether a proposed view waits for the log.
+    proposing: Rc<Cell<bool>>,
 }
 
 /// Runs the thread until the process has left the view.
@@ -101,6 +105,7 @@
             view: Arc::default(),
             relays: BTreeMap::new(),
             leaving_since: None,
+            proposing: Rc::default(),
             inner,
             socket,
         }
@@ -223,7 +228,8 @@
             .inner
             .founded
             .load(std::sync::atomic::Ordering::Acquire);
-        if !is_founded || self.inner.phase() == Phase::Ended {
+        // A second append would only change the same view while the log is slow.
+        if !is_founded || self.proposing.get() || self.inner.phase() == Phase::Ended {
             return;
         }
         let alone = self
@@ -253,9 +259,12 @@
             base: proposal.base,
             members: proposal.members,
         };
+        let proposing = Rc::clone(&self.proposing);
+        proposing.set(true);
         tokio::task::spawn_local(async move {
             let by = &inner.me.node.name;
             let done = inner.appender.append(by, unix_now(), body).await;
+            proposing.set(false);
             if !matches!(done, Append::Accepted { .. }) {
                 log::info!("membership: the proposed view did not come into force: {done:?}");
             }
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -1,6 +1,6 @@
 //! Watches what the log forgets, and writes snapshots in time.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{cell::Cell, collections::VecDeque, rc::Rc, sync::Arc};
 
 use kspan_fold::{
     Body, State,
@@ -37,6 +37,8 @@
     covered: Option<u64>,
     covered_at: Millis,
     written_at: Option<Millis>,
+    /// Whether a snapshot is being written.
+    writing: Rc<Cell<bool>>,
 }
 
 impl Retention {
@@ -88,7 +90,7 @@
     pub(crate) fn take_turn(&mut self, inner: &Inner, state: &State) -> bool {
         let now = inner.now();
         let recent = |at: Millis| now.saturating_sub(at) < MIN_INTERVAL;
-        if self.written_at.is_some_and(recent) || !is_due(&self.window(now)) {
+        if self.writing.get() || self.written_at.is_some_and(recent) || !is_due(&self.window(now)) {
             return false;
         }
         // A state of the empty log says nothing.
@@ -108,8 +110,19 @@
     first.is_some_and(|member| member.node == inner.me.node)
 }
 
-/// Writes a snapshot of a state.
-pub(crate) async fn write(inner: Arc<Inner>, state: State) {
+impl Retention {
+    /// Starts to write a snapshot of a state.
+    pub(crate) fn write(&self, inner: Arc<Inner>, state: State) {
+        let writing = Rc::clone(&self.writing);
+        writing.set(true);
+        ntex::rt::spawn(async move {
+            write(inner, state).await;
+            writing.set(false);
+        });
+    }
+}
+
+async fn write(inner: Arc<Inner>, state: State) {
     let parts = state.to_parts();
     let count = parts.len();
     for part in parts {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub lose_requests: AtomicU32,
     /// Whether the log goes down after the next append took effect.
     pub down_after_append: AtomicBool,
+    /// Time that an append takes before it takes effect, in milliseconds.
+    pub append_delay_ms: AtomicU32,
     pub appends: AtomicU32,
 }
 
@@ -70,6 +72,8 @@
     if take_one(&shared.lose_requests) {
         return HttpResponse::BadGateway().finish();
     }
+    let delay_ms = shared.append_delay_ms.load(Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(delay_ms.into())).await;
     let offset = shared.put(body);
     if shared.down_after_append.swap(false, Ordering::SeqCst) {
         shared.down.store(true, Ordering::SeqCst);
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use std::sync::atomic::Ordering;
+use std::{collections::BTreeSet, sync::atomic::Ordering};
 
 use common::{Running, Shared, block_on, platform, start, wait_until};
 use kspan_fold::{Body, Record};
@@ -187,3 +187,26 @@
     });
     println!("a document reached two members that can't read the log after {took:?}");
 }
+
+#[test]
+fn a_slow_log_is_not_asked_twice_for_one_change() {
+    let (shared, addr) = platform();
+    shared.append_delay_ms.store(1_200, Ordering::SeqCst);
+    let nodes: Vec<_> = (52..55)
+        .map(|i| start(i, "north", Role::Router, addr))
+        .collect();
+    wait_until("a whole view", || {
+        nodes.iter().all(|n| n.node.view().members.len() == 3)
+    });
+    let mut proposed = BTreeSet::new();
+    for entry in shared.batch(0, usize::MAX).records {
+        let record: Record = serde_json::from_str(&entry.data).unwrap();
+        if let Body::View { base, .. } = record.body {
+            assert!(
+                proposed.insert((record.by.clone(), base)),
+                "{} twice",
+                record.by
+            );
+        }
+    }
+}
