router: read headers as UTF-8

Cause: regions and callers have names like "Østlandet", a key names its region, and every request with such a header was refused as malformed. Change: header text is UTF-8.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -172,7 +172,8 @@
     let Some(value) = req.headers().get(name) else {
         return Ok(None);
     };
-    match value.to_str() {
+    // Names of regions and callers are not all ASCII, and go over HTTP as UTF-8.
+    match str::from_utf8(value.as_bytes()) {
         Ok(text) if text.len() <= max_bytes => Ok(Some(text.to_owned())),
         _ => Err(bad),
     }
