--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -43,6 +43,9 @@
         println!("{}: ok", args.settings.display());
         return Ok(());
     }
+    if kspan_node::logging::init(&cfg.log_level).is_err() {
+        eprintln!("kspan-router: logging was set up before");
+    }
     let (node, events) = kspan_node::start(cfg, Role::Router)?;
     server::serve(&node, events)?;
     node.finish();
