node: count bytes sent by transport and region

Cause: traffic across regions is paid for by volume, and only datagrams were counted, without saying where they went. Conclusion: the report can tell bytes across regions.

--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -13,7 +13,7 @@
 
 use kspan_fold::State;
 use kspan_membership::{GuardState, Liveness, guard::Guard};
-use kspan_model::{Member, Millis, NodeId, Role, UnixMillis};
+use kspan_model::{Member, Millis, Name, NodeId, Role, UnixMillis};
 use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, membership, relay};
 use tokio::{sync::watch, time::Instant};
@@ -215,6 +215,13 @@
     UnixMillis(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Counts bytes sent to a process in a region; what crosses regions is paid for by volume.
+pub(crate) fn count_sent(transport: &'static str, region: &Name, bytes: usize) {
+    let region = region.to_string();
+    metrics::counter!("kspan_bytes_sent_total", "transport" => transport, "region" => region)
+        .increment(bytes as u64);
+}
+
 /// Counts something that was dropped, by reason.
 pub(crate) fn count_dropped(reason: &'static str) {
     metrics::counter!("kspan_messages_dropped_total", "reason" => reason).increment(1);
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    inner::{Inner, Outgoing, Phase, count_dropped},
+    inner::{Inner, Outgoing, Phase, count_dropped, count_sent},
     ring::Receiver,
 };
 
@@ -132,6 +132,7 @@
                 continue;
             }
         };
+        count_sent("stream", &to.site.region, bytes.len());
         let due = Instant::now() + inner.links.delay(&to.site);
         if !peers.contains_key(&to.node) {
             let view = inner.state();
