--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -181,6 +181,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "what")]
 pub enum EventKind {
+    /// A process was started while the load went on.
+    Started {
+        /// The process.
+        process: Name,
+    },
     /// A process was told to stop in order.
     PlannedStop {
         /// The process.
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -166,6 +166,10 @@
     pub fn start(&mut self, index: usize) -> Result<()> {
         let process = &mut self.processes[index];
         process.start()?;
+        if process.life > 1 {
+            let process = process.name().clone();
+            self.book.note(EventKind::Started { process });
+        }
         let watched = Watched {
             name: process.name().clone(),
             host: process.cfg.host.clone(),
