Count control bytes by region, on streams and exchanges too

Cause: only datagrams were counted, without a region, so every byte passed for one across regions and most control traffic was not seen. Change: datagrams, streams (both with network headers) and workers' exchanges (bodies) are counted with the receiver's region.

--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -35,7 +35,7 @@
 
 use crate::{
     event::Append,
-    inner::{Inner, Phase, count_dropped, unix_now},
+    inner::{Inner, Phase, count_bytes, count_dropped, unix_now},
     slot::lock,
 };
 
@@ -445,16 +445,17 @@
         }
         let envelope = self.inner.envelope(&to.node, Message::Membership(message));
         let delay = self.inner.links.delay(&to.site);
-        send_datagram(&self.socket, &envelope, to.wire, delay);
+        send_datagram(&self.socket, &envelope, to, delay);
     }
 }
 
-fn send_datagram(socket: &Arc<UdpSocket>, envelope: &Envelope, to: SocketAddr, delay: Duration) {
+fn send_datagram(socket: &Arc<UdpSocket>, envelope: &Envelope, to: &Member, delay: Duration) {
     let buf = match codec::encode(envelope, MAX_DATAGRAM_BYTES) {
         Ok(buf) => buf,
         Err(err) => return log::error!("membership: a datagram was not sent: {err}"),
     };
-    metrics::counter!("kspan_datagram_bytes_sent_total").increment(buf.len() as u64);
+    count_bytes("kspan_datagram_bytes_sent_total", &to.site, buf.len());
+    let to = to.wire;
     if delay.is_zero() {
         // A datagram that can't be sent is lost like any other.
         let _ = socket.try_send_to(&buf, to);
--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -13,7 +13,7 @@
 
 use kspan_fold::State;
 use kspan_membership::{GuardState, Liveness, guard::Guard};
-use kspan_model::{Member, Millis, NodeId, Role, UnixMillis};
+use kspan_model::{Member, Millis, NodeId, Role, Site, UnixMillis};
 use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, membership, relay};
 use tokio::{sync::watch, time::Instant};
@@ -215,7 +215,16 @@
     UnixMillis(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Headers of IP and of UDP or TCP that one message costs on the network.
+const HEADER_BYTES: usize = 44;
+
 /// Counts something that was dropped, by reason.
 pub(crate) fn count_dropped(reason: &'static str) {
     metrics::counter!("kspan_messages_dropped_total", "reason" => reason).increment(1);
 }
+
+/// Counts bytes sent to a process at `site`, with the headers below our own messages.
+pub(crate) fn count_bytes(metric: &'static str, site: &Site, bytes: usize) {
+    let region = site.region.to_string();
+    metrics::counter!(metric, "region" => region).increment((bytes + HEADER_BYTES) as u64);
+}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    inner::{Inner, Outgoing, Phase, count_dropped},
+    inner::{Inner, Outgoing, Phase, count_bytes, count_dropped},
     ring::Receiver,
 };
 
@@ -161,6 +161,7 @@
             drop_for(RECONNECT_PAUSE, &mut frames).await;
             continue;
         };
+        count_bytes("kspan_stream_bytes_sent_total", &to.site, bytes.len());
         let sent = timeout(SEND_TIMEOUT, stream::write_frame(tx, &bytes)).await;
         if !matches!(sent, Ok(Ok(()))) {
             count_dropped("connection-lost");
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -18,10 +18,17 @@
 pub(crate) struct Answer {
     /// Status of the answer.
     pub(crate) status: StatusCode,
+    /// Bytes of the request's body.
+    pub(crate) sent_bytes: u64,
     body: Vec<u8>,
 }
 
 impl Answer {
+    /// Returns the bytes of the answer's body.
+    pub(crate) fn received_bytes(&self) -> u64 {
+        self.body.len() as u64
+    }
+
     /// Parses the body.
     pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T> {
         serde_json::from_slice(&self.body)
@@ -37,7 +44,12 @@
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Answer> {
-    over_link(req.send_json(body), link, timeout, max_bytes).await
+    let body = serde_json::to_vec(body).expect("bodies of the platform are plain data");
+    let sent_bytes = body.len() as u64;
+    let sent = req.content_type("application/json").send_body(body);
+    let mut answer = over_link(sent, link, timeout, max_bytes).await?;
+    answer.sent_bytes = sent_bytes;
+    Ok(answer)
 }
 
 /// Sends a request without a body; otherwise like [`post`].
@@ -88,6 +100,7 @@
         .map_err(|err| CallError::Lost(err.to_string()))?;
     Ok(Answer {
         status: response.status(),
+        sent_bytes: 0,
         body: body.to_vec(),
     })
 }
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     border::worker::{Exchange, Report},
-    call,
+    call::{self, Answer},
     error::{CallError, Result},
     link::Link,
 };
@@ -89,6 +89,7 @@
             .post(format!("http://{}/v1/exchange", worker.address));
         let link = (self.link)(worker);
         let answer = call::post(req, body, link, self.timeout, MAX_REPORT_BYTES).await?;
+        count_bytes(worker, &answer);
         match answer.status {
             StatusCode::OK => answer.parse().map(Answered::Granted),
             StatusCode::CONFLICT => answer.parse().map(Answered::Refused),
@@ -96,3 +97,12 @@
         }
     }
 }
+
+/// Counts the bytes of an exchange in both directions, without the heads of HTTP.
+fn count_bytes(worker: &WorkerAddress, answer: &Answer) {
+    let region = worker.region.to_string();
+    let sent = metrics::counter!("kspan_exchange_bytes_sent_total", "region" => region.clone());
+    sent.increment(answer.sent_bytes);
+    let received = metrics::counter!("kspan_exchange_bytes_received_total", "region" => region);
+    received.increment(answer.received_bytes());
+}
