--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -35,7 +35,7 @@
 
 use crate::{
     event::Append,
-    inner::{Inner, Phase, count_dropped, count_sent, unix_now},
+    inner::{Inner, Phase, count_bytes, count_dropped, unix_now},
     slot::lock,
 };
 
@@ -454,7 +454,7 @@
         Ok(buf) => buf,
         Err(err) => return log::error!("membership: a datagram was not sent: {err}"),
     };
-    count_sent("datagram", &to.site.region, buf.len());
+    count_bytes("kspan_datagram_bytes_sent_total", &to.site, buf.len());
     let to = to.wire;
     if delay.is_zero() {
         // A datagram that can't be sent is lost like any other.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    inner::{Inner, Outgoing, Phase, count_dropped, count_sent},
+    inner::{Inner, Outgoing, Phase, count_bytes, count_dropped},
     ring::Receiver,
 };
 
@@ -132,7 +132,6 @@
                 continue;
             }
         };
-        count_sent("stream", &to.site.region, bytes.len());
         let due = Instant::now() + inner.links.delay(&to.site);
         if !peers.contains_key(&to.node) {
             let view = inner.state();
@@ -162,6 +161,7 @@
             drop_for(RECONNECT_PAUSE, &mut frames).await;
             continue;
         };
+        count_bytes("kspan_stream_bytes_sent_total", &to.site, bytes.len());
         let sent = timeout(SEND_TIMEOUT, stream::write_frame(tx, &bytes)).await;
         if !matches!(sent, Ok(Ok(()))) {
             count_dropped("connection-lost");
