--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,7 +21,7 @@
 use std::process::ExitCode;
 
 use kspan_model::Role;
-use kspan_node::settings::Settings;
+use kspan_node::{logging, settings::Settings};
 
 use crate::{args::Args, error::Result};
 
@@ -46,6 +46,9 @@
     if kspan_node::logging::init(&cfg.log_level).is_err() {
         eprintln!("kspan-router: logging was set up before");
     }
+    if logging::init(&cfg.log_level).is_err() {
+        eprintln!("kspan-router: logging was set up before");
+    }
     let (node, events) = kspan_node::start(cfg, Role::Router)?;
     server::serve(&node, events)?;
     node.finish();
