Share teams' quotas among shards

Cause: each shard applied the whole quota by itself, so that a team could hold it in every data centre. A job that is too large only for what is left waits and is not called impossible. Conclusion: a test shows the wait and the start after it.

--- a/crates/scheduler/src/core/gossip.rs
+++ b/crates/scheduler/src/core/gossip.rs
@@ -1,6 +1,8 @@
 //! Commands: what routers and other schedulers are told, and what they ask.
 
-use kspan_model::{Millis, Name, NodeId, Role};
+use std::collections::BTreeMap;
+
+use kspan_model::{Millis, Name, NodeId, Resources, Role};
 use kspan_wire::message::tasks::{About, Answer, Knows, Message, Question, ShardSummary};
 
 use super::{Action, Core, Heard};
@@ -102,6 +104,7 @@
             return;
         }
         self.next_gossip = now + GOSSIP_PERIOD;
+        self.share_quotas();
         let versions: Vec<_> = self
             .shards
             .values()
@@ -128,6 +131,20 @@
         }
     }
 
+    /// Tells each shard what teams hold in the others. An owner that has fallen silent still
+    /// counts: its tasks run on.
+    fn share_quotas(&mut self) {
+        for (name, shard) in &mut self.shards {
+            let others = self.heard.iter().filter(|(other, _)| *other != name);
+            let mut held: BTreeMap<Name, Resources> = BTreeMap::new();
+            for team in others.flat_map(|(_, heard)| &heard.summary.teams) {
+                let sum = held.entry(team.team.clone()).or_default();
+                *sum = sum.saturating_add(team.held);
+            }
+            shard.set_held_elsewhere(held);
+        }
+    }
+
     fn send_table(&mut self, shard: &Name, to: &NodeId) {
         let table = self
             .shards
--- a/crates/scheduler/src/shard/admit.rs
+++ b/crates/scheduler/src/shard/admit.rs
@@ -6,9 +6,9 @@
 use kspan_model::{
     JobEnd, JobId, JobResult, Millis, Name, Resources, Submission, UnixMillis, document::Document,
 };
-use kspan_placement::{Cancelled, Placed, Resized, Submitted};
+use kspan_placement::{Cancelled, Placed, Reason, Resized, Submitted};
 
-use super::{JobEntry, Phase, Shard, tasks::Note};
+use super::{JobEntry, Phase, Shard, quota, tasks::Note};
 use crate::{
     specs::{self, Declared},
     times::CLOCK_SKEW,
@@ -17,6 +17,9 @@
 /// Longest wait for the runners that replace those of a changed service.
 const REPLACE_TIMEOUT: Millis = Millis::from_secs(30);
 
+/// Wait before a job is tried again whose team holds its quota in other shards.
+const QUOTA_RETRY: Millis = Millis::from_secs(1);
+
 impl Shard {
     /// Takes in what is in force.
     pub fn set_fold(&mut self, fold: Arc<State>, now: Millis, unix: UnixMillis) {
@@ -49,7 +52,8 @@
 
     fn set_document(&mut self, document: &Document, now: Millis, unix: UnixMillis) {
         self.cell.set_policy(document.policy);
-        self.cell.set_teams(&document.teams);
+        self.cell
+            .set_teams(&quota::left_here(&document.teams, &self.held_elsewhere));
         self.cell.set_fleet(&fleet_part(document));
         let wanted = specs::services(document, &self.site.data_centre, now);
         self.retire_services(&wanted, now);
@@ -178,7 +182,8 @@
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
-        let waits_for_recovery = !entry.admitted && !entry.fresh;
+        let is_active = self.phase == Phase::Active;
+        let waits_for_recovery = !entry.admitted && !entry.fresh && !is_active;
         if entry.cancelling || waits_for_recovery || entry.declared.is_service() {
             return;
         }
@@ -230,22 +235,32 @@
             Submitted::Queued | Submitted::AlreadyKnown => {
                 entry.admitted = true;
                 entry.impossible = None;
+                entry.held_back = None;
                 self.replay_ends(job, now, unix);
                 if self.fold.cancels.contains(&job) {
                     self.cancel(job, now, unix);
                 }
             }
             Submitted::Impossible(reason) => {
-                self.refuse(job, reason.to_string().into(), now, unix);
+                self.refuse(job, &reason, now, unix);
             }
         }
     }
 
-    /// Notes that a job can never run. A service is tried again later, because workers may join.
-    pub(super) fn refuse(&mut self, job: JobId, reason: Name, now: Millis, unix: UnixMillis) {
+    /// Notes that a job can never run. A service is tried again later, because workers may join,
+    /// and so is a job whose team holds its quota in other shards.
+    pub(super) fn refuse(&mut self, job: JobId, reason: &Reason, now: Millis, unix: UnixMillis) {
+        let held_elsewhere = quota::is_held_elsewhere(&self.fold, reason);
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
+        let reason = Name::from(reason.to_string());
+        if held_elsewhere {
+            entry.admitted = false;
+            entry.held_back = Some(reason);
+            entry.try_after = now + QUOTA_RETRY;
+            return;
+        }
         if !entry.declared.is_service() {
             self.end_job(job, JobResult::Impossible, reason, unix);
             return;
@@ -299,6 +314,7 @@
             fresh,
             cancelling: false,
             impossible: None,
+            held_back: None,
             retire_at: None,
             try_after: Millis::ZERO,
         }
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod hosts;
 mod plan;
+mod quota;
 mod report;
 mod runners;
 mod status;
@@ -23,7 +24,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use kspan_fold::State;
-use kspan_model::{Fence, JobEnd, JobId, Millis, Name, Site, UnixMillis, document::Policy};
+use kspan_model::{
+    Fence, JobEnd, JobId, Millis, Name, Resources, Site, UnixMillis, document::Policy,
+};
 use kspan_placement::Cell;
 use kspan_platform::{
     border::worker::{Exchange, Report},
@@ -112,6 +115,8 @@
     cancelling: bool,
     /// Why it can never run; services only, which are tried again later.
     impossible: Option<Name>,
+    /// Why it is not brought to placement although it could run later.
+    held_back: Option<Name>,
     /// Not brought to placement before this.
     try_after: Millis,
     /// When its runners are stopped at the latest; set once it is no longer declared.
@@ -139,6 +144,7 @@
     orphans_since: BTreeMap<JobId, Millis>,
     surges: BTreeMap<JobId, Surge>,
     next_sweep: Millis,
+    held_elsewhere: BTreeMap<Name, Resources>,
     rng: ChaCha8Rng,
 }
 
@@ -165,6 +171,7 @@
             orphans_since: BTreeMap::new(),
             surges: BTreeMap::new(),
             next_sweep: Millis::ZERO,
+            held_elsewhere: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/crates/scheduler/src/shard/plan.rs
+++ b/crates/scheduler/src/shard/plan.rs
@@ -39,7 +39,7 @@
                     self.stop(&Placed { task, worker }, now, unix);
                 }
                 Decision::Impossible { job, reason } => {
-                    self.refuse(job, reason.to_string().into(), now, unix);
+                    self.refuse(job, &reason, now, unix);
                 }
             }
         }
@@ -151,6 +151,9 @@
         if let Some(reason) = &entry.impossible {
             return format!("can never run: {reason}").into();
         }
+        if let Some(reason) = &entry.held_back {
+            return format!("the team holds its quota in other shards: {reason}").into();
+        }
         if !entry.admitted {
             return "what an earlier owner started is still being found out".into();
         }
--- a/crates/scheduler/tests/failures.rs
+++ b/crates/scheduler/tests/failures.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use kspan_model::JobResult;
+use std::sync::Arc;
+
+use kspan_model::{JobResult, Resources};
 use kspan_platform::border::{hosts::HostState, worker::Command};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -347,3 +349,22 @@
         assert!(throttles.iter().all(|(_, cpu_milli)| *cpu_milli == 1_000));
     }
 }
+
+#[test]
+fn a_team_without_borrowing_waits_while_other_shards_hold_its_quota() {
+    let mut bench = settled(1, 0);
+    let mut document = (**bench.fold.document.as_ref().expect("a document")).clone();
+    document.teams[0].quota = Resources::new(4_000, 1_000_000, 0);
+    document.teams[0].borrow = false;
+    bench.fold.document = Some(Arc::new(document));
+    bench.fold.document_version += 1;
+    bench.tell_held_elsewhere(Resources::new(3_500, 0, 0));
+    bench.run_ms(1_500);
+    let job = bench.submit(14);
+    bench.run_ms(5_000);
+    assert_eq!(bench.starts(), 0);
+    assert_eq!(bench.result(job), None, "it can run later");
+    bench.tell_held_elsewhere(Resources::ZERO);
+    bench.run_until(8_000, |bench| bench.result(job).is_some());
+    assert_eq!(bench.result(job), Some(JobResult::Succeeded));
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -13,7 +13,8 @@
 
 use kspan_fold::State;
 use kspan_model::{
-    JobId, JobResult, Member, Millis, NodeId, Resources, Role, Site, Submission, UnixMillis, View,
+    Fence, JobId, JobResult, Member, Millis, NodeId, Resources, Role, Site, Submission, UnixMillis,
+    View,
     document::{Batch, Document, Region, Service, TaskShape, Team},
 };
 use kspan_platform::border::hosts::{Host, HostKind, HostList, HostState};
@@ -22,6 +23,8 @@
     shard::{ExchangeOrder, Reply},
 };
 
+use kspan_wire::message::tasks::{Message, ShardSummary, TeamHeld};
+
 pub(crate) use worker::FakeWorker;
 
 /// Milliseconds of one step.
@@ -186,6 +189,25 @@
         job
     }
 
+    /// Tells every process what the team holds in another shard.
+    pub(crate) fn tell_held_elsewhere(&mut self, held: Resources) {
+        let from = NodeId::new("elsewhere", 1);
+        let team = "team".into();
+        let summary = ShardSummary {
+            shard: "south-1".into(),
+            fence: Fence::new(1, 0),
+            free: Resources::ZERO,
+            capacity: Resources::ZERO,
+            waiting: 0,
+            teams: vec![TeamHeld { team, held }],
+        };
+        for seat in &mut self.seats {
+            let message = Message::Summary(summary.clone());
+            seat.core.message(&from, message, Millis(self.now));
+        }
+        self.spread();
+    }
+
     pub(crate) fn cancel(&mut self, job: JobId) {
         Arc::make_mut(&mut self.fold.cancels).insert(job);
         self.spread();
