router: Set logging up once

Two changes that met both set logging up, so that each router wrote a needless line at its start.

Conclusion: one call is left.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -43,9 +43,6 @@
         println!("{}: ok", args.settings.display());
         return Ok(());
     }
-    if kspan_node::logging::init(&cfg.log_level).is_err() {
-        eprintln!("kspan-router: logging was set up before");
-    }
     if logging::init(&cfg.log_level).is_err() {
         eprintln!("kspan-router: logging was set up before");
     }
