placement: take back borrowed capacity later

Cause: a team within its quota took capacity back after 2 s, mostly what the next ends would have freed; the pre-empted places stood empty and accelerators stranded. Change: reclaim after 10 s below half of the quota and after 60 s above.

--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -15,6 +15,7 @@
     reserve::{Planned, Reservation, SHORTEST},
     spec::Decision,
     state::Inner,
+    team::Team,
     worker::{Held, Worker, WorkerNo},
 };
 
@@ -28,8 +29,13 @@
 const URGENT_PAUSE: Millis = Millis(20);
 /// Time without a search for work within its quota after one that found nothing.
 const RECLAIM_PAUSE: Millis = Millis(250);
-/// How long a job within its quota waits before it takes back what others borrow.
-const RECLAIM_AFTER: Millis = Millis::from_secs(2);
+/// Part of its quota below which a team takes back soon what others borrow.
+const POOR: f64 = 0.5;
+/// How long a job of a poor team waits before it takes back what others borrow. Shorter waits
+/// pre-empt for what the next ends would have freed, and leave holes.
+const RECLAIM_AFTER: Millis = Millis::from_secs(10);
+/// How long a job of another team within its quota waits for that.
+const RECLAIM_LATE_AFTER: Millis = Millis::from_secs(60);
 /// Expected time until a pre-empted task has gone.
 const EXPECTED_GRACE: Millis = Millis(500);
 /// Cost of a victim that cannot be checkpointed, before the time it has run.
@@ -66,7 +72,7 @@
         }
         let ground = if job.spec.priority == Priority::Urgent {
             Ground::Urgent
-        } else if now >= job.spec.submitted.saturating_add(RECLAIM_AFTER) {
+        } else if now >= job.spec.submitted.saturating_add(reclaim_after(team)) {
             Ground::Reclaim
         } else {
             return false;
@@ -221,6 +227,14 @@
     }
 }
 
+fn reclaim_after(team: &Team) -> Millis {
+    if team.committed.dominant_share(team.quota) < POOR {
+        RECLAIM_AFTER
+    } else {
+        RECLAIM_LATE_AFTER
+    }
+}
+
 fn has_room(worker: &Worker, staying: Resources, need: Resources) -> bool {
     let taken = staying.saturating_add(worker.reserved);
     taken.saturating_add(need).fits_in(worker.capacity)
