placement: split long files and test reservations

Change: classes, turns and the bench's filled cell stand in files of their own, without a change of behaviour; four tests of reservations: backfill in time, no delay, checkpoint to make way, expiry. Conclusion: all tests of both crates pass.

--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -3,22 +3,20 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
-use kspan_model::{
-    JobId, Millis, Name, Priority, Resources, Site, TaskId,
-    document::{Policy, Preset, Spread, TaskShape, Team},
-};
-use kspan_placement::{Cell, Decision, End, Found, JobSpec, Kind, TaskState, WorkerSpec};
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use kspan_model::{JobId, Millis, Resources, TaskId, document::Policy};
+use kspan_placement::{Cell, End, Found, JobSpec, Kind, TaskState, WorkerSpec};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Comparison, Figure};
+use crate::{
+    Comparison, Figure,
+    filled::{Bench, job, teams, worker},
+};
 
 /// Workers of the size that decides the design.
 const WORKERS: u32 = 7_600;
 /// Running tasks of that size.
 const RUNNING: u32 = 32_000;
-/// Teams of that size.
-const TEAMS: u32 = 220;
 /// Data centres of that size, each with an owner of its own.
 const DATA_CENTRES: u32 = 14;
 /// Jobs of one day of that size.
@@ -251,169 +249,3 @@
 fn nanos_since(begin: Instant) -> u64 {
     u64::try_from(begin.elapsed().as_nanos()).unwrap_or(u64::MAX)
 }
-
-struct Bench {
-    cell: Cell,
-    rng: ChaCha8Rng,
-    running: Vec<TaskId>,
-    submitted: Vec<JobId>,
-    next: u128,
-    micros: u64,
-}
-
-impl Bench {
-    fn new(workers: u32) -> Self {
-        let mut cell = Cell::new(Policy::new(Preset::WaitingFirst)).with_teams(&teams());
-        for number in 0..workers {
-            cell.upsert_worker(worker(number, workers));
-        }
-        Self {
-            cell,
-            rng: ChaCha8Rng::seed_from_u64(7),
-            running: Vec::new(),
-            submitted: Vec::new(),
-            next: 0,
-            micros: 1_000_000,
-        }
-    }
-
-    fn now(&self) -> Millis {
-        Millis(self.micros / 1_000)
-    }
-
-    /// Fills the cell, a fifth of it with services, and leaves so many jobs waiting.
-    fn fill(&mut self, queued: u32) {
-        let services = self.cell.capacity().cpu_milli / 5 / 4_000 / 32;
-        for number in 0..u128::from(services) {
-            self.cell.submit(JobSpec {
-                kind: Kind::Service,
-                spread: Spread::Rack,
-                run_time: Millis::ZERO,
-                team: team_name(u32::try_from(number).unwrap_or(0) % TEAMS),
-                ..self.job(
-                    JobId(1 << 90 | number),
-                    32,
-                    Resources::new(4_000, 16_384, 0),
-                )
-            });
-        }
-        let decisions = self.cell.plan(self.now(), &mut self.rng, usize::MAX);
-        std::hint::black_box(decisions);
-        // Services stay: only batch tasks are ended again.
-        loop {
-            self.refill(self.submitted_target(queued));
-            let decisions = self.cell.plan(self.now(), &mut self.rng, usize::MAX);
-            if self.keep(&decisions) == 0 {
-                break;
-            }
-        }
-        self.refill(queued);
-        self.cell.plan(self.now(), &mut self.rng, usize::MAX);
-    }
-
-    /// Returns how many jobs to have waiting so that the cell fills in a few rounds.
-    fn submitted_target(&self, queued: u32) -> u32 {
-        let room = u32::try_from(self.cell.counts().workers).unwrap_or(u32::MAX);
-        queued.max(room)
-    }
-
-    /// Submits jobs until so many wait.
-    fn refill(&mut self, queued: u32) {
-        while self.cell.queued_jobs() < queued as usize {
-            self.next += 1;
-            let id = JobId(self.next);
-            let size = self.size();
-            let tasks = self.rng.random_range(1..4);
-            let team = self.rng.random_range(0..TEAMS);
-            let priorities = [Priority::Low, Priority::Normal, Priority::High];
-            let spec = JobSpec {
-                team: team_name(team),
-                priority: *priorities.choose(&mut self.rng).expect("it is not empty"),
-                ..self.job(id, tasks, size)
-            };
-            self.cell.submit(spec);
-            self.submitted.push(id);
-        }
-    }
-
-    fn size(&mut self) -> Resources {
-        let cores = self.rng.random_range(2..=14);
-        let gib = self.rng.random_range(2..=8);
-        let accelerators = if self.rng.random_bool(0.25) {
-            self.rng.random_range(1..=4)
-        } else {
-            0
-        };
-        Resources::new(cores * 1_000, cores * gib * 1_024, accelerators)
-    }
-
-    fn job(&self, id: JobId, tasks: u32, size: Resources) -> JobSpec {
-        JobSpec {
-            id,
-            submitted: self.now(),
-            ..job(0, tasks, size)
-        }
-    }
-
-    /// Remembers what was started and returns how much that is.
-    fn keep(&mut self, decisions: &[Decision]) -> u64 {
-        let mut started = 0;
-        for decision in decisions {
-            if let Decision::Start(start) = decision {
-                self.cell.started(start.task, Millis(self.micros / 1_000));
-                self.running.push(start.task);
-                started += 1;
-            }
-        }
-        started
-    }
-}
-
-fn job(id: u128, tasks: u32, size: Resources) -> JobSpec {
-    JobSpec {
-        id: JobId(id),
-        workload: Name::new("reconcile"),
-        team: team_name(0),
-        priority: Priority::Normal,
-        kind: Kind::Batch,
-        tasks,
-        shape: TaskShape {
-            size,
-            checkpoint: true,
-        },
-        run_time: Millis::from_secs(300),
-        retries: 2,
-        spread: Spread::None,
-        submitted: Millis(0),
-    }
-}
-
-fn worker(number: u32, of: u32) -> WorkerSpec {
-    // 17,000 accelerators on 7,600 workers are eight on each of 28 in a hundred.
-    let accelerated = u64::from(number) * 100 < u64::from(of) * 28;
-    let capacity = if accelerated {
-        Resources::new(64_000, 524_288, 8)
-    } else {
-        Resources::new(32_000, 131_072, 0)
-    };
-    WorkerSpec {
-        name: Name::from(format!("worker-{number}")),
-        rack: Name::from(format!("rack-{}", number / 8)),
-        site: Site::new("Vestland", "vestland-1"),
-        capacity,
-    }
-}
-
-fn team_name(number: u32) -> Name {
-    Name::from(format!("team-{number}"))
-}
-
-fn teams() -> Vec<Team> {
-    let teams = (0..TEAMS).map(|number| Team {
-        name: team_name(number),
-        quota: Resources::new(2_000_000, 8_388_608, 200),
-        weight: f64::from(1 + number % 4),
-        borrow: true,
-    });
-    teams.collect()
-}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod chart;
 mod cost;
 mod figure;
+mod filled;
 mod fluid;
 mod placement;
 mod replay;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -60,6 +60,7 @@
 mod audit;
 mod cell;
 mod choose;
+mod class;
 mod commands;
 mod drain;
 mod estimate;
@@ -83,6 +84,7 @@
 mod task;
 mod team;
 mod timers;
+mod turns;
 mod worker;
 
 pub use crate::{
