--- a/crates/membership/src/proposer.rs
+++ b/crates/membership/src/proposer.rs
@@ -134,7 +134,8 @@
             return None;
         }
         let members = self.next_members(at);
-        if members == at.view.members {
+        // The last one to leave stays in the view: an empty one would be none at all.
+        if members.is_empty() || members == at.view.members {
             return None;
         }
         self.last_proposal = Some(now);
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -333,6 +333,17 @@
     assert_eq!(cell.names(), "bcdef");
 }
 
+#[test]
+fn the_last_one_to_leave_proposes_no_empty_view() {
+    let mut cell = Cell::new();
+    let alone = member("a", 1, Role::Router, "north");
+    cell.put_in_force(&view(2, vec![alone.clone()]));
+    cell.nodes.retain(|id, _| *id == alone.node);
+    cell.nodes.get_mut(&alone.node).unwrap().proposer.leave();
+    cell.run(Millis::from_secs(2));
+    assert_eq!((cell.names().as_str(), cell.proposals), ("a", 0));
+}
+
 #[test]
 fn a_process_that_finds_only_silence_proposes_a_view_with_itself() {
     let mut cell = Cell::new();
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -29,7 +29,6 @@
 };
 use tokio::{
     net::UdpSocket,
-    sync::watch,
     time::{MissedTickBehavior, interval, sleep},
 };
 
@@ -87,7 +86,7 @@
                 Err(err) => log::debug!("membership: receive failed: {err}"),
             },
             _ = ticks.tick() => thread.tick(),
-            Ok(()) = fold.changed() => thread.set_view(&mut fold),
+            Ok(()) = fold.changed() => thread.refresh_view(),
             Ok(()) = phase.changed() => thread.start_leave(),
         }
         if thread.has_left() {
@@ -111,8 +110,9 @@
         }
     }
 
-    fn set_view(&mut self, fold: &mut watch::Receiver<Arc<kspan_fold::State>>) {
-        let view = Arc::clone(&fold.borrow_and_update().view);
+    /// Takes in the newest view, if it is another.
+    fn refresh_view(&mut self) {
+        let view = Arc::clone(&self.inner.state().view);
         if view.number == self.view.number {
             return;
         }
@@ -154,6 +154,8 @@
     }
 
     fn tick(&mut self) {
+        // A proposal that came into force is known to the fold before its event arrives here.
+        self.refresh_view();
         let now = self.inner.now();
         lock(&self.inner.guard).tick(now);
         self.retire_delisted();
