Show workers by rack, with the document's units

Cause: workers stood in no order and in thousandths of cores. Change: the page sorts by rack and name and writes cores and GiB. Conclusion: commitments read like the document.

--- a/crates/console/src/rows.rs
+++ b/crates/console/src/rows.rs
@@ -1,8 +1,11 @@
 //! Rows of the pages that only show.
 
 use kspan_fold::State;
-use kspan_model::JobEnd;
-use kspan_operator::{CellReport, MemberStatus, Reading};
+use kspan_model::{
+    JobEnd, Resources,
+    document::{format_cpu, format_memory},
+};
+use kspan_operator::{CellReport, MemberStatus, Reading, WorkerReport};
 
 /// Ends shown on the page.
 const MAX_ENDS: usize = 200;
@@ -72,14 +75,16 @@
 /// Returns a table of the workers with what is committed on each.
 pub(crate) fn workers(report: &CellReport) -> Table {
     let rows = report.shards.iter().flat_map(|shard| {
-        shard.workers.iter().map(|worker| {
+        let mut workers: Vec<&WorkerReport> = shard.workers.iter().collect();
+        workers.sort_by_key(|worker| (&worker.rack, worker.worker.len(), &worker.worker));
+        workers.into_iter().map(|worker| {
             vec![
                 worker.worker.to_string(),
                 shard.shard.to_string(),
                 worker.rack.to_string(),
                 worker.state.to_string(),
-                worker.committed.to_string(),
-                worker.capacity.to_string(),
+                amounts(worker.committed),
+                amounts(worker.capacity),
                 worker.tasks.to_string(),
             ]
         })
@@ -118,6 +123,16 @@
     }
 }
 
+/// Writes amounts with the units of the document.
+fn amounts(amounts: Resources) -> String {
+    let cpu = format_cpu(amounts.cpu_milli);
+    let memory = format_memory(amounts.memory_mib);
+    match amounts.accelerators {
+        0 => format!("{cpu} cpu, {memory}"),
+        count => format!("{cpu} cpu, {memory}, {count} accelerators"),
+    }
+}
+
 fn number(reading: Reading) -> String {
     match reading {
         Reading::Known(number) => number.to_string(),
