--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,8 +5,10 @@
 //! Only decisions are measured here, without processes or sockets.
 
 mod baseline;
+mod chart;
 mod cost;
 mod figure;
+mod filled;
 mod fluid;
 mod placement;
 mod replay;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -60,6 +60,7 @@
 mod audit;
 mod cell;
 mod choose;
+mod class;
 mod commands;
 mod drain;
 mod estimate;
@@ -75,6 +76,7 @@
 mod queries;
 mod queue;
 mod reserve;
+pub mod shards;
 mod soonest;
 mod spec;
 mod state;
@@ -82,6 +84,7 @@
 mod task;
 mod team;
 mod timers;
+mod turns;
 mod worker;
 
 pub use crate::{
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -11,53 +11,11 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
+    class::{ClassKey, Needs},
     job::{JobNo, QueueEntry},
     team::{Standing, TeamNo},
 };
 
-/// What jobs of one class have in common.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct ClassKey {
-    pub(crate) priority: Priority,
-    pub(crate) gang: bool,
-    pub(crate) service: bool,
-    /// Whether the task can be checkpointed, which decides where it may backfill.
-    pub(crate) checkpoint: bool,
-    pub(crate) accelerators: u64,
-    /// Processor time and memory in steps of an eighth of their size.
-    pub(crate) cpu_step: u32,
-    pub(crate) memory_step: u32,
-}
-
-impl ClassKey {
-    /// Returns a size that no job of the class falls below.
-    fn smallest(&self) -> Resources {
-        Resources {
-            cpu_milli: smallest_of(self.cpu_step),
-            memory_mib: smallest_of(self.memory_step),
-            accelerators: self.accelerators,
-        }
-    }
-}
-
-/// Returns the smallest amount of a step.
-fn smallest_of(step: u32) -> u64 {
-    if step < 8 {
-        return u64::from(step);
-    }
-    u64::from(8 + step % 8) << (step / 8 - 3)
-}
-
-/// Returns the step of an amount; amounts of one step differ by less than an eighth.
-pub(crate) fn step(amount: u64) -> u32 {
-    if amount < 8 {
-        return u32::try_from(amount).expect("less than eight");
-    }
-    let octave = amount.ilog2();
-    let eighth = (amount >> (octave - 3)) & 7;
-    octave * 8 + u32::try_from(eighth).expect("less than eight")
-}
-
 /// Place of a line in the order; smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -92,8 +50,6 @@
 struct Blocked {
     class: u32,
     gang: bool,
-    /// What found no room, or may find some.
-    need: Resources,
     /// Place of the class's first job; none while all its lines wait for quotas.
     rank: Option<Rank>,
 }
@@ -114,6 +70,8 @@
     vacant: Vec<u32>,
     ready: BTreeSet<(Rank, u32)>,
     blocked: Vec<Blocked>,
+    /// What found no room, or may find some, for each class set aside.
+    needs: Vec<Needs>,
     /// Where the last sweep ended.
     swept: usize,
     len: usize,
@@ -190,11 +148,20 @@
     /// Returns the class set aside whose first job is the best one that may fit in `free`, with
     /// that job, if it goes before everything that is not set aside. Gangs are left out, because
     /// trying one costs a walk over all workers.
-    pub(crate) fn best_fitting(&self, free: Resources, except: &[u32]) -> Option<Next> {
+    /// Work without accelerators may take only `plain` of the room.
+    pub(crate) fn best_fitting(
+        &self,
+        free: Resources,
+        plain: Resources,
+        except: &[u32],
+    ) -> Option<Next> {
         let mut best = self.ready.first().map(|&(rank, _)| rank);
         let mut found = None;
-        for entry in &self.blocked {
-            if entry.gang || !entry.need.fits_in(free) {
+        let free = Needs::new(free, false);
+        let plain = Needs::new(plain, false);
+        for (entry, needs) in self.blocked.iter().zip(&self.needs) {
+            let room = if needs.accelerators == 0 { plain } else { free };
+            if !needs.fit_in(room) {
                 continue;
             }
             let Some(rank) = entry.rank else {
@@ -208,20 +175,30 @@
         self.first_of(found?)
     }
 
+    /// Returns the standing that a line was ranked by.
+    pub(crate) fn standing(&self, next: Next) -> Option<Standing> {
+        let line = self.classes[next.class as usize].lines.get(&next.team)?;
+        let rank = line.rank?;
+        Some(Standing {
+            borrows: rank.borrows,
+            band: rank.band,
+        })
+    }
+
     /// Sets a class aside because `need` found no room.
     pub(crate) fn block(&mut self, class: u32, need: Resources) {
         let entry = &mut self.classes[class as usize];
         if let Some(position) = entry.blocked {
-            self.blocked[position].need = need;
+            self.needs[position] = Needs::new(need, entry.key.gang);
             return;
         }
         entry.blocked = Some(self.blocked.len());
         self.blocked.push(Blocked {
             class,
             gang: entry.key.gang,
-            need,
             rank: None,
         });
+        self.needs.push(Needs::new(need, entry.key.gang));
         self.rank_class(class);
     }
 
@@ -229,7 +206,7 @@
     pub(crate) fn expect_any_size(&mut self, class: u32) {
         let entry = &self.classes[class as usize];
         if let Some(position) = entry.blocked {
-            self.blocked[position].need = entry.key.smallest();
+            self.needs[position] = Needs::new(entry.key.smallest(), entry.key.gang);
         }
     }
 
@@ -275,6 +252,7 @@
             return;
         };
         self.blocked.swap_remove(position);
+        self.needs.swap_remove(position);
         if let Some(moved) = self.blocked.get(position) {
             self.classes[moved.class as usize].blocked = Some(position);
         }
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -10,23 +10,18 @@
 
 use crate::{
     TaskState,
-    estimate::Estimates,
+    estimate::{Estimates, PerAccelerator},
     health::FailureRate,
     job::{Job, JobNo, Jobs, NO_WORKER},
-    queue::{ClassKey, Queue, step},
+    queue::Queue,
     reserve::Reservation,
     spec::{Effect, Found, JobDone, Placed, Start},
     stats::Stats,
-    team::{TeamNo, Teams},
+    team::Teams,
     timers::{Due, Timers},
     worker::{Held, WorkerNo, Workers},
 };
 
-/// Longest run time that moves a job back in its line.
-const RUN_TIME_HORIZON: Millis = Millis::from_secs(600);
-/// How far a job that takes a whole worker moves ahead of one that takes next to nothing.
-const SIZE_HEAD_START: Millis = Millis::from_secs(120);
-
 /// A task that was found on a worker before its job was known, or that its job no longer wants.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Orphan {
@@ -60,6 +55,8 @@
     pub(crate) swept: Millis,
     /// Gangs of which tasks were found that an earlier owner started.
     pub(crate) gangs_found: BTreeSet<JobId>,
+    /// What work that wants accelerators wants besides, for each of them.
+    pub(crate) per_accelerator: PerAccelerator,
     /// Capacity that shares are measured against; follows the workers at each plan.
     pub(crate) measure: Resources,
     /// Workers that the operators expect, besides those that are known.
@@ -89,114 +86,13 @@
             gangs_tried: Millis::ZERO,
             swept: Millis::ZERO,
             gangs_found: BTreeSet::new(),
+            per_accelerator: PerAccelerator::default(),
             measure: Resources::ZERO,
             fleet: Vec::new(),
             recheck: false,
         }
     }
 
-    // --- teams ---
-
-    pub(crate) fn charge(&mut self, team: TeamNo, size: Resources) {
-        let entry = self.teams.get_mut(team);
-        entry.committed = entry.committed.saturating_add(size);
-        self.restand(team);
-    }
-
-    pub(crate) fn refund(&mut self, team: TeamNo, size: Resources) {
-        let entry = self.teams.get_mut(team);
-        entry.committed = entry.committed.saturating_sub(size);
-        self.restand(team);
-        self.unpark(team);
-    }
-
-    pub(crate) fn restand(&mut self, team: TeamNo) {
-        if !self.teams.restand(team, self.measure) {
-            return;
-        }
-        let entry = self.teams.get(team);
-        for &class in &entry.classes {
-            self.queue.restand(class, team, entry.standing);
-        }
-    }
-
-    pub(crate) fn unpark(&mut self, team: TeamNo) {
-        let entry = self.teams.get_mut(team);
-        let standing = entry.standing;
-        for class in std::mem::take(&mut entry.parked) {
-            self.queue.unpark(class, team, standing);
-        }
-    }
-
-    /// Measures every team's share against the capacity of now.
-    pub(crate) fn measure_shares(&mut self) {
-        if self.measure == self.workers.total {
-            return;
-        }
-        self.measure = self.workers.total;
-        for team in self.teams.numbers() {
-            self.restand(team);
-        }
-    }
-
-    // --- queue ---
-
-    /// Queues a job that has tasks waiting for a worker.
-    pub(crate) fn enqueue(&mut self, number: JobNo) {
-        let job = self.jobs.get(number);
-        let waits = !job.pending.is_empty() && job.ending.is_none();
-        if !waits || job.restarting || job.entry.is_some() {
-            return;
-        }
-        let class = class_key(job);
-        let key = self.order_key(job);
-        let team = job.team;
-        let standing = self.teams.get(team).standing;
-        let (entry, is_new) = self.queue.push(class, team, standing, key, number);
-        self.jobs.get_mut(number).entry = Some(entry);
-        if is_new {
-            self.teams.get_mut(team).classes.push(entry.class);
-        }
-    }
-
-    pub(crate) fn dequeue(&mut self, number: JobNo) {
-        let job = self.jobs.get_mut(number);
-        let Some(entry) = job.entry.take() else {
-            return;
-        };
-        let team = job.team;
-        let standing = self.teams.get(team).standing;
-        if self.queue.remove(entry, team, standing, number) {
-            let classes = &mut self.teams.get_mut(team).classes;
-            classes.retain(|class| *class != entry.class);
-        }
-    }
-
-    /// Returns the place of a job in its team's line. It starts from the time of submission and
-    /// moves by a bounded span, so that no job is overtaken for ever.
-    fn order_key(&self, job: &Job) -> u64 {
-        let weights = self.policy.weights;
-        let run_time = self.estimates.run_time(&job.spec).0;
-        let behind = weights.waiting * run_time.min(RUN_TIME_HORIZON.0) as f64;
-        let share = job.spec.shape.size.dominant_share(self.largest());
-        let ahead = weights.packing * share.min(1.0) * SIZE_HEAD_START.0 as f64;
-        let key = job.spec.submitted.0 as f64 + SIZE_HEAD_START.0 as f64 + behind - ahead;
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Never negative.
-        let key = key as u64;
-        key
-    }
-
-    fn largest(&self) -> Resources {
-        let shapes = self.workers.shapes().map(|(shape, _)| shape);
-        shapes.fold(Resources::ZERO, |most, shape| Resources {
-            cpu_milli: most.cpu_milli.max(shape.cpu_milli),
-            memory_mib: most.memory_mib.max(shape.memory_mib),
-            accelerators: most.accelerators.max(shape.accelerators),
-        })
-    }
-
-    // --- tasks ---
-
     /// Gives a waiting task its worker. The task must not stand in `pending` any more.
     pub(crate) fn occupy(
         &mut self,
@@ -422,16 +318,3 @@
         self.jobs.remove(number)
     }
 }
-
-fn class_key(job: &Job) -> ClassKey {
-    let size = job.spec.shape.size;
-    ClassKey {
-        priority: job.priority(),
-        gang: job.is_gang(),
-        service: job.is_service(),
-        checkpoint: job.spec.shape.checkpoint,
-        accelerators: size.accelerators,
-        cpu_step: step(size.cpu_milli),
-        memory_step: step(size.memory_mib),
-    }
-}
