Measure slopes by members, and extrapolate to the size designed for

Cause: heartbeats grow with members, which no series measured, and the page's figures at the target size had to be worked out by hand. Change: a series of 3 to 12 entry hosts; slopes.md also gives what a host spends at the target size, with a mark where the budget is exceeded. Conclusion: the capacity page can be made by one command.

--- a/crates/lab/src/slopes/mod.rs
+++ b/crates/lab/src/slopes/mod.rs
@@ -3,6 +3,7 @@
 //! Runs the real programs at several sizes and fits lines through what they used. The lines are
 //! what the capacity page extrapolates from.
 
+pub mod capacity;
 pub mod fit;
 
 use std::{
@@ -17,8 +18,11 @@
 use self::fit::{Line, Point, fit};
 use crate::error::{LabError, Result};
 
-/// Entry hosts of every measured cell: one in each of its three regions.
-const ENTRY_HOSTS: u32 = 3;
+/// Entry hosts while something else grows: one in each of the cell's three regions.
+const BASE_HOSTS: u32 = 3;
+
+/// Shards of every measured cell.
+const SHARDS: f64 = 3.0;
 
 /// Workers while something else grows.
 const BASE_WORKERS: u32 = 48;
@@ -35,6 +39,7 @@
 /// One cell to measure.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Size {
+    hosts: u32,
     workers: u32,
     rate: f64,
     jobs: f64,
@@ -51,13 +56,29 @@
 
 const fn size(workers: u32, rate: f64, jobs: f64) -> Size {
     Size {
+        hosts: BASE_HOSTS,
         workers,
         rate,
         jobs,
     }
 }
 
+const fn hosts(hosts: u32) -> Size {
+    Size {
+        hosts,
+        workers: BASE_WORKERS,
+        rate: BASE_RATE,
+        jobs: BASE_JOBS,
+    }
+}
+
 const SERIES: &[Series] = &[
+    Series {
+        name: "members",
+        unit: "member of the view",
+        sizes: &[hosts(3), hosts(6), hosts(9), hosts(12)],
+        x: |size| f64::from(2 * size.hosts),
+    },
     Series {
         name: "workers",
         unit: "worker with a runner, of one shard",
@@ -67,7 +88,7 @@
             size(96, BASE_RATE, BASE_JOBS),
             size(192, BASE_RATE, BASE_JOBS),
         ],
-        x: |size| f64::from(size.workers) / f64::from(ENTRY_HOSTS),
+        x: |size| f64::from(size.workers) / SHARDS,
     },
     Series {
         name: "requests",
@@ -78,7 +99,7 @@
             size(BASE_WORKERS, 600.0, BASE_JOBS),
             size(BASE_WORKERS, 1_200.0, BASE_JOBS),
         ],
-        x: |size| size.rate / f64::from(ENTRY_HOSTS),
+        x: |size| size.rate / f64::from(size.hosts),
     },
     Series {
         name: "starts",
@@ -89,7 +110,7 @@
             size(BASE_WORKERS, BASE_RATE, 6.0),
             size(BASE_WORKERS, BASE_RATE, 12.0),
         ],
-        x: |size| size.jobs * f64::from(TASKS_PER_JOB) / f64::from(ENTRY_HOSTS),
+        x: |size| size.jobs * f64::from(TASKS_PER_JOB) / SHARDS,
     },
 ];
 
@@ -144,7 +165,8 @@
     }
     let json = serde_json::to_string_pretty(&slopes).expect("slopes are plain data");
     write(&dir.join("slopes.json"), &(json + "\n"))?;
-    write(&dir.join("slopes.md"), &table(&slopes))?;
+    let page = format!("{}\n{}", table(&slopes), capacity::table(&slopes));
+    write(&dir.join("slopes.md"), &page)?;
     Ok(slopes)
 }
 
@@ -231,7 +253,7 @@
 
 /// A plain cell: one runner a worker, and one batch workload.
 fn document(size: &Size) -> String {
-    let Size { workers, .. } = size;
+    let Size { hosts, workers, .. } = size;
     format!(
         "cell: slopes
 regions:
@@ -239,7 +261,7 @@
   - {{name: two, data_centres: [two-1]}}
   - {{name: three, data_centres: [three-1]}}
 fleet:
-  entry_hosts: {ENTRY_HOSTS}
+  entry_hosts: {hosts}
   workers:
     - {{count: {workers}, cpu: 32, memory: 128GiB, per_rack: 8}}
   delays: {{data_centre: 1ms, region: 8ms, caller: 3ms}}
