End a router's planned stop once its requests are finished

Cause: after the wait for requests in flight the server waited the whole grace again for callers' idle connections, 12 s, and tools killed the router. Ruled out: requests in flight, which were none, and the node's leave, which takes 1 s. Change: connections get one second to close once no request is left.

--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -3,7 +3,6 @@
 use std::{
     rc::Rc,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 
 use kspan_node::{Event, Node, ring::Receiver};
@@ -20,8 +19,9 @@
 /// How long an idle connection of a caller is kept open.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(30);
 
-/// Added to the planned stop's own wait, for the connections to close.
-const CLOSE_GRACE: Duration = Duration::from_secs(2);
+/// How long connections may stay open after the planned stop has waited for its requests. Only
+/// idle ones are left by then, and a caller may hold those for as long as it likes.
+const CLOSE_GRACE: Seconds = Seconds(1);
 
 /// What the worker thread takes over from the thread that starts it, once.
 struct Handover {
@@ -53,7 +53,6 @@
     stopped: Arc<Notify>,
 ) -> Result<()> {
     let cfg = node.settings();
-    let grace = Duration::from_millis(cfg.stop_grace_ms) + CLOSE_GRACE;
     let factory = async move || {
         let taken = handover.lock().ok().and_then(|mut parts| parts.take());
         let app = taken.map(start);
@@ -65,7 +64,7 @@
     let server = HttpServer::new(factory)
         .workers(1)
         .disable_signals()
-        .shutdown_timeout(Seconds(u16::try_from(grace.as_secs()).unwrap_or(u16::MAX)))
+        .shutdown_timeout(CLOSE_GRACE)
         .config(SharedCfg::new("kspan-router").add(keep_alive))
         .bind(cfg.listen.http)?
         .run();
