--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -190,6 +190,7 @@
     let records = running.stage.book.records().clone();
     write_records(&records, &options.dir)?;
     let mut report = judge(&options, &running, &records, until);
+    control.configuration_in_force_ms = report::configuration_in_force_ms(&records, running.began);
     report.control = control;
     report.bring_up = times;
     report.shortfalls = shortfalls;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -231,8 +231,8 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.pid() {
-            send_signal(pid, signal);
+        if let Some(child) = &self.child {
+            send_signal(child, signal);
         }
     }
 }
@@ -243,19 +243,16 @@
     }
 }
 
-#[allow(unsafe_code)]
-fn send_signal(pid: u32, signal: Signal) {
+fn send_signal(child: &Child, signal: Signal) {
     let number = match signal {
-        Signal::Terminate => libc::SIGTERM,
-        Signal::Pause => libc::SIGSTOP,
-        Signal::Resume => libc::SIGCONT,
+        Signal::Terminate => rustix::process::Signal::TERM,
+        Signal::Pause => rustix::process::Signal::STOP,
+        Signal::Resume => rustix::process::Signal::CONT,
     };
-    let pid = libc::pid_t::try_from(pid).expect("process ids fit their own type");
-    // SAFETY: `kill` takes plain numbers and touches no memory. The child has not been reaped,
-    // so its id still names it.
-    let result = unsafe { libc::kill(pid, number) };
-    if result != 0 {
-        log::warn!("lab: {signal:?} to {pid}: {}", io::Error::last_os_error());
+    // The child has not been reaped, so its id still names it.
+    let pid = rustix::process::Pid::from_child(child);
+    if let Err(err) = rustix::process::kill_process(pid, number) {
+        log::warn!("lab: {signal:?} to {pid:?}: {err}");
     }
 }
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -10,7 +10,7 @@
     check::Violation,
     clock::Micros,
     error::{LabError, Result},
-    record::{Answer, Records, TaskRun},
+    record::{Answer, EventKind, Records, TaskRun},
 };
 
 /// Longest time that a histogram tells apart, in microseconds.
@@ -138,6 +138,9 @@
     pub cross_region_bytes_per_second: f64,
     /// Appends that took effect in the log.
     pub log_appends_per_second: f64,
+    /// Longest time from a publication to a sample of each process that shows it in force, over
+    /// all publications under load; the samples' period is its resolution.
+    pub configuration_in_force_ms: Option<f64>,
     /// Costs of one process, by role.
     pub roles: BTreeMap<String, RoleCost>,
 }
@@ -229,6 +232,34 @@
     waits
 }
 
+/// Returns the longest time from a publication since `from` until each process that was sampled
+/// afterwards had it in force; none where nothing was published or some process never had it.
+pub fn configuration_in_force_ms(records: &Records, from: Micros) -> Option<f64> {
+    let published = records.events.iter().filter(|event| event.at >= from);
+    let mut longest = None;
+    for event in published {
+        let EventKind::Published { version } = event.kind else {
+            continue;
+        };
+        let mut first: BTreeMap<&Name, Option<Micros>> = BTreeMap::new();
+        for sample in records
+            .versions
+            .iter()
+            .filter(|sample| sample.at >= event.at)
+        {
+            let first = first.entry(&sample.process).or_default();
+            if first.is_none() && sample.version >= version {
+                *first = Some(sample.at);
+            }
+        }
+        let all: Option<Vec<Micros>> = first.into_values().collect();
+        let last = all?.into_iter().max()?;
+        let passed = last.since(event.at).as_secs_f64() * 1e3;
+        longest = Some(longest.map_or(passed, |before: f64| before.max(passed)));
+    }
+    longest
+}
+
 /// Averages what was committed between two times.
 pub fn packing(records: &Records, from: Micros, until: Micros) -> Packing {
     let total = records.workers.iter().fold(Resources::ZERO, |sum, worker| {
@@ -361,14 +392,17 @@
     fn line(&self) -> String {
         format!(
             "control: cpu {:.2}% of a core a host (max {:.2}%), memory {:.1} MB (max {:.1} MB), \
-             {:.0} B/s a host, {:.0} B/s across regions, {:.2} appends/s",
+             {:.0} B/s a host, {:.0} B/s across regions, {:.2} appends/s, \
+             configuration in force after {}",
             self.cpu_percent_per_host,
             self.cpu_percent_max,
             self.memory_mb_per_host,
             self.memory_mb_max,
             self.bytes_per_second_per_host,
             self.cross_region_bytes_per_second,
-            self.log_appends_per_second
+            self.log_appends_per_second,
+            self.configuration_in_force_ms
+                .map_or("?".to_owned(), |ms| format!("{ms:.0} ms"))
         )
     }
 }
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -128,6 +128,7 @@
             bytes_per_second_per_host: sent / hosts,
             cross_region_bytes_per_second: away,
             log_appends_per_second: 0.0,
+            configuration_in_force_ms: None,
             roles: roles(&usage),
         }
     }
