Take the log down before a record can be read, in a node's test

Cause: a test of a lost answer before an outage failed once under load with Accepted: the stand-in made the record readable, then went down, and a read that was waiting brought the record out in between. Change: the stand-in goes down first, and a read looks at the outage last. The assertions are the same. Conclusion: the verdict no longer depends on the moment.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -74,10 +74,11 @@
     }
     let delay_ms = shared.append_delay_ms.load(Ordering::SeqCst);
     tokio::time::sleep(Duration::from_millis(delay_ms.into())).await;
-    let offset = shared.put(body);
+    // Down before the record can be read, else a read that waits brings it out of the outage.
     if shared.down_after_append.swap(false, Ordering::SeqCst) {
         shared.down.store(true, Ordering::SeqCst);
     }
+    let offset = shared.put(body);
     if take_one(&shared.lose_answers) {
         return HttpResponse::BadGateway().finish();
     }
@@ -87,10 +88,10 @@
 async fn read(shared: web::types::State<Shared>, query: web::types::Query<Query>) -> HttpResponse {
     let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
+        let batch = shared.batch(query.from, query.max);
         if shared.down.load(Ordering::SeqCst) {
             return HttpResponse::ServiceUnavailable().finish();
         }
-        let batch = shared.batch(query.from, query.max);
         if !batch.records.is_empty() || Instant::now() >= deadline {
             return HttpResponse::Ok().json(&batch);
         }
