lab: let misbehaving runners misbehave where there are runners

Cause: the fault was set on workers without runners and proved nothing. Set on others, a truncated answer came out whole: the stand-in's server wrote a second answer, whose bytes filled up the first one's body. Ruled out: the router, which refuses an answer that ends short (its own test cuts a plain connection). Ending the stream early instead of failing it was tried and did the same. Change: workers that hold runners are chosen; the stand-in sends half of the body and then cuts the connection.

--- a/crates/lab/src/fault/upstreams.rs
+++ b/crates/lab/src/fault/upstreams.rs
@@ -83,8 +83,10 @@
         Misbehaviour::Late,
     ];
     running.wait_until(0.25).await;
-    for (index, misbehaviour) in ways.into_iter().enumerate() {
-        let worker = &running.stage.workers[index % running.stage.workers.len()];
+    // Workers without runners would prove nothing.
+    let workers = &running.stage.workers;
+    let with_runners: Vec<_> = workers.iter().filter(|w| w.runners_up() > 0).collect();
+    for (misbehaviour, worker) in ways.into_iter().zip(with_runners) {
         running.note(format!(
             "runners on {}: {misbehaviour:?}",
             worker.spec().name
--- a/crates/lab/src/standin/runner.rs
+++ b/crates/lab/src/standin/runner.rs
@@ -29,6 +29,9 @@
 /// Time after which a runner that hangs gives up.
 const HANG: Duration = Duration::from_secs(60);
 
+/// Time after which the first half of a truncated answer has left.
+const CUT_AFTER: Duration = Duration::from_millis(20);
+
 /// How late a late answer is.
 const LATE: Duration = Duration::from_secs(3);
 
@@ -205,7 +208,7 @@
     match misbehaviour {
         Misbehaviour::Hang => tokio::time::sleep(HANG).await,
         Misbehaviour::Late => tokio::time::sleep(LATE).await,
-        Misbehaviour::Truncate => return truncated(token),
+        Misbehaviour::Truncate => return truncated(&req, token),
         _ => {}
     }
     record_end(&runner, index);
@@ -244,13 +247,23 @@
     runner.0.book.records().executions[index].ended = Some(now());
 }
 
-/// Declares a whole body and breaks off in its middle.
-fn truncated(token: u64) -> Response {
+/// Answers with half of the body and cuts the connection.
+///
+/// The body's stream must neither fail nor end: the server would then write a second answer,
+/// whose bytes fill up the first one's body.
+fn truncated(req: &Request, token: u64) -> Response {
     let body = token::expected_body(token);
     let half = Bytes::from(body.as_bytes()[..body.len() / 2].to_vec());
     let (tx, rx) = mpsc::channel::<std::result::Result<Bytes, Rc<dyn std::error::Error>>>();
     // The receiver is alive until the response is dropped.
     let _ = tx.send(Ok(half));
-    let _ = tx.send(Err(Rc::new(io::Error::other("cut"))));
+    let io = req.io().cloned();
+    ntex::rt::spawn(async move {
+        tokio::time::sleep(CUT_AFTER).await;
+        if let Some(io) = io {
+            io.terminate();
+        }
+        drop(tx);
+    });
     Response::build(StatusCode::OK).body(SizedStream::new(body.len() as u64, rx))
 }
