--- a/crates/scheduler/src/core/ownership.rs
+++ b/crates/scheduler/src/core/ownership.rs
@@ -20,7 +20,7 @@
             return;
         }
         log::warn!("scheduler: paused for {gap}, every shard is probed anew");
-        metrics::counter!("kspan_scheduler_pauses").increment(1);
+        metrics::counter!("kspan_scheduler_pauses_total").increment(1);
         self.shards
             .retain(|_, shard| matches!(shard.phase(), Phase::Probing));
     }
@@ -110,7 +110,7 @@
 
     pub(super) fn drop_superseded(&mut self, shard: &Name, higher: Fence) {
         log::warn!("scheduler: shard {shard} is obeyed under {higher} by now, dropping it");
-        metrics::counter!("kspan_scheduler_superseded").increment(1);
+        metrics::counter!("kspan_scheduler_superseded_total").increment(1);
         self.note_seen(shard, higher);
         self.shards.remove(shard);
     }
--- a/crates/scheduler/src/decisions.rs
+++ b/crates/scheduler/src/decisions.rs
@@ -204,7 +204,7 @@
             Action::Exchange(order) => self.exchange(order),
             Action::Send { to, message } => {
                 if self.node.send(&to, Message::Tasks(message)) == Sent::Full {
-                    metrics::counter!("kspan_scheduler_messages_dropped").increment(1);
+                    metrics::counter!("kspan_scheduler_messages_dropped_total").increment(1);
                 }
             }
             Action::RecordEnds(ends) => self.record(kspan_fold::Body::Ends { ends }),
@@ -218,7 +218,7 @@
     }
 
     fn exchange(&mut self, order: Box<ExchangeOrder>) {
-        metrics::counter!("kspan_scheduler_exchanges").increment(1);
+        metrics::counter!("kspan_scheduler_exchanges_total").increment(1);
         if let Err(full) = self.rings.orders.try_send(order) {
             let reply = Reply::Failed { ambiguous: false };
             let told = Told {
--- a/crates/scheduler/src/worker_io.rs
+++ b/crates/scheduler/src/worker_io.rs
@@ -57,7 +57,7 @@
         Ok(Answered::Refused(report)) => Reply::Refused(report),
         Err(err) => {
             log::debug!("scheduler: worker {}: {err}", order.to.name);
-            metrics::counter!("kspan_scheduler_exchanges_failed").increment(1);
+            metrics::counter!("kspan_scheduler_exchanges_failed_total").increment(1);
             Reply::Failed {
                 ambiguous: matches!(err, CallError::Lost(_) | CallError::Garbled(_)),
             }
