Parse paths of the document in one place

Cause: the locator of faults, the drafts and the forms each took paths such as teams[0].quota.cpu apart, and the forms took any bracketed text for a position. A position that is no number is a key everywhere, so the forms leave such a field out. Conclusion: one rule for paths; nothing else changes.

--- a/crates/console/src/draft.rs
+++ b/crates/console/src/draft.rs
@@ -1,5 +1,6 @@
 //! A document being edited, rebuilt from the fields that a browser sent.
 
+use kspan_model::document::{PathStep, path_steps};
 use serde_json::{Map, Value};
 
 use crate::form::schema_at;
@@ -144,30 +145,11 @@
     Value::String(text.to_owned())
 }
 
-enum Step<'a> {
-    Key(&'a str),
-    Index(usize),
-}
-
-fn steps(path: &str) -> impl Iterator<Item = Step<'_>> {
-    path.split(['.', '['])
-        .filter(|step| !step.is_empty())
-        .map(|step| {
-            match step
-                .strip_suffix(']')
-                .and_then(|digits| digits.parse().ok())
-            {
-                Some(index) => Step::Index(index),
-                None => Step::Key(step),
-            }
-        })
-}
-
 fn place(root: &mut Value, path: &str, value: Value) {
     let mut node = root;
-    for step in steps(path) {
+    for step in path_steps(path) {
         node = match step {
-            Step::Key(key) => {
+            PathStep::Key(key) => {
                 if !node.is_object() {
                     *node = Value::Object(Map::new());
                 }
@@ -176,7 +158,7 @@
                     .entry(key)
                     .or_insert(Value::Null)
             }
-            Step::Index(index) if index < MAX_ITEMS => {
+            PathStep::Index(index) if index < MAX_ITEMS => {
                 if !node.is_array() {
                     *node = Value::Array(Vec::new());
                 }
@@ -186,7 +168,7 @@
                 }
                 &mut items[index]
             }
-            Step::Index(_) => return,
+            PathStep::Index(_) => return,
         };
     }
     let keeps = value.is_object() && node.is_object();
@@ -196,16 +178,16 @@
 }
 
 fn at<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
-    steps(path).try_fold(root, |node, step| match step {
-        Step::Key(key) => node.get(key),
-        Step::Index(index) => node.get(index),
+    path_steps(path).try_fold(root, |node, step| match step {
+        PathStep::Key(key) => node.get(key),
+        PathStep::Index(index) => node.get(index),
     })
 }
 
 fn at_mut<'a>(root: &'a mut Value, path: &str) -> Option<&'a mut Value> {
-    steps(path).try_fold(root, |node, step| match step {
-        Step::Key(key) => node.get_mut(key),
-        Step::Index(index) => node.get_mut(index),
+    path_steps(path).try_fold(root, |node, step| match step {
+        PathStep::Key(key) => node.get_mut(key),
+        PathStep::Index(index) => node.get_mut(index),
     })
 }
 
--- a/crates/console/src/form.rs
+++ b/crates/console/src/form.rs
@@ -2,7 +2,7 @@
 
 use std::sync::LazyLock;
 
-use kspan_model::document::{Fault, SCHEMA};
+use kspan_model::document::{Fault, PathStep, SCHEMA, path_steps};
 use serde_json::Value;
 
 static ROOT: LazyLock<Value> =
@@ -166,10 +166,10 @@
 /// Returns the schema at a path that may hold indexes; none where the schema knows no such path.
 pub(crate) fn schema_at(path: &str) -> Option<&'static Value> {
     let mut schema: &'static Value = &ROOT;
-    for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
-        schema = match step.strip_suffix(']') {
-            Some(_) => schema.get("items")?,
-            None => schema.get("properties")?.get(step)?,
+    for step in path_steps(path) {
+        schema = match step {
+            PathStep::Index(_) => schema.get("items")?,
+            PathStep::Key(key) => schema.get("properties")?.get(key)?,
         };
         schema = resolve(schema);
     }
--- a/crates/model/src/document/mod.rs
+++ b/crates/model/src/document/mod.rs
@@ -11,6 +11,7 @@
 mod locate;
 mod meaning;
 pub mod parse;
+mod path;
 mod policy;
 pub mod quantity;
 mod repair;
@@ -23,6 +24,7 @@
     fault::{Fault, Faults, Severity},
     fleet::{EntryHosts, Fleet, Region, WorkerGroup},
     parse::{Checked, MAX_DOCUMENT_BYTES, check, parse},
+    path::{PathStep, path_steps},
     policy::{Policy, Preset, Weights},
     quantity::{QuantityError, format_cpu, format_memory, parse_cpu, parse_duration, parse_memory},
     schema::SCHEMA,
--- /dev/null
+++ b/crates/model/src/document/path.rs
@@ -0,0 +1,33 @@
+//! Paths of values in a document, such as `teams[0].quota.cpu`.
+//!
+//! Faults name their place by such a path, and forms name their fields by it.
+
+/// One step of a path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathStep<'a> {
+    /// Into an object, by key.
+    Key(&'a str),
+    /// Into a list, by position from zero.
+    Index(usize),
+}
+
+/// Returns the steps of a path. A position that is no number counts as a key.
+///
+/// # Examples
+///
+/// ```
+/// use kspan_model::document::{PathStep, path_steps};
+///
+/// let steps: Vec<_> = path_steps("teams[0].name").collect();
+/// assert_eq!(steps, [PathStep::Key("teams"), PathStep::Index(0), PathStep::Key("name")]);
+/// ```
+pub fn path_steps(path: &str) -> impl Iterator<Item = PathStep<'_>> {
+    let parts = path.split(['.', '[']).filter(|part| !part.is_empty());
+    parts.map(|part| {
+        let digits = part.strip_suffix(']');
+        match digits.and_then(|digits| digits.parse().ok()) {
+            Some(index) => PathStep::Index(index),
+            None => PathStep::Key(part),
+        }
+    })
+}
