--- /dev/null
+++ b/crates/cell/src/owner/calls.rs
@@ -0,0 +1,126 @@
+//! Callers' requests at the owner.
+
+use std::{rc::Rc, time::Duration};
+
+use kspan_adapter::entry;
+use kspan_jobs::engine::{Cancelled, Submission, SubmitError};
+use kspan_model::Millis;
+
+use super::Owner;
+use crate::message::{CallAnswer, JobCall, Verb};
+
+/// Longest time that a caller waits for its job to be durable.
+const DURABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest time without proof of ownership within which "no such job" is said.
+const FRESH: Millis = Millis(1_500);
+
+/// When a caller comes back that was not served, in seconds.
+const RETRY_AFTER_S: u32 = 1;
+
+/// When a caller comes back whose job can't be stored now, in seconds.
+const STORE_RETRY_AFTER_S: u32 = 2;
+
+impl Owner {
+    /// Carries out a caller's request. `None` where this process does not own the cell.
+    pub(crate) async fn call(self: &Rc<Self>, call: JobCall) -> Option<CallAnswer> {
+        if !self.recovered.get() || !self.alive.get() {
+            return None;
+        }
+        if self.engine.borrow().config_version() == 0 {
+            return Some(CallAnswer::not_taken(RETRY_AFTER_S));
+        }
+        match call.verb {
+            Verb::Submit(spec) => self.submit(&call.host, &call.path, spec).await,
+            Verb::Show => Some(self.show(&call.host, &call.path)),
+            Verb::Cancel => self.cancel(&call.host, &call.path).await,
+        }
+    }
+
+    async fn submit(
+        self: &Rc<Self>,
+        host: &str,
+        path: &str,
+        spec: kspan_jobs::spec::JobSpec,
+    ) -> Option<CallAnswer> {
+        let known = self.engine.borrow().find_queue(host, path);
+        let is_new = known
+            .and_then(|(_, job)| job)
+            .is_some_and(|job| self.engine.borrow().state(job).is_none());
+        if is_new && !self.node.store.is_reachable() {
+            self.log_call(path, "refused", "the store is out of reach");
+            return Some(CallAnswer::not_taken(STORE_RETRY_AFTER_S));
+        }
+        let req = Submission { host, path, spec };
+        let unix_ms = self.node.clock.unix_ms();
+        let submitted = self.engine.borrow_mut().submit(self.now(), unix_ms, req);
+        let submitted = match submitted {
+            Ok(submitted) => submitted,
+            Err(SubmitError::NoQueue) => return Some(CallAnswer::new(404)),
+            Err(err) => {
+                self.log_call(path, "refused", "malformed");
+                return Some(CallAnswer::with_body(400, err.to_string().into_bytes()));
+            }
+        };
+        self.changed.notify_one();
+        if self.wait_durable(submitted.batch).await {
+            let how = if submitted.known { "known" } else { "accepted" };
+            self.log_call(path, how, "durable");
+            return Some(CallAnswer::new(200));
+        }
+        if !self.alive.get() {
+            return None;
+        }
+        self.log_call(path, "unknown", "not durable in time");
+        Some(CallAnswer::new(504))
+    }
+
+    fn show(&self, host: &str, path: &str) -> CallAnswer {
+        let engine = self.engine.borrow();
+        let Some((queue, job)) = engine.find_queue(host, path) else {
+            return CallAnswer::new(404);
+        };
+        let Some(job) = job else {
+            let pending = engine.pending(&queue) as u64;
+            return CallAnswer::with_body(200, entry::encode_pending(pending));
+        };
+        match engine.state(job) {
+            Some(state) => CallAnswer::with_body(200, entry::encode_state(state)),
+            None if self.unconfirmed_for() < FRESH => CallAnswer::new(410),
+            None => CallAnswer::not_taken(RETRY_AFTER_S),
+        }
+    }
+
+    async fn cancel(self: &Rc<Self>, host: &str, path: &str) -> Option<CallAnswer> {
+        let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+        let cancelled = self.engine.borrow_mut().cancel(now, unix_ms, host, path);
+        match cancelled {
+            Cancelled::NoQueue => Some(CallAnswer::new(404)),
+            Cancelled::Unknown if self.unconfirmed_for() < FRESH => Some(CallAnswer::new(410)),
+            Cancelled::Unknown => Some(CallAnswer::not_taken(RETRY_AFTER_S)),
+            Cancelled::Accepted(batch) => {
+                self.changed.notify_one();
+                if self.wait_durable(batch).await {
+                    self.log_call(path, "cancelled", "durable");
+                    return Some(CallAnswer::new(200));
+                }
+                self.alive.get().then(|| CallAnswer::new(504))
+            }
+        }
+    }
+
+    /// Waits until a batch is durable; returns whether it is.
+    async fn wait_durable(&self, batch: u64) -> bool {
+        let mut durable = self.durable.subscribe();
+        let reached = durable.wait_for(|number| *number >= batch || !self.alive.get());
+        let reached = tokio::time::timeout(DURABLE_TIMEOUT, reached).await;
+        matches!(reached, Ok(Ok(number)) if *number >= batch)
+    }
+
+    fn log_call(&self, path: &str, outcome: &str, why: &str) {
+        if self.node.budget.allows("call", self.now()) {
+            let job = path.rsplit('/').next().unwrap_or(path);
+            tracing::info!(job, outcome, why, fence = self.fence, "call");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/mod.rs
@@ -0,0 +1,314 @@
+//! The owner's role: carries out what the engine decides and tells it what became of it.
+//!
+//! One role object lives for one fence. When the fence is lost the object stops for good; nothing
+//! of it is used again.
+
+mod alive;
+mod calls;
+mod commit;
+mod hosts;
+mod notes;
+mod orders;
+mod recover;
+mod runners;
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use kspan_adapter::runner::Peer;
+use kspan_jobs::{
+    engine::{Engine, RunnerIx, Settings},
+    runner::RunnerEntry,
+};
+use kspan_model::Millis;
+use rustc_hash::FxHashMap;
+use tokio::sync::{Notify, Semaphore, watch};
+
+use crate::{
+    clock::Moment,
+    message::{Beat, Member},
+    node::Node,
+};
+
+/// How long a runner goes on without an order. Longer than a takeover takes, so that work
+/// outlives its owner; short, because a lost runner's tasks wait for it.
+const LEASE: Millis = Millis(6_000);
+
+/// Time added before a lease counts as lapsed.
+const LAPSE_MARGIN: Millis = Millis(300);
+
+/// How long an owner goes on giving orders without a sign that it still is the owner.
+const UNCONFIRMED_LIMIT: Millis = Millis(8_000);
+
+/// Time between two looks at what is due with time alone.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Orders under way to one runner at a time, beside the inventory call.
+const ORDERS_PER_RUNNER: usize = 4;
+
+/// Connections that are kept to a runner.
+const CONNECTIONS_PER_RUNNER: usize = ORDERS_PER_RUNNER + 3;
+
+/// How long a member that does not greet is kept.
+const MEMBER_SILENCE: Millis = Millis(6_000);
+
+/// How long a member that does not greet is asked for help.
+const HELPER_SILENCE: Millis = Millis(2_500);
+
+/// The owner's role.
+pub(crate) struct Owner {
+    node: Rc<Node>,
+    fence: u64,
+    engine: RefCell<Engine>,
+    alive: Cell<bool>,
+    /// Whether what earlier owners left has been taken over.
+    recovered: Cell<bool>,
+    /// Something changed that may let work start or has to be written.
+    changed: Notify,
+    /// Something waits to be written.
+    to_write: Notify,
+    durable: watch::Sender<u64>,
+    /// When it was last proved that no newer owner has claimed.
+    confirmed: Cell<Millis>,
+    last_moment: Cell<Moment>,
+    /// End of the topic of claims.
+    claims_end: Cell<u64>,
+    greetings: RefCell<Vec<(Member, Millis)>>,
+    contacts: RefCell<FxHashMap<RunnerIx, Rc<Contact>>>,
+}
+
+/// The way to a runner.
+struct Contact {
+    peer: Peer,
+    orders: Semaphore,
+}
+
+impl Owner {
+    /// Creates the role for a claim that was just made.
+    pub(crate) fn new(node: Rc<Node>, fence: u64, claims_end: u64) -> Rc<Self> {
+        let cfg = engine_settings(&node);
+        let now = node.clock.now();
+        let greetings = node
+            .others()
+            .into_iter()
+            .map(|member| (member, now))
+            .collect();
+        Rc::new(Self {
+            fence,
+            engine: RefCell::new(Engine::new(cfg)),
+            alive: Cell::new(true),
+            recovered: Cell::new(false),
+            changed: Notify::new(),
+            to_write: Notify::new(),
+            durable: watch::Sender::new(0),
+            confirmed: Cell::new(now),
+            last_moment: Cell::new(node.clock.moment()),
+            claims_end: Cell::new(claims_end),
+            greetings: RefCell::new(greetings),
+            contacts: RefCell::default(),
+            node,
+        })
+    }
+
+    /// Returns the fence.
+    pub(crate) fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Returns whether the role has not ended.
+    pub(crate) fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Takes over and starts to work.
+    pub(crate) async fn start(self: &Rc<Self>) {
+        // Others hear of the new owner while it recovers.
+        ntex::rt::spawn(Rc::clone(self).stay_alive());
+        let started = self.now();
+        let Some(places) = self.recover().await else {
+            return self.step_down("the takeover failed");
+        };
+        let totals = self.engine.borrow().totals();
+        self.recovered.set(true);
+        tracing::info!(
+            fence = self.fence,
+            took_ms = self.now().saturating_sub(started).0,
+            jobs = totals.known_jobs,
+            active = totals.active_jobs,
+            runners = self.contacts.borrow().len(),
+            config = self.engine.borrow().config_version(),
+            "took over"
+        );
+        ntex::rt::spawn(Rc::clone(self).write_batches());
+        ntex::rt::spawn(Rc::clone(self).follow_config(places.config_end));
+        ntex::rt::spawn(Rc::clone(self).follow_runners(places.runners_end));
+        ntex::rt::spawn(Rc::clone(self).decide());
+        ntex::rt::spawn(Rc::clone(self).tick());
+    }
+
+    /// Ends the role.
+    pub(crate) fn step_down(&self, why: &str) {
+        if !self.alive.replace(false) {
+            return;
+        }
+        tracing::warn!(fence = self.fence, why, "stepped down");
+        self.node.gave_up(self.fence);
+        self.changed.notify_waiters();
+        self.to_write.notify_waiters();
+        // Waiters see the role's end by its flag.
+        self.durable.send_modify(|_| {});
+    }
+
+    fn now(&self) -> Millis {
+        self.node.clock.now()
+    }
+
+    /// Notes a proof, asked for at `asked`, that no newer owner had claimed.
+    fn confirm(&self, asked: Millis) {
+        self.confirmed.set(self.confirmed.get().max(asked));
+    }
+
+    fn unconfirmed_for(&self) -> Millis {
+        self.now().saturating_sub(self.confirmed.get())
+    }
+
+    /// Returns whether orders may be given now.
+    fn may_order(&self) -> bool {
+        self.alive.get() && self.unconfirmed_for() < UNCONFIRMED_LIMIT && !self.was_paused()
+    }
+
+    /// Returns whether the host stood still since the last proof of ownership.
+    fn was_paused(&self) -> bool {
+        let moment = self.node.clock.moment();
+        moment.shows_pause_since(&self.last_moment.get())
+    }
+
+    /// Decides whenever something has changed.
+    async fn decide(self: Rc<Self>) {
+        while self.alive.get() {
+            self.changed.notified().await;
+            self.decide_once();
+        }
+    }
+
+    fn decide_once(self: &Rc<Self>) {
+        if !self.alive.get() {
+            return;
+        }
+        if self.engine.borrow().is_fenced() {
+            return self.step_down("a runner knows a newer owner");
+        }
+        if self.may_order() {
+            self.engine.borrow_mut().schedule(self.now());
+        }
+        let (orders, notes, has_batch) = {
+            let mut engine = self.engine.borrow_mut();
+            (
+                engine.take_orders(),
+                engine.take_notes(),
+                engine.has_batch(),
+            )
+        };
+        self.log_notes(&notes);
+        for order in orders {
+            self.carry_out(order);
+        }
+        if has_batch {
+            self.to_write.notify_one();
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        while self.alive.get() {
+            tokio::time::sleep(TICK).await;
+            let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+            self.engine.borrow_mut().tick(now, unix_ms);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Takes in a member's greeting.
+    pub(crate) fn greeted(&self, member: Member) {
+        let now = self.now();
+        let mut greetings = self.greetings.borrow_mut();
+        let known = greetings
+            .iter_mut()
+            .find(|(known, _)| known.node == member.node);
+        match known {
+            Some(known) => *known = (member, now),
+            None => greetings.push((member, now)),
+        }
+    }
+
+    /// Drops members that are silent, and tells the engine who can help.
+    fn review_members(&self) {
+        let now = self.now();
+        let mut greetings = self.greetings.borrow_mut();
+        greetings.retain(|(_, heard)| now.saturating_sub(*heard) < MEMBER_SILENCE);
+        greetings.sort_unstable_by(|a, b| a.0.node.cmp(&b.0.node));
+        let mut members: Vec<Member> = greetings.iter().map(|(member, _)| member.clone()).collect();
+        members.push(self.node.me.clone());
+        let lately = greetings
+            .iter()
+            .filter(|(_, heard)| now.saturating_sub(*heard) < HELPER_SILENCE);
+        let mut helpers: Vec<_> = lately.map(|(member, _)| member.node.clone()).collect();
+        helpers.push(self.node.me.node.clone());
+        drop(greetings);
+        self.node.set_members(members);
+        self.engine.borrow_mut().set_advisors(&helpers);
+    }
+
+    fn beat(&self) -> Beat {
+        Beat {
+            fence: self.fence,
+            owner: self.node.me.clone(),
+            members: self.node.members(),
+        }
+    }
+
+    /// Returns the way to a runner, opening one where there is none.
+    async fn contact(&self, on: RunnerIx, entry: &RunnerEntry) -> Rc<Contact> {
+        let known = self.contacts.borrow().get(&on).cloned();
+        if let Some(contact) = known {
+            return contact;
+        }
+        let contact = Rc::new(Contact {
+            peer: Peer {
+                client: kspan_adapter::http::client(CONNECTIONS_PER_RUNNER).await,
+                addr: entry.addr.clone(),
+                id: entry.id.clone(),
+                fence: self.fence,
+            },
+            orders: Semaphore::new(ORDERS_PER_RUNNER),
+        });
+        self.contacts
+            .borrow_mut()
+            .entry(on)
+            .or_insert(contact)
+            .clone()
+    }
+}
+
+fn engine_settings(node: &Node) -> Settings {
+    let cfg = &node.cfg;
+    let lease = LEASE.min(Millis(cfg.max_lease_ms));
+    Settings {
+        lease,
+        lapse_margin: LAPSE_MARGIN,
+        earlier_owner: Millis((UNCONFIRMED_LIMIT.0 + lease.0) * 102 / 100),
+        keep_ended: Millis::from_secs(cfg.keep_ended_s + cfg.keep_ended_s / 4),
+        spread_factor: whole_factor(cfg.spread_factor),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the factor is at least one and small"
+)]
+fn whole_factor(factor: f64) -> u32 {
+    factor.round() as u32
+}
--- /dev/null
+++ b/crates/cell/src/owner/notes.rs
@@ -0,0 +1,64 @@
+//! The log lines of the engine's decisions.
+
+use kspan_jobs::engine::Note;
+
+use super::Owner;
+
+impl Owner {
+    /// Logs what was decided, within the budget of each kind.
+    pub(super) fn log_notes(&self, notes: &[Note]) {
+        for note in notes {
+            if self.node.budget.allows(kind(note), self.now()) {
+                log(note);
+            }
+        }
+    }
+}
+
+fn kind(note: &Note) -> &'static str {
+    match note {
+        Note::Ordered { .. } => "ordered",
+        Note::NotStarted { .. } => "not started",
+        Note::RunOver { .. } => "run over",
+        Note::Adopted { .. } => "adopted",
+        Note::Unwanted { .. } => "unwanted",
+        Note::JobEnded { .. } => "job ended",
+        Note::Runner { .. } => "runner",
+    }
+}
+
+fn log(note: &Note) {
+    match note {
+        Note::Ordered {
+            task,
+            run,
+            on,
+            waited,
+            left_milli,
+        } => {
+            tracing::info!(%task, run, runner = %on, waited_ms = waited.0, left_milli, "start ordered");
+        }
+        Note::NotStarted { task, run, on, why } => {
+            tracing::warn!(%task, run, runner = %on, why, "not started");
+        }
+        Note::RunOver {
+            task,
+            run,
+            on,
+            how,
+            after,
+        } => {
+            tracing::info!(%task, run, runner = %on, ?how, after_ms = after.0, "run over");
+        }
+        Note::Adopted { task, run, on } => {
+            tracing::info!(%task, run, runner = %on, "run adopted");
+        }
+        Note::Unwanted { task, run, on } => {
+            tracing::warn!(%task, run, runner = %on, "unwanted run stopped");
+        }
+        Note::JobEnded { job, how, after } => {
+            tracing::info!(%job, how, after_ms = after.0, "job ended");
+        }
+        Note::Runner { id, what } => tracing::info!(runner = %id, what, "runner"),
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/recover.rs
@@ -0,0 +1,96 @@
+//! Takes over what earlier owners left in the store.
+
+use std::{rc::Rc, time::Duration};
+
+use kspan_adapter::store::{self as log, Append, KeyedRecord, Topic};
+use kspan_jobs::{
+    id::JobId,
+    record::{self, JobRecord, ProgressRecord, RecordKey},
+};
+
+use super::Owner;
+
+/// How often the takeover's calls are made before it fails.
+const ATTEMPTS: u32 = 20;
+
+/// Time between attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Where reading goes on after the takeover.
+pub(super) struct Places {
+    /// End of the operators' topic.
+    pub(super) config_end: u64,
+    /// End of the host list's topic.
+    pub(super) runners_end: u64,
+}
+
+impl Owner {
+    /// Bars earlier owners from writing, and reads what they wrote.
+    pub(super) async fn recover(self: &Rc<Self>) -> Option<Places> {
+        self.bar_earlier_owners().await?;
+        let config = self.read_all_patiently(Topic::Operators).await?;
+        self.take_operator_records(&config.records);
+        let jobs = self.read_all_patiently(Topic::Jobs).await?;
+        let runners = self.read_all_patiently(Topic::Runners).await?;
+        self.take_all_runners(&runners.records).await;
+        self.take_jobs(&jobs.records);
+        Some(Places {
+            config_end: config.end,
+            runners_end: runners.end,
+        })
+    }
+
+    async fn bar_earlier_owners(&self) -> Option<()> {
+        let req = log::fence(Topic::Jobs, self.fence);
+        for _ in 0..ATTEMPTS {
+            if !self.alive.get() {
+                return None;
+            }
+            let answer = self.node.store.send(&req, Duration::ZERO).await;
+            match answer.and_then(|answer| log::parse_append(&answer)) {
+                Ok(Append::Done { .. }) => return Some(()),
+                Ok(Append::Fenced) => return None,
+                Ok(outcome) => tracing::warn!(?outcome, "fence refused"),
+                Err(err) => tracing::warn!(%err, "fence not answered"),
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+        None
+    }
+
+    async fn read_all_patiently(&self, topic: Topic) -> Option<log::Page> {
+        for _ in 0..ATTEMPTS {
+            if !self.alive.get() {
+                return None;
+            }
+            if let Some(page) = self.read_all(topic).await {
+                return Some(page);
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+        None
+    }
+
+    fn take_jobs(&self, records: &[KeyedRecord]) {
+        let mut jobs: Vec<(JobId, JobRecord)> = Vec::new();
+        let mut progress: Vec<(JobId, ProgressRecord)> = Vec::new();
+        for kept in records {
+            let value = kept.value.as_deref().unwrap_or_default();
+            let taken = match RecordKey::parse(&kept.key) {
+                Ok(RecordKey::Job(id)) => record::decode(value).map(|job| jobs.push((id, job))),
+                Ok(RecordKey::Progress(id)) => {
+                    record::decode(value).map(|known| progress.push((id, known)))
+                }
+                Ok(RecordKey::Alive) => Ok(()),
+                Err(err) => Err(err),
+            };
+            if let Err(err) = taken {
+                tracing::error!(key = kept.key, offset = kept.offset, %err, "unreadable record skipped");
+            }
+        }
+        let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+        self.engine
+            .borrow_mut()
+            .recover(now, unix_ms, jobs, &progress);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/runners.rs
@@ -0,0 +1,81 @@
+//! Inventory calls to runners: one at a time for each, waiting there for the next end.
+
+use std::{rc::Rc, time::Duration};
+
+use kspan_adapter::runner::{self, Hold};
+use kspan_jobs::{engine::RunnerIx, runner::HoldOutcome};
+
+use super::{Contact, Owner};
+
+/// How long a runner waits for an end before it answers.
+const WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time for an answer beyond the wait.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between calls to a runner that doesn't answer.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait for ends to become durable, so that they are acknowledged with the next call.
+const DURABLE_WAIT: Duration = Duration::from_millis(200);
+
+impl Owner {
+    /// Holds a runner until its life or the role ends.
+    pub(super) async fn hold(self: Rc<Self>, on: RunnerIx, contact: Rc<Contact>) {
+        let mut first = true;
+        while self.alive.get() && !self.engine.borrow().is_dead(on) {
+            if !self.may_order() {
+                tokio::time::sleep(UNREACHED_PAUSE).await;
+                continue;
+            }
+            self.hold_once(on, &contact, first).await;
+            first = false;
+        }
+        self.contacts.borrow_mut().remove(&on);
+    }
+
+    async fn hold_once(self: &Rc<Self>, on: RunnerIx, contact: &Contact, first: bool) {
+        let order = self.engine.borrow_mut().hold_order(on, self.now());
+        // Without a reading of its clock the runner's lease is not extended yet.
+        let at_once = first || order.has_unacked || order.deadline.is_none();
+        let wait = if at_once { Duration::ZERO } else { WAIT };
+        let call = Hold {
+            deadline: order.deadline,
+            ack: order.ack,
+            wait,
+        };
+        let answer = runner::hold(&contact.peer, call, TIMEOUT + wait).await;
+        if !self.alive.get() {
+            return;
+        }
+        let outcome = answer.unwrap_or_else(|err| {
+            if self.node.budget.allows("hold", self.now()) {
+                tracing::warn!(runner = %contact.peer.id, %err, "runner not reached");
+            }
+            HoldOutcome::Unreached
+        });
+        let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+        self.engine
+            .borrow_mut()
+            .held(now, unix_ms, on, order.event, &outcome);
+        self.changed.notify_one();
+        match outcome {
+            HoldOutcome::Unreached => tokio::time::sleep(UNREACHED_PAUSE).await,
+            HoldOutcome::Inventory(inventory) if !inventory.ended.is_empty() => {
+                self.wait_for_acks().await;
+            }
+            _ => {}
+        }
+    }
+
+    /// Waits until the ends that were just taken in are durable, or for a while.
+    async fn wait_for_acks(self: &Rc<Self>) {
+        // Lets the ends reach the open batch's writer first.
+        self.decide_once();
+        let mut durable = self.durable.subscribe();
+        durable.borrow_and_update();
+        let changed = durable.changed();
+        // Without it the next call is made at once and answered at once, again and again.
+        let _ = tokio::time::timeout(DURABLE_WAIT, changed).await;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/durable.rs
@@ -0,0 +1,177 @@
+//! What has to be written, in which order, and how an owner takes over from what was.
+//!
+//! One batch is open and collects what changes; the program cuts it, writes it, and reports it
+//! durable. Nothing is told to a caller or acknowledged to a runner before its batch is.
+
+use kspan_model::Millis;
+use rustc_hash::FxHashSet;
+
+use super::{Engine, job::Job};
+use crate::{
+    id::JobId,
+    record::{self, JobRecord, Phase, ProgressRecord, Record, RecordKey},
+};
+
+/// Records that are written together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Number of the batch.
+    pub number: u64,
+    /// Records, in the order to be written.
+    pub records: Vec<Record>,
+}
+
+/// Changes that are not durable yet.
+#[derive(Clone, Debug)]
+pub(super) struct Batches {
+    open: u64,
+    durable: u64,
+    jobs: Vec<JobId>,
+    progress: FxHashSet<JobId>,
+    dropped: Vec<JobId>,
+    /// Whether an end waits for the open batch that changes no record.
+    acks_only: bool,
+}
+
+impl Default for Batches {
+    fn default() -> Self {
+        Self {
+            open: 1,
+            durable: 0,
+            jobs: Vec::new(),
+            progress: FxHashSet::default(),
+            dropped: Vec::new(),
+            acks_only: false,
+        }
+    }
+}
+
+impl Batches {
+    /// Returns the newest batch that is durable with all before it.
+    pub(super) fn durable(&self) -> u64 {
+        self.durable
+    }
+
+    /// Adds a job's specification; returns the batch that carries it.
+    pub(super) fn add_job(&mut self, id: JobId) -> u64 {
+        self.jobs.push(id);
+        self.open
+    }
+
+    /// Adds a job's progress; returns the batch that carries it.
+    pub(super) fn add_progress(&mut self, id: JobId) -> u64 {
+        self.progress.insert(id);
+        self.open
+    }
+
+    /// Adds an end that changes no record; returns the batch it is acknowledged with.
+    pub(super) fn add_end(&mut self) -> u64 {
+        self.acks_only = true;
+        self.open
+    }
+
+    fn has_open(&self) -> bool {
+        self.acks_only
+            || !self.jobs.is_empty()
+            || !self.progress.is_empty()
+            || !self.dropped.is_empty()
+    }
+}
+
+impl Engine {
+    /// Returns whether something waits to be written.
+    pub fn has_batch(&self) -> bool {
+        self.batches.has_open()
+    }
+
+    /// Returns the newest durable batch.
+    pub fn durable_batch(&self) -> u64 {
+        self.batches.durable()
+    }
+
+    /// Cuts the open batch. Batches are to be written one after the other.
+    pub fn cut_batch(&mut self) -> Option<Batch> {
+        if !self.batches.has_open() {
+            return None;
+        }
+        let number = self.batches.open;
+        self.batches.open += 1;
+        self.batches.acks_only = false;
+        let mut records = Vec::new();
+        for id in std::mem::take(&mut self.batches.jobs) {
+            let job = self.jobs.get(&id);
+            records.extend(job.map(|job| Record {
+                key: RecordKey::Job(id),
+                value: Some(record::encode(&job.record)),
+            }));
+        }
+        for id in std::mem::take(&mut self.batches.progress) {
+            let job = self.jobs.get(&id);
+            records.extend(job.map(|job| Record {
+                key: RecordKey::Progress(id),
+                value: Some(record::encode(&job.progress())),
+            }));
+        }
+        for id in std::mem::take(&mut self.batches.dropped) {
+            let keys = [RecordKey::Progress(id), RecordKey::Job(id)];
+            records.extend(keys.map(|key| Record { key, value: None }));
+        }
+        Some(Batch { number, records })
+    }
+
+    /// Notes that a batch and all before it are durable.
+    pub fn committed(&mut self, number: u64) {
+        self.batches.durable = self.batches.durable.max(number);
+    }
+
+    /// Takes over what earlier owners made durable. Runs that they ordered may be alive: tasks
+    /// wait until every runner has answered or time has proved them gone.
+    pub fn recover(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        jobs: Vec<(JobId, JobRecord)>,
+        progress: &[(JobId, ProgressRecord)],
+    ) {
+        for (id, record) in jobs {
+            let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
+            let mut job = Job::new(id, record, now.saturating_sub(age));
+            if let Some((_, progress)) = progress.iter().find(|(of, _)| *of == id) {
+                job.restore(progress, now);
+            }
+            if job.phase == Phase::Active {
+                self.active.insert(id);
+                job.begin_due(now, unix_ms);
+                job.mark_unaccounted();
+            }
+            self.jobs.insert(id, job);
+        }
+        self.unaccounted_until = Some(now + self.cfg.earlier_owner);
+    }
+
+    /// Drops jobs whose state has been shown for long enough.
+    pub(super) fn drop_old(&mut self, unix_ms: u64) {
+        let keep = self.cfg.keep_ended.0;
+        let old = self.jobs.iter().filter(|(_, job)| {
+            job.phase != Phase::Active && job.ended_unix_ms.saturating_add(keep) < unix_ms
+        });
+        let old: Vec<JobId> = old.map(|(id, _)| *id).collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.batches.dropped.push(id);
+        }
+    }
+
+    /// Returns whether runs of an earlier owner can no longer be alive out of reach.
+    pub(super) fn is_accounted(&mut self, now: Millis) -> bool {
+        let Some(until) = self.unaccounted_until else {
+            return true;
+        };
+        let all_answered = self.runners.iter().all(|runner| runner.held || runner.dead);
+        if now < until && !all_answered {
+            return false;
+        }
+        self.unaccounted_until = None;
+        true
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/ends.rs
@@ -0,0 +1,211 @@
+//! Ends of runs: what they mean for the task, its job and the runner.
+
+use kspan_model::{Millis, Name};
+
+use super::{Engine, Note, RunnerIx, job::TaskState};
+use crate::{
+    id::{JobId, TaskId},
+    record::Phase,
+    runner::{EndKind, EndedTask},
+};
+
+/// Run times below this say nothing about a task's image.
+const SHORTEST_RUN: Millis = Millis(20);
+
+impl Engine {
+    /// Takes in an end that a runner listed.
+    pub(super) fn take_end(&mut self, on: RunnerIx, end: &EndedTask, now: Millis, unix_ms: u64) {
+        self.runners[on.0].release(end.task, end.run);
+        self.note_end(on, end.task, end.run, Some(end.how), now);
+        self.judge_runner(on, end.how, now);
+        let index = end.task.index as usize;
+        let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        let active = job.phase == Phase::Active;
+        let max_attempts = job.record.policy.max_attempts.max(1);
+        let Some((step, spec)) = job.step_mut(end.task.step) else {
+            return;
+        };
+        if index >= step.tasks.len() {
+            return;
+        }
+        let (gang, lasting) = (spec.gang, spec.long_running);
+        let slot = if gang { 0 } else { index };
+        if !end.checkpoint.is_empty() && step.tasks[slot].run <= end.run {
+            step.tasks[slot].checkpoint = end.checkpoint.clone();
+        }
+        let task = &step.tasks[index];
+        let current = task.run == end.run && task.state.runner() == Some(on);
+        let took = now.saturating_sub(task.since);
+        step.tasks[index].run = step.tasks[index].run.max(end.run);
+        if end.how == EndKind::Done && !lasting {
+            let image = spec
+                .image
+                .clone()
+                .filter(|_| current && took >= SHORTEST_RUN);
+            if active {
+                self.task_done(end.task, gang, now, unix_ms);
+            }
+            if let Some(image) = image {
+                self.run_times.learn(&image, took);
+            }
+            return;
+        }
+        if end.how == EndKind::Failed {
+            let counted = &mut step.tasks[slot];
+            if end.run > counted.failed_run {
+                counted.failed_run = end.run;
+                counted.failures += 1;
+            }
+            step.tasks[index].shun = Some(on);
+        }
+        let out_of_attempts = !lasting && step.tasks[slot].failures >= max_attempts;
+        if current {
+            step.enter(index, TaskState::Waiting, now);
+        }
+        self.batches.add_progress(end.task.step.job);
+        if active && out_of_attempts {
+            return self.end_job(end.task.step.job, Phase::Failed, now, unix_ms);
+        }
+        if gang && current {
+            self.recall_gang(end.task, now);
+        }
+    }
+
+    /// Gives up a run that is not on its runner and will not be.
+    pub(super) fn run_vanished(&mut self, on: RunnerIx, task: TaskId, run: u32, now: Millis) {
+        self.note_end(on, task, run, None, now);
+        self.runners[on.0].release(task, run);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let Some((step, spec)) = job.step_mut(task.step) else {
+            return;
+        };
+        let gang = spec.gang;
+        let index = task.index as usize;
+        let known = &step.tasks[index];
+        if known.run != run || known.state.runner() != Some(on) {
+            return;
+        }
+        step.enter(index, TaskState::Waiting, now);
+        if gang {
+            self.recall_gang(task, now);
+        }
+    }
+
+    /// Marks a task as done, or all of a gang.
+    fn task_done(&mut self, task: TaskId, gang: bool, now: Millis, unix_ms: u64) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.started = true;
+        let Some((step, _)) = job.step_mut(task.step) else {
+            return;
+        };
+        let mut elsewhere = Vec::new();
+        let all = 0..step.tasks.len();
+        let one = task.index as usize..task.index as usize + 1;
+        for index in if gang { all } else { one } {
+            let member = &step.tasks[index];
+            let run = member.run;
+            if let (Some(on), false) = (member.state.runner(), gang) {
+                let index = u32::try_from(index).unwrap_or(u32::MAX);
+                elsewhere.push((on, task.step.task(index), run));
+            }
+            if step.tasks[index].state != TaskState::Done {
+                step.enter(index, TaskState::Done, now);
+            }
+        }
+        let finished = job.close_done();
+        self.batches.add_progress(id);
+        for (on, task, run) in elsewhere {
+            if self.runners[on.0].placed.contains_key(&(task, run)) {
+                self.order_stop(on, task, run, now);
+            }
+        }
+        if finished {
+            self.end_job(id, Phase::Completed, now, unix_ms);
+        }
+    }
+
+    /// Stops the members of a gang that still run after one of them has ended.
+    pub(super) fn recall_gang(&mut self, ended: TaskId, now: Millis) {
+        self.stop_where(ended.step.job, now, |task| task.step == ended.step);
+    }
+
+    /// Stops everything that runs for a job.
+    pub(super) fn stop_all(&mut self, id: JobId, now: Millis) {
+        self.stop_where(id, now, |_| true);
+    }
+
+    fn stop_where(&mut self, id: JobId, now: Millis, wanted: impl Fn(TaskId) -> bool) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let mut runs = Vec::new();
+        for occurrence in &job.occurrences {
+            for (number, step) in (0..).zip(&occurrence.steps) {
+                let step_id = crate::id::StepId {
+                    job: id,
+                    occurrence: occurrence.number,
+                    step: number,
+                };
+                for (index, task) in (0..).zip(&step.tasks) {
+                    let alive = match task.state {
+                        TaskState::Starting(on) | TaskState::Running(on) => Some(on),
+                        _ => None,
+                    };
+                    let named = step_id.task(index);
+                    runs.extend(
+                        alive
+                            .filter(|_| wanted(named))
+                            .map(|on| (on, named, task.run)),
+                    );
+                }
+            }
+        }
+        for (on, task, run) in runs {
+            self.order_stop(on, task, run, now);
+        }
+    }
+
+    fn judge_runner(&mut self, on: RunnerIx, how: EndKind, now: Millis) {
+        let runner = &mut self.runners[on.0];
+        match how {
+            EndKind::Done => runner.health.succeeded(),
+            EndKind::Failed if runner.health.failed(now) => {
+                let id: Name = runner.entry.id.clone();
+                let what = "paused after failures";
+                self.notes.push(Note::Runner { id, what });
+            }
+            _ => {}
+        }
+    }
+
+    fn note_end(
+        &mut self,
+        on: RunnerIx,
+        task: TaskId,
+        run: u32,
+        how: Option<EndKind>,
+        now: Millis,
+    ) {
+        let job = self.jobs.get(&task.step.job);
+        let step = job
+            .and_then(|job| job.step(task.step))
+            .map(|(step, _)| step);
+        let known = step.and_then(|step| step.tasks.get(task.index as usize));
+        let after = known.map_or(Millis::ZERO, |known| now.saturating_sub(known.since));
+        let on = self.runners[on.0].entry.id.clone();
+        self.notes.push(Note::RunOver {
+            task,
+            run,
+            on,
+            how,
+            after,
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/inventory.rs
@@ -0,0 +1,208 @@
+//! Inventory calls: what a runner has against what it should have.
+
+use kspan_model::Millis;
+use rustc_hash::FxHashSet;
+
+use super::{
+    Engine, Note, RunnerIx,
+    job::TaskState,
+    runner::{Placed, UnackedEnd},
+};
+use crate::{
+    id::TaskId,
+    record::Phase,
+    runner::{HoldOutcome, Inventory, RunningTask},
+};
+
+/// An inventory call to be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// Event at which the call was made.
+    pub event: u64,
+    /// Time on the runner's clock until which its runs may go on.
+    pub deadline: Option<Millis>,
+    /// Number up to which ends are acknowledged.
+    pub ack: u64,
+    /// Whether ends wait to be acknowledged, so that the runner would answer at once.
+    pub has_unacked: bool,
+}
+
+impl Engine {
+    /// Returns the inventory call to make now.
+    pub fn hold_order(&mut self, on: RunnerIx, now: Millis) -> HoldOrder {
+        let event = self.next_event();
+        let durable = self.batches.durable();
+        let runner = &mut self.runners[on.0];
+        let ack = runner.ack_cursor(durable);
+        runner.unacked.retain(|end| end.number > ack);
+        HoldOrder {
+            event,
+            deadline: runner.next_deadline(&self.cfg, now),
+            ack,
+            has_unacked: !runner.unacked.is_empty(),
+        }
+    }
+
+    /// Takes in what became of an inventory call that was made at `event`.
+    pub fn held(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        on: RunnerIx,
+        event: u64,
+        outcome: &HoldOutcome,
+    ) {
+        if self.runners[on.0].dead {
+            return;
+        }
+        match outcome {
+            HoldOutcome::Inventory(inventory) => {
+                self.take_inventory(now, unix_ms, on, event, inventory)
+            }
+            HoldOutcome::Fenced => self.fenced = true,
+            HoldOutcome::OtherLife => self.end_life(on, now),
+            HoldOutcome::Unreached => self.runners[on.0].misses += 1,
+        }
+    }
+
+    fn take_inventory(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        on: RunnerIx,
+        event: u64,
+        inventory: &Inventory,
+    ) {
+        let runner = &mut self.runners[on.0];
+        let reborn =
+            inventory.born != 0 && runner.entry.born != 0 && inventory.born != runner.entry.born;
+        if reborn {
+            return self.end_life(on, now);
+        }
+        if runner.entry.born == 0 {
+            runner.entry.born = inventory.born;
+        }
+        runner.heard(inventory.clock, now);
+        runner.held = true;
+        let mut listed: FxHashSet<(TaskId, u32)> = FxHashSet::default();
+        for row in &inventory.running {
+            listed.insert((row.task, row.run));
+            self.take_running(on, row, now);
+        }
+        for end in &inventory.ended {
+            listed.insert((end.task, end.run));
+            if end.number <= self.runners[on.0].last_end {
+                continue;
+            }
+            self.runners[on.0].last_end = end.number;
+            self.take_end(on, end, now, unix_ms);
+            let batch = self.batches.add_end();
+            let number = end.number;
+            self.runners[on.0]
+                .unacked
+                .push(UnackedEnd { number, batch });
+        }
+        self.drop_unlisted(on, event, &listed, now);
+    }
+
+    /// Gives up the runs that were proved to be settled before the call and that it did not list.
+    fn drop_unlisted(
+        &mut self,
+        on: RunnerIx,
+        event: u64,
+        listed: &FxHashSet<(TaskId, u32)>,
+        now: Millis,
+    ) {
+        let placed = &self.runners[on.0].placed;
+        let missing = placed.iter().filter(|(key, placed)| {
+            placed.proved.is_some_and(|proved| proved < event) && !listed.contains(key)
+        });
+        let mut missing: Vec<(TaskId, u32)> = missing.map(|(key, _)| *key).collect();
+        missing.sort_unstable();
+        for (task, run) in missing {
+            self.run_vanished(on, task, run, now);
+        }
+    }
+
+    fn take_running(&mut self, on: RunnerIx, row: &RunningTask, now: Millis) {
+        let event = self.next_event();
+        if let Some(placed) = self.runners[on.0].placed.get_mut(&(row.task, row.run)) {
+            placed.proved = placed.proved.or(Some(event));
+            return self.confirm_running(on, row, now);
+        }
+        if self.adopt(on, row, now) {
+            return;
+        }
+        let id = self.runners[on.0].entry.id.clone();
+        let (task, run) = (row.task, row.run);
+        self.notes.push(Note::Unwanted { task, run, on: id });
+        self.take_room(on, task, run);
+        self.order_stop(on, task, run, now);
+    }
+
+    fn confirm_running(&mut self, on: RunnerIx, row: &RunningTask, now: Millis) {
+        let index = row.task.index as usize;
+        let Some(job) = self.jobs.get_mut(&row.task.step.job) else {
+            return;
+        };
+        let Some((step, spec)) = job.step_mut(row.task.step) else {
+            return;
+        };
+        let slot = if spec.gang { 0 } else { index };
+        if !row.checkpoint.is_empty() {
+            step.tasks[slot].checkpoint = row.checkpoint.clone();
+        }
+        let task = &step.tasks[index];
+        if task.run == row.run && task.state == TaskState::Starting(on) {
+            step.enter(index, TaskState::Running(on), now);
+            job.started = true;
+        }
+    }
+
+    /// Lets a run go on that an earlier owner ordered, where the task still waits.
+    fn adopt(&mut self, on: RunnerIx, row: &RunningTask, now: Millis) -> bool {
+        let index = row.task.index as usize;
+        let Some(job) = self.jobs.get_mut(&row.task.step.job) else {
+            return false;
+        };
+        let active = job.phase == Phase::Active;
+        let Some((step, spec)) = job.step_mut(row.task.step) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(index) else {
+            return false;
+        };
+        let gang_elsewhere = spec.gang && !task.unaccounted;
+        if !active || task.state != TaskState::Waiting || task.run > row.run || gang_elsewhere {
+            return false;
+        }
+        task.run = row.run;
+        task.unaccounted = false;
+        if !row.checkpoint.is_empty() {
+            let slot = if spec.gang { 0 } else { index };
+            step.tasks[slot].checkpoint = row.checkpoint.clone();
+        }
+        step.enter(index, TaskState::Running(on), now);
+        job.started = true;
+        self.take_room(on, row.task, row.run);
+        let id = self.runners[on.0].entry.id.clone();
+        let (task, run) = (row.task, row.run);
+        self.notes.push(Note::Adopted { task, run, on: id });
+        true
+    }
+
+    /// Counts the room of a run that the runner listed.
+    fn take_room(&mut self, on: RunnerIx, task: TaskId, run: u32) {
+        let job = self.jobs.get(&task.step.job);
+        let spec = job
+            .and_then(|job| job.step(task.step))
+            .map(|(_, spec)| spec);
+        let placed = Placed {
+            size: spec.map(crate::spec::StepSpec::charged).unwrap_or_default(),
+            proved: Some(self.events),
+            stopping: false,
+            stop_sent: None,
+        };
+        self.runners[on.0].place(task, run, placed);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/mod.rs
@@ -0,0 +1,267 @@
+//! The owner's decisions.
+//!
+//! Commands tell the engine what happened and when; orders and notes come out as values, to be
+//! carried out and logged by the program. Queries change nothing.
+
+mod advice;
+mod durable;
+mod ends;
+mod estimate;
+mod health;
+mod inventory;
+mod job;
+mod orders;
+mod place;
+mod queries;
+mod runner;
+mod runners;
+mod submit;
+mod urgency;
+
+use std::collections::VecDeque;
+
+use kspan_model::{Millis, Name};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use self::{
+    advice::{Advisors, ApprovalRates},
+    durable::Batches,
+    estimate::RunTimes,
+    job::Job,
+    runner::Runner,
+};
+use crate::{
+    config::CellConfig,
+    id::{JobId, StepId, TaskId},
+    runner::EndKind,
+};
+
+pub use self::{
+    durable::Batch,
+    inventory::HoldOrder,
+    queries::{JobState, Totals},
+    runner::RunnerIx,
+    submit::{Cancelled, Submission, SubmitError, Submitted},
+};
+
+/// Bounds that the owner works with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How long an order lets a runner go on without another.
+    pub lease: Millis,
+    /// Time added before a lease counts as lapsed.
+    pub lapse_margin: Millis,
+    /// How long after a takeover an earlier owner's orders may still reach a runner that the
+    /// new owner can't reach, and what they started may live.
+    pub earlier_owner: Millis,
+    /// How long the state of an ended job is kept.
+    pub keep_ended: Millis,
+    /// How many times as long tasks take away from their rack.
+    pub spread_factor: u32,
+}
+
+/// What the program is asked to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a task; also bars a start of that run that has not arrived yet.
+    Stop(StopOrder),
+    /// Ask for approvals.
+    Advise(AdviseOrder),
+}
+
+/// A start to be sent to a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOrder {
+    /// Runner.
+    pub on: RunnerIx,
+    /// Task.
+    pub task: TaskId,
+    /// Number of the start.
+    pub run: u32,
+    /// Text of the job.
+    pub text: Name,
+    /// Time on the runner's clock after which the order is void.
+    pub deadline: Millis,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<Name>,
+    /// Approval.
+    pub ticket: Option<Name>,
+}
+
+/// A stop to be sent to a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopOrder {
+    /// Runner.
+    pub on: RunnerIx,
+    /// Task.
+    pub task: TaskId,
+    /// Number of the start.
+    pub run: u32,
+}
+
+/// A call for approvals.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdviseOrder {
+    /// Step.
+    pub step: StepId,
+    /// Runners asked about.
+    pub runners: Vec<RunnerIx>,
+    /// Host that asks.
+    pub via: Name,
+    /// Time until the answer is expected.
+    pub expected: Millis,
+}
+
+/// Something that was decided or learned, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A start was ordered.
+    Ordered {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+        /// How long the task had waited.
+        waited: Millis,
+        /// Room left on the runner, in thousandths of a core.
+        left_milli: u64,
+    },
+    /// A start was refused or its outcome is not known.
+    NotStarted {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+        /// Why.
+        why: &'static str,
+    },
+    /// A run is over.
+    RunOver {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+        /// How it ended; `None` where no end was listed.
+        how: Option<EndKind>,
+        /// How long it ran or was believed to.
+        after: Millis,
+    },
+    /// A run of an earlier owner goes on.
+    Adopted {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+    },
+    /// A run that nothing asks for was found and is stopped.
+    Unwanted {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+    },
+    /// A job ended.
+    JobEnded {
+        /// Job.
+        job: JobId,
+        /// How.
+        how: &'static str,
+        /// Time since it was submitted.
+        after: Millis,
+    },
+    /// A runner came, changed or went.
+    Runner {
+        /// Runner.
+        id: Name,
+        /// What happened.
+        what: &'static str,
+    },
+}
+
+/// The owner's decisions about one cell.
+pub struct Engine {
+    cfg: Settings,
+    config: CellConfig,
+    jobs: FxHashMap<JobId, Job>,
+    /// Jobs that have work left.
+    active: FxHashSet<JobId>,
+    runners: Vec<Runner>,
+    by_id: FxHashMap<Name, RunnerIx>,
+    advisors: Advisors,
+    approval_rates: ApprovalRates,
+    run_times: RunTimes,
+    batches: Batches,
+    /// Number of the newest event.
+    events: u64,
+    /// Time until which runs of an earlier owner may be out of reach; `None` once all runners
+    /// that it knew have answered.
+    unaccounted_until: Option<Millis>,
+    orders: VecDeque<Order>,
+    notes: Vec<Note>,
+    /// Whether a runner has refused the fence.
+    fenced: bool,
+}
+
+impl Engine {
+    /// Creates an engine that knows nothing yet.
+    pub fn new(cfg: Settings) -> Self {
+        Self {
+            cfg,
+            config: CellConfig::default(),
+            jobs: FxHashMap::default(),
+            active: FxHashSet::default(),
+            runners: Vec::new(),
+            by_id: FxHashMap::default(),
+            advisors: Advisors::default(),
+            approval_rates: ApprovalRates::default(),
+            run_times: RunTimes::default(),
+            batches: Batches::default(),
+            events: 0,
+            unaccounted_until: None,
+            orders: VecDeque::new(),
+            notes: Vec::new(),
+            fenced: false,
+        }
+    }
+
+    /// Puts a configuration in force, unless a newer one is. Returns whether it did.
+    pub fn configure(&mut self, config: CellConfig) -> bool {
+        if config.version < self.config.version {
+            return false;
+        }
+        self.config = config;
+        true
+    }
+
+    /// Replaces the hosts that can ask for approvals.
+    pub fn set_advisors(&mut self, hosts: &[Name]) {
+        self.advisors.set(hosts);
+    }
+
+    /// Takes the orders that were decided since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        self.orders.drain(..).collect()
+    }
+
+    /// Takes the notes that were made since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    fn next_event(&mut self) -> u64 {
+        self.events += 1;
+        self.events
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/place.rs
@@ -0,0 +1,448 @@
+//! Which waiting task starts where.
+//!
+//! Answers the load pattern in which unlike work shares uneven runners: tasks go where the least
+//! room is left over, so that wide tasks and gangs find whole runners; tasks of a long-running
+//! step are spread; work near its data stays there unless waiting costs more.
+
+use kspan_model::{Millis, Resources};
+
+use super::{
+    AdviseOrder, Engine, Note, Order, RunnerIx, StartOrder,
+    job::{Step, Task, TaskState},
+    runner::{Placed, Runner},
+    urgency::Urgency,
+};
+use crate::{
+    config::Policy,
+    id::{StepId, TaskId},
+    spec::StepSpec,
+};
+
+/// Memory that weighs as much as a thousandth of a core when room left over is compared, in MiB
+/// to a thousand.
+const MEMORY_PER_MILLICORE: u64 = 4;
+
+/// Score that keeps work from a runner that failed lately.
+const SUSPECT_SCORE: u64 = 1_000_000;
+
+/// Score that keeps a task from the runner that it failed on.
+const SHUN_SCORE: u64 = 4_000_000;
+
+/// Score for each task of the same long-running step on a runner.
+const SPREAD_SCORE: u64 = 100_000;
+
+/// Most runners that one call for approvals asks about.
+const MOST_ASKED: usize = 40;
+
+/// Fewest runners that one call for approvals asks about, where there are as many.
+const FEWEST_ASKED: usize = 4;
+
+/// Time after which a step without any runner to ask about is looked at again.
+const NO_ROOM_RETRY: Millis = Millis(60);
+
+/// Time after which a step is asked about again that no host could ask about.
+const NO_ADVISOR_RETRY: Millis = Millis(100);
+
+/// A task with the runner that it will start on.
+type Choice = (u32, RunnerIx);
+
+impl Engine {
+    /// Starts what can start, in the order of urgency.
+    pub fn schedule(&mut self, now: Millis) {
+        if self.fenced {
+            return;
+        }
+        let accounted = self.is_accounted(now);
+        for (_, step, durable) in self.ready(now) {
+            if durable {
+                self.place_step(step, accounted, now);
+            }
+            self.ask_for_approvals(step, now);
+        }
+    }
+
+    /// Returns the steps with waiting tasks, the most urgent first.
+    fn ready(&self, now: Millis) -> Vec<(Urgency, StepId, bool)> {
+        let mut ready = Vec::new();
+        for id in &self.active {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let durable = job.spec_batch <= self.batches.durable();
+            let mut steps = job.ready_steps().peekable();
+            if steps.peek().is_some() {
+                let urgency = self.urgency(job, now);
+                ready.extend(steps.map(|step| (urgency, step, durable)));
+            }
+        }
+        ready.sort_unstable();
+        ready
+    }
+
+    fn place_step(&mut self, id: StepId, accounted: bool, now: Millis) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let Some((step, spec)) = job.step(id) else {
+            return;
+        };
+        let policy = &job.record.policy;
+        let choices = if spec.gang {
+            self.choose_gang(step, spec, policy, accounted, now)
+        } else {
+            self.choose_each(step, spec, policy, accounted, now)
+        };
+        if choices.is_empty() {
+            return;
+        }
+        let run = choices
+            .iter()
+            .map(|(index, _)| next_run(&step.tasks[*index as usize]))
+            .max();
+        let gang_run = run.filter(|_| spec.gang);
+        for (index, on) in choices {
+            self.start(id.task(index), on, gang_run, now);
+        }
+    }
+
+    /// Chooses a runner for each waiting task that finds one.
+    fn choose_each(
+        &self,
+        step: &Step,
+        spec: &StepSpec,
+        policy: &Policy,
+        accounted: bool,
+        now: Millis,
+    ) -> Vec<Choice> {
+        let size = spec.charged();
+        let mut usable = self.usable(step, spec, policy, now);
+        let mut choices = Vec::new();
+        for (index, task) in (0..).zip(&step.tasks) {
+            if usable.is_empty() {
+                break;
+            }
+            if task.state != TaskState::Waiting || (task.unaccounted && !accounted) {
+                continue;
+            }
+            let Some(at) = self.best(&usable, step, spec, Some(task), now) else {
+                continue;
+            };
+            choices.push((index, usable[at].on));
+            if !usable[at].take(size) {
+                usable.swap_remove(at);
+            }
+        }
+        choices
+    }
+
+    /// Chooses runners for all members of a gang, or for none.
+    fn choose_gang(
+        &self,
+        step: &Step,
+        spec: &StepSpec,
+        policy: &Policy,
+        accounted: bool,
+        now: Millis,
+    ) -> Vec<Choice> {
+        let ready =
+            |task: &Task| task.state == TaskState::Waiting && (accounted || !task.unaccounted);
+        if !step.tasks.iter().all(ready) {
+            return Vec::new();
+        }
+        let all = self.usable(step, spec, policy, now);
+        if spec.same_rack {
+            let mut racks: Vec<_> = all.iter().map(|usable| self.rack_of(usable.on)).collect();
+            racks.sort_unstable();
+            racks.dedup();
+            for rack in racks {
+                let there = all.iter().filter(|usable| self.rack_of(usable.on) == rack);
+                let choices = self.fill_gang(there.cloned().collect(), step, spec, now);
+                if !choices.is_empty() {
+                    return choices;
+                }
+            }
+        }
+        self.fill_gang(all, step, spec, now)
+    }
+
+    fn fill_gang(
+        &self,
+        mut usable: Vec<Usable>,
+        step: &Step,
+        spec: &StepSpec,
+        now: Millis,
+    ) -> Vec<Choice> {
+        let mut choices = Vec::new();
+        for index in 0..spec.count {
+            let task = &step.tasks[index as usize];
+            let Some(at) = self.best(&usable, step, spec, Some(task), now) else {
+                return Vec::new();
+            };
+            choices.push((index, usable[at].on));
+            if !usable[at].take(spec.charged()) {
+                usable.swap_remove(at);
+            }
+        }
+        choices
+    }
+
+    /// Returns the runners that can take a task of the step now.
+    fn usable(&self, step: &Step, spec: &StepSpec, policy: &Policy, now: Millis) -> Vec<Usable> {
+        let runners = self.runners.iter().enumerate();
+        let fitting = runners.filter(|(_, runner)| fits(runner, spec, policy, now));
+        let approved = fitting.filter(|(ix, _)| {
+            policy.advice.is_none() || step.approvals.ticket(RunnerIx(*ix), now).is_some()
+        });
+        let usable = approved.filter_map(|(ix, runner)| {
+            let on = RunnerIx(ix);
+            let there = step.on_runner.get(&on).copied().unwrap_or(0);
+            let more = spec.per_runner.unwrap_or(u32::MAX).checked_sub(there)?;
+            (more > 0).then(|| Usable {
+                on,
+                free: runner.free(),
+                there,
+                more,
+                size: spec.charged(),
+            })
+        });
+        usable.collect()
+    }
+
+    /// Returns the place in `usable` where a task goes best.
+    fn best(
+        &self,
+        usable: &[Usable],
+        step: &Step,
+        spec: &StepSpec,
+        task: Option<&Task>,
+        now: Millis,
+    ) -> Option<usize> {
+        let waited = task.map_or(Millis::ZERO, |task| now.saturating_sub(task.since));
+        let patience =
+            Millis(self.run_times.expect(spec).0 * u64::from(self.cfg.spread_factor - 1));
+        let used_rack = self.rack_in_use(step, spec);
+        let scored = usable.iter().enumerate().filter_map(|(at, usable)| {
+            let runner = &self.runners[usable.on.0];
+            let wanted_rack = spec.near_rack.as_ref().or(used_rack.as_ref());
+            let far = wanted_rack.is_some_and(|rack| !runner.has_label(rack));
+            if far && waited < patience {
+                return None;
+            }
+            let mut score = usable.left_over();
+            if runner.health.is_suspect() {
+                score += SUSPECT_SCORE;
+            }
+            if task.is_some_and(|task| task.shun == Some(usable.on)) {
+                score += SHUN_SCORE;
+            }
+            if spec.long_running {
+                score += SPREAD_SCORE * u64::from(usable.there);
+            }
+            Some((score, at))
+        });
+        scored.min().map(|(_, at)| at)
+    }
+
+    /// Returns the rack that a step which must stay together has begun on.
+    fn rack_in_use(&self, step: &Step, spec: &StepSpec) -> Option<kspan_model::Name> {
+        if !spec.same_rack || spec.gang {
+            return None;
+        }
+        let used = step.on_runner.iter().filter(|(_, count)| **count > 0);
+        let first = used.map(|(on, _)| *on).min()?;
+        self.rack_of(first)
+    }
+
+    /// Returns the label that names a runner's rack: the last of its labels.
+    fn rack_of(&self, on: RunnerIx) -> Option<kspan_model::Name> {
+        self.runners[on.0].entry.labels.last().cloned()
+    }
+
+    fn start(&mut self, task: TaskId, on: RunnerIx, gang_run: Option<u32>, now: Millis) {
+        let Some(deadline) = self.runners[on.0].next_deadline(&self.cfg, now) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let text = job.record.spec.text.clone();
+        let Some((step, spec)) = job.step_mut(task.step) else {
+            return;
+        };
+        let index = task.index as usize;
+        let size = spec.charged();
+        let slot = if spec.gang { 0 } else { index };
+        let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
+        let ticket = step.approvals.ticket(on, now).cloned();
+        let known = &mut step.tasks[index];
+        let run = gang_run.unwrap_or_else(|| next_run(known));
+        let waited = now.saturating_sub(known.since);
+        known.run = run;
+        known.skip_runs = 0;
+        known.unaccounted = false;
+        step.enter(index, TaskState::Starting(on), now);
+        let runner = &mut self.runners[on.0];
+        runner.place(
+            task,
+            run,
+            Placed {
+                size,
+                proved: None,
+                stopping: false,
+                stop_sent: None,
+            },
+        );
+        self.notes.push(Note::Ordered {
+            task,
+            run,
+            on: runner.entry.id.clone(),
+            waited,
+            left_milli: runner.free().cpu_milli,
+        });
+        self.orders.push_back(Order::Start(StartOrder {
+            on,
+            task,
+            run,
+            text,
+            deadline,
+            checkpoint,
+            ticket,
+        }));
+    }
+
+    /// Asks which runners may run a step, where approvals are missing for tasks that wait.
+    fn ask_for_approvals(&mut self, id: StepId, now: Millis) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let Some(policy) = job.record.policy.advice else {
+            return;
+        };
+        let Some((step, _)) = job.step(id) else {
+            return;
+        };
+        if step.waiting == 0 || step.approvals.asking || now < step.approvals.not_before {
+            return;
+        }
+        let asked = self.runners_to_ask(id, now);
+        let call = policy.call_time(asked.len());
+        let taken = if asked.is_empty() {
+            None
+        } else {
+            self.advisors.take(call, now)
+        };
+        let retry = if asked.is_empty() {
+            NO_ROOM_RETRY
+        } else {
+            NO_ADVISOR_RETRY
+        };
+        let Some((step, _)) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
+            return;
+        };
+        let Some((via, expected)) = taken else {
+            step.approvals.not_before = now + retry;
+            return;
+        };
+        step.approvals.asking = true;
+        self.orders.push_back(Order::Advise(AdviseOrder {
+            step: id,
+            runners: asked,
+            via,
+            expected,
+        }));
+    }
+
+    /// Returns the runners to ask about: those with room, the approved ones first, as many as
+    /// the waiting tasks are expected to need.
+    fn runners_to_ask(&self, id: StepId, now: Millis) -> Vec<RunnerIx> {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return Vec::new();
+        };
+        let Some((step, spec)) = job.step(id) else {
+            return Vec::new();
+        };
+        let rate = u64::from(self.approval_rates.expect(&job.record.queue));
+        let mut candidates = Vec::new();
+        for (ix, runner) in self.runners.iter().enumerate() {
+            let on = RunnerIx(ix);
+            let usable = fits(runner, spec, &job.record.policy, now)
+                && !step.approvals.is_denied(on)
+                && step.approvals.ticket(on, now).is_none();
+            let there = step.on_runner.get(&on).copied().unwrap_or(0);
+            let more = spec.per_runner.unwrap_or(u32::MAX).saturating_sub(there);
+            let tasks = room_for(runner.free(), spec.charged()).min(u64::from(more));
+            if usable && tasks > 0 {
+                let known = step.approvals.was_approved(on);
+                candidates.push((
+                    !known,
+                    runner.health.is_suspect(),
+                    std::cmp::Reverse(tasks),
+                    on,
+                ));
+            }
+        }
+        candidates.sort_unstable();
+        let needed = step.waiting as u64 * 100 * 3 / 2;
+        let mut asked = Vec::new();
+        let mut covered = 0;
+        for (unknown, _, tasks, on) in candidates {
+            let enough = covered >= needed && asked.len() >= FEWEST_ASKED;
+            if enough || asked.len() >= MOST_ASKED {
+                break;
+            }
+            covered += tasks.0 * if unknown { rate } else { 100 };
+            asked.push(on);
+        }
+        asked
+    }
+}
+
+/// A runner that can take tasks of a step, while they are dealt out.
+#[derive(Clone, Debug)]
+struct Usable {
+    on: RunnerIx,
+    free: Resources,
+    /// Tasks of the step that are there.
+    there: u32,
+    /// Tasks of the step that may come.
+    more: u32,
+    size: Resources,
+}
+
+impl Usable {
+    /// Takes room for one task; returns whether there is some for another.
+    fn take(&mut self, size: Resources) -> bool {
+        self.free = self.free.checked_sub(size).unwrap_or_default();
+        self.there += 1;
+        self.more -= 1;
+        self.more > 0 && size.fits_in(self.free)
+    }
+
+    /// Returns the room that is left over with one task more, in thousandths of a core.
+    fn left_over(&self) -> u64 {
+        let left = self.free.checked_sub(self.size).unwrap_or_default();
+        left.cpu_milli + left.memory_mib / MEMORY_PER_MILLICORE
+    }
+}
+
+fn next_run(task: &Task) -> u32 {
+    task.run + 1 + task.skip_runs
+}
+
+fn fits(runner: &Runner, spec: &StepSpec, policy: &Policy, now: Millis) -> bool {
+    runner.entry.service == policy.service
+        && runner.takes_work(now)
+        && spec
+            .label
+            .as_ref()
+            .is_none_or(|label| runner.has_label(label))
+        && spec.charged().fits_in(runner.free())
+}
+
+fn room_for(free: Resources, size: Resources) -> u64 {
+    let by = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::MAX);
+    by(free.cpu_milli, size.cpu_milli)
+        .min(by(free.memory_mib, size.memory_mib))
+        .min(by(free.accelerators, size.accelerators))
+        .min(1_000)
+}
--- /dev/null
+++ b/crates/jobs/src/engine/runner.rs
@@ -0,0 +1,167 @@
+//! A runner as its owner knows it: what it may have, what is left, and until when.
+//!
+//! Room is taken from the moment a start is ordered until an end is listed or it is proved that
+//! the run neither is nor will be there.
+
+use kspan_model::{Millis, Name, Resources};
+use rustc_hash::FxHashMap;
+
+use super::{Settings, health::Health};
+use crate::{id::TaskId, runner::RunnerEntry};
+
+/// Index of a runner; never used again for another life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunnerIx(pub usize);
+
+/// Slowest rate of a runner's clock against ours, in thousandths.
+const SLOWEST_CLOCK_PERMILLE: u64 = 970;
+
+/// How long a runner that still answers may be missing from the host list: entries that lapsed
+/// while the list was away come back about two seconds after it.
+const MISSING_GRACE: Millis = Millis(2_500);
+
+/// A run that may be alive on a runner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Placed {
+    pub(super) size: Resources,
+    /// Event after which an inventory must list the run, or it is over.
+    pub(super) proved: Option<u64>,
+    /// Whether a stop was ordered.
+    pub(super) stopping: bool,
+    /// When the last stop was ordered without an answer so far.
+    pub(super) stop_sent: Option<Millis>,
+}
+
+/// A reading of the runner's clock.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    clock: Millis,
+    at: Millis,
+}
+
+/// An acknowledgement that waits for its batch.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnackedEnd {
+    pub(super) number: u64,
+    pub(super) batch: u64,
+}
+
+/// A runner.
+#[derive(Clone, Debug)]
+pub(super) struct Runner {
+    pub(super) entry: RunnerEntry,
+    /// Since when the host list no longer shows it.
+    pub(super) missing_since: Option<Millis>,
+    /// Whether this life has ended for certain.
+    pub(super) dead: bool,
+    /// Whether it has answered under the owner's fence.
+    pub(super) held: bool,
+    pub(super) placed: FxHashMap<(TaskId, u32), Placed>,
+    pub(super) used: Resources,
+    pub(super) last_answer: Option<Millis>,
+    pub(super) misses: u32,
+    /// Number of the newest end that was taken in.
+    pub(super) last_end: u64,
+    pub(super) unacked: Vec<UnackedEnd>,
+    pub(super) health: Health,
+    reading: Option<Reading>,
+    latest_deadline: Millis,
+}
+
+impl Runner {
+    /// Creates a runner that has not answered yet.
+    pub(super) fn new(entry: RunnerEntry) -> Self {
+        Self {
+            entry,
+            missing_since: None,
+            dead: false,
+            held: false,
+            placed: FxHashMap::default(),
+            used: Resources::ZERO,
+            last_answer: None,
+            misses: 0,
+            last_end: 0,
+            unacked: Vec::new(),
+            health: Health::default(),
+            reading: None,
+            latest_deadline: Millis::ZERO,
+        }
+    }
+
+    /// Returns the room that nothing takes.
+    pub(super) fn free(&self) -> Resources {
+        let capacity = self.entry.capacity;
+        Resources {
+            cpu_milli: capacity.cpu_milli.saturating_sub(self.used.cpu_milli),
+            memory_mib: capacity.memory_mib.saturating_sub(self.used.memory_mib),
+            accelerators: capacity.accelerators.saturating_sub(self.used.accelerators),
+        }
+    }
+
+    /// Returns whether new work may be sent.
+    pub(super) fn takes_work(&self, now: Millis) -> bool {
+        self.missing_since
+            .is_none_or(|since| now < since + MISSING_GRACE)
+            && self.held
+            && !self.dead
+            && !self.entry.draining
+            && self.misses == 0
+            && self.health.allows(now)
+    }
+
+    /// Takes room for a run.
+    pub(super) fn place(&mut self, task: TaskId, run: u32, placed: Placed) {
+        let before = self.placed.insert((task, run), placed);
+        if before.is_none() {
+            self.used = self.used.saturating_add(placed.size);
+        }
+    }
+
+    /// Gives the room of a run back, and returns whether it had any.
+    pub(super) fn release(&mut self, task: TaskId, run: u32) -> bool {
+        let Some(placed) = self.placed.remove(&(task, run)) else {
+            return false;
+        };
+        self.used = self.used.checked_sub(placed.size).unwrap_or_default();
+        true
+    }
+
+    /// Notes an answer with a reading of the runner's clock.
+    pub(super) fn heard(&mut self, clock: Millis, now: Millis) {
+        if self.reading.is_none_or(|reading| clock >= reading.clock) {
+            self.reading = Some(Reading { clock, at: now });
+        }
+        self.last_answer = Some(now);
+        self.misses = 0;
+    }
+
+    /// Returns the deadline for an order sent now, on the runner's clock, and notes it.
+    pub(super) fn next_deadline(&mut self, cfg: &Settings, now: Millis) -> Option<Millis> {
+        let reading = self.reading?;
+        let estimate = reading.clock + now.saturating_sub(reading.at);
+        let deadline = estimate + cfg.lease;
+        self.latest_deadline = self.latest_deadline.max(deadline);
+        Some(deadline)
+    }
+
+    /// Returns whether everything ordered so far has certainly lapsed.
+    pub(super) fn has_lapsed(&self, cfg: &Settings, now: Millis) -> bool {
+        let Some(reading) = self.reading else {
+            return false;
+        };
+        let elapsed = now.saturating_sub(reading.at).0 * SLOWEST_CLOCK_PERMILLE / 1_000;
+        reading.clock.0 + elapsed > self.latest_deadline.0 + cfg.lapse_margin.0
+    }
+
+    /// Returns the largest end number that may be acknowledged once `batch` is durable.
+    pub(super) fn ack_cursor(&self, durable: u64) -> u64 {
+        let open = self.unacked.iter().filter(|end| end.batch > durable);
+        let first_open = open.map(|end| end.number).min();
+        first_open.map_or(self.last_end, |number| number.saturating_sub(1))
+    }
+
+    /// Returns whether the runner carries a label.
+    pub(super) fn has_label(&self, label: &Name) -> bool {
+        self.entry.labels.contains(label)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/engine/runners.rs
@@ -0,0 +1,138 @@
+//! The host list: runners that come, change and go.
+
+use kspan_model::{Millis, Name};
+
+use super::{Engine, Note, Runner, RunnerIx, job::TaskState};
+use crate::{id::TaskId, runner::RunnerEntry};
+
+impl Engine {
+    /// Takes in a runner's entry of the host list. Returns the index of a life that is new.
+    pub fn put_runner(&mut self, now: Millis, entry: RunnerEntry) -> Option<RunnerIx> {
+        if let Some(&on) = self.by_id.get(&entry.id) {
+            let known = &mut self.runners[on.0];
+            let reborn = entry.born != 0 && known.entry.born != 0 && entry.born != known.entry.born;
+            if !reborn && !known.dead {
+                let began_draining = entry.draining && !known.entry.draining;
+                let born = known.entry.born;
+                known.entry = entry;
+                if known.entry.born == 0 {
+                    known.entry.born = born;
+                }
+                known.missing_since = None;
+                if began_draining {
+                    self.evacuate(on, now);
+                }
+                return None;
+            }
+            if reborn && entry.born < known.entry.born {
+                return None;
+            }
+            if !reborn {
+                // A late entry of a life that has ended.
+                return None;
+            }
+            self.end_life(on, now);
+        }
+        let on = RunnerIx(self.runners.len());
+        let id = entry.id.clone();
+        self.by_id.insert(id.clone(), on);
+        self.runners.push(Runner::new(entry));
+        self.notes.push(Note::Runner { id, what: "listed" });
+        Some(on)
+    }
+
+    /// Notes that the host list no longer shows a runner. It may still run what it has.
+    pub fn unlist_runner(&mut self, now: Millis, id: &Name) {
+        let Some(&on) = self.by_id.get(id) else {
+            return;
+        };
+        let runner = &mut self.runners[on.0];
+        if runner.missing_since.is_none() {
+            runner.missing_since = Some(now);
+            self.notes.push(Note::Runner {
+                id: id.clone(),
+                what: "unlisted",
+            });
+        }
+    }
+
+    /// Returns the ids of the runners that the host list shows.
+    pub fn listed_runners(&self) -> Vec<Name> {
+        let listed = self
+            .runners
+            .iter()
+            .filter(|runner| runner.missing_since.is_none() && !runner.dead);
+        listed.map(|runner| runner.entry.id.clone()).collect()
+    }
+
+    /// Ends a runner's life for certain: nothing that it had runs any more.
+    pub(super) fn end_life(&mut self, on: RunnerIx, now: Millis) {
+        let runner = &mut self.runners[on.0];
+        if runner.dead {
+            return;
+        }
+        runner.dead = true;
+        let id = runner.entry.id.clone();
+        self.notes.push(Note::Runner { id, what: "ended" });
+        self.lose_all(on, now);
+    }
+
+    /// Gives up every run on a runner that can't be alive any more.
+    pub(super) fn lose_all(&mut self, on: RunnerIx, now: Millis) {
+        let placed = &self.runners[on.0].placed;
+        let mut runs: Vec<(TaskId, u32)> = placed.keys().copied().collect();
+        runs.sort_unstable();
+        for (task, run) in runs {
+            self.run_vanished(on, task, run, now);
+        }
+    }
+
+    /// Moves tasks away from a runner that leaves, where moving them loses no work.
+    fn evacuate(&mut self, on: RunnerIx, now: Millis) {
+        let placed = &self.runners[on.0].placed;
+        let mut runs: Vec<(TaskId, u32)> = placed.keys().copied().collect();
+        runs.sort_unstable();
+        for (task, run) in runs {
+            let Some(job) = self.jobs.get(&task.step.job) else {
+                continue;
+            };
+            let Some((step, spec)) = job.step(task.step) else {
+                continue;
+            };
+            let state = step.tasks[task.index as usize].state;
+            let moves = spec.long_running || spec.saves_progress;
+            if moves && !spec.gang && state == TaskState::Running(on) {
+                self.order_stop(on, task, run, now);
+            }
+        }
+    }
+
+    /// Does what is due with time alone: occurrences, lapses, repeated stops, old jobs.
+    pub fn tick(&mut self, now: Millis, unix_ms: u64) {
+        for id in &self.active {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.begin_due(now, unix_ms);
+            }
+        }
+        for ix in 0..self.runners.len() {
+            self.check_lapse(RunnerIx(ix), now);
+        }
+        self.repeat_stops(now);
+        self.drop_old(unix_ms);
+    }
+
+    fn check_lapse(&mut self, on: RunnerIx, now: Millis) {
+        let runner = &self.runners[on.0];
+        if runner.dead || runner.misses == 0 || !runner.has_lapsed(&self.cfg, now) {
+            return;
+        }
+        if !runner.placed.is_empty() {
+            let id = runner.entry.id.clone();
+            self.notes.push(Note::Runner { id, what: "lapsed" });
+            self.lose_all(on, now);
+        }
+        if self.runners[on.0].missing_since.is_some() {
+            self.end_life(on, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/runner.rs
@@ -0,0 +1,144 @@
+//! What runners say, and what they are told.
+
+use kspan_model::{Millis, Name, Resources};
+
+use crate::id::TaskId;
+
+/// A runner as the host list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerEntry {
+    /// Id of this life of the runner.
+    pub id: Name,
+    /// Service that the runner belongs to.
+    pub service: Name,
+    /// Address of its interface.
+    pub addr: Name,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Room of the runner.
+    pub capacity: Resources,
+    /// Labels of the runner, its rack among them.
+    pub labels: Vec<Name>,
+    /// Start of this life, in milliseconds since 1970.
+    pub born: u64,
+}
+
+/// A task that a runner has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskId,
+    /// Number of its start.
+    pub run: u32,
+    /// Newest checkpoint; empty where there is none.
+    pub checkpoint: Name,
+    /// Share of the work that is done, or of a long-running task that is at work.
+    pub percent: u32,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// The work is done.
+    Done,
+    /// It failed, through its own fault or the runner's.
+    Failed,
+    /// It was stopped on an order.
+    Stopped,
+    /// The runner's lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// An end that a runner reports until it is acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedTask {
+    /// Number of the end in this life of the runner.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Number of its start.
+    pub run: u32,
+    /// How it ended.
+    pub how: EndKind,
+    /// Newest checkpoint; empty where there is none.
+    pub checkpoint: Name,
+}
+
+/// A runner's answer to an inventory call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Inventory {
+    /// The runner's own clock.
+    pub clock: Millis,
+    /// Start of this life, in milliseconds since 1970; 0 where it is not told.
+    pub born: u64,
+    /// What it has.
+    pub running: Vec<RunningTask>,
+    /// Ends that are not acknowledged yet.
+    pub ended: Vec<EndedTask>,
+}
+
+/// Why a runner refused a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// A higher fence was seen: another owner has taken over.
+    Fenced,
+    /// A run as high has ended there.
+    OldRun,
+    /// The deadline has passed.
+    Late,
+    /// It does not fit.
+    NoRoom,
+    /// The approval is not valid.
+    Ticket,
+    /// The runner is unhealthy and did nothing.
+    Unhealthy,
+    /// The runner did not understand.
+    Malformed,
+}
+
+/// What became of a start order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The task is there.
+    Started(Millis),
+    /// It will not run.
+    Refused(Refusal),
+    /// The runner's address belongs to another life now: this one has ended.
+    OtherLife,
+    /// It may run, now or later.
+    Unknown,
+}
+
+/// What became of an order other than a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Carried out.
+    Done,
+    /// Refused for a higher fence.
+    Fenced,
+    /// The address belongs to another life now.
+    OtherLife,
+    /// Refused for another reason.
+    Refused,
+    /// Not known.
+    Unknown,
+}
+
+/// What became of an inventory call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldOutcome {
+    /// The lists.
+    Inventory(Inventory),
+    /// Refused for a higher fence.
+    Fenced,
+    /// The address belongs to another life now.
+    OtherLife,
+    /// No usable answer.
+    Unreached,
+}
