Know the jobs before the first inventory, and answer an outage at once

Change: recovery is the engine's constructor, so that the order can't be wrong; a run of unknown size takes all that is free.

Second cause: in an outage callers were held for up to 1.5 s and more and then told 504. Change: once a write takes longer than 600 ms new jobs are refused before anything is kept, with a Retry-After that grows with the outage; a job whose batch was not cut is withdrawn and refused.

--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -10,7 +10,10 @@
 use crate::message::{CallAnswer, JobCall, Verb};
 
 /// Longest time that a caller waits for its job to be durable.
-const DURABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const DURABLE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time in which even a slow store answers. A write that takes longer shows an outage.
+const OUTAGE: Millis = Millis(600);
 
 /// Longest time without proof of ownership within which "no such job" is said.
 const FRESH: Millis = Millis(1_500);
@@ -18,8 +21,8 @@
 /// When a caller comes back that was not served, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
-/// When a caller comes back whose job can't be stored now, in seconds.
-const STORE_RETRY_AFTER_S: u32 = 2;
+/// Latest that a caller comes back whose job can't be stored now, in seconds.
+const LONGEST_RETRY_AFTER_S: u64 = 3;
 
 impl Owner {
     /// Carries out a caller's request. `None` where this process does not own the cell.
@@ -47,9 +50,9 @@
         let is_new = known
             .and_then(|(_, job)| job)
             .is_some_and(|job| self.engine.borrow().state(job).is_none());
-        if is_new && !self.node.store.is_reachable() {
+        if is_new && let Some(retry_after_s) = self.outage_retry() {
             self.log_call(path, "refused", "the store is out of reach");
-            return Some(CallAnswer::not_taken(STORE_RETRY_AFTER_S));
+            return Some(CallAnswer::not_taken(retry_after_s));
         }
         let req = Submission { host, path, spec };
         let unix_ms = self.node.clock.unix_ms();
@@ -68,6 +71,11 @@
             self.log_call(path, how, "durable");
             return Some(CallAnswer::new(200));
         }
+        if self.engine.borrow_mut().withdraw(submitted.job) {
+            self.log_call(path, "refused", "not written in time, withdrawn");
+            let retry_after_s = self.outage_retry().unwrap_or(RETRY_AFTER_S);
+            return Some(CallAnswer::not_taken(retry_after_s));
+        }
         if !self.alive.get() {
             return None;
         }
@@ -75,6 +83,17 @@
         Some(CallAnswer::new(504))
     }
 
+    /// Returns when a caller should come back, in seconds, where nothing can be stored now. An
+    /// outage that has lasted for a while is expected to last as long again.
+    fn outage_retry(&self) -> Option<u32> {
+        let lasted = self.now().saturating_sub(self.writing_since.get()?);
+        if lasted < OUTAGE {
+            return None;
+        }
+        let seconds = (lasted.0 / 1_000).clamp(1, LONGEST_RETRY_AFTER_S);
+        u32::try_from(seconds).ok()
+    }
+
     fn show(&self, host: &str, path: &str) -> CallAnswer {
         let engine = self.engine.borrow();
         let Some((queue, job)) = engine.find_queue(host, path) else {
--- a/crates/cell/src/owner/commit.rs
+++ b/crates/cell/src/owner/commit.rs
@@ -29,9 +29,11 @@
                 self.to_write.notified().await;
                 continue;
             };
+            self.writing_since.set(Some(self.now()));
             if !self.write(&batch, &mut number).await {
                 return;
             }
+            self.writing_since.set(None);
             self.engine.borrow_mut().committed(batch.number);
             self.durable.send_replace(batch.number);
             self.changed.notify_one();
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -71,6 +71,8 @@
     /// Something waits to be written.
     to_write: Notify,
     durable: watch::Sender<u64>,
+    /// Since when the batch that is being written has been.
+    writing_since: Cell<Option<Millis>>,
     /// When it was last proved that no newer owner has claimed.
     confirmed: Cell<Millis>,
     last_moment: Cell<Moment>,
@@ -104,6 +106,7 @@
             changed: Notify::new(),
             to_write: Notify::new(),
             durable: watch::Sender::new(0),
+            writing_since: Cell::new(None),
             confirmed: Cell::new(now),
             last_moment: Cell::new(node.clock.moment()),
             claims_end: Cell::new(claims_end),
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -4,11 +4,14 @@
 
 use kspan_adapter::store::{self as log, Append, KeyedRecord, Topic};
 use kspan_jobs::{
+    engine::Engine,
     id::JobId,
     record::{self, JobRecord, ProgressRecord, RecordKey},
 };
 
-use super::Owner;
+use rustc_hash::FxHashMap;
+
+use super::{Owner, engine_settings};
 
 /// How often the takeover's calls are made before it fails.
 const ATTEMPTS: u32 = 20;
@@ -28,12 +31,12 @@
     /// Bars earlier owners from writing, and reads what they wrote.
     pub(super) async fn recover(self: &Rc<Self>) -> Option<Places> {
         self.bar_earlier_owners().await?;
+        let jobs = self.read_all_patiently(Topic::Jobs).await?;
+        self.take_jobs(&jobs.records);
         let config = self.read_all_patiently(Topic::Operators).await?;
         self.take_operator_records(&config.records);
-        let jobs = self.read_all_patiently(Topic::Jobs).await?;
         let runners = self.read_all_patiently(Topic::Runners).await?;
         self.take_all_runners(&runners.records).await;
-        self.take_jobs(&jobs.records);
         Some(Places {
             config_end: config.end,
             runners_end: runners.end,
@@ -73,13 +76,13 @@
 
     fn take_jobs(&self, records: &[KeyedRecord]) {
         let mut jobs: Vec<(JobId, JobRecord)> = Vec::new();
-        let mut progress: Vec<(JobId, ProgressRecord)> = Vec::new();
+        let mut progress: FxHashMap<JobId, ProgressRecord> = FxHashMap::default();
         for kept in records {
             let value = kept.value.as_deref().unwrap_or_default();
             let taken = match RecordKey::parse(&kept.key) {
                 Ok(RecordKey::Job(id)) => record::decode(value).map(|job| jobs.push((id, job))),
                 Ok(RecordKey::Progress(id)) => {
-                    record::decode(value).map(|known| progress.push((id, known)))
+                    record::decode(value).map(|known| drop(progress.insert(id, known)))
                 }
                 Ok(RecordKey::Alive) => Ok(()),
                 Err(err) => Err(err),
@@ -89,8 +92,8 @@
             }
         }
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
-        self.engine
-            .borrow_mut()
-            .recover(now, unix_ms, jobs, &progress);
+        let cfg = engine_settings(&self.node);
+        let recovered = Engine::recovered(cfg, now, unix_ms, jobs, &progress);
+        *self.engine.borrow_mut() = recovered;
     }
 }
--- a/crates/cell/src/store.rs
+++ b/crates/cell/src/store.rs
@@ -102,11 +102,6 @@
         store::send(&self.client, &self.addr, req, TIMEOUT + wait).await
     }
 
-    /// Returns whether the last request was answered.
-    pub(crate) fn is_reachable(&self) -> bool {
-        self.reachable.get()
-    }
-
     async fn send_relayed(&self, req: &Request, wait: Duration) -> Option<Answer> {
         let members = self.members.borrow().clone();
         for attempt in 0..RELAYS.min(members.len()) {
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -4,9 +4,9 @@
 //! durable. Nothing is told to a caller or acknowledged to a runner before its batch is.
 
 use kspan_model::Millis;
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::{Engine, job::Job};
+use super::{Engine, Settings, job::Job};
 use crate::{
     id::JobId,
     record::{self, JobRecord, Phase, ProgressRecord, Record, RecordKey},
@@ -124,29 +124,47 @@
         self.batches.durable = self.batches.durable.max(number);
     }
 
-    /// Takes over what earlier owners made durable. Runs that they ordered may be alive: tasks
-    /// wait until every runner has answered or time has proved them gone.
-    pub fn recover(
-        &mut self,
+    /// Creates an engine that takes over what earlier owners made durable. Runs that they ordered
+    /// may be alive: tasks wait until every runner has answered or time has proved them gone.
+    ///
+    /// This is a constructor because an inventory that is read before the jobs are known would
+    /// show every run as unwanted and of unknown size.
+    pub fn recovered(
+        cfg: Settings,
         now: Millis,
         unix_ms: u64,
         jobs: Vec<(JobId, JobRecord)>,
-        progress: &[(JobId, ProgressRecord)],
-    ) {
+        progress: &FxHashMap<JobId, ProgressRecord>,
+    ) -> Self {
+        let mut engine = Self::new(cfg);
         for (id, record) in jobs {
             let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
             let mut job = Job::new(id, record, now.saturating_sub(age));
-            if let Some((_, progress)) = progress.iter().find(|(of, _)| *of == id) {
+            if let Some(progress) = progress.get(&id) {
                 job.restore(progress, now);
             }
             if job.phase == Phase::Active {
-                self.active.insert(id);
+                engine.active.insert(id);
                 job.begin_due(now, unix_ms);
                 job.mark_unaccounted();
             }
-            self.jobs.insert(id, job);
+            engine.jobs.insert(id, job);
         }
-        self.unaccounted_until = Some(now + self.cfg.earlier_owner);
+        engine.unaccounted_until = Some(now + cfg.earlier_owner);
+        engine
+    }
+
+    /// Withdraws a job whose batch was not cut yet, so that it certainly is not kept. Returns
+    /// whether it was.
+    pub fn withdraw(&mut self, id: JobId) -> bool {
+        let Some(at) = self.batches.jobs.iter().position(|open| *open == id) else {
+            return false;
+        };
+        self.batches.jobs.swap_remove(at);
+        self.batches.progress.remove(&id);
+        self.active.remove(&id);
+        self.jobs.remove(&id);
+        true
     }
 
     /// Drops jobs whose state has been shown for long enough.
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -12,6 +12,7 @@
     id::TaskId,
     record::Phase,
     runner::{HoldOutcome, Inventory, RunningTask},
+    spec::StepSpec,
 };
 
 /// An inventory call to be made.
@@ -191,14 +192,15 @@
         true
     }
 
-    /// Counts the room of a run that the runner listed.
+    /// Counts the room of a run that the runner listed. One of unknown size may take all that is
+    /// free.
     fn take_room(&mut self, on: RunnerIx, task: TaskId, run: u32) {
         let job = self.jobs.get(&task.step.job);
         let spec = job
             .and_then(|job| job.step(task.step))
             .map(|(_, spec)| spec);
         let placed = Placed {
-            size: spec.map(crate::spec::StepSpec::charged).unwrap_or_default(),
+            size: spec.map_or_else(|| self.runners[on.0].free(), StepSpec::charged),
             proved: Some(self.events),
             stopping: false,
             stop_sent: None,
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -215,7 +215,7 @@
 }
 
 impl Engine {
-    /// Creates an engine that knows nothing yet.
+    /// Creates an engine of a cell that has no jobs yet; see [`Engine::recovered`].
     pub fn new(cfg: Settings) -> Self {
         Self {
             cfg,
