Rename the clients of the product's own contract

Two folders of the name platform would confuse: crates/platform, which holds the clients of the contract that the product's own programs use, is crates/contract now. No behaviour changed; cargo check of the workspace is the measure.

--- a/crates/contract/tests/worker.rs
+++ b/crates/contract/tests/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use kspan_platform::{
+use kspan_contract::{
     border::worker::{Exchange, Report, Size, Token},
     error::CallError,
     link::Link,
--- a/crates/lab/src/cell.rs
+++ b/crates/lab/src/cell.rs
@@ -2,8 +2,8 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use kspan_contract::border::hosts::{Host, HostKind, HostState};
 use kspan_model::{Name, Site, document::Document};
-use kspan_platform::border::hosts::{Host, HostKind, HostState};
 
 use crate::standin::worker::Spec;
 
--- a/crates/lab/src/check/jobs.rs
+++ b/crates/lab/src/check/jobs.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use kspan_contract::border::worker::TaskState;
 use kspan_model::{JobId, JobResult};
-use kspan_platform::border::worker::TaskState;
 
 use super::{Limits, Promise, Violation, violation};
 use crate::record::{JobCall, Records, TaskRun};
--- a/crates/lab/src/check/leaving.rs
+++ b/crates/lab/src/check/leaving.rs
@@ -1,7 +1,7 @@
 //! Leaving upstreams and planned stops.
 
+use kspan_contract::border::worker::TaskState;
 use kspan_model::TaskId;
-use kspan_platform::border::worker::TaskState;
 
 use super::{Limits, Promise, Violation, violation};
 use crate::{
--- a/crates/lab/src/fault/upstreams.rs
+++ b/crates/lab/src/fault/upstreams.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use kspan_contract::border::hosts::HostState;
 use kspan_fold::record::Body;
 use kspan_model::Name;
-use kspan_platform::border::hosts::HostState;
 use rand_chacha::ChaCha8Rng;
 
 use super::pick;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -5,8 +5,8 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use kspan_contract::border::worker::{TaskState, Token};
 use kspan_model::{Name, Outcome, Resources, TaskId};
-use kspan_platform::border::worker::{TaskState, Token};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Micros;
--- a/crates/lab/src/standin/runner.rs
+++ b/crates/lab/src/standin/runner.rs
@@ -11,8 +11,8 @@
     time::Duration,
 };
 
+use kspan_contract::border::runner::Health;
 use kspan_model::{Name, TaskId};
-use kspan_platform::border::runner::Health;
 use ntex::{
     channel::mpsc,
     http::{Request, Response, StatusCode, body::SizedStream},
--- a/crates/lab/src/standin/worker.rs
+++ b/crates/lab/src/standin/worker.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
+use kspan_contract::border::worker::Exchange;
 use kspan_model::{Name, Resources, Site};
-use kspan_platform::border::worker::Exchange;
 use ntex::http::{Request, Response, StatusCode};
 
 use crate::{
--- a/crates/lab/src/standin/worker/entry.rs
+++ b/crates/lab/src/standin/worker/entry.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
+use kspan_contract::border::worker::{Size, Start, Task, TaskState};
 use kspan_model::Resources;
-use kspan_platform::border::worker::{Size, Start, Task, TaskState};
 
 use super::state::Ground;
 use crate::{clock::Micros, http::Serving, standin::runner::Runner, token::mix};
--- a/crates/lab/src/standin/worker/state.rs
+++ b/crates/lab/src/standin/worker/state.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use kspan_model::{JobId, Name, Resources, TaskId};
-use kspan_platform::border::worker::{
+use kspan_contract::border::worker::{
     Command, CommandResult, Exchange, Refusal, Report, Start, TaskState, Token,
 };
+use kspan_model::{JobId, Name, Resources, TaskId};
 
 use super::{
     Spec,
--- a/crates/lab/tests/checker.rs
+++ b/crates/lab/tests/checker.rs
@@ -1,5 +1,6 @@
 //! Each promise, broken on purpose in a good record, must be caught.
 
+use kspan_contract::border::worker::{TaskState, Token};
 use kspan_lab::{
     check::{Limits, Promise, check},
     clock::Micros,
@@ -9,7 +10,6 @@
     },
 };
 use kspan_model::{JobId, JobResult, Name, Outcome, Resources, TaskId};
-use kspan_platform::border::worker::{TaskState, Token};
 
 const RUNNER: TaskId = TaskId::new(JobId(1), 0, 0);
 const BATCH: TaskId = TaskId::new(JobId(2), 0, 0);
--- a/crates/lab/tests/stand_ins.rs
+++ b/crates/lab/tests/stand_ins.rs
@@ -2,6 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use kspan_contract::border::{
+    log::{Appended, Batch},
+    runner::Health,
+    worker::{Command, Exchange, Refusal, Report, Size, Start, TaskState, Token},
+};
 use kspan_lab::{
     http::{Pool, Serving},
     load::requests::new_client,
@@ -14,11 +19,6 @@
     token::{expected_body, segment},
 };
 use kspan_model::{JobId, Name, Resources, Site, TaskId};
-use kspan_platform::border::{
-    log::{Appended, Batch},
-    runner::Health,
-    worker::{Command, Exchange, Refusal, Report, Size, Start, TaskState, Token},
-};
 use ntex::{client::Client, time::Millis};
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -10,12 +10,12 @@
     time::Duration,
 };
 
-use kspan_fold::{Applied, Body, Record, RecordId, Verdict};
-use kspan_model::{Millis, Name, UnixMillis};
-use kspan_platform::{
+use kspan_contract::{
     border::log::MAX_RECORD_BYTES,
     log::{AppendAnswer, LogClient},
 };
+use kspan_fold::{Applied, Body, Record, RecordId, Verdict};
+use kspan_model::{Millis, Name, UnixMillis};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep, timeout_at},
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use kspan_contract::border::hosts::HostList;
 use kspan_fold::State;
 use kspan_membership::Liveness;
 use kspan_model::{Name, NodeId, View};
-use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::Message;
 
 /// Something that happened. State that is missed because the ring was full is told again;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -7,13 +7,13 @@
     time::Duration,
 };
 
-use kspan_fold::{State, Verdict, snapshot::LOG_START};
-use kspan_model::{Millis, UnixMillis};
-use kspan_platform::{
+use kspan_contract::{
     border::log::{Batch, Entry},
     hosts::HostsClient,
     log::LogClient,
 };
+use kspan_fold::{State, Verdict, snapshot::LOG_START};
+use kspan_model::{Millis, UnixMillis};
 use kspan_wire::message::relay;
 use ntex::rt::{DefaultRuntime, System};
 use tokio::time::sleep;
--- a/crates/node/src/found.rs
+++ b/crates/node/src/found.rs
@@ -1,13 +1,13 @@
 //! Finds the state from which a process folds on: the newest whole snapshot, or nothing where
 //! the log still has everything.
 
+use kspan_contract::log::{LogClient, LogError};
 use kspan_fold::{
     State,
     search::Search,
     snapshot::{LOG_START, SNAPSHOT_RECORDS},
 };
 use kspan_model::Millis;
-use kspan_platform::log::{LogClient, LogError};
 use quick_error::quick_error;
 
 /// Result of looking for a foundation.
--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -11,10 +11,10 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use kspan_contract::border::hosts::HostList;
 use kspan_fold::State;
 use kspan_membership::{GuardState, Liveness, guard::Guard};
 use kspan_model::{Member, Millis, NodeId, Role, Site, UnixMillis};
-use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::{Envelope, Message, PROTOCOL_VERSION, membership, relay};
 use tokio::{sync::watch, time::Instant};
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use kspan_contract::border::hosts::HostList;
 use kspan_fold::{Body, State};
 use kspan_membership::{GuardState, Liveness};
 use kspan_model::{Millis, NodeId, Role, UnixMillis, View};
-use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::Message;
 
 use crate::{
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -8,10 +8,10 @@
     sync::{Arc, Mutex},
 };
 
+use kspan_contract::border::hosts::HostList;
 use kspan_fold::State;
 use kspan_membership::Liveness;
 use kspan_model::NodeId;
-use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::Message;
 
 use crate::{event::Event, ring::Sender, slot::lock};
--- a/crates/node/src/recent.rs
+++ b/crates/node/src/recent.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::VecDeque, sync::Mutex};
 
+use kspan_contract::border::log::Entry;
 use kspan_model::Millis;
-use kspan_platform::border::log::Entry;
 use kspan_wire::message::relay;
 
 use crate::slot::lock;
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -2,13 +2,13 @@
 
 use std::{cell::Cell, collections::VecDeque, rc::Rc, sync::Arc};
 
+use kspan_contract::border::log::Batch;
 use kspan_fold::{
     Body, State,
     snapshot::{LOG_START, LogWindow, is_due},
 };
 use kspan_membership::ownership::rank_duty;
 use kspan_model::{Millis, UnixMillis};
-use kspan_platform::border::log::Batch;
 
 use crate::{
     event::Append,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -12,15 +12,15 @@
     time::{Duration, Instant},
 };
 
+use kspan_contract::border::{
+    hosts::HostList,
+    log::{Appended, Batch, Entry},
+};
 use kspan_model::Role;
 use kspan_node::{
     Event, Node, ring,
     settings::{Faults, Listen, Platform, Settings},
 };
-use kspan_platform::border::{
-    hosts::HostList,
-    log::{Appended, Batch, Entry},
-};
 use ntex::{
     rt::{DefaultRuntime, System},
     web::{self, App, HttpResponse, HttpServer},
--- a/crates/operator/src/cell.rs
+++ b/crates/operator/src/cell.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use kspan_contract::log::LogClient;
 use kspan_fold::{RecordId, State, Verdict};
 use kspan_model::{Member, Millis, Role};
-use kspan_platform::log::LogClient;
 use ntex::{client::Client, http::Method};
 use serde_json::Value;
 
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -1,8 +1,8 @@
 //! Publishing: appends of an operator's records, each resolved to what became of it.
 
+use kspan_contract::log::AppendAnswer;
 use kspan_fold::{Body, Record, RecordId, Verdict};
 use kspan_model::{Millis, Name, UnixMillis};
-use kspan_platform::log::AppendAnswer;
 
 use crate::{
     cell::{Cell, Met},
--- a/crates/router/src/app.rs
+++ b/crates/router/src/app.rs
@@ -212,7 +212,7 @@
 
 /// Returns the names of hosts that take no new work.
 pub(crate) fn leaving_hosts(node: &Node) -> rustc_hash::FxHashSet<Name> {
-    use kspan_platform::border::hosts::HostState;
+    use kspan_contract::border::hosts::HostState;
     let listed = node.hosts();
     let leaving = listed
         .hosts
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -2,8 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
+use kspan_contract::border::runner::REQUEST_ID_HEADER;
 use kspan_model::{Millis, Name, Outcome, RequestId, UnixMillis, document::RequestClass};
-use kspan_platform::border::runner::REQUEST_ID_HEADER;
 use kspan_routing::key;
 use ntex::{
     http::{StatusCode, header, header::HeaderName},
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -6,8 +6,8 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
+use kspan_contract::{border::runner::REQUEST_ID_HEADER, link::Link, runner::HealthClient};
 use kspan_node::Links;
-use kspan_platform::{border::runner::REQUEST_ID_HEADER, link::Link, runner::HealthClient};
 use kspan_routing::engine::{
     RunnerHealth,
     effect::{Place, Read, Start},
--- a/crates/scheduler/src/border.rs
+++ b/crates/scheduler/src/border.rs
@@ -1,8 +1,8 @@
 //! Conversions between domain types and the bodies of workers' exchanges.
 
+use kspan_contract::border::worker::{self as border, Refusal, Size, Token};
 use kspan_model::{Fence, JobId, Resources, TaskId};
 use kspan_placement::{End, StartRefusal, TaskState};
-use kspan_platform::border::worker::{self as border, Refusal, Size, Token};
 
 /// Converts an amount to the border.
 pub const fn size(amount: Resources) -> Size {
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -5,8 +5,8 @@
 
 use std::collections::VecDeque;
 
+use kspan_contract::border::worker::{Command, CommandResult, Refusal, Start};
 use kspan_model::{Millis, Name, Resources, TaskId, UnixMillis};
-use kspan_platform::border::worker::{Command, CommandResult, Refusal, Start};
 
 use crate::{
     border,
--- a/crates/scheduler/src/core/mod.rs
+++ b/crates/scheduler/src/core/mod.rs
@@ -13,9 +13,9 @@
     sync::Arc,
 };
 
+use kspan_contract::border::hosts::HostList;
 use kspan_fold::State;
 use kspan_model::{Fence, JobEnd, Millis, Name, NodeId, UnixMillis, View};
-use kspan_platform::border::hosts::HostList;
 use kspan_wire::message::tasks::{Knows, Message, ShardSummary};
 
 use crate::shard::{ExchangeOrder, Phase, Reply, Shard, Ticket, Verdict};
--- a/crates/scheduler/src/shard/hosts.rs
+++ b/crates/scheduler/src/shard/hosts.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use kspan_model::{Millis, Name};
-use kspan_platform::{
+use kspan_contract::{
     border::hosts::{Host, HostKind, HostState},
     worker::WorkerAddress,
 };
+use kspan_model::{Millis, Name};
 
 use super::Shard;
 use crate::{times::SUPERSEDED_STOP, worker::Worker};
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -23,15 +23,15 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use kspan_contract::{
+    border::worker::{Exchange, Report},
+    worker::WorkerAddress,
+};
 use kspan_fold::State;
 use kspan_model::{
     Fence, JobEnd, JobId, Millis, Name, Resources, Site, UnixMillis, document::Policy,
 };
 use kspan_placement::Cell;
-use kspan_platform::{
-    border::worker::{Exchange, Report},
-    worker::WorkerAddress,
-};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/scheduler/src/shard/report.rs
+++ b/crates/scheduler/src/shard/report.rs
@@ -6,9 +6,9 @@
 
 use std::collections::BTreeSet;
 
+use kspan_contract::border::worker::{Refusal, Report, Task};
 use kspan_model::{Fence, Millis, Name, TaskId, UnixMillis};
 use kspan_placement::{Adopted, End, Found, StartRefusal, WorkerSpec};
-use kspan_platform::border::worker::{Refusal, Report, Task};
 
 use super::{Phase, Reply, Shard, tasks::Note};
 use crate::{
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive};
 
-use kspan_model::{Fence, JobId, Millis, Name, Resources, TaskId, UnixMillis};
-use kspan_placement::{End, TaskState, WorkerState};
-use kspan_platform::{
+use kspan_contract::{
     border::worker::{Exchange, Token},
     worker::WorkerAddress,
 };
+use kspan_model::{Fence, JobId, Millis, Name, Resources, TaskId, UnixMillis};
+use kspan_placement::{End, TaskState, WorkerState};
 
 use crate::{
     border,
--- a/crates/scheduler/src/worker_io.rs
+++ b/crates/scheduler/src/worker_io.rs
@@ -2,16 +2,16 @@
 //!
 //! It decides nothing. Each order it takes gets exactly one reply.
 
+use kspan_contract::{
+    error::CallError,
+    link::Link,
+    worker::{Answered, WorkerAddress, WorkerClient},
+};
 use kspan_model::Site;
 use kspan_node::{
     Links,
     ring::{Receiver, Sender},
 };
-use kspan_platform::{
-    error::CallError,
-    link::Link,
-    worker::{Answered, WorkerAddress, WorkerClient},
-};
 use ntex::rt::{DefaultRuntime, System};
 
 use crate::{
--- a/crates/scheduler/tests/failures.rs
+++ b/crates/scheduler/tests/failures.rs
@@ -5,8 +5,8 @@
 
 use std::sync::Arc;
 
+use kspan_contract::border::{hosts::HostState, worker::Command};
 use kspan_model::{JobResult, Resources};
-use kspan_platform::border::{hosts::HostState, worker::Command};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::{Bench, Passage};
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -11,13 +11,13 @@
     sync::Arc,
 };
 
+use kspan_contract::border::hosts::{Host, HostKind, HostList, HostState};
 use kspan_fold::State;
 use kspan_model::{
     Fence, JobId, JobResult, Member, Millis, NodeId, Resources, Role, Site, Submission, UnixMillis,
     View,
     document::{Batch, Document, Region, Service, TaskShape, Team},
 };
-use kspan_platform::border::hosts::{Host, HostKind, HostList, HostState};
 use kspan_scheduler::{
     core::{Action, Core},
     shard::{ExchangeOrder, Reply},
--- a/crates/scheduler/tests/support/worker.rs
+++ b/crates/scheduler/tests/support/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kspan_platform::border::worker::{
+use kspan_contract::border::worker::{
     Command, CommandResult, Exchange, Refusal, Report, Size, Start, Task, TaskState, Token,
 };
 
