Explore takeovers with random schedules, and mend what they found

New lives now take work only from an owner that was confirmed after they were heard of. Ruled out as harness faults: calls to a crashed runner never answered, ends compared without the runner's life, gangs wider than the cell, ends that lay on a runner while its lease had lapsed (which prove nothing).

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -172,6 +172,7 @@
     /// Notes a proof, asked for at `asked`, that no newer owner had claimed.
     fn confirm(&self, asked: Millis) {
         self.confirmed.set(self.confirmed.get().max(asked));
+        self.engine.borrow_mut().confirm(asked);
     }
 
     fn unconfirmed_for(&self) -> Millis {
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -37,6 +37,8 @@
         self.take_operator_records(&config.records);
         let runners = self.read_all_patiently(Topic::Runners).await?;
         self.take_all_runners(&runners.records).await;
+        // Runners take work only from an owner that was confirmed after they were heard of.
+        self.bar_earlier_owners().await?;
         Some(Places {
             config_end: config.end,
             runners_end: runners.end,
@@ -49,9 +51,13 @@
             if !self.alive.get() {
                 return None;
             }
+            let asked = self.now();
             let answer = self.node.store.send(&req, Duration::ZERO).await;
             match answer.and_then(|answer| log::parse_append(&answer)) {
-                Ok(Append::Done { .. }) => return Some(()),
+                Ok(Append::Done { .. }) => {
+                    self.confirm(asked);
+                    return Some(());
+                }
                 Ok(Append::Fenced) => return None,
                 Ok(outcome) => tracing::warn!(?outcome, "fence refused"),
                 Err(err) => tracing::warn!(%err, "fence not answered"),
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -192,15 +192,13 @@
         true
     }
 
-    /// Counts the room of a run that the runner listed. One of unknown size may take all that is
-    /// free.
+    /// Counts the room of a run that the runner listed, from what its job asked for. The job may
+    /// have ended long ago; one that isn't known at all leaves the size open.
     fn take_room(&mut self, on: RunnerIx, task: TaskId, run: u32) {
         let job = self.jobs.get(&task.step.job);
-        let spec = job
-            .and_then(|job| job.step(task.step))
-            .map(|(_, spec)| spec);
+        let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
         let placed = Placed {
-            size: spec.map_or_else(|| self.runners[on.0].free(), StepSpec::charged),
+            size: spec.map(StepSpec::charged),
             proved: Some(self.events),
             stopping: false,
             stop_sent: None,
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -210,6 +210,8 @@
     unaccounted_until: Option<Millis>,
     orders: VecDeque<Order>,
     notes: Vec<Note>,
+    /// When it was last proved that no newer owner has taken over.
+    confirmed: Millis,
     /// Whether a runner has refused the fence.
     fenced: bool,
 }
@@ -232,6 +234,7 @@
             unaccounted_until: None,
             orders: VecDeque::new(),
             notes: Vec::new(),
+            confirmed: Millis::ZERO,
             fenced: false,
         }
     }
@@ -245,6 +248,11 @@
         true
     }
 
+    /// Notes a proof, asked for at `asked`, that no newer owner has taken over.
+    pub fn confirm(&mut self, asked: Millis) {
+        self.confirmed = self.confirmed.max(asked);
+    }
+
     /// Replaces the hosts that can ask for approvals.
     pub fn set_advisors(&mut self, hosts: &[Name]) {
         self.advisors.set(hosts);
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -79,6 +79,18 @@
         ready
     }
 
+    /// Returns whether a runner can take a task of the step now, approvals and counts aside.
+    fn fits(&self, runner: &Runner, spec: &StepSpec, policy: &Policy, now: Millis) -> bool {
+        let labelled = spec
+            .label
+            .as_ref()
+            .is_none_or(|label| runner.has_label(label));
+        runner.entry.service == policy.service
+            && runner.takes_work(now, self.confirmed)
+            && labelled
+            && spec.charged().fits_in(runner.free())
+    }
+
     fn place_step(&mut self, id: StepId, accounted: bool, now: Millis) {
         let Some(job) = self.jobs.get(&id.job) else {
             return;
@@ -189,7 +201,7 @@
     /// Returns the runners that can take a task of the step now.
     fn usable(&self, step: &Step, spec: &StepSpec, policy: &Policy, now: Millis) -> Vec<Usable> {
         let runners = self.runners.iter().enumerate();
-        let fitting = runners.filter(|(_, runner)| fits(runner, spec, policy, now));
+        let fitting = runners.filter(|(_, runner)| self.fits(runner, spec, policy, now));
         let approved = fitting.filter(|(ix, _)| {
             policy.advice.is_none() || step.approvals.ticket(RunnerIx(*ix), now).is_some()
         });
@@ -286,7 +298,7 @@
             task,
             run,
             Placed {
-                size,
+                size: Some(size),
                 proved: None,
                 stopping: false,
                 stop_sent: None,
@@ -365,7 +377,7 @@
         let mut candidates = Vec::new();
         for (ix, runner) in self.runners.iter().enumerate() {
             let on = RunnerIx(ix);
-            let usable = fits(runner, spec, &job.record.policy, now)
+            let usable = self.fits(runner, spec, &job.record.policy, now)
                 && !step.approvals.is_denied(on)
                 && step.approvals.ticket(on, now).is_none();
             let there = step.on_runner.get(&on).copied().unwrap_or(0);
@@ -429,16 +441,6 @@
     task.run + 1 + task.skip_runs
 }
 
-fn fits(runner: &Runner, spec: &StepSpec, policy: &Policy, now: Millis) -> bool {
-    runner.entry.service == policy.service
-        && runner.takes_work(now)
-        && spec
-            .label
-            .as_ref()
-            .is_none_or(|label| runner.has_label(label))
-        && spec.charged().fits_in(runner.free())
-}
-
 fn room_for(free: Resources, size: Resources) -> u64 {
     let by = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::MAX);
     by(free.cpu_milli, size.cpu_milli)
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -23,7 +23,8 @@
 /// A run that may be alive on a runner.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Placed {
-    pub(super) size: Resources,
+    /// Room that it takes; `None` where nobody knows.
+    pub(super) size: Option<Resources>,
     /// Event after which an inventory must list the run, or it is over.
     pub(super) proved: Option<u64>,
     /// Whether a stop was ordered.
@@ -52,6 +53,8 @@
     pub(super) entry: RunnerEntry,
     /// Since when the host list no longer shows it.
     pub(super) missing_since: Option<Millis>,
+    /// When this life was first heard of.
+    pub(super) first_seen: Millis,
     /// Whether this life has ended for certain.
     pub(super) dead: bool,
     /// Whether it has answered under the owner's fence.
@@ -70,10 +73,11 @@
 
 impl Runner {
     /// Creates a runner that has not answered yet.
-    pub(super) fn new(entry: RunnerEntry) -> Self {
+    pub(super) fn new(entry: RunnerEntry, now: Millis) -> Self {
         Self {
             entry,
             missing_since: None,
+            first_seen: now,
             dead: false,
             held: false,
             placed: FxHashMap::default(),
@@ -98,14 +102,21 @@
         }
     }
 
-    /// Returns whether new work may be sent.
-    pub(super) fn takes_work(&self, now: Millis) -> bool {
-        self.missing_since
-            .is_none_or(|since| now < since + MISSING_GRACE)
+    /// Returns whether new work may be sent by an owner that was last confirmed at `confirmed`.
+    ///
+    /// A runner that has just started has seen no fence and would obey an owner of long ago, so
+    /// the owner needs a proof that is younger than the runner. Beside a run of unknown size there
+    /// is no room that is known to be free.
+    pub(super) fn takes_work(&self, now: Millis, confirmed: Millis) -> bool {
+        confirmed >= self.first_seen
+            && self
+                .missing_since
+                .is_none_or(|since| now < since + MISSING_GRACE)
             && self.held
             && !self.dead
             && !self.entry.draining
             && self.misses == 0
+            && self.placed.values().all(|placed| placed.size.is_some())
             && self.health.allows(now)
     }
 
@@ -113,7 +124,7 @@
     pub(super) fn place(&mut self, task: TaskId, run: u32, placed: Placed) {
         let before = self.placed.insert((task, run), placed);
         if before.is_none() {
-            self.used = self.used.saturating_add(placed.size);
+            self.used = self.used.saturating_add(placed.size.unwrap_or_default());
         }
     }
 
@@ -122,7 +133,8 @@
         let Some(placed) = self.placed.remove(&(task, run)) else {
             return false;
         };
-        self.used = self.used.checked_sub(placed.size).unwrap_or_default();
+        let size = placed.size.unwrap_or_default();
+        self.used = self.used.checked_sub(size).unwrap_or_default();
         true
     }
 
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -36,7 +36,7 @@
         let on = RunnerIx(self.runners.len());
         let id = entry.id.clone();
         self.by_id.insert(id.clone(), on);
-        self.runners.push(Runner::new(entry));
+        self.runners.push(Runner::new(entry, now));
         self.notes.push(Note::Runner { id, what: "listed" });
         Some(on)
     }
--- /dev/null
+++ b/crates/jobs/tests/support/mod.rs
@@ -0,0 +1,937 @@
+//! A cell without sockets: an owner's engine, runners that keep their interface, and a store and
+//! network that misbehave, all driven by one seed.
+//!
+//! Calls may be lost before or after they took effect, be carried out seconds late, and overtake
+//! each other. Owners are killed or paused; paused ones wake up and go on with their old fence.
+
+pub(crate) mod checks;
+pub(crate) mod runner;
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
+
+use kspan_jobs::{
+    Engine,
+    config::{CellConfig, Policy, Queue},
+    engine::{
+        Batch, Cancelled, HoldOrder, Order, RunnerIx, Settings, StartOrder, StopOrder, Submission,
+    },
+    id::{JobId, TaskId},
+    record::{self, RecordKey},
+    runner::{HoldOutcome, OrderOutcome, RunnerEntry, StartOutcome},
+    spec::{JobSpec, StepSpec},
+};
+use kspan_model::{Millis, Name, Resources};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+use self::{checks::Checks, runner::FakeRunner};
+
+pub(crate) const LEASE_MS: u64 = 6_000;
+const EARLIER_OWNER_MS: u64 = 14_500;
+const ORDER_TIMEOUT_MS: u64 = 350;
+const UNCONFIRMED_LIMIT_MS: u64 = 8_000;
+const MAX_ATTEMPTS: u32 = 3;
+const HOST: &str = "cell.example";
+
+/// A fault built into the harness, to show that a check can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mutation {
+    None,
+    /// An unanswered start is reported as refused.
+    DoubtIsRefusal,
+    /// A runner is listed with twice its room.
+    RoomDoubled,
+    /// Ends are acknowledged before they are durable.
+    AckEarly,
+    /// Batches count as durable without being written.
+    WriteNothing,
+    /// A cancelled job's stops are dropped.
+    StopsDropped,
+    /// Runners that vanish count as dead at once.
+    SilenceIsDeath,
+    /// A takeover does not wait for runners that do not answer.
+    NoWaitAtTakeover,
+    /// Steps are submitted without their dependencies being told to the engine.
+    DependenciesForgotten,
+    /// The engine believes that tasks may fail once more.
+    OneAttemptMore,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick(usize),
+    HoldArrives {
+        owner: usize,
+        runner: usize,
+        on: usize,
+        event: u64,
+        answered: bool,
+    },
+    StartArrives {
+        owner: usize,
+        call: usize,
+        answered: bool,
+    },
+    StopArrives {
+        owner: usize,
+        call: usize,
+        answered: bool,
+    },
+    StartAnswered {
+        owner: usize,
+        call: usize,
+        outcome: Option<u64>,
+    },
+    StopAnswered {
+        owner: usize,
+        call: usize,
+        fenced: Option<bool>,
+    },
+    HoldAnswered {
+        owner: usize,
+        on: usize,
+        event: u64,
+        answer: usize,
+    },
+    Written {
+        owner: usize,
+        batch: u64,
+        answered: bool,
+    },
+    Submit,
+    Cancel,
+    Trouble,
+    Takeover,
+    RunnerBack(usize),
+    Healed(usize),
+    Wake(usize),
+    TaskEnds {
+        runner: usize,
+        life: u64,
+        task: TaskId,
+        run: u32,
+    },
+}
+
+struct Owner {
+    engine: Engine,
+    fence: u64,
+    alive: bool,
+    paused: bool,
+    confirmed: u64,
+    writing: Option<Batch>,
+    holding: BTreeSet<usize>,
+    /// Runner behind each index.
+    runners: BTreeMap<usize, usize>,
+    starts: Vec<StartOrder>,
+    start_answers: Vec<Option<StartOutcome>>,
+    stops: Vec<StopOrder>,
+    holds: BTreeMap<u64, HoldOrder>,
+    hold_answers: Vec<HoldOutcome>,
+    /// Jobs whose callers wait for a batch.
+    callers: Vec<(u64, JobId, bool)>,
+}
+
+/// The cell.
+pub(crate) struct World {
+    pub(crate) checks: Checks,
+    now: u64,
+    seed: u64,
+    mutation: Mutation,
+    rng: ChaCha8Rng,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    pushed: u64,
+    runners: Vec<FakeRunner>,
+    owners: Vec<Owner>,
+    store: BTreeMap<String, Vec<u8>>,
+    store_fence: u64,
+    store_down_until: u64,
+    next_fence: u64,
+    submitted: Vec<JobId>,
+    faults_until: u64,
+}
+
+impl World {
+    /// Plays one schedule and returns what was seen.
+    pub(crate) fn play(seed: u64, mutation: Mutation) -> Checks {
+        let mut world = Self::new(seed, mutation);
+        world.run();
+        world.checks
+    }
+
+    fn new(seed: u64, mutation: Mutation) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(2..=5);
+        let runners = (0..count)
+            .map(|number| FakeRunner::new(number, &mut rng))
+            .collect();
+        let mut world = Self {
+            checks: Checks::default(),
+            now: 1_000,
+            seed,
+            mutation,
+            rng,
+            events: BinaryHeap::new(),
+            pushed: 0,
+            runners,
+            owners: Vec::new(),
+            store: BTreeMap::new(),
+            store_fence: 0,
+            store_down_until: 0,
+            next_fence: 1,
+            submitted: Vec::new(),
+            faults_until: 16_000,
+        };
+        world.take_over();
+        for _ in 0..world.rng.random_range(3..9) {
+            let at = world.rng.random_range(0..9_000);
+            world.push(at, Event::Submit);
+        }
+        for _ in 0..world.rng.random_range(0..3) {
+            let at = world.rng.random_range(1_000..12_000);
+            world.push(at, Event::Cancel);
+        }
+        for _ in 0..world.rng.random_range(0..6) {
+            let at = world.rng.random_range(500..14_000);
+            world.push(at, Event::Trouble);
+        }
+        world
+    }
+
+    fn run(&mut self) {
+        let end = 75_000;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            for number in 0..self.runners.len() {
+                self.runners[number].lapse(at);
+            }
+            self.handle(event);
+            let settled = self.now > self.faults_until + 2_000;
+            if settled && self.rng.random_range(0..64) == 0 && self.is_finished() {
+                break;
+            }
+        }
+        self.judge_end();
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.pushed += 1;
+        self.events
+            .push(Reverse((self.now + after, self.pushed, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(owner) => self.tick(owner),
+            Event::Submit => self.submit(),
+            Event::Cancel => self.cancel(),
+            Event::Trouble => self.trouble(),
+            Event::Takeover => self.take_over(),
+            Event::RunnerBack(number) => self.runners[number].restart(self.now),
+            Event::Healed(number) => self.runners[number].cut = false,
+            Event::Wake(owner) => {
+                if self.owners[owner].alive {
+                    self.owners[owner].paused = false;
+                    self.push(0, Event::Tick(owner));
+                }
+            }
+            Event::HoldArrives {
+                owner,
+                runner,
+                on,
+                event,
+                answered,
+            } => {
+                self.hold_arrives(owner, runner, on, event, answered);
+            }
+            Event::HoldAnswered {
+                owner,
+                on,
+                event,
+                answer,
+            } => {
+                self.hold_answered(owner, on, event, answer);
+            }
+            Event::StartArrives {
+                owner,
+                call,
+                answered,
+            } => {
+                self.start_arrives(owner, call, answered);
+            }
+            Event::StartAnswered {
+                owner,
+                call,
+                outcome,
+            } => {
+                self.start_answered(owner, call, outcome);
+            }
+            Event::StopArrives {
+                owner,
+                call,
+                answered,
+            } => self.stop_arrives(owner, call, answered),
+            Event::StopAnswered {
+                owner,
+                call,
+                fenced,
+            } => self.stop_answered(owner, call, fenced),
+            Event::Written {
+                owner,
+                batch,
+                answered,
+            } => self.written(owner, batch, answered),
+            Event::TaskEnds {
+                runner,
+                life,
+                task,
+                run,
+            } => {
+                self.runners[runner].finish(life, task, run, self.now, &mut self.checks);
+            }
+        }
+    }
+
+    fn config(&self) -> CellConfig {
+        let extra = u32::from(self.mutation == Mutation::OneAttemptMore);
+        CellConfig {
+            version: 1,
+            queues: vec![Queue {
+                name: Name::new("q"),
+                host: Name::new(HOST),
+                prefix: Name::new("/q/"),
+                policy: Policy {
+                    service: Name::new("s"),
+                    max_attempts: MAX_ATTEMPTS + extra,
+                    stretch: 2.0,
+                    slack: Millis(500),
+                    ..Policy::default()
+                },
+            }],
+        }
+    }
+
+    /// Lets a new owner claim and recover.
+    fn take_over(&mut self) {
+        let fence = self.next_fence;
+        self.next_fence += 1;
+        self.store_fence = fence;
+        self.checks.fence = fence;
+        let waits = self.mutation != Mutation::NoWaitAtTakeover;
+        let cfg = Settings {
+            lease: Millis(LEASE_MS),
+            lapse_margin: Millis(300),
+            earlier_owner: Millis(if waits { EARLIER_OWNER_MS } else { 0 }),
+            keep_ended: Millis(600_000),
+            spread_factor: 3,
+        };
+        let mut jobs = Vec::new();
+        let mut progress = FxHashMap::default();
+        for (key, value) in &self.store {
+            match RecordKey::parse(key).expect("only known keys are written") {
+                RecordKey::Job(id) => jobs.push((id, record::decode(value).expect("a job"))),
+                RecordKey::Progress(id) => {
+                    progress.insert(id, record::decode(value).expect("progress"));
+                }
+                RecordKey::Alive => {}
+            }
+        }
+        let mut engine = Engine::recovered(cfg, Millis(self.now), self.now, jobs, &progress);
+        engine.configure(self.config());
+        let number = self.owners.len();
+        self.owners.push(Owner {
+            engine,
+            fence,
+            alive: true,
+            paused: false,
+            confirmed: self.now,
+            writing: None,
+            holding: BTreeSet::new(),
+            runners: BTreeMap::new(),
+            starts: Vec::new(),
+            start_answers: Vec::new(),
+            stops: Vec::new(),
+            holds: BTreeMap::new(),
+            hold_answers: Vec::new(),
+            callers: Vec::new(),
+        });
+        self.list_runners(number);
+        self.owners[number].engine.confirm(Millis(self.now));
+        self.push(0, Event::Tick(number));
+    }
+
+    fn newest(&self) -> usize {
+        self.owners.len() - 1
+    }
+
+    fn list_runners(&mut self, owner: usize) {
+        let doubled = self.mutation == Mutation::RoomDoubled;
+        for number in 0..self.runners.len() {
+            let runner = &self.runners[number];
+            if !runner.up {
+                continue;
+            }
+            let mut capacity = runner.capacity;
+            if doubled {
+                capacity = capacity.saturating_add(capacity);
+            }
+            let entry = RunnerEntry {
+                id: runner.id(),
+                service: Name::new("s"),
+                addr: Name::new(&format!("runner-{number}")),
+                data_centre: Name::new("dc"),
+                draining: false,
+                capacity,
+                labels: vec![Name::new("a"), Name::new("r1")],
+                born: runner.life,
+            };
+            let now = Millis(self.now);
+            if let Some(on) = self.owners[owner].engine.put_runner(now, entry) {
+                self.owners[owner].runners.insert(on.0, number);
+            }
+        }
+    }
+
+    fn tick(&mut self, owner: usize) {
+        if !self.owners[owner].alive || self.owners[owner].paused {
+            return;
+        }
+        self.list_runners(owner);
+        self.look_at_claims(owner);
+        let now = Millis(self.now);
+        let cell = &mut self.owners[owner];
+        if cell.engine.is_fenced() {
+            cell.alive = false;
+            return;
+        }
+        cell.engine.tick(now, self.now);
+        let may_order = self.now - cell.confirmed < UNCONFIRMED_LIMIT_MS;
+        if may_order {
+            cell.engine.schedule(now);
+        }
+        for order in cell.engine.take_orders() {
+            match order {
+                Order::Start(order) => self.send_start(owner, order),
+                Order::Stop(order) => self.send_stop(owner, order),
+                Order::Advise(_) => unreachable!("no queue needs approvals"),
+            }
+        }
+        if may_order {
+            self.send_holds(owner);
+        }
+        self.write(owner);
+        self.push(50, Event::Tick(owner));
+    }
+
+    /// An owner that reaches the store learns now and then whether it still is the owner.
+    fn look_at_claims(&mut self, owner: usize) {
+        if self.now < self.store_down_until || self.rng.random_range(0..5) > 0 {
+            return;
+        }
+        let cell = &mut self.owners[owner];
+        if cell.fence == self.store_fence {
+            cell.confirmed = self.now;
+            cell.engine.confirm(Millis(self.now));
+        } else {
+            cell.alive = false;
+        }
+    }
+
+    fn send_holds(&mut self, owner: usize) {
+        let on_all: Vec<RunnerIx> = self.owners[owner].engine.living_runners().collect();
+        for on in on_all {
+            if !self.owners[owner].holding.insert(on.0) {
+                continue;
+            }
+            let cell = &mut self.owners[owner];
+            let mut order = cell.engine.hold_order(on, Millis(self.now));
+            if self.mutation == Mutation::AckEarly {
+                order.ack = u64::MAX;
+            }
+            cell.holds.insert(order.event, order);
+            let runner = cell.runners[&on.0];
+            let event = order.event;
+            let (lost, answered, delay) = self.fate(runner);
+            if !lost {
+                let arrives = Event::HoldArrives {
+                    owner,
+                    runner,
+                    on: on.0,
+                    event,
+                    answered,
+                };
+                self.push(delay, arrives);
+            }
+            if lost || !answered {
+                self.hold_unreached(owner, on.0, event);
+            }
+        }
+    }
+
+    fn hold_unreached(&mut self, owner: usize, on: usize, event: u64) {
+        let answer = self.owners[owner].hold_answers.len();
+        self.owners[owner].hold_answers.push(HoldOutcome::Unreached);
+        let answered = Event::HoldAnswered {
+            owner,
+            on,
+            event,
+            answer,
+        };
+        self.push(500, answered);
+    }
+
+    /// Draws what becomes of a call: whether it is lost, whether it is answered, and when it
+    /// arrives.
+    fn fate(&mut self, runner: usize) -> (bool, bool, u64) {
+        if !self.runners[runner].up || self.runners[runner].cut {
+            return (true, false, 0);
+        }
+        let faulty = self.now < self.faults_until;
+        let delay = self.rng.random_range(1..25);
+        match self.rng.random_range(0..100) {
+            0..3 if faulty => (true, false, 0),
+            3..6 if faulty => (false, false, delay),
+            6..10 if faulty => (false, false, self.rng.random_range(2_000..12_000)),
+            _ => (false, true, delay),
+        }
+    }
+
+    fn send_start(&mut self, owner: usize, order: StartOrder) {
+        let runner = self.owners[owner].runners[&order.on.0];
+        let call = self.owners[owner].starts.len();
+        self.owners[owner].starts.push(order);
+        self.owners[owner].start_answers.push(None);
+        let (lost, answered, delay) = self.fate(runner);
+        if !lost {
+            self.push(
+                delay,
+                Event::StartArrives {
+                    owner,
+                    call,
+                    answered,
+                },
+            );
+        }
+        if lost || !answered {
+            let timeout = Event::StartAnswered {
+                owner,
+                call,
+                outcome: None,
+            };
+            self.push(ORDER_TIMEOUT_MS, timeout);
+        }
+    }
+
+    fn send_stop(&mut self, owner: usize, order: StopOrder) {
+        if self.mutation == Mutation::StopsDropped {
+            return;
+        }
+        let runner = self.owners[owner].runners[&order.on.0];
+        let call = self.owners[owner].stops.len();
+        self.owners[owner].stops.push(order);
+        let (lost, answered, delay) = self.fate(runner);
+        if !lost {
+            self.push(
+                delay,
+                Event::StopArrives {
+                    owner,
+                    call,
+                    answered,
+                },
+            );
+        }
+        if lost || !answered {
+            let timeout = Event::StopAnswered {
+                owner,
+                call,
+                fenced: None,
+            };
+            self.push(ORDER_TIMEOUT_MS, timeout);
+        }
+    }
+
+    fn start_arrives(&mut self, owner: usize, call: usize, answered: bool) {
+        let order = self.owners[owner].starts[call].clone();
+        let fence = self.owners[owner].fence;
+        let number = self.owners[owner].runners[&order.on.0];
+        let id = self.owners[owner].engine.runner(order.on).id.clone();
+        let outcome = if self.runners[number].up && self.runners[number].id() == id {
+            let (outcome, ends) =
+                self.runners[number].start(&order, fence, self.now, &mut self.rng);
+            if let Some(after) = ends {
+                let runner = &self.runners[number];
+                let life = runner.life;
+                self.checks.started(
+                    order.task,
+                    order.run,
+                    number,
+                    &self.runners,
+                    self.now,
+                    fence,
+                );
+                let (task, run) = (order.task, order.run);
+                self.push(
+                    after,
+                    Event::TaskEnds {
+                        runner: number,
+                        life,
+                        task,
+                        run,
+                    },
+                );
+            }
+            outcome
+        } else if self.runners[number].up {
+            StartOutcome::OtherLife
+        } else {
+            let timeout = Event::StartAnswered {
+                owner,
+                call,
+                outcome: None,
+            };
+            if answered {
+                self.push(ORDER_TIMEOUT_MS, timeout);
+            }
+            return;
+        };
+        self.owners[owner].start_answers[call] = Some(outcome);
+        if answered {
+            let delay = self.rng.random_range(1..25);
+            let outcome = Some(call as u64);
+            self.push(
+                delay,
+                Event::StartAnswered {
+                    owner,
+                    call,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    fn start_answered(&mut self, owner: usize, call: usize, outcome: Option<u64>) {
+        let cell = &mut self.owners[owner];
+        if !cell.alive || cell.paused {
+            return;
+        }
+        let order = cell.starts[call].clone();
+        let known = cell.start_answers[call].filter(|_| outcome.is_some());
+        let doubt = if self.mutation == Mutation::DoubtIsRefusal {
+            StartOutcome::Refused(kspan_jobs::runner::Refusal::Late)
+        } else {
+            StartOutcome::Unknown
+        };
+        let StartOrder { on, task, run, .. } = order;
+        let outcome = known.unwrap_or(doubt);
+        cell.engine
+            .start_ended(Millis(self.now), on, task, run, outcome);
+    }
+
+    fn stop_arrives(&mut self, owner: usize, call: usize, answered: bool) {
+        let order = self.owners[owner].stops[call];
+        let fence = self.owners[owner].fence;
+        let number = self.owners[owner].runners[&order.on.0];
+        let id = self.owners[owner].engine.runner(order.on).id.clone();
+        if !self.runners[number].up || self.runners[number].id() != id {
+            if answered {
+                let timeout = Event::StopAnswered {
+                    owner,
+                    call,
+                    fenced: None,
+                };
+                self.push(ORDER_TIMEOUT_MS, timeout);
+            }
+            return;
+        }
+        let fenced = self.runners[number].stop(order.task, order.run, fence, self.now);
+        if answered {
+            let delay = self.rng.random_range(1..25);
+            let fenced = Some(fenced);
+            self.push(
+                delay,
+                Event::StopAnswered {
+                    owner,
+                    call,
+                    fenced,
+                },
+            );
+        }
+    }
+
+    fn stop_answered(&mut self, owner: usize, call: usize, fenced: Option<bool>) {
+        let cell = &mut self.owners[owner];
+        if !cell.alive || cell.paused {
+            return;
+        }
+        let StopOrder { on, task, run } = cell.stops[call];
+        let outcome = match fenced {
+            Some(true) => OrderOutcome::Fenced,
+            Some(false) => OrderOutcome::Done,
+            None => OrderOutcome::Unknown,
+        };
+        cell.engine
+            .stop_ended(on, task, run, outcome, Millis(self.now));
+    }
+
+    fn hold_arrives(&mut self, owner: usize, runner: usize, on: usize, event: u64, answered: bool) {
+        let order = self.owners[owner].holds[&event];
+        let fence = self.owners[owner].fence;
+        let id = self.owners[owner].engine.runner(RunnerIx(on)).id.clone();
+        let outcome = if !self.runners[runner].up {
+            if answered {
+                self.hold_unreached(owner, on, event);
+            }
+            return;
+        } else if self.runners[runner].id() == id {
+            self.runners[runner].hold(&order, fence, self.now, &mut self.checks)
+        } else {
+            HoldOutcome::OtherLife
+        };
+        if answered {
+            let answer = self.owners[owner].hold_answers.len();
+            self.owners[owner].hold_answers.push(outcome);
+            let delay = self.rng.random_range(1..25);
+            self.push(
+                delay,
+                Event::HoldAnswered {
+                    owner,
+                    on,
+                    event,
+                    answer,
+                },
+            );
+        }
+    }
+
+    fn hold_answered(&mut self, owner: usize, on: usize, event: u64, answer: usize) {
+        let silence_is_death = self.mutation == Mutation::SilenceIsDeath;
+        let cell = &mut self.owners[owner];
+        cell.holding.remove(&on);
+        if !cell.alive || cell.paused {
+            return;
+        }
+        let mut outcome = cell.hold_answers[answer].clone();
+        if silence_is_death && outcome == HoldOutcome::Unreached {
+            outcome = HoldOutcome::OtherLife;
+        }
+        cell.engine
+            .held(Millis(self.now), self.now, RunnerIx(on), event, &outcome);
+    }
+
+    fn write(&mut self, owner: usize) {
+        let cell = &mut self.owners[owner];
+        if cell.writing.is_some() {
+            return;
+        }
+        cell.writing = cell.engine.cut_batch();
+        if let Some(batch) = &cell.writing {
+            let batch = batch.number;
+            self.push(
+                5,
+                Event::Written {
+                    owner,
+                    batch,
+                    answered: true,
+                },
+            );
+        }
+    }
+
+    /// The store takes a batch in, or not; the writer sends it again until it is answered.
+    fn written(&mut self, owner: usize, batch: u64, _answered: bool) {
+        let now = self.now;
+        let faulty = now < self.faults_until;
+        if now < self.store_down_until || self.owners[owner].paused {
+            return self.push(
+                100,
+                Event::Written {
+                    owner,
+                    batch,
+                    answered: true,
+                },
+            );
+        }
+        if self.owners[owner].fence < self.store_fence {
+            self.owners[owner].alive = false;
+            return;
+        }
+        let Some(writing) = self.owners[owner].writing.clone() else {
+            return;
+        };
+        if self.mutation != Mutation::WriteNothing {
+            for record in &writing.records {
+                let key = record.key.to_string();
+                match &record.value {
+                    Some(value) => self.store.insert(key, value.clone()),
+                    None => self.store.remove(&key),
+                };
+            }
+        }
+        // The answer is lost now and then; a repeat changes nothing.
+        if faulty && self.rng.random_range(0..20) == 0 {
+            return self.push(
+                100,
+                Event::Written {
+                    owner,
+                    batch,
+                    answered: true,
+                },
+            );
+        }
+        let cell = &mut self.owners[owner];
+        if !cell.alive {
+            return;
+        }
+        cell.writing = None;
+        cell.confirmed = now;
+        cell.engine.confirm(Millis(now));
+        cell.engine.committed(batch);
+        let told: Vec<_> = cell
+            .callers
+            .extract_if(.., |(at, ..)| *at <= batch)
+            .collect();
+        for (_, job, cancels) in told {
+            if cancels {
+                self.checks.cancelled(job, now);
+            } else {
+                self.checks.accepted.insert(job);
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        let owner = self.newest();
+        if !self.owners[owner].alive || self.owners[owner].paused {
+            return self.push(700, Event::Submit);
+        }
+        let id = JobId(self.rng.random());
+        let mut spec = self.draw_spec();
+        self.checks.submitted(id, &spec);
+        if self.mutation == Mutation::DependenciesForgotten {
+            spec.steps
+                .iter_mut()
+                .for_each(|step| step.depends_on.clear());
+        }
+        let path = format!("/q/{id}");
+        let req = Submission {
+            host: HOST,
+            path: &path,
+            spec,
+        };
+        let cell = &mut self.owners[owner];
+        let submitted = cell
+            .engine
+            .submit(Millis(self.now), self.now, req)
+            .expect("a good job");
+        cell.callers.push((submitted.batch, id, false));
+        self.submitted.push(id);
+    }
+
+    fn draw_spec(&mut self) -> JobSpec {
+        let rng = &mut self.rng;
+        let count = rng.random_range(1..=3);
+        let steps = (0..count).map(|number| {
+            let gang = rng.random_range(0..6) == 0;
+            StepSpec {
+                // Any gang fits on the smallest runner, so that none waits for ever.
+                count: rng.random_range(1..=if gang { 2 } else { 5 }),
+                size: Resources::new(
+                    rng.random_range(1..=if gang { 2 } else { 3 }) * 1_000,
+                    1_000,
+                    0,
+                ),
+                estimate: Millis(rng.random_range(100..2_500)),
+                depends_on: if number > 0 && rng.random() {
+                    vec![number - 1]
+                } else {
+                    Vec::new()
+                },
+                saves_progress: rng.random(),
+                gang,
+                per_runner: rng.random::<bool>().then_some(2),
+                ..StepSpec::default()
+            }
+        });
+        JobSpec {
+            text: Name::new("run"),
+            steps: steps.collect(),
+            timetable: None,
+        }
+    }
+
+    fn cancel(&mut self) {
+        let owner = self.newest();
+        let Some(&job) = self.submitted.choose(&mut self.rng) else {
+            return;
+        };
+        let cell = &mut self.owners[owner];
+        if !cell.alive || cell.paused {
+            return;
+        }
+        self.checks.cancel_sent.insert(job);
+        let path = format!("/q/{job}");
+        let cancelled = cell.engine.cancel(Millis(self.now), self.now, HOST, &path);
+        if let Cancelled::Accepted(batch) = cancelled {
+            cell.callers.push((batch, job, true));
+        }
+    }
+
+    fn trouble(&mut self) {
+        let owner = self.newest();
+        let runner = self.rng.random_range(0..self.runners.len());
+        let span = self.rng.random_range(500..7_000);
+        match self.rng.random_range(0..6) {
+            0 => {
+                self.owners[owner].alive = false;
+                let after = self.rng.random_range(200..4_000);
+                self.push(after, Event::Takeover);
+            }
+            1 => {
+                // A paused owner is replaced, and wakes up with what it had.
+                self.owners[owner].paused = true;
+                let wakes = self.rng.random_range(500..9_000);
+                self.push(wakes, Event::Wake(owner));
+                self.push(1_500, Event::Takeover);
+            }
+            2 => self.push(0, Event::Takeover),
+            3 => {
+                self.runners[runner].crash(self.now);
+                self.push(span, Event::RunnerBack(runner));
+            }
+            4 => {
+                self.runners[runner].cut = true;
+                self.push(span, Event::Healed(runner));
+            }
+            _ => self.store_down_until = self.now + span,
+        }
+    }
+
+    fn is_finished(&self) -> bool {
+        let owner = &self.owners[self.newest()];
+        let written = owner.writing.is_none() && !owner.engine.has_batch();
+        owner.engine.totals().active_jobs == 0 && written
+    }
+
+    /// After the faults everything accepted must come to its end, and be shown truthfully.
+    fn judge_end(&mut self) {
+        let engine = &self.owners[self.newest()].engine;
+        for job in self.checks.accepted.clone() {
+            let state = engine.state(job);
+            self.checks.judge_state(job, state, MAX_ATTEMPTS);
+        }
+        if !self.checks.violations.is_empty() {
+            let seed = self.seed;
+            self.checks
+                .violations
+                .iter_mut()
+                .for_each(|text| *text = format!("seed {seed}: {text}"));
+        }
+    }
+}
