Own the cell during a planned stop until another has claimed

Ruled out: the takeover itself (under 0.2 s in the logs). Change: the stopping owner asks others to claim and goes on until it hears of the new owner or its grace ends.

--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -172,6 +172,7 @@
                 fence: self.known_owner().map_or(0, |owner| owner.fence),
                 silent_ms: self.owner_silence().0,
             },
+            Ask::TakeOver(_) if self.stopping.get() => Reply::NotOwner,
             Ask::TakeOver(fence) => {
                 self.take_over.set(Some(fence));
                 Reply::Done
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -15,7 +15,13 @@
     time::Instant,
 };
 
-use crate::{entry, logging, message::Ask, node::Node, peers, settings::Settings};
+use crate::{
+    entry, logging,
+    message::{Ask, Reply},
+    node::Node,
+    peers,
+    settings::Settings,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -26,9 +32,15 @@
 /// Time kept in hand before the platform ends the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Time for handing the cell over.
+/// Time between looks at whether a planned stop may end.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for asking another process to take over.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time in which a process that was asked to take over has claimed, where the store answers.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(500);
+
 /// Runs one process of a cell on the users' platform.
 #[derive(FromArgs, Debug)]
 #[argh(example = "kspan-cell --settings cell.yaml")]
@@ -143,38 +155,43 @@
     Ok(())
 }
 
-/// Stops without cutting a request: no new connections, no ownership, then the answers.
+/// Stops without cutting a request: no new connections, then the answers. An owner goes on until
+/// another has claimed, because without the store nobody can.
 async fn stop(node: &Rc<Node>) {
     tracing::info!("planned stop");
     node.stopping.set(true);
     let began = Instant::now();
-    if let Some(owner) = node.own_role() {
-        hand_over(node, owner.fence()).await;
-        owner.step_down("planned stop");
-    }
     let grace = Duration::from_secs_f64(node.cfg.grace_s).saturating_sub(GRACE_MARGIN);
+    let handing_over = ntex::rt::spawn(hand_over(Rc::clone(node)));
     while began.elapsed() < grace {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        if began.elapsed() >= SHORTEST_DRAIN && node.in_flight.is_empty() {
+        tokio::time::sleep(STOP_INTERVAL).await;
+        let idle = node.in_flight.is_empty() && node.own_role().is_none();
+        if began.elapsed() >= SHORTEST_DRAIN && idle {
             break;
         }
     }
+    drop(handing_over);
+    if let Some(owner) = node.own_role() {
+        owner.step_down("planned stop");
+    }
     tracing::info!(after_ms = began.elapsed().as_millis(), "stopped");
 }
 
-/// Asks another process to claim the cell.
-async fn hand_over(node: &Rc<Node>, fence: u64) {
-    for member in node.others() {
-        let asked = node
-            .peers
-            .ask(&member, Ask::TakeOver(fence), HAND_OVER_TIMEOUT)
-            .await;
-        if asked.is_ok() {
-            tracing::info!(fence, to = %member.node, "handed over");
-            return;
+/// Asks other processes, one after the other, to claim the cell, until one has.
+async fn hand_over(node: Rc<Node>) {
+    loop {
+        for member in node.others() {
+            let Some(owner) = node.own_role() else {
+                return;
+            };
+            let ask = Ask::TakeOver(owner.fence());
+            if let Ok(Reply::Done) = node.peers.ask(&member, ask, HAND_OVER_TIMEOUT).await {
+                tracing::info!(fence = owner.fence(), to = %member.node, "asked to take over");
+                tokio::time::sleep(TAKE_OVER_TIME).await;
+            }
         }
+        tokio::time::sleep(STOP_INTERVAL).await;
     }
-    tracing::warn!(fence, "nobody to hand over to");
 }
 
 /// Starts the thread that turns signals into messages.
