Count each failed run once, and let the leases of silent runners lapse

A runner that does not answer is now called without a deadline. Ruled out: lost acknowledgements (durable before the cursor in the logs), approvals (the step had tickets).

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -1,11 +1,17 @@
 //! Ends of runs: what they mean for the task, its job and the runner.
 
+use std::hash::BuildHasher;
+
 use kspan_model::{Millis, Name};
+use rustc_hash::FxBuildHasher;
 
-use super::{Engine, Note, RunnerIx, job::TaskState};
+use super::{
+    Engine, Note, RunnerIx,
+    job::{Task, TaskState},
+};
 use crate::{
     id::{JobId, TaskId},
-    record::Phase,
+    record::{FailedRun, Phase},
     runner::{EndKind, EndedTask},
 };
 
@@ -19,6 +25,10 @@
         self.note_end(on, end.task, end.run, Some(end.how), now);
         self.judge_runner(on, end.how, now);
         let index = end.task.index as usize;
+        let failed = FailedRun {
+            run: end.run,
+            life: FxBuildHasher.hash_one(&*self.runners[on.0].entry.id),
+        };
         let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
             return;
         };
@@ -53,14 +63,13 @@
             return;
         }
         if end.how == EndKind::Failed {
-            let counted = &mut step.tasks[slot];
-            if end.run > counted.failed_run {
-                counted.failed_run = end.run;
-                counted.failures += 1;
+            if !lasting {
+                count_failure(&mut step.tasks[slot], failed);
             }
             step.tasks[index].shun = Some(on);
         }
-        let out_of_attempts = !lasting && step.tasks[slot].failures >= max_attempts;
+        let failures = step.tasks[slot].failures.len();
+        let out_of_attempts = !lasting && failures >= max_attempts as usize;
         if current {
             step.enter(index, TaskState::Waiting, now);
         }
@@ -209,3 +218,10 @@
         });
     }
 }
+
+/// Counts a failure that was not counted before.
+fn count_failure(task: &mut Task, failed: FailedRun) {
+    if !task.failures.contains(&failed) {
+        task.failures.push(failed);
+    }
+}
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -36,9 +36,15 @@
         let runner = &mut self.runners[on.0];
         let ack = runner.ack_cursor(durable);
         runner.unacked.retain(|end| end.number > ack);
+        // A runner that does not answer may still get the call, however late: its lease would
+        // never be known to have lapsed if each try extended it.
+        let answers = runner.misses == 0;
+        let deadline = answers
+            .then(|| runner.next_deadline(&self.cfg, now))
+            .flatten();
         HoldOrder {
             event,
-            deadline: runner.next_deadline(&self.cfg, now),
+            deadline,
             ack,
             has_unacked: !runner.unacked.is_empty(),
         }
@@ -83,6 +89,9 @@
         if runner.entry.born == 0 {
             runner.entry.born = inventory.born;
         }
+        if !runner.held {
+            runner.inherit_lease(inventory.clock, &self.cfg);
+        }
         runner.heard(inventory.clock, now);
         runner.held = true;
         let mut listed: FxHashSet<(TaskId, u32)> = FxHashSet::default();
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -6,7 +6,7 @@
 use super::{advice::Approvals, runner::RunnerIx};
 use crate::{
     id::{JobId, StepId},
-    record::{JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
+    record::{FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
     spec::{JobSpec, StepSpec},
 };
 
@@ -41,9 +41,8 @@
     pub(super) state: TaskState,
     /// Number of the newest start.
     pub(super) run: u32,
-    pub(super) failures: u32,
-    /// Highest run whose failure was counted.
-    pub(super) failed_run: u32,
+    /// Runs that failed; not kept for tasks that may fail without end.
+    pub(super) failures: Vec<FailedRun>,
     pub(super) checkpoint: Name,
     /// When the state began.
     pub(super) since: Millis,
@@ -60,8 +59,7 @@
         Self {
             state: TaskState::Waiting,
             run: 0,
-            failures: 0,
-            failed_run: 0,
+            failures: Vec::new(),
             checkpoint: Name::default(),
             since: now,
             shun: None,
@@ -77,7 +75,7 @@
     }
 
     fn has_history(&self) -> bool {
-        self.state == TaskState::Done || self.failures > 0 || !self.checkpoint.is_empty()
+        self.state == TaskState::Done || !self.failures.is_empty() || !self.checkpoint.is_empty()
     }
 }
 
@@ -323,8 +321,7 @@
             index,
             done: task.state == TaskState::Done,
             run: task.run,
-            failures: task.failures,
-            failed_run: task.failed_run,
+            failures: task.failures.clone(),
             checkpoint: task.checkpoint.clone(),
         }));
     }
@@ -347,7 +344,6 @@
     }
     let task = &mut step.tasks[index];
     task.run = known.run;
-    task.failures = known.failures;
-    task.failed_run = known.failed_run;
+    task.failures.clone_from(&known.failures);
     task.checkpoint = known.checkpoint.clone();
 }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -212,6 +212,10 @@
     notes: Vec<Note>,
     /// When it was last proved that no newer owner has taken over.
     confirmed: Millis,
+    /// When the engine was last told the time.
+    ticked: Option<Millis>,
+    /// End of the last gap in which this owner may have stood still.
+    woke: Millis,
     /// Whether a runner has refused the fence.
     fenced: bool,
 }
@@ -235,6 +239,8 @@
             orders: VecDeque::new(),
             notes: Vec::new(),
             confirmed: Millis::ZERO,
+            ticked: None,
+            woke: Millis::ZERO,
             fenced: false,
         }
     }
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -49,7 +49,7 @@
 impl Engine {
     /// Starts what can start, in the order of urgency.
     pub fn schedule(&mut self, now: Millis) {
-        if self.fenced {
+        if self.fenced || !self.is_awake() {
             return;
         }
         let accounted = self.is_accounted(now);
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -63,6 +63,8 @@
     pub(super) used: Resources,
     pub(super) last_answer: Option<Millis>,
     pub(super) misses: u32,
+    /// When its lease was first seen to have lapsed, since it last answered.
+    pub(super) lapsed: Option<Millis>,
     /// Number of the newest end that was taken in.
     pub(super) last_end: u64,
     pub(super) unacked: Vec<UnackedEnd>,
@@ -84,6 +86,7 @@
             used: Resources::ZERO,
             last_answer: None,
             misses: 0,
+            lapsed: None,
             last_end: 0,
             unacked: Vec::new(),
             health: Health::default(),
@@ -145,6 +148,7 @@
         }
         self.last_answer = Some(now);
         self.misses = 0;
+        self.lapsed = None;
     }
 
     /// Returns the deadline for an order sent now, on the runner's clock, and notes it.
@@ -156,6 +160,13 @@
         Some(deadline)
     }
 
+    /// Counts with the longest lease that an earlier owner can have given. After the first answer
+    /// under a new fence none of its orders is carried out any more.
+    pub(super) fn inherit_lease(&mut self, clock: Millis, cfg: &Settings) {
+        let longest = clock + cfg.lease + cfg.lapse_margin;
+        self.latest_deadline = self.latest_deadline.max(longest);
+    }
+
     /// Returns whether everything ordered so far has certainly lapsed.
     pub(super) fn has_lapsed(&self, cfg: &Settings, now: Millis) -> bool {
         let Some(reading) = self.reading else {
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -5,7 +5,15 @@
 use super::{Engine, Note, Runner, RunnerIx, job::TaskState};
 use crate::{id::TaskId, runner::RunnerEntry};
 
+/// Time between two ticks that shows that the owner stood still.
+const LONGEST_GAP: Millis = Millis(500);
+
 impl Engine {
+    /// Returns whether the owner has been confirmed since it last stood still.
+    pub(super) fn is_awake(&self) -> bool {
+        self.confirmed >= self.woke
+    }
+
     /// Takes in a runner's entry of the host list. Returns the index of a life that is new.
     pub fn put_runner(&mut self, now: Millis, entry: RunnerEntry) -> Option<RunnerIx> {
         if let Some(&on) = self.by_id.get(&entry.id) {
@@ -107,8 +115,15 @@
         }
     }
 
-    /// Does what is due with time alone: occurrences, lapses, repeated stops, old jobs.
+    /// Does what is due with time alone: occurrences, lapses, repeated stops, old jobs. Is to be
+    /// called several times a second; after a gap nothing is started until the ownership is
+    /// confirmed anew, as others may have acted meanwhile.
     pub fn tick(&mut self, now: Millis, unix_ms: u64) {
+        let since = now.saturating_sub(self.ticked.unwrap_or(now));
+        if since > LONGEST_GAP {
+            self.woke = now;
+        }
+        self.ticked = Some(now);
         for id in &self.active {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.begin_due(now, unix_ms);
@@ -126,8 +141,14 @@
         if runner.dead || runner.misses == 0 || !runner.has_lapsed(&self.cfg, now) {
             return;
         }
-        if !runner.placed.is_empty() {
-            let id = runner.entry.id.clone();
+        // Another owner may have kept the lease alive: only a proof that is younger than the lapse
+        // shows that there was none.
+        let lapsed = *self.runners[on.0].lapsed.get_or_insert(now);
+        if self.confirmed < lapsed {
+            return;
+        }
+        if !self.runners[on.0].placed.is_empty() {
+            let id = self.runners[on.0].entry.id.clone();
             self.notes.push(Note::Runner { id, what: "lapsed" });
             self.lose_all(on, now);
         }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -143,14 +143,21 @@
     pub done: bool,
     /// Highest run that was ordered.
     pub run: u32,
-    /// Runs that failed.
-    pub failures: u32,
-    /// Highest run that failed.
-    pub failed_run: u32,
+    /// Runs that failed. Ends may be seen in any order, and by one owner after the other.
+    pub failures: Vec<FailedRun>,
     /// Newest checkpoint; empty where there is none.
     pub checkpoint: Name,
 }
 
+/// A run that failed, so that it is counted once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedRun {
+    /// Number of the start.
+    pub run: u32,
+    /// Hash of the id of the runner's life.
+    pub life: u64,
+}
+
 /// Encodes a record's value.
 ///
 /// # Panics
--- /dev/null
+++ b/crates/jobs/tests/failures.rs
@@ -0,0 +1,302 @@
+//! Failures that were found on whole days, each replayed with a few calls.
+
+use kspan_jobs::{
+    Engine,
+    config::{CellConfig, Policy, Queue},
+    engine::{JobState, Order, RunnerIx, Settings, Submission},
+    id::{JobId, StepId, TaskId},
+    runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, StartOutcome},
+    spec::{JobSpec, StepSpec},
+};
+use kspan_model::{Millis, Name, Resources};
+use rustc_hash::FxHashMap;
+
+const JOB: JobId = JobId(0xa);
+const HOST: &str = "cell.example";
+const PATH: &str = "/q/000000000000000a";
+const MAX_ATTEMPTS: u32 = 4;
+
+fn settings() -> Settings {
+    Settings {
+        lease: Millis(6_000),
+        lapse_margin: Millis(300),
+        earlier_owner: Millis(14_000),
+        keep_ended: Millis(100_000),
+        spread_factor: 3,
+    }
+}
+
+fn config() -> CellConfig {
+    CellConfig {
+        version: 1,
+        queues: vec![Queue {
+            name: Name::new("q"),
+            host: Name::new(HOST),
+            prefix: Name::new("/q/"),
+            policy: Policy {
+                service: Name::new("s"),
+                max_attempts: MAX_ATTEMPTS,
+                stretch: 2.0,
+                ..Policy::default()
+            },
+        }],
+    }
+}
+
+fn entry(id: &str) -> RunnerEntry {
+    RunnerEntry {
+        id: Name::new(id),
+        service: Name::new("s"),
+        addr: Name::new(id),
+        data_centre: Name::new("dc"),
+        draining: false,
+        capacity: Resources::new(4_000, 4_000, 0),
+        labels: vec![Name::new("a"), Name::new("r1")],
+        born: 1,
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        text: Name::new("run"),
+        steps: vec![StepSpec {
+            count: 1,
+            size: Resources::new(3_000, 1_000, 0),
+            estimate: Millis(500),
+            ..StepSpec::default()
+        }],
+        timetable: None,
+    }
+}
+
+fn task() -> TaskId {
+    let step = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+fn failed(number: u64, run: u32) -> EndedTask {
+    EndedTask {
+        number,
+        task: task(),
+        run,
+        how: EndKind::Failed,
+        checkpoint: Name::default(),
+    }
+}
+
+/// A cell whose runners answer when they are told to.
+struct Cell {
+    engine: Engine,
+    now: u64,
+}
+
+impl Cell {
+    fn new(runners: &[&str]) -> Self {
+        let mut cell = Self {
+            engine: Engine::new(settings()),
+            now: 10_000,
+        };
+        cell.engine.configure(config());
+        for id in runners {
+            cell.engine.put_runner(Millis(cell.now), entry(id));
+        }
+        cell.engine.confirm(Millis(cell.now));
+        cell
+    }
+
+    fn hold(&mut self, on: usize, ended: Vec<EndedTask>) {
+        let now = Millis(self.now);
+        let order = self.engine.hold_order(RunnerIx(on), now);
+        let inventory = Inventory {
+            clock: now,
+            born: 1,
+            running: Vec::new(),
+            ended,
+        };
+        let outcome = HoldOutcome::Inventory(inventory);
+        self.engine
+            .held(now, self.now, RunnerIx(on), order.event, &outcome);
+    }
+
+    fn submit(&mut self) {
+        let req = Submission {
+            host: HOST,
+            path: PATH,
+            spec: spec(),
+        };
+        let submitted = self.engine.submit(Millis(self.now), self.now, req);
+        assert!(submitted.is_ok());
+        self.write();
+    }
+
+    fn write(&mut self) {
+        if let Some(batch) = self.engine.cut_batch() {
+            self.engine.committed(batch.number);
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.now += 100;
+            self.engine.confirm(Millis(self.now));
+            self.engine.tick(Millis(self.now), self.now);
+        }
+    }
+
+    /// Decides, and returns the runners that a task was ordered to start on.
+    fn starts(&mut self) -> Vec<usize> {
+        self.engine.schedule(Millis(self.now));
+        let orders = self.engine.take_orders();
+        let starts = orders.iter().filter_map(|order| match order {
+            Order::Start(order) => Some(order.on.0),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+#[test]
+fn failures_count_in_whatever_order_they_are_seen() {
+    // Runs 1 to 4 have failed on four runners; each order of their inventories ends the job.
+    let table = [[1, 2, 3, 4], [4, 3, 2, 1], [2, 4, 1, 3]];
+    for order in table {
+        let mut cell = Cell::new(&["w0", "w1", "w2", "w3"]);
+        cell.submit();
+        for (on, run) in order.into_iter().enumerate() {
+            cell.hold(on, vec![failed(1, run)]);
+        }
+        cell.write();
+        assert_eq!(cell.engine.state(JOB), Some(JobState::Failed), "{order:?}");
+        assert!(cell.starts().is_empty());
+    }
+}
+
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.submit();
+    for _ in 0..2 * MAX_ATTEMPTS {
+        cell.hold(0, vec![failed(1, 1)]);
+    }
+    cell.write();
+    assert_ne!(cell.engine.state(JOB), Some(JobState::Failed));
+}
+
+#[test]
+fn tasks_of_a_runner_that_is_gone_start_elsewhere_after_its_lease() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.hold(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.starts(), [0]);
+    let now = Millis(cell.now);
+    let started = StartOutcome::Started(now);
+    cell.engine
+        .start_ended(now, RunnerIx(0), task(), 1, started);
+    cell.hold(1, Vec::new());
+    let mut restarted_after = None;
+    for waited in (0..20_000_u64).step_by(500) {
+        let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
+        let unreached = HoldOutcome::Unreached;
+        cell.engine.held(
+            Millis(cell.now),
+            cell.now,
+            RunnerIx(0),
+            order.event,
+            &unreached,
+        );
+        cell.hold(1, Vec::new());
+        cell.pass(500);
+        if cell.starts() == [1] {
+            restarted_after = Some(waited);
+            break;
+        }
+    }
+    // The lease, the drift of the runner's clock, the margin and a call's time.
+    let restarted_after = restarted_after.expect("the task starts again");
+    assert!(
+        (6_000..8_000).contains(&restarted_after),
+        "{restarted_after}"
+    );
+}
+
+#[test]
+fn a_lease_given_by_an_earlier_owner_is_waited_for() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.submit();
+    let records = cell.engine.cut_batch();
+    assert!(records.is_none(), "the job is durable");
+    // A new owner knows the job and holds both runners once; then one is silent.
+    let record = kspan_jobs::record::JobRecord {
+        queue: Name::new("q"),
+        policy: config().queues[0].policy.clone(),
+        accepted_unix_ms: cell.now,
+        spec: spec(),
+    };
+    let now = Millis(cell.now);
+    let jobs = vec![(JOB, record)];
+    cell.engine = Engine::recovered(settings(), now, cell.now, jobs, &FxHashMap::default());
+    cell.engine.configure(config());
+    for id in ["w0", "w1"] {
+        cell.engine.put_runner(now, entry(id));
+    }
+    cell.engine.confirm(now);
+    let order = cell.engine.hold_order(RunnerIx(0), now);
+    let running = kspan_jobs::runner::RunningTask {
+        task: task(),
+        run: 1,
+        checkpoint: Name::default(),
+        percent: 10,
+    };
+    let inventory = Inventory {
+        clock: now,
+        born: 1,
+        running: vec![running],
+        ended: Vec::new(),
+    };
+    let outcome = HoldOutcome::Inventory(inventory);
+    cell.engine
+        .held(now, cell.now, RunnerIx(0), order.event, &outcome);
+    cell.hold(1, Vec::new());
+    for _ in 0..10 {
+        let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
+        let unreached = HoldOutcome::Unreached;
+        cell.engine.held(
+            Millis(cell.now),
+            cell.now,
+            RunnerIx(0),
+            order.event,
+            &unreached,
+        );
+        cell.pass(500);
+        assert!(cell.starts().is_empty(), "after {} ms", cell.now - now.0);
+    }
+}
+
+#[test]
+fn a_runner_that_has_just_started_waits_for_a_proof_of_ownership() {
+    let mut cell = Cell::new(&[]);
+    cell.submit();
+    cell.now += 1_000;
+    cell.engine.put_runner(Millis(cell.now), entry("w0"));
+    cell.hold(0, Vec::new());
+    assert!(cell.starts().is_empty());
+    cell.engine.confirm(Millis(cell.now));
+    assert_eq!(cell.starts(), [0]);
+}
+
+#[test]
+fn an_owner_that_stood_still_starts_nothing_unconfirmed() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.hold(0, Vec::new());
+    cell.pass(300);
+    cell.submit();
+    cell.now += 4_000;
+    cell.engine.tick(Millis(cell.now), cell.now);
+    assert!(cell.starts().is_empty());
+    cell.engine.confirm(Millis(cell.now));
+    assert_eq!(cell.starts(), [0]);
+}
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -102,6 +102,7 @@
             tasks
                 .into_iter()
                 .for_each(|task| self.end(task, EndKind::Lapsed));
+            self.lapsed_end = self.next_end - 1;
         }
         let due = self
             .running
