Wait for a shorter time at runners while answers are lost

Change: for two seconds after a lost answer runners are asked to wait 0.35 s instead of 1.7 s, and an unreached runner is called again after 0.1 s.

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -4,17 +4,24 @@
 
 use kspan_adapter::runner::{self, Hold};
 use kspan_jobs::{engine::RunnerIx, runner::HoldOutcome};
+use kspan_model::Millis;
 
 use super::{Contact, Owner};
 
 /// How long a runner waits for an end before it answers.
-const WAIT: Duration = Duration::from_millis(1_500);
+const WAIT: Duration = Duration::from_millis(1_700);
+
+/// The same while answers are being lost: ends behind a lost answer are seen only after it.
+const WAIT_IN_TROUBLE: Duration = Duration::from_millis(350);
+
+/// How long after a lost answer to a runner more losses are expected.
+const TROUBLE_SPAN: Millis = Millis(2_000);
 
 /// Time for an answer beyond the wait.
-const TIMEOUT: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time between calls to a runner that doesn't answer.
-const UNREACHED_PAUSE: Duration = Duration::from_millis(250);
+const UNREACHED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest wait for ends to become durable, so that they are acknowledged with the next call.
 const DURABLE_WAIT: Duration = Duration::from_millis(200);
@@ -38,7 +45,11 @@
         let order = self.engine.borrow_mut().hold_order(on, self.now());
         // Without a reading of its clock the runner's lease is not extended yet.
         let at_once = first || order.has_unacked || order.deadline.is_none();
-        let wait = if at_once { Duration::ZERO } else { WAIT };
+        let wait = if at_once {
+            Duration::ZERO
+        } else {
+            self.hold_wait()
+        };
         let call = Hold {
             deadline: order.deadline,
             ack: order.ack,
@@ -60,7 +71,10 @@
             .held(now, unix_ms, on, order.event, &outcome);
         self.changed.notify_one();
         match outcome {
-            HoldOutcome::Unreached => tokio::time::sleep(UNREACHED_PAUSE).await,
+            HoldOutcome::Unreached => {
+                self.answer_lost.set(self.now());
+                tokio::time::sleep(UNREACHED_PAUSE).await;
+            }
             HoldOutcome::Inventory(inventory) if !inventory.ended.is_empty() => {
                 self.wait_for_acks().await;
             }
@@ -68,6 +82,11 @@
         }
     }
 
+    fn hold_wait(&self) -> Duration {
+        let lately = self.now().saturating_sub(self.answer_lost.get()) < TROUBLE_SPAN;
+        if lately { WAIT_IN_TROUBLE } else { WAIT }
+    }
+
     /// Waits until the ends that were just taken in are durable, or for a while.
     async fn wait_for_acks(self: &Rc<Self>) {
         // Lets the ends reach the open batch's writer first.
