Serve metrics, a state dump and explanations from each process

Cause: an operator could read neither state nor reasons from a running process. Change: /metrics, /dump and /explain/ID on the settings' admin address; histograms with fixed buckets, labels without ids; listeners share one module.

--- /dev/null
+++ b/crates/cell/src/admin.rs
@@ -0,0 +1,121 @@
+//! What operators read from a running process: metrics, its state, and why a job is where it is.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use ntex::http::{Request, Response, StatusCode};
+use serde::Serialize;
+
+use crate::{http, message::Member, node::Node};
+
+/// State of a process.
+#[derive(Serialize)]
+struct Dump<'a> {
+    node: &'a str,
+    life: u64,
+    stopping: bool,
+    owner: Option<String>,
+    fence: u64,
+    owner_silent_ms: u64,
+    members: Vec<Member>,
+    owned: Option<Owned>,
+}
+
+/// State of the cell as its owner knows it.
+#[derive(Serialize)]
+struct Owned {
+    unconfirmed_ms: u64,
+    config_version: u64,
+    active_jobs: usize,
+    known_jobs: usize,
+    runners: usize,
+    tasks_running: usize,
+    tasks_waiting: usize,
+    cpu_capacity_milli: u64,
+    cpu_used_milli: u64,
+}
+
+/// Serves operators on `addr` until the process ends.
+///
+/// # Errors
+///
+/// Returns an error where the address can't be listened on.
+pub(crate) async fn serve(
+    node: Rc<Node>,
+    addr: SocketAddr,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    http::serve(addr, move |req: Request| {
+        let answer = answer(&node, &metrics, req.path());
+        async move { answer }
+    })
+    .await
+}
+
+fn answer(node: &Node, metrics: &PrometheusHandle, path: &str) -> Response {
+    match path {
+        "/metrics" => {
+            if let Some(owner) = node.own_role() {
+                owner.record_totals();
+            }
+            metrics.run_upkeep();
+            Response::build(StatusCode::OK)
+                .content_type("text/plain")
+                .body(metrics.render())
+        }
+        "/dump" => Response::build(StatusCode::OK).json(&dump(node)),
+        _ => match path.strip_prefix("/explain/") {
+            Some(id) => explain(node, id),
+            None => Response::new(StatusCode::NOT_FOUND),
+        },
+    }
+}
+
+fn dump(node: &Node) -> Dump<'_> {
+    let owner = node.known_owner();
+    let owned = node.own_role().map(|role| {
+        let totals = role.totals();
+        Owned {
+            unconfirmed_ms: role.unconfirmed_for().0,
+            config_version: role.config_version(),
+            active_jobs: totals.active_jobs,
+            known_jobs: totals.known_jobs,
+            runners: totals.runners,
+            tasks_running: totals.running,
+            tasks_waiting: totals.waiting,
+            cpu_capacity_milli: totals.capacity.cpu_milli,
+            cpu_used_milli: totals.used.cpu_milli,
+        }
+    });
+    Dump {
+        node: &node.me.node,
+        life: node.me.life,
+        stopping: node.stopping.get(),
+        owner: owner.as_ref().map(|owner| owner.member.node.to_string()),
+        fence: owner.map_or(0, |owner| owner.fence),
+        owner_silent_ms: node.owner_silence().0,
+        members: node.members(),
+        owned,
+    }
+}
+
+/// Explains a job. Only the owner can; others name it.
+fn explain(node: &Node, id: &str) -> Response {
+    let Ok(id) = id.parse() else {
+        return Response::build(StatusCode::BAD_REQUEST).body("a job id has 16 hexadecimal digits");
+    };
+    let Some(role) = node.own_role() else {
+        let owner = node
+            .known_owner()
+            .map(|owner| owner.member.node.to_string());
+        let text = format!(
+            "ask the owner: {}",
+            owner.unwrap_or_else(|| "none known".to_owned())
+        );
+        return Response::build(StatusCode::MISDIRECTED_REQUEST).body(text);
+    };
+    match role.explain(id) {
+        Some(explanation) => Response::build(StatusCode::OK).json(&explanation),
+        None => Response::new(StatusCode::NOT_FOUND),
+    }
+}
--- a/crates/cell/src/budget.rs
+++ b/crates/cell/src/budget.rs
@@ -5,6 +5,8 @@
 use kspan_model::Millis;
 use rustc_hash::FxHashMap;
 
+use crate::measure;
+
 /// Most lines of one kind a second.
 const LINES_PER_SECOND: u32 = 150;
 
@@ -30,6 +32,7 @@
         let second = now.0 / 1_000;
         if window.second != second {
             if window.suppressed > 0 {
+                measure::lines_suppressed(kind, window.suppressed);
                 tracing::warn!(kind, suppressed = window.suppressed, "lines suppressed");
             }
             *window = Window {
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -3,29 +3,16 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use kspan_adapter::entry;
-use ntex::{
-    ServiceFactory, SharedCfg, fn_service,
-    http::{
-        HttpService, HttpServiceConfig, KeepAlive, Method, Request, Response, StatusCode,
-        body::Body,
-    },
-    time::Seconds,
-    util::{Bytes, BytesMut, stream_recv},
-};
-use tokio::{net::TcpListener, time::Instant};
+use ntex::http::{Method, Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use crate::{
+    http, measure,
     message::{Ask, CallAnswer, JobCall, Reply, Verb},
     node::Node,
     peers::AskError,
 };
 
-/// How long an idle connection of a caller is kept open.
-const KEEP_ALIVE: Seconds = Seconds(120);
-
-/// Largest request body, in bytes.
-const MAX_BODY_BYTES: usize = 512 * 1024;
-
 /// Time for the owner's answer.
 pub(crate) const HOP_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -47,37 +34,11 @@
 ///
 /// Returns an error where the address can't be listened on.
 pub(crate) async fn serve(node: Rc<Node>, addr: SocketAddr) -> io::Result<()> {
-    let listener = TcpListener::bind(addr).await?;
-    let http = HttpServiceConfig::new().set_keepalive(KeepAlive::Timeout(KEEP_ALIVE));
-    let cfg: SharedCfg = SharedCfg::new("callers").add(http).into();
-    let service = HttpService::<_, _, Body>::h1(fn_service(move |req: Request| {
+    http::serve(addr, move |req| {
         let node = Rc::clone(&node);
-        async move { Ok::<_, io::Error>(handle(&node, req).await) }
-    }));
-    let pipeline = service.pipeline(cfg.clone()).await;
-    let pipeline = Rc::new(pipeline.map_err(|_| io::Error::other("no HTTP service"))?);
-    ntex::rt::spawn(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(RETRY_INTERVAL).await;
-                continue;
-            };
-            let Ok(stream) = stream.into_std() else {
-                continue;
-            };
-            // Without it, answers only wait a little longer.
-            let _ = stream.set_nodelay(true);
-            let Ok(io) = ntex::rt::from_tcp_stream(stream, cfg.clone()) else {
-                continue;
-            };
-            let pipeline = Rc::clone(&pipeline);
-            ntex::rt::spawn(async move {
-                // What ends a connection is the caller's matter.
-                let _ = pipeline.call(io).await;
-            });
-        }
-    });
-    Ok(())
+        async move { handle(&node, req).await }
+    })
+    .await
 }
 
 async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
@@ -85,7 +46,7 @@
         return respond(node, &ready(node));
     }
     let _in_flight = node.in_flight.enter();
-    let body = match read_body(&mut req).await {
+    let body = match http::read_body(&mut req).await {
         Ok(body) => body,
         Err(_) => return respond(node, &CallAnswer::new(400)),
     };
@@ -116,7 +77,9 @@
         verb,
         hops: 1,
     };
+    let (verb, began) = (call.verb.name(), node.clock.now());
     let answer = carry_out(node, call).await;
+    measure::call(verb, answer.status, node.clock.now().saturating_sub(began));
     respond(node, &answer)
 }
 
@@ -204,19 +167,6 @@
     }
 }
 
-async fn read_body(req: &mut Request) -> io::Result<Bytes> {
-    let mut payload = req.take_payload();
-    let mut buf = BytesMut::new();
-    while let Some(chunk) = stream_recv(&mut payload).await {
-        let chunk = chunk.map_err(io::Error::other)?;
-        if buf.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(io::Error::other("body too large"));
-        }
-        buf.extend_from_slice(&chunk);
-    }
-    Ok(buf.freeze())
-}
-
 fn respond(node: &Node, answer: &CallAnswer) -> Response {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = Response::build(status);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -5,11 +5,14 @@
 //! claims its right by a compared append. Decisions about jobs are in `kspan-jobs`; names and
 //! formats of the platform are in `kspan-adapter`.
 
+mod admin;
 mod budget;
 mod clock;
 mod election;
 mod entry;
+mod http;
 mod logging;
+mod measure;
 mod message;
 mod node;
 mod owner;
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -44,6 +44,17 @@
     Cancel,
 }
 
+impl Verb {
+    /// Returns a name for logs and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Show => "show",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
 /// A caller's request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobCall {
--- a/crates/cell/src/owner/commit.rs
+++ b/crates/cell/src/owner/commit.rs
@@ -9,6 +9,7 @@
 use kspan_jobs::{engine::Batch, record::Record};
 
 use super::Owner;
+use crate::measure;
 
 /// Largest append, in bytes of its values.
 const MAX_APPEND_BYTES: usize = 512 * 1024;
@@ -29,11 +30,13 @@
                 self.to_write.notified().await;
                 continue;
             };
-            self.writing_since.set(Some(self.now()));
+            let began = self.now();
+            self.writing_since.set(Some(began));
             if !self.write(&batch, &mut number).await {
                 return;
             }
             self.writing_since.set(None);
+            measure::batch_written(batch.records.len(), self.now().saturating_sub(began));
             self.engine.borrow_mut().committed(batch.number);
             self.durable.send_replace(batch.number);
             self.changed.notify_one();
--- a/crates/cell/src/owner/hosts.rs
+++ b/crates/cell/src/owner/hosts.rs
@@ -9,6 +9,7 @@
 use kspan_model::Name;
 
 use super::Owner;
+use crate::measure;
 
 /// How long a read waits for a change of the configuration.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
@@ -108,6 +109,7 @@
                     let version = config.version;
                     let queues = config.queues.len();
                     if self.engine.borrow_mut().configure(config) {
+                        measure::config_version(version);
                         tracing::info!(
                             version,
                             queues,
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -20,7 +20,8 @@
 
 use kspan_adapter::runner::Peer;
 use kspan_jobs::{
-    engine::{Engine, RunnerIx, Settings},
+    engine::{Engine, Explanation, RunnerIx, Settings, Totals},
+    id::JobId,
     runner::RunnerEntry,
 };
 use kspan_model::Millis;
@@ -29,6 +30,7 @@
 
 use crate::{
     clock::Moment,
+    measure,
     message::{Beat, Member},
     node::Node,
 };
@@ -139,6 +141,7 @@
         };
         let totals = self.engine.borrow().totals();
         self.recovered.set(true);
+        measure::owner(Some(self.fence));
         tracing::info!(
             fence = self.fence,
             took_ms = self.now().saturating_sub(started).0,
@@ -160,6 +163,7 @@
         if !self.alive.replace(false) {
             return;
         }
+        measure::owner(None);
         tracing::warn!(fence = self.fence, why, "stepped down");
         self.node.gave_up(self.fence);
         self.changed.notify_waiters();
@@ -178,7 +182,8 @@
         self.engine.borrow_mut().confirm(asked);
     }
 
-    fn unconfirmed_for(&self) -> Millis {
+    /// Returns how long ago the ownership was last proved.
+    pub(crate) fn unconfirmed_for(&self) -> Millis {
         self.now().saturating_sub(self.confirmed.get())
     }
 
@@ -237,6 +242,26 @@
         }
     }
 
+    /// Returns sums over everything.
+    pub(crate) fn totals(&self) -> Totals {
+        self.engine.borrow().totals()
+    }
+
+    /// Returns the version of the configuration in force.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.engine.borrow().config_version()
+    }
+
+    /// Explains where a job stands.
+    pub(crate) fn explain(&self, id: JobId) -> Option<Explanation> {
+        self.engine.borrow().explain(id, self.now())
+    }
+
+    /// Records what is summed up only when metrics are read.
+    pub(crate) fn record_totals(&self) {
+        measure::totals(&self.totals());
+    }
+
     /// Takes in a member's greeting.
     pub(crate) fn greeted(&self, member: Member) {
         let now = self.now();
--- a/crates/cell/src/owner/notes.rs
+++ b/crates/cell/src/owner/notes.rs
@@ -1,13 +1,15 @@
 //! The log lines of the engine's decisions.
 
-use kspan_jobs::engine::Note;
+use kspan_jobs::{engine::Note, runner::EndKind};
 
 use super::Owner;
+use crate::measure;
 
 impl Owner {
     /// Logs what was decided, within the budget of each kind.
     pub(super) fn log_notes(&self, notes: &[Note]) {
         for note in notes {
+            record(note);
             if self.node.budget.allows(kind(note), self.now()) {
                 log(note);
             }
@@ -15,6 +17,27 @@
     }
 }
 
+fn record(note: &Note) {
+    match note {
+        Note::Ordered { waited, .. } => measure::start_ordered(*waited),
+        Note::NotStarted { why, .. } => measure::not_started(why),
+        Note::RunOver { how, .. } => measure::run_over(how.map_or("vanished", how_name)),
+        Note::JobEnded { how, after, .. } => measure::job_ended(how, *after),
+        Note::Adopted { .. } | Note::Unwanted { .. } | Note::Runner { .. } => {}
+    }
+}
+
+fn how_name(how: EndKind) -> &'static str {
+    match how {
+        EndKind::Done => "done",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lapsed => "lapsed",
+        EndKind::Broken => "broken",
+        EndKind::Alone => "alone",
+    }
+}
+
 fn kind(note: &Note) -> &'static str {
     match note {
         Note::Ordered { .. } => "ordered",
@@ -48,7 +71,7 @@
             how,
             after,
         } => {
-            tracing::info!(%task, run, runner = %on, ?how, after_ms = after.0, "run over");
+            tracing::info!(%task, run, runner = %on, how = how.map_or("vanished", how_name), after_ms = after.0, "run over");
         }
         Note::Adopted { task, run, on } => {
             tracing::info!(%task, run, runner = %on, "run adopted");
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -7,6 +7,7 @@
 use kspan_model::Millis;
 
 use super::{Contact, Owner};
+use crate::measure;
 
 /// How long a runner waits for an end before it answers.
 const WAIT: Duration = Duration::from_millis(1_700);
@@ -70,6 +71,7 @@
             .borrow_mut()
             .held(now, unix_ms, on, order.event, &outcome);
         self.changed.notify_one();
+        measure::inventory(name(&outcome));
         match outcome {
             HoldOutcome::Unreached => {
                 self.answer_lost.set(self.now());
@@ -98,3 +100,12 @@
         let _ = tokio::time::timeout(DURABLE_WAIT, changed).await;
     }
 }
+
+fn name(outcome: &HoldOutcome) -> &'static str {
+    match outcome {
+        HoldOutcome::Inventory(_) => "answered",
+        HoldOutcome::Fenced => "fenced",
+        HoldOutcome::OtherLife => "other life",
+        HoldOutcome::Unreached => "unreached",
+    }
+}
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    entry, logging,
+    admin, entry, logging, measure,
     message::{Ask, Reply},
     node::Node,
     peers,
@@ -131,8 +131,10 @@
 async fn run(cfg: Settings) -> io::Result<()> {
     let callers: SocketAddr = cfg.callers.parse().map_err(io::Error::other)?;
     let ready: SocketAddr = cfg.ready.parse().map_err(io::Error::other)?;
+    let admin_addr: SocketAddr = cfg.admin.parse().map_err(io::Error::other)?;
     let internal = SocketAddr::from((cfg.address, cfg.internal_port));
     let mut signals = watch_signals()?;
+    let metrics = measure::start().map_err(io::Error::other)?;
     let node = Node::new(cfg).await;
     let listener = TcpListener::bind(internal).await?;
     let socket = Rc::new(UdpSocket::bind(internal).await?);
@@ -140,6 +142,7 @@
     if ready != callers {
         entry::serve(Rc::clone(&node), ready).await?;
     }
+    admin::serve(Rc::clone(&node), admin_addr, metrics).await?;
     ntex::rt::spawn(peers::serve(Rc::clone(&node), listener));
     ntex::rt::spawn(Rc::clone(&node).listen(socket));
     ntex::rt::spawn(Rc::clone(&node).watch());
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -44,6 +44,8 @@
     pub(crate) callers: String,
     /// Where readiness is told; may be the callers' address.
     pub(crate) ready: String,
+    /// Where operators read metrics and state.
+    pub(crate) admin: String,
     /// Port for the system's own messages, over TCP and UDP.
     pub(crate) internal_port: u16,
     /// Address of the platform's store.
--- a/crates/cell/src/store.rs
+++ b/crates/cell/src/store.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     clock::Clock,
+    measure,
     message::{Ask, Member, Reply},
     peers::Peers,
 };
@@ -80,6 +81,7 @@
         if self.clock.now() >= self.direct_from.get() {
             match self.send_direct(req, wait).await {
                 Ok(answer) if answer.status != 503 && answer.status != 429 => {
+                    measure::store_request("direct");
                     self.note_reached(true);
                     return Ok(answer);
                 }
@@ -89,6 +91,11 @@
             self.direct_from.set(self.clock.now() + DIRECT_PAUSE);
         }
         let relayed = self.send_relayed(req, wait).await;
+        measure::store_request(if relayed.is_some() {
+            "relayed"
+        } else {
+            "failed"
+        });
         self.note_reached(relayed.is_some());
         relayed.ok_or(failure)
     }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod durable;
 mod ends;
 mod estimate;
+mod explain;
 mod health;
 mod inventory;
 mod job;
@@ -38,6 +39,7 @@
 
 pub use self::{
     durable::Batch,
+    explain::{Explanation, StepExplanation},
     inventory::HoldOrder,
     queries::{JobState, Totals},
     runner::RunnerIx,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -80,7 +80,13 @@
     }
 
     /// Returns whether a runner can take a task of the step now, approvals and counts aside.
-    fn fits(&self, runner: &Runner, spec: &StepSpec, policy: &Policy, now: Millis) -> bool {
+    pub(super) fn fits(
+        &self,
+        runner: &Runner,
+        spec: &StepSpec,
+        policy: &Policy,
+        now: Millis,
+    ) -> bool {
         let labelled = spec
             .label
             .as_ref()
