Test real processes against a stand-in of the users' platform

Found on the way: a job whose write an outage meets stays open (504), those after it are refused before anything is kept (503); the test says so.

--- /dev/null
+++ b/tests/cell.rs
@@ -0,0 +1,345 @@
+//! Real processes of a cell against a stand-in of the users' platform.
+
+#[path = "../platform/standin/mod.rs"]
+mod standin;
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use ntex::client::Client;
+use serde_json::Value;
+use standin::{HOST, MAX_ATTEMPTS, PREFIX, Platform, job};
+
+/// Time after which something that should happen counts as not happening.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// A process of the cell.
+struct Process {
+    child: Child,
+    callers: String,
+    admin: String,
+    lines: Arc<Mutex<Vec<Value>>>,
+    settings: PathBuf,
+}
+
+impl Process {
+    fn start(number: usize, platform: &Platform) -> Self {
+        let ports: Vec<TcpListener> = (0..4)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .collect();
+        let addrs: Vec<_> = ports
+            .iter()
+            .map(|port| port.local_addr().expect("bound"))
+            .collect();
+        drop(ports);
+        let settings = format!(
+            "node: host-{number}\naddress: 127.0.0.1\ndata_centre: z\ncallers: {}\nready: {}\n\
+             admin: {}\ninternal_port: {}\nstore: {}\nmax_lease_ms: 10000\nspread_factor: 3\n\
+             keep_ended_s: 120\ngrace_s: 6\n",
+            addrs[0],
+            addrs[1],
+            addrs[2],
+            addrs[3].port(),
+            platform.store_addr
+        );
+        let file = format!("kspan-cell-{}-{number}.yaml", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        fs::write(&path, settings).expect("a writable folder");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_kspan-cell"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (sink, stdout) = (Arc::clone(&lines), child.stdout.take().expect("piped"));
+        thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).expect("each line is JSON");
+                sink.lock().expect("no reader panics").push(line);
+            }
+        });
+        Self {
+            child,
+            callers: addrs[0].to_string(),
+            admin: addrs[2].to_string(),
+            lines,
+            settings: path,
+        }
+    }
+
+    /// Returns the log lines that name a job, or a task of it.
+    fn lines_of(&self, job: &str) -> Vec<Value> {
+        let lines = self.lines.lock().expect("no writer panics");
+        let names = |line: &&Value| line.to_string().contains(job);
+        lines.iter().filter(names).cloned().collect()
+    }
+
+    fn terminate(&mut self) {
+        let id = i32::try_from(self.child.id()).expect("a process id");
+        let id = rustix::process::Pid::from_raw(id).expect("a process id");
+        rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("it runs");
+        let status = self.child.wait().expect("it ends");
+        assert!(status.success(), "{status}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // One that has ended already needs no more.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+async fn call(method: &str, addr: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let method = method.parse().expect("a method");
+    let req = Client::new()
+        .await
+        .request(method, format!("http://{addr}{path}"));
+    let req = req.header("host", HOST).content_type("application/json");
+    let response = req.send_body(body.to_owned()).await.ok()?;
+    let body = response.body().await.ok()?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    Some((response.status().as_u16(), text))
+}
+
+/// Calls until the answer has a status.
+async fn call_until(method: &str, addr: &str, path: &str, body: &str, status: u16) -> String {
+    let began = Instant::now();
+    loop {
+        let answer = call(method, addr, path, body).await;
+        match answer {
+            Some((answered, text)) if answered == status => return text,
+            answer => assert!(began.elapsed() < PATIENCE, "{method} {path}: {answer:?}"),
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn wait_for_state(addr: &str, id: &str, wanted: &str) {
+    let began = Instant::now();
+    let path = format!("{PREFIX}{id}");
+    loop {
+        let text = call_until("GET", addr, &path, "", 200).await;
+        let state: Value = serde_json::from_str(&text).expect("a state");
+        if state["State"] == wanted {
+            return;
+        }
+        assert!(began.elapsed() < PATIENCE, "{id} is {state}, not {wanted}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Returns the place of the process that owns the cell.
+async fn owner(processes: &[Process]) -> usize {
+    let began = Instant::now();
+    loop {
+        for (at, process) in processes.iter().enumerate() {
+            if let Some((200, dump)) = call("GET", &process.admin, "/dump", "").await {
+                let dump: Value = serde_json::from_str(&dump).expect("a dump");
+                if dump["owned"].is_object() && dump["owned"]["config_version"] == 3 {
+                    return at;
+                }
+            }
+        }
+        assert!(began.elapsed() < PATIENCE, "nobody owns the cell");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Waits until a process has logged a line about a job; returns all its lines about it.
+async fn wait_for_line(
+    process: &Process,
+    job: &str,
+    wanted: impl Fn(&Value) -> bool,
+) -> Vec<Value> {
+    let began = Instant::now();
+    loop {
+        let lines = process.lines_of(job);
+        if lines.iter().any(&wanted) {
+            return lines;
+        }
+        assert!(began.elapsed() < PATIENCE, "{lines:?}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Checks that no task was done twice or ran in two places.
+fn check_runs(platform: &Platform) {
+    let mut by_task: BTreeMap<String, Vec<_>> = BTreeMap::new();
+    for (runner, run) in platform.runs() {
+        by_task
+            .entry(run.task.clone())
+            .or_default()
+            .push((runner, run));
+    }
+    for (task, runs) in by_task {
+        let done = runs.iter().filter(|(_, run)| run.how == "done").count();
+        assert!(done <= 1, "{task} was done {done} times");
+        for (at, (_, one)) in runs.iter().enumerate() {
+            for (_, other) in &runs[at + 1..] {
+                let apart = one.ended.is_some_and(|end| end <= other.began)
+                    || other.ended.is_some_and(|end| end <= one.began);
+                assert!(apart, "{task} ran in two places: {runs:?}");
+            }
+        }
+    }
+}
+
+#[ntex::test]
+async fn a_cell_serves_jobs_and_outlives_its_owner() {
+    let platform = Platform::start(3);
+    let mut processes: Vec<_> = (0..3)
+        .map(|number| Process::start(number, &platform))
+        .collect();
+    let first = owner(&processes).await;
+    let away = (first + 1) % 3;
+
+    // Each process serves, whichever owns the cell.
+    let path = |id: &str| format!("{PREFIX}{id}");
+    let (done, failing) = ("00000000000000a1", "00000000000000a2");
+    call_until(
+        "POST",
+        &processes[away].callers,
+        &path(done),
+        &job("run 100", &[3, 2]),
+        200,
+    )
+    .await;
+    wait_for_state(&processes[first].callers, done, "completed").await;
+
+    // What can't be served is answered clearly.
+    let table = [
+        ("GET", path("00000000000000ff"), String::new(), 410),
+        ("DELETE", path("00000000000000ff"), String::new(), 410),
+        (
+            "GET",
+            "/elsewhere/00000000000000ff".to_owned(),
+            String::new(),
+            404,
+        ),
+        (
+            "POST",
+            "/elsewhere/00000000000000ff".to_owned(),
+            job("run 1", &[1]),
+            404,
+        ),
+        ("POST", path("00000000000000fe"), "{".to_owned(), 400),
+        ("POST", path("00000000000000fe"), job("run 1", &[0]), 400),
+        ("POST", path("not-an-id"), job("run 1", &[1]), 400),
+    ];
+    for (method, path, body, status) in table {
+        call_until(method, &processes[away].callers, &path, &body, status).await;
+    }
+
+    // A job that always fails is given up after its attempts, and the log tells why.
+    let body = job("fail 50", &[1]);
+    call_until("POST", &processes[away].callers, &path(failing), &body, 200).await;
+    wait_for_state(&processes[away].callers, failing, "failed").await;
+    let given_up = |line: &Value| line["message"] == "job ended" && line["how"] == "failed";
+    let lines = wait_for_line(&processes[first], failing, given_up).await;
+    let over = lines
+        .iter()
+        .filter(|line| line["how"] == "failed" && line["task"].is_string());
+    assert_eq!(over.count(), MAX_ATTEMPTS as usize, "{lines:?}");
+
+    // Work that runs when the owner is killed goes on.
+    let (long, cancelled) = ("00000000000000b1", "00000000000000b2");
+    let body = job("run 2500", &[4]);
+    call_until("POST", &processes[away].callers, &path(long), &body, 200).await;
+    wait_for_state(&processes[away].callers, long, "running").await;
+    let body = job("run 60000", &[2]);
+    call_until(
+        "POST",
+        &processes[away].callers,
+        &path(cancelled),
+        &body,
+        200,
+    )
+    .await;
+    processes[first].child.kill().expect("it runs");
+    let second = owner(&processes).await;
+    assert_ne!(second, first);
+    wait_for_state(&processes[away].callers, long, "completed").await;
+    call_until(
+        "DELETE",
+        &processes[away].callers,
+        &path(cancelled),
+        "",
+        200,
+    )
+    .await;
+    wait_for_state(&processes[away].callers, cancelled, "cancelled").await;
+    wait_for_state(&processes[away].callers, done, "completed").await;
+    check_runs(&platform);
+    let adopted = |line: &Value| line["message"] == "run adopted";
+    wait_for_line(&processes[second], long, adopted).await;
+
+    // The new owner explains and counts.
+    let question = format!("/explain/{long}");
+    let explained = call_until("GET", &processes[second].admin, &question, "", 200).await;
+    let explained: Value = serde_json::from_str(&explained).expect("an explanation");
+    assert_eq!(explained["phase"], "completed");
+    let table = [
+        (second, "kspan_cell_owner 1"),
+        (second, "kspan_cell_jobs_ended_total"),
+        (away, "kspan_cell_call_seconds"),
+    ];
+    for (at, name) in table {
+        let metrics = call_until("GET", &processes[at].admin, "/metrics", "", 200).await;
+        assert!(metrics.contains(name), "{name} is missing in\n{metrics}");
+    }
+
+    // A planned stop of the owner ends well, and the last process takes over.
+    processes[second].terminate();
+    let last = owner(&processes).await;
+    assert!(last != first && last != second);
+    wait_for_state(&processes[last].callers, done, "completed").await;
+}
+
+#[ntex::test]
+async fn an_outage_of_the_store_is_told_at_once_and_loses_nothing() {
+    let platform = Platform::start(1);
+    let processes = [Process::start(10, &platform)];
+    owner(&processes).await;
+    let addr = &processes[0].callers;
+    let path = |id: &str| format!("{PREFIX}{id}");
+    call_until(
+        "POST",
+        addr,
+        &path("00000000000000c1"),
+        &job("run 50", &[1]),
+        200,
+    )
+    .await;
+    wait_for_state(addr, "00000000000000c1", "completed").await;
+
+    // The job whose write the outage met may be kept or not, and is not said to be refused. Those
+    // after it are refused before anything is kept of them.
+    platform.set_store_down(true);
+    let (met, refused) = ("00000000000000c2", "00000000000000c3");
+    call_until("POST", addr, &path(met), &job("run 50", &[1]), 504).await;
+    call_until("POST", addr, &path(refused), &job("run 50", &[1]), 503).await;
+
+    platform.set_store_down(false);
+    wait_for_state(addr, met, "completed").await;
+    call_until("GET", addr, &path(refused), "", 410).await;
+    let runs = platform.runs();
+    assert!(!runs.iter().any(|(_, run)| run.task.starts_with(refused)));
+    call_until("POST", addr, &path(refused), &job("run 50", &[1]), 200).await;
+    wait_for_state(addr, refused, "completed").await;
+    check_runs(&platform);
+}
