--- /dev/null
+++ b/crates/jobs/examples/slopes.rs
@@ -0,0 +1,225 @@
+//! Prints what the owner's decisions cost as the cell grows: a takeover by jobs in force, and a
+//! start with its end by runners and by jobs that wait. `docs/CAPACITY.md` has the figures.
+//!
+//! `cargo run --release -p kspan-jobs --example slopes`
+
+use std::{hint::black_box, time::Instant};
+
+use kspan_jobs::{
+    Engine,
+    config::{CellConfig, Policy, Queue},
+    engine::{Order, RunnerIx, Settings, Submission},
+    id::JobId,
+    record::{self, JobRecord},
+    runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, StartOutcome},
+    spec::{JobSpec, StepSpec},
+};
+use kspan_model::{Millis, Name, Resources};
+use rustc_hash::FxHashMap;
+
+const HOST: &str = "cell.example";
+const STARTS: u64 = 3_000;
+
+fn settings() -> Settings {
+    Settings {
+        lease: Millis(6_000),
+        lapse_margin: Millis(300),
+        earlier_owner: Millis(14_000),
+        keep_ended: Millis(150_000),
+        spread_factor: 3,
+    }
+}
+
+fn config() -> CellConfig {
+    CellConfig {
+        version: 1,
+        queues: vec![Queue {
+            name: Name::new("q"),
+            host: Name::new(HOST),
+            prefix: Name::new("/q/"),
+            policy: Policy {
+                service: Name::new("s"),
+                max_attempts: 3,
+                stretch: 2.0,
+                ..Policy::default()
+            },
+        }],
+    }
+}
+
+fn spec(count: u32) -> JobSpec {
+    let step = StepSpec {
+        count,
+        size: Resources::new(1_000, 1_000, 0),
+        estimate: Millis(500),
+        ..StepSpec::default()
+    };
+    JobSpec {
+        text: Name::new(
+            "a text of a few hundred bytes is what callers send as a rule "
+                .repeat(5)
+                .as_str(),
+        ),
+        steps: vec![step],
+        timetable: None,
+    }
+}
+
+fn list_runners(engine: &mut Engine, runners: usize, now: Millis) {
+    for number in 0..runners {
+        let entry = RunnerEntry {
+            id: Name::new(&format!("w{number}")),
+            service: Name::new("s"),
+            addr: Name::new("10.0.0.1:80"),
+            data_centre: Name::new("dc"),
+            draining: false,
+            capacity: Resources::new(32_000, 131_072, 0),
+            labels: vec![Name::new("a"), Name::new(&format!("r{}", number / 8))],
+            born: 1,
+        };
+        engine.put_runner(now, entry);
+    }
+    engine.confirm(now);
+}
+
+fn hold(engine: &mut Engine, on: usize, now: Millis, ended: Vec<EndedTask>) {
+    let order = engine.hold_order(RunnerIx(on), now);
+    let inventory = Inventory {
+        clock: now,
+        born: 1,
+        running: Vec::new(),
+        ended,
+    };
+    engine.held(
+        now,
+        now.0,
+        RunnerIx(on),
+        order.event,
+        &HoldOutcome::Inventory(inventory),
+    );
+}
+
+/// Resident memory in kilobytes.
+fn resident_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().nth(1));
+    kb.and_then(|kb| kb.parse().ok()).unwrap_or(0)
+}
+
+fn takeover(jobs: u64) {
+    let encoded: Vec<_> = (0..jobs)
+        .map(|id| {
+            let record = JobRecord {
+                queue: Name::new("q"),
+                policy: config().queues[0].policy.clone(),
+                accepted_unix_ms: 1_000,
+                spec: spec(8),
+            };
+            (JobId(id), record::encode(&record))
+        })
+        .collect();
+    let before = resident_kb();
+    let began = Instant::now();
+    let records = encoded
+        .iter()
+        .map(|(id, value)| (*id, record::decode(value).expect("a job")));
+    let now = Millis(10_000);
+    let mut engine = Engine::recovered(
+        settings(),
+        now,
+        10_000,
+        records.collect(),
+        &FxHashMap::default(),
+    );
+    engine.configure(config());
+    list_runners(&mut engine, 50, now);
+    (0..50).for_each(|on| hold(&mut engine, on, now, Vec::new()));
+    engine.schedule(now);
+    let took = began.elapsed();
+    let grown = resident_kb().saturating_sub(before);
+    println!("takeover, {jobs} jobs of 8 tasks: {took:?}, {grown} kB");
+    black_box(engine);
+}
+
+fn starts(runners: usize, waiting: u64) {
+    let mut now = Millis(10_000);
+    let mut engine = Engine::new(settings());
+    engine.configure(config());
+    list_runners(&mut engine, runners, now);
+    (0..runners).for_each(|on| hold(&mut engine, on, now, Vec::new()));
+    let submit = |engine: &mut Engine, id: u64, now: Millis| {
+        let path = format!("/q/{}", JobId(id));
+        let req = Submission {
+            host: HOST,
+            path: &path,
+            spec: spec(1),
+        };
+        engine.submit(now, now.0, req).expect("a good job");
+    };
+    // All room is taken, so that the jobs that follow wait.
+    let room = runners as u64 * 32;
+    (0..room + waiting).for_each(|id| submit(&mut engine, id, now));
+    commit(&mut engine);
+    let mut running = Vec::new();
+    take_starts(&mut engine, now, &mut running);
+    let mut ends = vec![0; runners];
+    let began = Instant::now();
+    for number in 0..STARTS {
+        now = now + Millis(1);
+        let (on, task, run) = running.remove(0);
+        ends[on] += 1;
+        let ended = EndedTask {
+            number: ends[on],
+            task,
+            run,
+            how: EndKind::Done,
+            checkpoint: Name::default(),
+        };
+        hold(&mut engine, on, now, vec![ended]);
+        submit(&mut engine, room + waiting + number, now);
+        commit(&mut engine);
+        take_starts(&mut engine, now, &mut running);
+    }
+    let each = began.elapsed() / u32::try_from(STARTS).expect("few starts");
+    println!("submit, start and end, {runners} runners, {waiting} jobs waiting: {each:?}");
+}
+
+fn commit(engine: &mut Engine) {
+    while let Some(batch) = engine.cut_batch() {
+        engine.committed(batch.number);
+    }
+}
+
+fn take_starts(
+    engine: &mut Engine,
+    now: Millis,
+    running: &mut Vec<(usize, kspan_jobs::id::TaskId, u32)>,
+) {
+    engine.schedule(now);
+    engine.take_notes();
+    for order in engine.take_orders() {
+        if let Order::Start(order) = order {
+            engine.start_ended(
+                now,
+                order.on,
+                order.task,
+                order.run,
+                StartOutcome::Started(now),
+            );
+            running.push((order.on.0, order.task, order.run));
+        }
+    }
+}
+
+fn main() {
+    for jobs in [1_000, 10_000, 50_000] {
+        takeover(jobs);
+    }
+    for runners in [50, 350, 550] {
+        starts(runners, 10);
+    }
+    for waiting in [100, 1_000] {
+        starts(50, waiting);
+    }
+}
