--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -78,8 +78,6 @@
     /// When it was last proved that no newer owner has claimed.
     confirmed: Cell<Millis>,
     last_moment: Cell<Moment>,
-    /// When a runner last left an inventory call unanswered.
-    answer_lost: Cell<Millis>,
     /// End of the topic of claims.
     claims_end: Cell<u64>,
     greetings: RefCell<Vec<(Member, Millis)>>,
@@ -113,7 +111,6 @@
             writing_since: Cell::new(None),
             confirmed: Cell::new(now),
             last_moment: Cell::new(node.clock.moment()),
-            answer_lost: Cell::new(Millis::ZERO),
             claims_end: Cell::new(claims_end),
             greetings: RefCell::new(greetings),
             contacts: RefCell::default(),
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -4,20 +4,10 @@
 
 use kspan_adapter::runner::{self, Hold};
 use kspan_jobs::{engine::RunnerIx, runner::HoldOutcome};
-use kspan_model::Millis;
 
 use super::{Contact, Owner};
 use crate::measure;
 
-/// How long a runner waits for an end before it answers.
-const WAIT: Duration = Duration::from_millis(1_700);
-
-/// The same while answers are being lost: ends behind a lost answer are seen only after it.
-const WAIT_IN_TROUBLE: Duration = Duration::from_millis(350);
-
-/// How long after a lost answer to a runner more losses are expected.
-const TROUBLE_SPAN: Millis = Millis(2_000);
-
 /// Time for an answer beyond the wait.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -30,27 +20,19 @@
 impl Owner {
     /// Holds a runner until its life or the role ends.
     pub(super) async fn hold(self: Rc<Self>, on: RunnerIx, contact: Rc<Contact>) {
-        let mut first = true;
         while self.alive.get() && !self.engine.borrow().is_dead(on) {
             if !self.may_order() {
                 tokio::time::sleep(UNREACHED_PAUSE).await;
                 continue;
             }
-            self.hold_once(on, &contact, first).await;
-            first = false;
+            self.hold_once(on, &contact).await;
         }
         self.contacts.borrow_mut().remove(&on);
     }
 
-    async fn hold_once(self: &Rc<Self>, on: RunnerIx, contact: &Contact, first: bool) {
+    async fn hold_once(self: &Rc<Self>, on: RunnerIx, contact: &Contact) {
         let order = self.engine.borrow_mut().hold_order(on, self.now());
-        // Without a reading of its clock the runner's lease is not extended yet.
-        let at_once = first || order.has_unacked || order.deadline.is_none();
-        let wait = if at_once {
-            Duration::ZERO
-        } else {
-            self.hold_wait()
-        };
+        let wait = Duration::from_millis(order.wait.0);
         let call = Hold {
             deadline: order.deadline,
             ack: order.ack,
@@ -74,7 +56,6 @@
         measure::inventory(name(&outcome));
         match outcome {
             HoldOutcome::Unreached => {
-                self.answer_lost.set(self.now());
                 tokio::time::sleep(UNREACHED_PAUSE).await;
             }
             HoldOutcome::Inventory(inventory) if !inventory.ended.is_empty() => {
@@ -84,11 +65,6 @@
         }
     }
 
-    fn hold_wait(&self) -> Duration {
-        let lately = self.now().saturating_sub(self.answer_lost.get()) < TROUBLE_SPAN;
-        if lately { WAIT_IN_TROUBLE } else { WAIT }
-    }
-
     /// Waits until the ends that were just taken in are durable, or for a while.
     async fn wait_for_acks(self: &Rc<Self>) {
         // Lets the ends reach the open batch's writer first.
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -15,6 +15,15 @@
     spec::StepSpec,
 };
 
+/// How long a runner waits for an end before it answers.
+const WAIT: Millis = Millis(1_700);
+
+/// The same while answers are being lost: ends behind a lost answer are seen only after it.
+const WAIT_IN_TROUBLE: Millis = Millis(350);
+
+/// How long after a lost answer more losses are expected.
+const TROUBLE_SPAN: Millis = Millis(2_000);
+
 /// An inventory call to be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HoldOrder {
@@ -24,8 +33,8 @@
     pub deadline: Option<Millis>,
     /// Number up to which ends are acknowledged.
     pub ack: u64,
-    /// Whether ends wait to be acknowledged, so that the runner would answer at once.
-    pub has_unacked: bool,
+    /// How long the runner may wait for an end before it answers.
+    pub wait: Millis,
 }
 
 impl Engine {
@@ -33,12 +42,18 @@
     pub fn hold_order(&mut self, on: RunnerIx, now: Millis) -> HoldOrder {
         let event = self.next_event();
         let durable = self.batches.durable();
+        let lost = self.answer_lost;
+        let lately = lost.is_some_and(|lost| now.saturating_sub(lost) < TROUBLE_SPAN);
+        let wait = if lately { WAIT_IN_TROUBLE } else { WAIT };
         let runner = &mut self.runners[on.0];
         let ack = runner.ack_cursor(durable);
         runner.unacked.retain(|end| end.number > ack);
         // A runner that does not answer may still get the call, however late: its lease would
         // never be known to have lapsed if each try extended it.
         let answers = runner.misses == 0;
+        // A runner with ends that aren't acknowledged answers at once anyway; one whose clock is not
+        // known yet is to be called again soon, so that its lease is extended.
+        let at_once = !runner.held || !runner.unacked.is_empty();
         let deadline = answers
             .then(|| runner.next_deadline(&self.cfg, now))
             .flatten();
@@ -46,7 +61,7 @@
             event,
             deadline,
             ack,
-            has_unacked: !runner.unacked.is_empty(),
+            wait: if at_once { Millis::ZERO } else { wait },
         }
     }
 
@@ -68,7 +83,10 @@
             }
             HoldOutcome::Fenced => self.fenced = true,
             HoldOutcome::OtherLife => self.end_life(on, now),
-            HoldOutcome::Unreached => self.runners[on.0].misses += 1,
+            HoldOutcome::Unreached => {
+                self.runners[on.0].misses += 1;
+                self.answer_lost = Some(now);
+            }
         }
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -216,6 +216,8 @@
     notes: Vec<Note>,
     /// When it was last proved that no newer owner has taken over.
     confirmed: Millis,
+    /// When a runner last left an inventory call unanswered.
+    answer_lost: Option<Millis>,
     /// When the engine was last told the time.
     ticked: Option<Millis>,
     /// End of the last gap in which this owner may have stood still.
@@ -244,6 +246,7 @@
             orders: VecDeque::new(),
             notes: Vec::new(),
             confirmed: Millis::ZERO,
+            answer_lost: None,
             ticked: None,
             woke: Millis::ZERO,
             fenced: false,
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -300,3 +300,20 @@
     cell.engine.confirm(Millis(cell.now));
     assert_eq!(cell.starts(), [0]);
 }
+
+#[test]
+fn runners_wait_for_a_shorter_time_while_answers_are_lost() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    let wait = |cell: &mut Cell| cell.engine.hold_order(RunnerIx(1), Millis(cell.now)).wait;
+    assert_eq!(wait(&mut cell), Millis::ZERO, "its clock is not known yet");
+    cell.hold(1, Vec::new());
+    let calm = wait(&mut cell);
+    let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
+    let lost = HoldOutcome::Unreached;
+    cell.engine
+        .held(Millis(cell.now), cell.now, RunnerIx(0), order.event, &lost);
+    // An end hidden by a lost answer is seen within the time that a short job may take longer.
+    assert!(wait(&mut cell) <= Millis(400));
+    cell.pass(3_000);
+    assert_eq!(wait(&mut cell), calm);
+}
