Split placement from approvals, and the schedules' world by concept

Asking for approvals is ask.rs; calls and callers of the tests' world are network.rs and callers.rs.

--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! carried out and logged by the program. Queries change nothing.
 
 mod advice;
+mod ask;
 mod durable;
 mod ends;
 mod estimate;
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -7,7 +7,7 @@
 use kspan_model::{Millis, Resources};
 
 use super::{
-    AdviseOrder, Engine, Note, Order, RunnerIx, StartOrder,
+    Engine, Note, Order, RunnerIx, StartOrder,
     job::{Step, Task, TaskState},
     runner::{Placed, Runner},
     urgency::Urgency,
@@ -32,18 +32,6 @@
 /// Score for each task of the same long-running step on a runner.
 const SPREAD_SCORE: u64 = 100_000;
 
-/// Most runners that one call for approvals asks about.
-const MOST_ASKED: usize = 40;
-
-/// Fewest runners that one call for approvals asks about, where there are as many.
-const FEWEST_ASKED: usize = 4;
-
-/// Time after which a step without any runner to ask about is looked at again.
-const NO_ROOM_RETRY: Millis = Millis(60);
-
-/// Time after which a step is asked about again that no host could ask about.
-const NO_ADVISOR_RETRY: Millis = Millis(100);
-
 /// A task with the runner that it will start on.
 type Choice = (u32, RunnerIx);
 
@@ -358,92 +346,6 @@
             ticket,
         }));
     }
-
-    /// Asks which runners may run a step, where approvals are missing for tasks that wait.
-    fn ask_for_approvals(&mut self, id: StepId, now: Millis) {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let Some(policy) = job.record.policy.advice else {
-            return;
-        };
-        let Some((step, _)) = job.step(id) else {
-            return;
-        };
-        if step.waiting == 0 || step.approvals.asking || now < step.approvals.not_before {
-            return;
-        }
-        let asked = self.runners_to_ask(id, now);
-        let call = policy.call_time(asked.len());
-        let taken = if asked.is_empty() {
-            None
-        } else {
-            self.advisors.take(call, now)
-        };
-        let retry = if asked.is_empty() {
-            NO_ROOM_RETRY
-        } else {
-            NO_ADVISOR_RETRY
-        };
-        let Some((step, _)) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) else {
-            return;
-        };
-        let Some((via, expected)) = taken else {
-            step.approvals.not_before = now + retry;
-            return;
-        };
-        step.approvals.asking = true;
-        self.orders.push_back(Order::Advise(AdviseOrder {
-            step: id,
-            runners: asked,
-            via,
-            expected,
-        }));
-    }
-
-    /// Returns the runners to ask about: those with room, the approved ones first, as many as
-    /// the waiting tasks are expected to need.
-    fn runners_to_ask(&self, id: StepId, now: Millis) -> Vec<RunnerIx> {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return Vec::new();
-        };
-        let Some((step, spec)) = job.step(id) else {
-            return Vec::new();
-        };
-        let rate = u64::from(self.approval_rates.expect(&job.record.queue));
-        let mut candidates = Vec::new();
-        for (ix, runner) in self.runners.iter().enumerate() {
-            let on = RunnerIx(ix);
-            let usable = self.fits(runner, spec, &job.record.policy, now)
-                && !step.approvals.is_denied(on)
-                && step.approvals.ticket(on, now).is_none();
-            let there = step.on_runner.get(&on).copied().unwrap_or(0);
-            let more = spec.per_runner.unwrap_or(u32::MAX).saturating_sub(there);
-            let tasks = room_for(runner.free(), spec.charged()).min(u64::from(more));
-            if usable && tasks > 0 {
-                let known = step.approvals.was_approved(on);
-                candidates.push((
-                    !known,
-                    runner.health.is_suspect(),
-                    std::cmp::Reverse(tasks),
-                    on,
-                ));
-            }
-        }
-        candidates.sort_unstable();
-        let needed = step.waiting as u64 * 100 * 3 / 2;
-        let mut asked = Vec::new();
-        let mut covered = 0;
-        for (unknown, _, tasks, on) in candidates {
-            let enough = covered >= needed && asked.len() >= FEWEST_ASKED;
-            if enough || asked.len() >= MOST_ASKED {
-                break;
-            }
-            covered += tasks.0 * if unknown { rate } else { 100 };
-            asked.push(on);
-        }
-        asked
-    }
 }
 
 /// A runner that can take tasks of a step, while they are dealt out.
@@ -477,11 +379,3 @@
 fn next_run(task: &Task) -> u32 {
     task.run + 1 + task.skip_runs
 }
-
-fn room_for(free: Resources, size: Resources) -> u64 {
-    let by = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::MAX);
-    by(free.cpu_milli, size.cpu_milli)
-        .min(by(free.memory_mib, size.memory_mib))
-        .min(by(free.accelerators, size.accelerators))
-        .min(1_000)
-}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -4,7 +4,9 @@
 //! Calls may be lost before or after they took effect, be carried out seconds late, and overtake
 //! each other. Owners are killed or paused; paused ones wake up and go on with their old fence.
 
+mod callers;
 pub(crate) mod checks;
+mod network;
 pub(crate) mod runner;
 
 use std::{
@@ -15,23 +17,17 @@
 use kspan_jobs::{
     Engine,
     config::{CellConfig, Policy, Queue},
-    engine::{
-        Batch, Cancelled, HoldOrder, Order, RunnerIx, Settings, StartOrder, StopOrder, Submission,
-    },
+    engine::{Batch, HoldOrder, Order, Settings, StartOrder, StopOrder},
     id::{JobId, TaskId},
     record::{self, RecordKey},
-    runner::{HoldOutcome, OrderOutcome, RunnerEntry, StartOutcome},
-    spec::{JobSpec, StepSpec},
+    runner::{HoldOutcome, RunnerEntry, StartOutcome},
 };
-use kspan_model::{Millis, Name, Resources};
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use kspan_model::{Millis, Name};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
-use self::{
-    checks::{Checks, StartSeen},
-    runner::FakeRunner,
-};
+use self::{checks::Checks, runner::FakeRunner};
 
 pub(crate) const LEASE_MS: u64 = 6_000;
 const EARLIER_OWNER_MS: u64 = 14_500;
@@ -105,7 +101,6 @@
     Written {
         owner: usize,
         batch: u64,
-        answered: bool,
     },
     Submit,
     Cancel,
@@ -289,18 +284,14 @@
                 call,
                 fenced,
             } => self.stop_answered(owner, call, fenced),
-            Event::Written {
-                owner,
-                batch,
-                answered,
-            } => self.written(owner, batch, answered),
+            Event::Written { owner, batch } => self.written(owner, batch),
             Event::TaskEnds {
                 runner,
                 life,
                 task,
                 run,
             } => {
-                self.runners[runner].finish(life, task, run, self.now, &mut self.checks);
+                self.runners[runner].finish(life, task, run, &mut self.checks);
             }
         }
     }
@@ -450,288 +441,6 @@
         }
     }
 
-    fn send_holds(&mut self, owner: usize) {
-        let on_all: Vec<RunnerIx> = self.owners[owner].engine.living_runners().collect();
-        for on in on_all {
-            if !self.owners[owner].holding.insert(on.0) {
-                continue;
-            }
-            let cell = &mut self.owners[owner];
-            let mut order = cell.engine.hold_order(on, Millis(self.now));
-            if self.mutation == Mutation::AckEarly {
-                order.ack = u64::MAX;
-            }
-            cell.holds.insert(order.event, order);
-            let runner = cell.runners[&on.0];
-            let event = order.event;
-            let (lost, answered, delay) = self.fate(runner);
-            if !lost {
-                let arrives = Event::HoldArrives {
-                    owner,
-                    runner,
-                    on: on.0,
-                    event,
-                    answered,
-                };
-                self.push(delay, arrives);
-            }
-            if lost || !answered {
-                self.hold_unreached(owner, on.0, event);
-            }
-        }
-    }
-
-    fn hold_unreached(&mut self, owner: usize, on: usize, event: u64) {
-        let answer = self.owners[owner].hold_answers.len();
-        self.owners[owner].hold_answers.push(HoldOutcome::Unreached);
-        let answered = Event::HoldAnswered {
-            owner,
-            on,
-            event,
-            answer,
-        };
-        self.push(500, answered);
-    }
-
-    /// Draws what becomes of a call: whether it is lost, whether it is answered, and when it
-    /// arrives.
-    fn fate(&mut self, runner: usize) -> (bool, bool, u64) {
-        if !self.runners[runner].up || self.runners[runner].cut {
-            return (true, false, 0);
-        }
-        let faulty = self.now < self.faults_until;
-        let delay = self.rng.random_range(1..25);
-        match self.rng.random_range(0..100) {
-            0..3 if faulty => (true, false, 0),
-            3..6 if faulty => (false, false, delay),
-            6..10 if faulty => (false, false, self.rng.random_range(2_000..12_000)),
-            _ => (false, true, delay),
-        }
-    }
-
-    fn send_start(&mut self, owner: usize, order: StartOrder) {
-        let runner = self.owners[owner].runners[&order.on.0];
-        let call = self.owners[owner].starts.len();
-        self.owners[owner].starts.push((order, self.now));
-        self.owners[owner].start_answers.push(None);
-        let (lost, answered, delay) = self.fate(runner);
-        if !lost {
-            self.push(
-                delay,
-                Event::StartArrives {
-                    owner,
-                    call,
-                    answered,
-                },
-            );
-        }
-        if lost || !answered {
-            let timeout = Event::StartAnswered {
-                owner,
-                call,
-                outcome: None,
-            };
-            self.push(ORDER_TIMEOUT_MS, timeout);
-        }
-    }
-
-    fn send_stop(&mut self, owner: usize, order: StopOrder) {
-        if self.mutation == Mutation::StopsDropped {
-            return;
-        }
-        let runner = self.owners[owner].runners[&order.on.0];
-        let call = self.owners[owner].stops.len();
-        self.owners[owner].stops.push(order);
-        let (lost, answered, delay) = self.fate(runner);
-        if !lost {
-            self.push(
-                delay,
-                Event::StopArrives {
-                    owner,
-                    call,
-                    answered,
-                },
-            );
-        }
-        if lost || !answered {
-            let timeout = Event::StopAnswered {
-                owner,
-                call,
-                fenced: None,
-            };
-            self.push(ORDER_TIMEOUT_MS, timeout);
-        }
-    }
-
-    fn start_arrives(&mut self, owner: usize, call: usize, answered: bool) {
-        let (order, sent) = self.owners[owner].starts[call].clone();
-        let fence = self.owners[owner].fence;
-        let number = self.owners[owner].runners[&order.on.0];
-        let id = self.owners[owner].engine.runner(order.on).id.clone();
-        let outcome = if self.runners[number].up && self.runners[number].id() == id {
-            let (outcome, ends) =
-                self.runners[number].start(&order, fence, self.now, &mut self.rng);
-            if let Some(after) = ends {
-                let runner = &self.runners[number];
-                let life = runner.life;
-                let seen = StartSeen {
-                    task: order.task,
-                    run: order.run,
-                    on: number,
-                    now: self.now,
-                    fence,
-                    late: self.now > sent + LATE_MS,
-                };
-                self.checks.started(seen, &self.runners);
-                let (task, run) = (order.task, order.run);
-                self.push(
-                    after,
-                    Event::TaskEnds {
-                        runner: number,
-                        life,
-                        task,
-                        run,
-                    },
-                );
-            }
-            outcome
-        } else if self.runners[number].up {
-            StartOutcome::OtherLife
-        } else {
-            let timeout = Event::StartAnswered {
-                owner,
-                call,
-                outcome: None,
-            };
-            if answered {
-                self.push(ORDER_TIMEOUT_MS, timeout);
-            }
-            return;
-        };
-        self.owners[owner].start_answers[call] = Some(outcome);
-        if answered {
-            let delay = self.rng.random_range(1..25);
-            let outcome = Some(call as u64);
-            self.push(
-                delay,
-                Event::StartAnswered {
-                    owner,
-                    call,
-                    outcome,
-                },
-            );
-        }
-    }
-
-    fn start_answered(&mut self, owner: usize, call: usize, outcome: Option<u64>) {
-        let cell = &mut self.owners[owner];
-        if !cell.alive || cell.paused {
-            return;
-        }
-        let (order, _) = cell.starts[call].clone();
-        let known = cell.start_answers[call].filter(|_| outcome.is_some());
-        let doubt = if self.mutation == Mutation::DoubtIsRefusal {
-            StartOutcome::Refused(kspan_jobs::runner::Refusal::Late)
-        } else {
-            StartOutcome::Unknown
-        };
-        let StartOrder { on, task, run, .. } = order;
-        let outcome = known.unwrap_or(doubt);
-        cell.engine
-            .start_ended(Millis(self.now), on, task, run, outcome);
-    }
-
-    fn stop_arrives(&mut self, owner: usize, call: usize, answered: bool) {
-        let order = self.owners[owner].stops[call];
-        let fence = self.owners[owner].fence;
-        let number = self.owners[owner].runners[&order.on.0];
-        let id = self.owners[owner].engine.runner(order.on).id.clone();
-        if !self.runners[number].up || self.runners[number].id() != id {
-            if answered {
-                let timeout = Event::StopAnswered {
-                    owner,
-                    call,
-                    fenced: None,
-                };
-                self.push(ORDER_TIMEOUT_MS, timeout);
-            }
-            return;
-        }
-        let fenced = self.runners[number].stop(order.task, order.run, fence, self.now);
-        if answered {
-            let delay = self.rng.random_range(1..25);
-            let fenced = Some(fenced);
-            self.push(
-                delay,
-                Event::StopAnswered {
-                    owner,
-                    call,
-                    fenced,
-                },
-            );
-        }
-    }
-
-    fn stop_answered(&mut self, owner: usize, call: usize, fenced: Option<bool>) {
-        let cell = &mut self.owners[owner];
-        if !cell.alive || cell.paused {
-            return;
-        }
-        let StopOrder { on, task, run } = cell.stops[call];
-        let outcome = match fenced {
-            Some(true) => OrderOutcome::Fenced,
-            Some(false) => OrderOutcome::Done,
-            None => OrderOutcome::Unknown,
-        };
-        cell.engine
-            .stop_ended(on, task, run, outcome, Millis(self.now));
-    }
-
-    fn hold_arrives(&mut self, owner: usize, runner: usize, on: usize, event: u64, answered: bool) {
-        let order = self.owners[owner].holds[&event];
-        let fence = self.owners[owner].fence;
-        let id = self.owners[owner].engine.runner(RunnerIx(on)).id.clone();
-        let outcome = if !self.runners[runner].up {
-            if answered {
-                self.hold_unreached(owner, on, event);
-            }
-            return;
-        } else if self.runners[runner].id() == id {
-            self.runners[runner].hold(&order, fence, self.now, &mut self.checks)
-        } else {
-            HoldOutcome::OtherLife
-        };
-        if answered {
-            let answer = self.owners[owner].hold_answers.len();
-            self.owners[owner].hold_answers.push(outcome);
-            let delay = self.rng.random_range(1..25);
-            self.push(
-                delay,
-                Event::HoldAnswered {
-                    owner,
-                    on,
-                    event,
-                    answer,
-                },
-            );
-        }
-    }
-
-    fn hold_answered(&mut self, owner: usize, on: usize, event: u64, answer: usize) {
-        let silence_is_death = self.mutation == Mutation::SilenceIsDeath;
-        let cell = &mut self.owners[owner];
-        cell.holding.remove(&on);
-        if !cell.alive || cell.paused {
-            return;
-        }
-        let mut outcome = cell.hold_answers[answer].clone();
-        if silence_is_death && outcome == HoldOutcome::Unreached {
-            outcome = HoldOutcome::OtherLife;
-        }
-        cell.engine
-            .held(Millis(self.now), self.now, RunnerIx(on), event, &outcome);
-    }
-
     fn write(&mut self, owner: usize) {
         let cell = &mut self.owners[owner];
         if cell.writing.is_some() {
@@ -740,30 +449,16 @@
         cell.writing = cell.engine.cut_batch();
         if let Some(batch) = &cell.writing {
             let batch = batch.number;
-            self.push(
-                5,
-                Event::Written {
-                    owner,
-                    batch,
-                    answered: true,
-                },
-            );
+            self.push(5, Event::Written { owner, batch });
         }
     }
 
     /// The store takes a batch in, or not; the writer sends it again until it is answered.
-    fn written(&mut self, owner: usize, batch: u64, _answered: bool) {
+    fn written(&mut self, owner: usize, batch: u64) {
         let now = self.now;
         let faulty = now < self.faults_until;
         if now < self.store_down_until || self.owners[owner].paused {
-            return self.push(
-                100,
-                Event::Written {
-                    owner,
-                    batch,
-                    answered: true,
-                },
-            );
+            return self.push(100, Event::Written { owner, batch });
         }
         if self.owners[owner].fence < self.store_fence {
             self.owners[owner].alive = false;
@@ -783,14 +478,7 @@
         }
         // The answer is lost now and then; a repeat changes nothing.
         if faulty && self.rng.random_range(0..20) == 0 {
-            return self.push(
-                100,
-                Event::Written {
-                    owner,
-                    batch,
-                    answered: true,
-                },
-            );
+            return self.push(100, Event::Written { owner, batch });
         }
         let cell = &mut self.owners[owner];
         if !cell.alive {
@@ -813,83 +501,6 @@
         }
     }
 
-    fn submit(&mut self) {
-        let owner = self.newest();
-        if !self.owners[owner].alive || self.owners[owner].paused {
-            return self.push(700, Event::Submit);
-        }
-        let id = JobId(self.rng.random());
-        let mut spec = self.draw_spec();
-        self.checks.submitted(id, &spec);
-        if self.mutation == Mutation::DependenciesForgotten {
-            spec.steps
-                .iter_mut()
-                .for_each(|step| step.depends_on.clear());
-        }
-        let path = format!("/q/{id}");
-        let req = Submission {
-            host: HOST,
-            path: &path,
-            spec,
-        };
-        let cell = &mut self.owners[owner];
-        let submitted = cell
-            .engine
-            .submit(Millis(self.now), self.now, req)
-            .expect("a good job");
-        cell.callers.push((submitted.batch, id, false));
-        self.submitted.push(id);
-    }
-
-    fn draw_spec(&mut self) -> JobSpec {
-        let rng = &mut self.rng;
-        let count = rng.random_range(1..=3);
-        let steps = (0..count).map(|number| {
-            let gang = rng.random_range(0..6) == 0;
-            StepSpec {
-                // Any gang fits on the smallest runner, so that none waits for ever.
-                count: rng.random_range(1..=if gang { 2 } else { 5 }),
-                size: Resources::new(
-                    rng.random_range(1..=if gang { 2 } else { 3 }) * 1_000,
-                    1_000,
-                    0,
-                ),
-                estimate: Millis(rng.random_range(100..2_500)),
-                depends_on: if number > 0 && rng.random() {
-                    vec![number - 1]
-                } else {
-                    Vec::new()
-                },
-                saves_progress: rng.random(),
-                gang,
-                per_runner: rng.random::<bool>().then_some(2),
-                ..StepSpec::default()
-            }
-        });
-        JobSpec {
-            text: Name::new("run"),
-            steps: steps.collect(),
-            timetable: None,
-        }
-    }
-
-    fn cancel(&mut self) {
-        let owner = self.newest();
-        let Some(&job) = self.submitted.choose(&mut self.rng) else {
-            return;
-        };
-        let cell = &mut self.owners[owner];
-        if !cell.alive || cell.paused {
-            return;
-        }
-        self.checks.cancel_sent.insert(job);
-        let path = format!("/q/{job}");
-        let cancelled = cell.engine.cancel(Millis(self.now), self.now, HOST, &path);
-        if let Cancelled::Accepted(batch) = cancelled {
-            cell.callers.push((batch, job, true));
-        }
-    }
-
     fn trouble(&mut self) {
         let owner = self.newest();
         let runner = self.rng.random_range(0..self.runners.len());
@@ -909,7 +520,7 @@
             }
             2 => self.push(0, Event::Takeover),
             3 => {
-                self.runners[runner].crash(self.now);
+                self.runners[runner].crash();
                 // One in three is gone for longer than any lease.
                 let gone = self.rng.random_range(0..3) == 0;
                 self.push(if gone { 25_000 } else { span }, Event::RunnerBack(runner));
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -72,7 +72,7 @@
         (now - self.born_at) * self.rate / 1_000 + 1
     }
 
-    pub(crate) fn crash(&mut self, _now: u64) {
+    pub(crate) fn crash(&mut self) {
         self.up = false;
         self.running.clear();
     }
@@ -229,14 +229,7 @@
     }
 
     /// Ends a run by itself.
-    pub(crate) fn finish(
-        &mut self,
-        life: u64,
-        task: TaskId,
-        run: u32,
-        _now: u64,
-        checks: &mut Checks,
-    ) {
+    pub(crate) fn finish(&mut self, life: u64, task: TaskId, run: u32, checks: &mut Checks) {
         let known = self.running.get(&task).copied();
         let Some(known) = known.filter(|known| self.up && self.life == life && known.run == run)
         else {
