Keep filling tasks off runners that serve, and empty leaving ones at a takeover

Cause: a filling task beside a serving one can push its tail over its target, and nothing here measures tails yet; a new owner that first heard of a runner as leaving moved nothing from it. Change: the two kinds never share a runner; the first inventory of a leaving runner moves what loses no work. Tests: filling_and_serving_tasks_never_share_a_runner, a_new_owner_moves_what_it_can_from_a_runner_that_leaves.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -107,11 +107,13 @@
         if runner.entry.born == 0 {
             runner.entry.born = inventory.born;
         }
-        if !runner.held {
+        let is_first = !runner.held;
+        if is_first {
             runner.inherit_lease(inventory.clock, &self.cfg);
         }
         runner.heard(inventory.clock, now);
         runner.held = true;
+        let leaves = is_first && runner.entry.draining;
         let mut listed: FxHashSet<(TaskId, u32)> = FxHashSet::default();
         for row in &inventory.running {
             listed.insert((row.task, row.run));
@@ -131,6 +133,9 @@
                 .push(UnackedEnd { number, batch });
         }
         self.drop_unlisted(on, event, &listed, now);
+        if leaves {
+            self.evacuate(on, now);
+        }
     }
 
     /// Gives up the runs that were proved to be settled before the call and that it did not list.
@@ -226,6 +231,7 @@
         let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
         let placed = Placed {
             size: spec.map(StepSpec::charged),
+            sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             proved: Some(self.events),
             stopping: false,
             stop_sent: None,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -109,6 +109,7 @@
         // Room goes first: in a full cell it rules most runners out, and is cheap to compare.
         spec.charged().fits_in(runner.free())
             && runner.takes_work(now, self.confirmed)
+            && runner.suits(spec.sharing())
             && runner.entry.service == policy.service
             && spec
                 .label
@@ -307,7 +308,7 @@
             return;
         };
         let index = task.index as usize;
-        let size = spec.charged();
+        let (size, sharing) = (spec.charged(), spec.sharing());
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
         let ticket = step.approvals.ticket(on, now).cloned();
@@ -324,6 +325,7 @@
             run,
             Placed {
                 size: Some(size),
+                sharing,
                 proved: None,
                 stopping: false,
                 stop_sent: None,
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use super::{Settings, health::Health};
-use crate::{id::TaskId, runner::RunnerEntry};
+use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 /// Index of a runner; never used again for another life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -25,6 +25,7 @@
 pub(super) struct Placed {
     /// Room that it takes; `None` where nobody knows.
     pub(super) size: Option<Resources>,
+    pub(super) sharing: Sharing,
     /// Event after which an inventory must list the run, or it is over.
     pub(super) proved: Option<u64>,
     /// Whether a stop was ordered.
@@ -63,6 +64,10 @@
     pub(super) used: Resources,
     /// Runs of unknown size.
     unsized_runs: usize,
+    /// Runs that serve users of their own.
+    serving_runs: usize,
+    /// Runs that use what others leave.
+    filling_runs: usize,
     pub(super) last_answer: Option<Millis>,
     pub(super) misses: u32,
     /// When its lease was first seen to have lapsed, since it last answered.
@@ -87,6 +92,8 @@
             placed: FxHashMap::default(),
             used: Resources::ZERO,
             unsized_runs: 0,
+            serving_runs: 0,
+            filling_runs: 0,
             last_answer: None,
             misses: 0,
             lapsed: None,
@@ -126,6 +133,18 @@
             && self.health.allows(now)
     }
 
+    /// Returns whether a run would neither disturb those that serve nor be one that is disturbed.
+    ///
+    /// How much a filling task disturbs is known only after it has, so the two are kept on
+    /// different runners.
+    pub(super) fn suits(&self, sharing: Sharing) -> bool {
+        match sharing {
+            Sharing::Ordinary => true,
+            Sharing::Serving => self.filling_runs == 0,
+            Sharing::Filling => self.serving_runs == 0,
+        }
+    }
+
     /// Takes room for a run.
     pub(super) fn place(&mut self, task: TaskId, run: u32, placed: Placed) {
         if self.placed.insert((task, run), placed).is_some() {
@@ -135,6 +154,11 @@
             Some(size) => self.used = self.used.saturating_add(size),
             None => self.unsized_runs += 1,
         }
+        match placed.sharing {
+            Sharing::Ordinary => {}
+            Sharing::Serving => self.serving_runs += 1,
+            Sharing::Filling => self.filling_runs += 1,
+        }
     }
 
     /// Gives the room of a run back, and returns whether it had any.
@@ -146,6 +170,11 @@
             Some(size) => self.used = self.used.checked_sub(size).unwrap_or_default(),
             None => self.unsized_runs -= 1,
         }
+        match placed.sharing {
+            Sharing::Ordinary => {}
+            Sharing::Serving => self.serving_runs -= 1,
+            Sharing::Filling => self.filling_runs -= 1,
+        }
         true
     }
 
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -96,7 +96,7 @@
     }
 
     /// Moves tasks away from a runner that leaves, where moving them loses no work.
-    fn evacuate(&mut self, on: RunnerIx, now: Millis) {
+    pub(super) fn evacuate(&mut self, on: RunnerIx, now: Millis) {
         let placed = &self.runners[on.0].placed;
         let mut runs: Vec<(TaskId, u32)> = placed.keys().copied().collect();
         runs.sort_unstable();
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -67,6 +67,15 @@
 }
 
 impl StepSpec {
+    /// Returns how a task meets others on its runner.
+    pub fn sharing(&self) -> Sharing {
+        match (self.fills, self.tail_target) {
+            (true, _) => Sharing::Filling,
+            (false, Some(_)) => Sharing::Serving,
+            (false, None) => Sharing::Ordinary,
+        }
+    }
+
     /// Returns the room that a task takes from a runner's capacity.
     pub fn charged(&self) -> Resources {
         let mut size = self.size;
@@ -77,6 +86,18 @@
     }
 }
 
+/// How a task's use of its runner meets that of others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sharing {
+    /// It takes the room that it asked for.
+    #[default]
+    Ordinary,
+    /// It serves users of its own, within a bound on their response times.
+    Serving,
+    /// It uses what others leave, and disturbs those that serve.
+    Filling,
+}
+
 /// Occurrences of a job in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timetable {
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -16,6 +16,9 @@
 const PATH: &str = "/q/000000000000000a";
 const MAX_ATTEMPTS: u32 = 4;
 
+/// What one kind of step has that others haven't.
+type Change = fn(&mut StepSpec);
+
 fn settings() -> Settings {
     Settings {
         lease: Millis(6_000),
@@ -123,10 +126,14 @@
     }
 
     fn submit(&mut self) {
+        self.submit_as(PATH, spec());
+    }
+
+    fn submit_as(&mut self, path: &str, spec: JobSpec) {
         let req = Submission {
             host: HOST,
-            path: PATH,
-            spec: spec(),
+            path,
+            spec,
         };
         let submitted = self.engine.submit(Millis(self.now), self.now, req);
         assert!(submitted.is_ok());
@@ -317,3 +324,60 @@
     cell.pass(3_000);
     assert_eq!(wait(&mut cell), calm);
 }
+
+#[test]
+fn filling_and_serving_tasks_never_share_a_runner() {
+    let filling = |step: &mut StepSpec| step.fills = true;
+    let serving = |step: &mut StepSpec| step.tail_target = Some(Millis(80));
+    let table: [(Change, Change, usize); 4] = [
+        (filling, serving, 1),
+        (serving, filling, 1),
+        (serving, serving, 2),
+        (filling, filling, 2),
+    ];
+    for (first, second, expected) in table {
+        let mut cell = Cell::new(&["w0"]);
+        cell.hold(0, Vec::new());
+        for (path, change) in [(PATH, first), ("/q/000000000000000b", second)] {
+            let mut spec = spec();
+            spec.steps[0].size.cpu_milli = 1_000;
+            change(&mut spec.steps[0]);
+            cell.submit_as(path, spec);
+        }
+        assert_eq!(cell.starts().len(), expected);
+    }
+}
+
+#[test]
+fn a_new_owner_moves_what_it_can_from_a_runner_that_leaves() {
+    let mut cell = Cell::new(&[]);
+    let mut spec = spec();
+    spec.steps[0].long_running = true;
+    cell.submit_as(PATH, spec);
+    let now = Millis(cell.now);
+    let mut leaving = entry("w0");
+    leaving.draining = true;
+    cell.engine.put_runner(now, leaving);
+    cell.engine.confirm(now);
+    let order = cell.engine.hold_order(RunnerIx(0), now);
+    let running = kspan_jobs::runner::RunningTask {
+        task: task(),
+        run: 1,
+        checkpoint: Name::default(),
+        percent: 100,
+    };
+    let inventory = Inventory {
+        clock: now,
+        born: 1,
+        running: vec![running],
+        ended: Vec::new(),
+    };
+    let outcome = HoldOutcome::Inventory(inventory);
+    cell.engine
+        .held(now, cell.now, RunnerIx(0), order.event, &outcome);
+    let orders = cell.engine.take_orders();
+    let stops = orders
+        .iter()
+        .filter(|order| matches!(order, Order::Stop(stop) if stop.task == task()));
+    assert_eq!(stops.count(), 1, "{orders:?}");
+}
