Tell a caller 'not taken' only where nothing can come of the request

Cause, found by reading: an owner that lost the cell while a job's batch was being written answered like a process that never owned it, and a process that handed a call on answered the same when the owner's answer was lost; after 1.2 s without a new owner the caller was told 503, though the write may have taken effect. Ruled out: kills, where the broken connection already counted as doubt. Change: such answers are in doubt, lead to another try with the new owner and else to 504. Process tests pass as before.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     http, measure,
-    message::{Ask, CallAnswer, JobCall, Reply, Verb},
+    message::{Ask, CallAnswer, JobCall, Reply, Untaken, Verb},
     node::Node,
     peers::AskError,
 };
@@ -121,7 +121,10 @@
 
 async fn try_once(node: &Rc<Node>, call: &JobCall) -> Result<CallAnswer, AskError> {
     if let Some(owner) = node.own_role() {
-        return owner.call(call.clone()).await.ok_or(AskError::NotSent);
+        return owner.call(call.clone()).await.map_err(|err| match err {
+            Untaken::NotTaken => AskError::NotSent,
+            Untaken::InDoubt => AskError::Lost,
+        });
     }
     let known = node
         .known_owner()
@@ -135,7 +138,8 @@
         .await;
     match asked {
         Ok(Reply::Call(answer)) => Ok(answer),
-        Ok(_) => Err(AskError::NotSent),
+        Ok(Reply::NotOwner) => Err(AskError::NotSent),
+        Ok(_) => Err(AskError::Lost),
         Err(AskError::NotSent) => relay(node, call, &owner.member.node).await,
         Err(AskError::Lost) => Err(AskError::Lost),
     }
@@ -161,9 +165,8 @@
         .await
     {
         Ok(Reply::Call(answer)) => Ok(answer),
-        // The other process may have sent it to the owner without an answer.
+        Ok(Reply::NotOwner) | Err(AskError::NotSent) => Err(AskError::NotSent),
         Ok(_) | Err(AskError::Lost) => Err(AskError::Lost),
-        Err(AskError::NotSent) => Err(AskError::NotSent),
     }
 }
 
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -108,6 +108,15 @@
     }
 }
 
+/// Why a caller's request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Untaken {
+    /// Nothing came of it.
+    NotTaken,
+    /// It may have been carried out.
+    InDoubt,
+}
+
 /// A question to another process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Ask {
@@ -135,8 +144,10 @@
 pub(crate) enum Reply {
     /// For the caller.
     Call(CallAnswer),
-    /// The process does not own the cell.
+    /// The process does not own the cell, and nothing came of the question.
     NotOwner,
+    /// The process lost the cell, or the owner's answer, while it carried the question out.
+    InDoubt,
     /// Approvals, or none where the service did not answer.
     Advise(Option<Approved>),
     /// The store's answer, with its status; none where there was no answer.
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -20,9 +20,9 @@
     budget::Budget,
     clock::Clock,
     election::{Claims, Election, KnownOwner, Step},
-    message::{Ask, Beat, JobCall, Member, Reply},
+    message::{Ask, Beat, JobCall, Member, Reply, Untaken},
     owner::Owner,
-    peers::{self, Peers},
+    peers::{self, AskError, Peers},
     program::InFlight,
     settings::Settings,
     store::Store,
@@ -182,7 +182,11 @@
 
     async fn answer_call(self: &Rc<Self>, mut call: JobCall) -> Reply {
         if let Some(owner) = self.own_role() {
-            return owner.call(call).await.map_or(Reply::NotOwner, Reply::Call);
+            return match owner.call(call).await {
+                Ok(answer) => Reply::Call(answer),
+                Err(Untaken::NotTaken) => Reply::NotOwner,
+                Err(Untaken::InDoubt) => Reply::InDoubt,
+            };
         }
         let known = self
             .known_owner()
@@ -196,7 +200,10 @@
             .peers
             .ask(&owner.member, Ask::Call(call), timeout)
             .await;
-        answer.unwrap_or(Reply::NotOwner)
+        answer.unwrap_or_else(|err| match err {
+            AskError::NotSent => Reply::NotOwner,
+            AskError::Lost => Reply::InDoubt,
+        })
     }
 
     /// Asks for approvals from this host.
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -7,7 +7,10 @@
 use kspan_model::Millis;
 
 use super::Owner;
-use crate::message::{CallAnswer, JobCall, Verb};
+use crate::message::{CallAnswer, JobCall, Untaken, Verb};
+
+/// Result of a caller's request.
+pub(crate) type Result<T> = std::result::Result<T, Untaken>;
 
 /// Longest time that a caller waits for its job to be durable.
 const DURABLE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -25,17 +28,21 @@
 const LONGEST_RETRY_AFTER_S: u64 = 3;
 
 impl Owner {
-    /// Carries out a caller's request. `None` where this process does not own the cell.
-    pub(crate) async fn call(self: &Rc<Self>, call: JobCall) -> Option<CallAnswer> {
+    /// Carries out a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where this process does not own the cell, or lost it meanwhile.
+    pub(crate) async fn call(self: &Rc<Self>, call: JobCall) -> Result<CallAnswer> {
         if !self.recovered.get() || !self.alive.get() {
-            return None;
+            return Err(Untaken::NotTaken);
         }
         if self.engine.borrow().config_version() == 0 {
-            return Some(CallAnswer::not_taken(RETRY_AFTER_S));
+            return Ok(CallAnswer::not_taken(RETRY_AFTER_S));
         }
         match call.verb {
             Verb::Submit(spec) => self.submit(&call.host, &call.path, spec).await,
-            Verb::Show => Some(self.show(&call.host, &call.path)),
+            Verb::Show => Ok(self.show(&call.host, &call.path)),
             Verb::Cancel => self.cancel(&call.host, &call.path).await,
         }
     }
@@ -45,42 +52,43 @@
         host: &str,
         path: &str,
         spec: kspan_jobs::spec::JobSpec,
-    ) -> Option<CallAnswer> {
+    ) -> Result<CallAnswer> {
         let known = self.engine.borrow().find_queue(host, path);
         let is_new = known
             .and_then(|(_, job)| job)
             .is_some_and(|job| self.engine.borrow().state(job).is_none());
         if is_new && let Some(retry_after_s) = self.outage_retry() {
             self.log_call(path, "refused", "the store is out of reach");
-            return Some(CallAnswer::not_taken(retry_after_s));
+            return Ok(CallAnswer::not_taken(retry_after_s));
         }
         let req = Submission { host, path, spec };
         let unix_ms = self.node.clock.unix_ms();
         let submitted = self.engine.borrow_mut().submit(self.now(), unix_ms, req);
         let submitted = match submitted {
             Ok(submitted) => submitted,
-            Err(SubmitError::NoQueue) => return Some(CallAnswer::new(404)),
+            Err(SubmitError::NoQueue) => return Ok(CallAnswer::new(404)),
             Err(err) => {
                 self.log_call(path, "refused", "malformed");
-                return Some(CallAnswer::with_body(400, err.to_string().into_bytes()));
+                return Ok(CallAnswer::with_body(400, err.to_string().into_bytes()));
             }
         };
         self.changed.notify_one();
         if self.wait_durable(submitted.batch).await {
             let how = if submitted.known { "known" } else { "accepted" };
             self.log_call(path, how, "durable");
-            return Some(CallAnswer::new(200));
+            return Ok(CallAnswer::new(200));
         }
         if self.engine.borrow_mut().withdraw(submitted.job) {
             self.log_call(path, "refused", "not written in time, withdrawn");
             let retry_after_s = self.outage_retry().unwrap_or(RETRY_AFTER_S);
-            return Some(CallAnswer::not_taken(retry_after_s));
+            return Ok(CallAnswer::not_taken(retry_after_s));
         }
         if !self.alive.get() {
-            return None;
+            // The batch may still take effect, or may have.
+            return Err(Untaken::InDoubt);
         }
         self.log_call(path, "unknown", "not durable in time");
-        Some(CallAnswer::new(504))
+        Ok(CallAnswer::new(504))
     }
 
     /// Returns when a caller should come back, in seconds, where nothing can be stored now. An
@@ -110,20 +118,24 @@
         }
     }
 
-    async fn cancel(self: &Rc<Self>, host: &str, path: &str) -> Option<CallAnswer> {
+    async fn cancel(self: &Rc<Self>, host: &str, path: &str) -> Result<CallAnswer> {
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let cancelled = self.engine.borrow_mut().cancel(now, unix_ms, host, path);
         match cancelled {
-            Cancelled::NoQueue => Some(CallAnswer::new(404)),
-            Cancelled::Unknown if self.unconfirmed_for() < FRESH => Some(CallAnswer::new(410)),
-            Cancelled::Unknown => Some(CallAnswer::not_taken(RETRY_AFTER_S)),
+            Cancelled::NoQueue => Ok(CallAnswer::new(404)),
+            Cancelled::Unknown if self.unconfirmed_for() < FRESH => Ok(CallAnswer::new(410)),
+            Cancelled::Unknown => Ok(CallAnswer::not_taken(RETRY_AFTER_S)),
             Cancelled::Accepted(batch) => {
                 self.changed.notify_one();
                 if self.wait_durable(batch).await {
                     self.log_call(path, "cancelled", "durable");
-                    return Some(CallAnswer::new(200));
+                    return Ok(CallAnswer::new(200));
+                }
+                if self.alive.get() {
+                    Ok(CallAnswer::new(504))
+                } else {
+                    Err(Untaken::InDoubt)
                 }
-                self.alive.get().then(|| CallAnswer::new(504))
             }
         }
     }
