Drop what nothing reads, and list running tasks in one place of the tests

Behaviour and assertions are unchanged (one fixture's percent, which nothing reads, is 10 instead of 100).

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -233,7 +233,6 @@
             size: spec.map(StepSpec::charged),
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             proved: Some(self.events),
-            stopping: false,
             stop_sent: None,
         };
         self.runners[on.0].place(task, run, placed);
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -120,7 +120,6 @@
         let Some(placed) = self.runners[on.0].placed.get_mut(&(task, run)) else {
             return;
         };
-        placed.stopping = true;
         placed.stop_sent = Some(now);
         self.orders
             .push_back(Order::Stop(StopOrder { on, task, run }));
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -327,7 +327,6 @@
                 size: Some(size),
                 sharing,
                 proved: None,
-                stopping: false,
                 stop_sent: None,
             },
         );
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -28,8 +28,6 @@
     pub(super) sharing: Sharing,
     /// Event after which an inventory must list the run, or it is over.
     pub(super) proved: Option<u64>,
-    /// Whether a stop was ordered.
-    pub(super) stopping: bool,
     /// When the last stop was ordered without an answer so far.
     pub(super) stop_sent: Option<Millis>,
 }
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -5,7 +5,7 @@
     config::{CellConfig, Policy, Queue},
     engine::{JobState, Order, RunnerIx, Settings, Submission},
     id::{JobId, StepId, TaskId},
-    runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, StartOutcome},
+    runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, RunningTask, StartOutcome},
     spec::{JobSpec, StepSpec},
 };
 use kspan_model::{Millis, Name, Resources};
@@ -112,12 +112,27 @@
     }
 
     fn hold(&mut self, on: usize, ended: Vec<EndedTask>) {
+        self.hold_lists(on, Vec::new(), ended);
+    }
+
+    /// Lets a runner list the first run of the task.
+    fn hold_running(&mut self, on: usize) {
+        let running = RunningTask {
+            task: task(),
+            run: 1,
+            checkpoint: Name::default(),
+            percent: 10,
+        };
+        self.hold_lists(on, vec![running], Vec::new());
+    }
+
+    fn hold_lists(&mut self, on: usize, running: Vec<RunningTask>, ended: Vec<EndedTask>) {
         let now = Millis(self.now);
         let order = self.engine.hold_order(RunnerIx(on), now);
         let inventory = Inventory {
             clock: now,
             born: 1,
-            running: Vec::new(),
+            running,
             ended,
         };
         let outcome = HoldOutcome::Inventory(inventory);
@@ -251,22 +266,7 @@
         cell.engine.put_runner(now, entry(id));
     }
     cell.engine.confirm(now);
-    let order = cell.engine.hold_order(RunnerIx(0), now);
-    let running = kspan_jobs::runner::RunningTask {
-        task: task(),
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 10,
-    };
-    let inventory = Inventory {
-        clock: now,
-        born: 1,
-        running: vec![running],
-        ended: Vec::new(),
-    };
-    let outcome = HoldOutcome::Inventory(inventory);
-    cell.engine
-        .held(now, cell.now, RunnerIx(0), order.event, &outcome);
+    cell.hold_running(0);
     cell.hold(1, Vec::new());
     for _ in 0..10 {
         let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
@@ -359,22 +359,7 @@
     leaving.draining = true;
     cell.engine.put_runner(now, leaving);
     cell.engine.confirm(now);
-    let order = cell.engine.hold_order(RunnerIx(0), now);
-    let running = kspan_jobs::runner::RunningTask {
-        task: task(),
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 100,
-    };
-    let inventory = Inventory {
-        clock: now,
-        born: 1,
-        running: vec![running],
-        ended: Vec::new(),
-    };
-    let outcome = HoldOutcome::Inventory(inventory);
-    cell.engine
-        .held(now, cell.now, RunnerIx(0), order.event, &outcome);
+    cell.hold_running(0);
     let orders = cell.engine.take_orders();
     let stops = orders
         .iter()
