Let strong hosts own the cell

Hosts now tell their processor time (settings: processors), those with much of it claim first, at the first boot too, are asked first when an owner stops, and are asked by an owner that is less than half as strong once they have greeted steadily for 2 s. The list of members is sent with every fourth beat or when it changes, not with each: at 39 hosts it is most of a beat.

Test: a_weak_owner_hands_the_cell_to_a_strong_host_and_cuts_nothing (real processes; fails without owner/hand_over, as the weak host keeps the cell).

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -5,9 +5,9 @@
 //! holds only if the topic still ends where it was seen. Safety does not rest on any of this:
 //! runners and the store refuse orders of all owners but the newest.
 
-use kspan_model::{Millis, Name};
+use kspan_model::Millis;
 
-use crate::message::Member;
+use crate::{message::Member, precedence};
 
 /// Silence of the owner that starts suspicion.
 const SILENCE: Millis = Millis(900);
@@ -122,14 +122,17 @@
         } else {
             SILENCE_AFTER_BREAK
         };
-        let rank = rank(&self.me.node, known, members);
+        let owner = &known.member.node;
+        let rank = precedence::rank(&self.me.node, owner, known.fence, members);
         self.silence(now) >= silence + Millis(RANK_STEP.0 * rank)
     }
 
     /// Decides after the topic of claims was read.
     pub(crate) fn read(&mut self, now: Millis, claims: &Claims) -> Step {
         let Some(owner) = &claims.owner else {
-            return Step::Claim;
+            let waited = now.saturating_sub(self.heard);
+            let may_claim = waited >= precedence::first_claim_wait(&self.me);
+            return if may_claim { Step::Claim } else { Step::Wait };
         };
         if owner.member == self.me {
             return if owner.fence > self.given_up {
@@ -165,16 +168,3 @@
         }
     }
 }
-
-/// Returns how many processes go first.
-fn rank(me: &Name, owner: &KnownOwner, members: &[Member]) -> u64 {
-    let mut others: Vec<&Name> = members.iter().map(|member| &member.node).collect();
-    others.retain(|node| **node != owner.member.node);
-    others.sort_unstable();
-    let Some(at) = others.iter().position(|node| *node == me) else {
-        return others.len() as u64;
-    };
-    // Who goes first changes with each owner, so that one host in trouble is not always first.
-    let first = owner.fence % others.len() as u64;
-    (at as u64 + others.len() as u64 - first) % others.len() as u64
-}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod node;
 mod owner;
 mod peers;
+mod precedence;
 mod program;
 mod settings;
 mod store;
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -20,6 +20,8 @@
     pub(crate) life: u64,
     /// Data centre.
     pub(crate) data_centre: Name,
+    /// Processor time that the host gives, in thousandths of a processor.
+    pub(crate) power_milli: u32,
 }
 
 /// Sign of life of an owner, sent as a datagram.
@@ -29,8 +31,8 @@
     pub(crate) fence: u64,
     /// The owner.
     pub(crate) owner: Member,
-    /// Processes of the cell.
-    pub(crate) members: Vec<Member>,
+    /// Processes of the cell, in some beats.
+    pub(crate) members: Option<Vec<Member>>,
 }
 
 /// What a caller wants of a job or queue.
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -43,6 +43,9 @@
 /// Time for short questions between processes.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for asking another process to take over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Silence within which another process counts as hearing the owner.
 const HEARD_LATELY_MS: u64 = 700;
 
@@ -92,6 +95,7 @@
             port: cfg.internal_port,
             life: rand::random(),
             data_centre: cfg.data_centre.clone(),
+            power_milli: cfg.power_milli(),
         };
         let peers = Rc::new(Peers::default());
         let store = Store::new(&cfg.store, clock, Rc::clone(&peers)).await;
@@ -358,6 +362,16 @@
         owner.start().await;
     }
 
+    /// Asks another process to claim the cell in place of the owner with this fence. Returns
+    /// whether it will.
+    pub(crate) async fn ask_to_take_over(&self, member: &Member, fence: u64) -> bool {
+        let ask = Ask::TakeOver(fence);
+        let answer = self.peers.ask(member, ask, HAND_OVER_TIMEOUT).await;
+        let will = matches!(answer, Ok(Reply::Done));
+        tracing::info!(fence, to = %member.node, will, "asked to take over");
+        will
+    }
+
     /// Gives up the ownership with this fence.
     pub(crate) fn gave_up(&self, fence: u64) {
         self.election.borrow_mut().gave_up(self.clock.now(), fence);
@@ -394,8 +408,9 @@
             tracing::info!(fence = beat.fence, owner = %beat.owner.node, "owner known");
         }
         let newest = self.known_owner().map_or(0, |owner| owner.fence);
-        if beat.fence == newest && *self.members.borrow() != beat.members {
-            self.set_members(beat.members.clone());
+        let listed = beat.members.as_ref().filter(|_| beat.fence == newest);
+        if let Some(members) = listed.filter(|members| **members != *self.members.borrow()) {
+            self.set_members(members.clone());
         }
     }
 
@@ -415,12 +430,10 @@
     /// Sends a sign of life to all others.
     pub(crate) async fn beat(&self, socket: &UdpSocket, beat: &Beat) {
         let datagram = peers::encode(beat);
-        for member in &beat.members {
-            if member.node != self.me.node {
-                let to = SocketAddr::from((member.address, member.port));
-                // A datagram that isn't sent is as good as one that is lost.
-                let _ = socket.send_to(&datagram, to).await;
-            }
+        for member in self.others() {
+            let to = SocketAddr::from((member.address, member.port));
+            // A datagram that isn't sent is as good as one that is lost.
+            let _ = socket.send_to(&datagram, to).await;
         }
     }
 }
--- a/crates/cell/src/owner/alive.rs
+++ b/crates/cell/src/owner/alive.rs
@@ -28,7 +28,7 @@
         ntex::rt::spawn(Rc::clone(&self).mark_claims());
         while self.alive.get() {
             self.review_members();
-            self.node.beat(&socket, &self.beat()).await;
+            self.node.beat(&socket, &self.next_beat()).await;
             tokio::time::sleep(INTERVAL).await;
         }
     }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -6,7 +6,9 @@
 mod alive;
 mod calls;
 mod commit;
+mod hand_over;
 mod hosts;
+mod members;
 mod notes;
 mod orders;
 mod recover;
@@ -28,12 +30,8 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, Semaphore, watch};
 
-use crate::{
-    clock::Moment,
-    measure,
-    message::{Beat, Member},
-    node::Node,
-};
+use crate::{clock::Moment, measure, node::Node};
+use members::Greeting;
 
 /// How long a runner goes on without an order. Longer than a takeover takes, so that work
 /// outlives its owner; short, because a lost runner's tasks wait for it.
@@ -54,12 +52,6 @@
 /// Connections that are kept to a runner.
 const CONNECTIONS_PER_RUNNER: usize = ORDERS_PER_RUNNER + 3;
 
-/// How long a member that does not greet is kept.
-const MEMBER_SILENCE: Millis = Millis(6_000);
-
-/// How long a member that does not greet is asked for help.
-const HELPER_SILENCE: Millis = Millis(2_500);
-
 /// The owner's role.
 pub(crate) struct Owner {
     node: Rc<Node>,
@@ -80,7 +72,9 @@
     last_moment: Cell<Moment>,
     /// End of the topic of claims.
     claims_end: Cell<u64>,
-    greetings: RefCell<Vec<(Member, Millis)>>,
+    greetings: RefCell<Vec<Greeting>>,
+    /// Beats until the next that lists the members.
+    beats_to_list: Cell<u32>,
     contacts: RefCell<FxHashMap<RunnerIx, Rc<Contact>>>,
 }
 
@@ -98,7 +92,7 @@
         let greetings = node
             .others()
             .into_iter()
-            .map(|member| (member, now))
+            .map(|member| Greeting::new(member, now))
             .collect();
         Rc::new(Self {
             fence,
@@ -113,6 +107,7 @@
             last_moment: Cell::new(node.clock.moment()),
             claims_end: Cell::new(claims_end),
             greetings: RefCell::new(greetings),
+            beats_to_list: Cell::new(0),
             contacts: RefCell::default(),
             node,
         })
@@ -151,6 +146,7 @@
         ntex::rt::spawn(Rc::clone(self).write_batches());
         ntex::rt::spawn(Rc::clone(self).follow_config(places.config_end));
         ntex::rt::spawn(Rc::clone(self).follow_runners(places.runners_end));
+        ntex::rt::spawn(Rc::clone(self).prefer_stronger());
         ntex::rt::spawn(Rc::clone(self).decide());
         ntex::rt::spawn(Rc::clone(self).tick());
     }
@@ -259,45 +255,6 @@
         measure::totals(&self.totals());
     }
 
-    /// Takes in a member's greeting.
-    pub(crate) fn greeted(&self, member: Member) {
-        let now = self.now();
-        let mut greetings = self.greetings.borrow_mut();
-        let known = greetings
-            .iter_mut()
-            .find(|(known, _)| known.node == member.node);
-        match known {
-            Some(known) => *known = (member, now),
-            None => greetings.push((member, now)),
-        }
-    }
-
-    /// Drops members that are silent, and tells the engine who can help.
-    fn review_members(&self) {
-        let now = self.now();
-        let mut greetings = self.greetings.borrow_mut();
-        greetings.retain(|(_, heard)| now.saturating_sub(*heard) < MEMBER_SILENCE);
-        greetings.sort_unstable_by(|a, b| a.0.node.cmp(&b.0.node));
-        let mut members: Vec<Member> = greetings.iter().map(|(member, _)| member.clone()).collect();
-        members.push(self.node.me.clone());
-        let lately = greetings
-            .iter()
-            .filter(|(_, heard)| now.saturating_sub(*heard) < HELPER_SILENCE);
-        let mut helpers: Vec<_> = lately.map(|(member, _)| member.node.clone()).collect();
-        helpers.push(self.node.me.node.clone());
-        drop(greetings);
-        self.node.set_members(members);
-        self.engine.borrow_mut().set_advisors(&helpers);
-    }
-
-    fn beat(&self) -> Beat {
-        Beat {
-            fence: self.fence,
-            owner: self.node.me.clone(),
-            members: self.node.members(),
-        }
-    }
-
     /// Returns the way to a runner, opening one where there is none.
     async fn contact(&self, on: RunnerIx, entry: &RunnerEntry) -> Rc<Contact> {
         let known = self.contacts.borrow().get(&on).cloned();
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -15,13 +15,7 @@
     time::Instant,
 };
 
-use crate::{
-    admin, entry, logging, measure,
-    message::{Ask, Reply},
-    node::Node,
-    peers,
-    settings::Settings,
-};
+use crate::{admin, entry, logging, measure, node::Node, peers, precedence, settings::Settings};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -35,9 +29,6 @@
 /// Time between looks at whether a planned stop may end.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for asking another process to take over.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time in which a process that was asked to take over has claimed, where the store answers.
 const TAKE_OVER_TIME: Duration = Duration::from_millis(500);
 
@@ -183,13 +174,12 @@
 /// Asks other processes, one after the other, to claim the cell, until one has.
 async fn hand_over(node: Rc<Node>) {
     loop {
-        for member in node.others() {
-            let Some(owner) = node.own_role() else {
+        let fence = node.own_role().map_or(0, |owner| owner.fence());
+        for member in precedence::successors(&node.me.node, fence, &node.members()) {
+            if node.own_role().is_none() {
                 return;
-            };
-            let ask = Ask::TakeOver(owner.fence());
-            if let Ok(Reply::Done) = node.peers.ask(&member, ask, HAND_OVER_TIMEOUT).await {
-                tracing::info!(fence = owner.fence(), to = %member.node, "asked to take over");
+            }
+            if node.ask_to_take_over(&member, fence).await {
                 tokio::time::sleep(TAKE_OVER_TIME).await;
             }
         }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -40,6 +40,9 @@
     pub(crate) address: Ipv4Addr,
     /// Data centre of the host.
     pub(crate) data_centre: Name,
+    /// Processor time that the host gives, in processors.
+    #[serde(default = "whole_processor")]
+    pub(crate) processors: f64,
     /// Where callers are served.
     pub(crate) callers: String,
     /// Where readiness is told; may be the callers' address.
@@ -78,9 +81,22 @@
         if cfg.spread_factor.is_nan() || cfg.spread_factor < 1.0 {
             return Err(SettingsError::Value("spread_factor: must be at least 1"));
         }
+        if cfg.processors.is_nan() || cfg.processors <= 0.0 {
+            return Err(SettingsError::Value("processors: must be above 0"));
+        }
         if cfg.grace_s.is_nan() || cfg.grace_s <= 0.0 {
             return Err(SettingsError::Value("grace_s: must be above 0"));
         }
         Ok(cfg)
     }
+
+    /// Returns the host's processor time in thousandths of a processor.
+    #[allow(clippy::cast_possible_truncation, reason = "a host has few processors")]
+    pub(crate) fn power_milli(&self) -> u32 {
+        (self.processors * 1_000.0) as u32
+    }
+}
+
+fn whole_processor() -> f64 {
+    1.0
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -35,6 +35,11 @@
 
 impl Process {
     fn start(number: usize, platform: &Platform) -> Self {
+        Self::start_on(number, 1.0, platform)
+    }
+
+    /// Starts a process on a host that gives so many processors.
+    fn start_on(number: usize, processors: f64, platform: &Platform) -> Self {
         let ports: Vec<TcpListener> = (0..4)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
             .collect();
@@ -46,7 +51,7 @@
         let settings = format!(
             "node: host-{number}\naddress: 127.0.0.1\ndata_centre: z\ncallers: {}\nready: {}\n\
              admin: {}\ninternal_port: {}\nstore: {}\nmax_lease_ms: 10000\nspread_factor: 3\n\
-             keep_ended_s: 120\ngrace_s: 6\n",
+             keep_ended_s: 120\ngrace_s: 6\nprocessors: {processors}\n",
             addrs[0],
             addrs[1],
             addrs[2],
@@ -310,6 +315,32 @@
     wait_for_state(&processes[last].callers, done, "completed").await;
 }
 
+#[ntex::test]
+async fn a_weak_owner_hands_the_cell_to_a_strong_host_and_cuts_nothing() {
+    let platform = Platform::start(2);
+    let mut processes = vec![Process::start_on(20, 0.1, &platform)];
+    assert_eq!(owner(&processes).await, 0);
+    let long = "00000000000000d1";
+    let path = format!("{PREFIX}{long}");
+    let body = job("run 10000", &[3]);
+    call_until("POST", &processes[0].callers, &path, &body, 200).await;
+    wait_for_state(&processes[0].callers, long, "running").await;
+
+    // One that is a little stronger changes nothing; one that is much stronger owns the cell soon.
+    processes.push(Process::start_on(21, 0.15, &platform));
+    processes.push(Process::start_on(22, 1.0, &platform));
+    let began = Instant::now();
+    while owner(&processes).await != 2 {
+        assert!(began.elapsed() < PATIENCE, "the weak host keeps the cell");
+        tokio::time::sleep(POLL).await;
+    }
+    let adopted = |line: &Value| line["message"] == "run adopted";
+    wait_for_line(&processes[2], long, adopted).await;
+    wait_for_state(&processes[1].callers, long, "completed").await;
+    check_runs(&platform);
+    assert_eq!(platform.runs().len(), 3, "a run was cut");
+}
+
 #[ntex::test]
 async fn an_outage_of_the_store_is_told_at_once_and_loses_nothing() {
     let platform = Platform::start(1);
