Let events share a look at waiting work

Now events share a look, at least 4 ms apart and three times as far apart as the last one took; a step with approvals looks up the runners that it has tickets for; an answer's ends go to the writer without a look.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -28,7 +28,10 @@
 };
 use kspan_model::Millis;
 use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::{
+    sync::{Notify, Semaphore, watch},
+    time::Instant,
+};
 
 use crate::{clock::Moment, measure, node::Node};
 use members::Greeting;
@@ -46,6 +49,12 @@
 /// Time between two looks at what is due with time alone.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Shortest time between two decisions about what starts.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(4);
+
+/// Time that is left to other work for each part that a decision took.
+const PAUSE_PER_DECISION: u32 = 3;
+
 /// Orders under way to one runner at a time, beside the inventory call.
 const ORDERS_PER_RUNNER: usize = 4;
 
@@ -191,24 +200,33 @@
         moment.shows_pause_since(&self.last_moment.get())
     }
 
-    /// Decides whenever something has changed.
+    /// Decides whenever something has changed. What changes during a pause shares a decision, as
+    /// each looks at all work that waits.
     async fn decide(self: Rc<Self>) {
         while self.alive.get() {
             self.changed.notified().await;
-            self.decide_once();
+            let began = Instant::now();
+            self.schedule();
+            let pause = began.elapsed() * PAUSE_PER_DECISION;
+            tokio::time::sleep(pause.max(SHORTEST_PAUSE)).await;
         }
     }
 
-    fn decide_once(self: &Rc<Self>) {
+    fn schedule(self: &Rc<Self>) {
+        if self.alive.get() && self.may_order() {
+            self.engine.borrow_mut().schedule(self.now());
+        }
+        self.pass_on();
+    }
+
+    /// Carries out, logs and hands to the writer what the engine has decided so far.
+    fn pass_on(self: &Rc<Self>) {
         if !self.alive.get() {
             return;
         }
         if self.engine.borrow().is_fenced() {
             return self.step_down("a runner knows a newer owner");
         }
-        if self.may_order() {
-            self.engine.borrow_mut().schedule(self.now());
-        }
         let (orders, notes, has_batch) = {
             let mut engine = self.engine.borrow_mut();
             (
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -68,7 +68,7 @@
     /// Waits until the ends that were just taken in are durable, or for a while.
     async fn wait_for_acks(self: &Rc<Self>) {
         // Lets the ends reach the open batch's writer first.
-        self.decide_once();
+        self.pass_on();
         let mut durable = self.durable.subscribe();
         durable.borrow_and_update();
         let changed = durable.changed();
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -7,7 +7,7 @@
 
 use kspan_jobs::{
     Engine,
-    config::{CellConfig, Policy, Queue},
+    config::{AdvicePolicy, CellConfig, Policy, Queue},
     engine::{Order, RunnerIx, Settings, Submission},
     id::JobId,
     record::{self, JobRecord},
@@ -19,6 +19,7 @@
 
 const HOST: &str = "cell.example";
 const STARTS: u64 = 3_000;
+const LOOKS: u32 = 200;
 
 fn settings() -> Settings {
     Settings {
@@ -185,6 +186,37 @@
     println!("submit, start and end, {runners} runners, {waiting} jobs waiting: {each:?}");
 }
 
+/// One look at `waiting` jobs of 16 tasks whose runners need approvals, in a full cell.
+fn look(runners: usize, waiting: u64) {
+    let now = Millis(10_000);
+    let mut engine = Engine::new(settings());
+    let mut config = config();
+    config.queues[0].policy.advice = Some(AdvicePolicy {
+        base_ms: 20.0,
+        per_runner_ms: 0.3,
+        validity: Millis(2_500),
+    });
+    engine.configure(config);
+    engine.set_advisors(&[Name::new("h1")]);
+    list_runners(&mut engine, runners, now);
+    (0..runners).for_each(|on| hold(&mut engine, on, now, Vec::new()));
+    for id in 0..waiting {
+        let path = format!("/q/{}", JobId(id));
+        let req = Submission {
+            host: HOST,
+            path: &path,
+            spec: spec(16),
+        };
+        engine.submit(now, now.0, req).expect("a good job");
+    }
+    commit(&mut engine);
+    engine.schedule(now);
+    let began = Instant::now();
+    (0..LOOKS).for_each(|_| engine.schedule(now));
+    let each = began.elapsed() / LOOKS;
+    println!("one look, {runners} runners, {waiting} jobs waiting for approvals: {each:?}");
+}
+
 fn commit(engine: &mut Engine) {
     while let Some(batch) = engine.cut_batch() {
         engine.committed(batch.number);
@@ -222,4 +254,7 @@
     for waiting in [100, 1_000] {
         starts(50, waiting);
     }
+    for runners in [50, 350] {
+        look(runners, 300);
+    }
 }
--- a/crates/jobs/src/engine/advice.rs
+++ b/crates/jobs/src/engine/advice.rs
@@ -49,6 +49,14 @@
 }
 
 impl Approvals {
+    /// Returns the runners on which a start now has a ticket, in their order.
+    pub(super) fn valid(&self, now: Millis) -> impl Iterator<Item = RunnerIx> {
+        let known = self.known.keys().copied();
+        let mut valid: Vec<_> = known.filter(|on| self.ticket(*on, now).is_some()).collect();
+        valid.sort_unstable();
+        valid.into_iter()
+    }
+
     /// Returns the ticket for a start now.
     pub(super) fn ticket(&self, on: RunnerIx, now: Millis) -> Option<&Name> {
         match self.known.get(&on)? {
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -226,24 +226,38 @@
 
     /// Returns the runners that can take a task of the step now.
     fn usable(&self, step: &Step, spec: &StepSpec, policy: &Policy, now: Millis) -> Vec<Usable> {
-        let runners = self.runners.iter().enumerate();
-        let fitting = runners.filter(|(_, runner)| self.fits(runner, spec, policy, now));
-        let approved = fitting.filter(|(ix, _)| {
-            policy.advice.is_none() || step.approvals.ticket(RunnerIx(*ix), now).is_some()
-        });
-        let usable = approved.filter_map(|(ix, runner)| {
-            let on = RunnerIx(ix);
-            let there = step.on_runner.get(&on).copied().unwrap_or(0);
-            let more = spec.per_runner.unwrap_or(u32::MAX).checked_sub(there)?;
-            (more > 0).then(|| Usable {
-                on,
-                free: runner.free(),
-                there,
-                more,
-                size: spec.charged(),
-            })
-        });
-        usable.collect()
+        let usable = |on: RunnerIx| self.usable_one(on, step, spec, policy, now);
+        if policy.advice.is_some() {
+            // Few runners are approved for a step, of all that there are.
+            return step.approvals.valid(now).filter_map(usable).collect();
+        }
+        (0..self.runners.len())
+            .filter_map(|ix| usable(RunnerIx(ix)))
+            .collect()
+    }
+
+    /// Returns what a runner can take of a step now, approvals aside; `None` for nothing.
+    fn usable_one(
+        &self,
+        on: RunnerIx,
+        step: &Step,
+        spec: &StepSpec,
+        policy: &Policy,
+        now: Millis,
+    ) -> Option<Usable> {
+        let runner = &self.runners[on.0];
+        if !self.fits(runner, spec, policy, now) {
+            return None;
+        }
+        let there = step.on_runner.get(&on).copied().unwrap_or(0);
+        let more = spec.per_runner.unwrap_or(u32::MAX).checked_sub(there)?;
+        (more > 0).then(|| Usable {
+            on,
+            free: runner.free(),
+            there,
+            more,
+            size: spec.charged(),
+        })
     }
 
     /// Returns the place in `usable` where a task goes best.
