Take over occurrences that only an earlier owner has begun

The end was dropped and acknowledged, the run stopped as unwanted, and the occurrence then began with all its tasks waiting; nor did those wait for runners out of reach. Ruled out: the count of occurrences in the progress record, which holds for ends in any order.

An inventory now begins what it names, and occurrences that fall due while runs of earlier owners are not accounted for wait like those that were recovered.

The random schedules have no timed jobs yet.

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -146,7 +146,7 @@
             if job.phase == Phase::Active {
                 engine.active.insert(id);
                 engine.open.insert(id);
-                job.begin_due(now, unix_ms);
+                job.begin_due(now, unix_ms, false);
                 job.mark_unaccounted();
             }
             engine.jobs.insert(id, job);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -114,6 +114,7 @@
         runner.heard(inventory.clock, now);
         runner.held = true;
         let leaves = is_first && runner.entry.draining;
+        self.begin_seen(inventory, now);
         let mut listed: FxHashSet<(TaskId, u32)> = FxHashSet::default();
         for row in &inventory.running {
             listed.insert((row.task, row.run));
@@ -138,6 +139,19 @@
         }
     }
 
+    /// Begins occurrences that the runner has had and this owner has not begun.
+    fn begin_seen(&mut self, inventory: &Inventory, now: Millis) {
+        let running = inventory.running.iter().map(|row| row.task);
+        let ended = inventory.ended.iter().map(|end| end.task);
+        for task in running.chain(ended) {
+            let id = task.step.job;
+            let job = self.jobs.get_mut(&id);
+            if job.is_some_and(|job| job.begin_seen(task.step.occurrence, now)) {
+                self.open.insert(id);
+            }
+        }
+    }
+
     /// Gives up the runs that were proved to be settled before the call and that it did not list.
     fn drop_unlisted(
         &mut self,
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -147,6 +147,13 @@
     pub(super) fn is_done(&self) -> bool {
         self.steps.iter().all(Step::is_done)
     }
+
+    /// Marks every waiting task as one whose earlier runs may be alive.
+    fn mark_unaccounted(&mut self) {
+        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+            task.unaccounted = task.state == TaskState::Waiting;
+        }
+    }
 }
 
 /// A job.
@@ -188,8 +195,9 @@
         }
     }
 
-    /// Begins the occurrences that are due; returns whether there were any.
-    pub(super) fn begin_due(&mut self, now: Millis, unix_ms: u64) -> bool {
+    /// Begins the occurrences that are due; returns whether there were any. Where not all runs of
+    /// earlier owners are `accounted` for, one of them may have begun these occurrences too.
+    pub(super) fn begin_due(&mut self, now: Millis, unix_ms: u64, accounted: bool) -> bool {
         let first = self.next_occurrence;
         while self.next_occurrence < self.record.spec.occurrences() {
             let number = self.next_occurrence;
@@ -201,13 +209,32 @@
             if due > unix_ms {
                 break;
             }
-            self.occurrences
-                .push(Occurrence::new(number, &self.record.spec, now));
+            let mut begun = Occurrence::new(number, &self.record.spec, now);
+            if !accounted {
+                begun.mark_unaccounted();
+            }
+            self.occurrences.push(begun);
             self.next_occurrence += 1;
         }
         self.next_occurrence > first
     }
 
+    /// Begins an occurrence that a runner has had, and all before it: an earlier owner has begun
+    /// them, by a clock that may be ahead. Their runs may be alive. Returns whether any began.
+    pub(super) fn begin_seen(&mut self, occurrence: u32, now: Millis) -> bool {
+        let last = self.record.spec.occurrences();
+        if self.phase != Phase::Active || occurrence < self.next_occurrence || occurrence >= last {
+            return false;
+        }
+        for number in self.next_occurrence..=occurrence {
+            let mut begun = Occurrence::new(number, &self.record.spec, now);
+            begun.mark_unaccounted();
+            self.occurrences.push(begun);
+        }
+        self.next_occurrence = occurrence + 1;
+        true
+    }
+
     /// Drops occurrences that are done, and returns whether the whole job is.
     pub(super) fn close_done(&mut self) -> bool {
         while let Some(at) = self.occurrences.iter().position(Occurrence::is_done) {
@@ -302,13 +329,9 @@
 
     /// Marks every waiting task as one whose earlier runs may be alive.
     pub(super) fn mark_unaccounted(&mut self) {
-        for occurrence in &mut self.occurrences {
-            for step in &mut occurrence.steps {
-                for task in &mut step.tasks {
-                    task.unaccounted = task.state == TaskState::Waiting;
-                }
-            }
-        }
+        self.occurrences
+            .iter_mut()
+            .for_each(Occurrence::mark_unaccounted);
     }
 }
 
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -124,9 +124,10 @@
             self.woke = now;
         }
         self.ticked = Some(now);
+        let accounted = self.is_accounted(now);
         for id in &self.active {
             if let Some(job) = self.jobs.get_mut(id)
-                && job.begin_due(now, unix_ms)
+                && job.begin_due(now, unix_ms, accounted)
             {
                 self.open.insert(*id);
             }
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -93,7 +93,7 @@
             spec: req.spec,
         };
         let mut job = Job::new(id, record, now);
-        job.begin_due(now, unix_ms);
+        job.begin_due(now, unix_ms, true);
         job.spec_batch = self.batches.add_job(id);
         let batch = job.spec_batch;
         self.jobs.insert(id, job);
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -6,7 +6,7 @@
     engine::{JobState, Order, RunnerIx, Settings, Submission},
     id::{JobId, StepId, TaskId},
     runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, RunningTask, StartOutcome},
-    spec::{JobSpec, StepSpec},
+    spec::{JobSpec, StepSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
@@ -111,6 +111,24 @@
         cell
     }
 
+    /// Hands the cell to a new owner, which knows the job from its record alone.
+    fn take_over(&mut self, spec: JobSpec, runners: &[&str]) {
+        let record = kspan_jobs::record::JobRecord {
+            queue: Name::new("q"),
+            policy: config().queues[0].policy.clone(),
+            accepted_unix_ms: self.now,
+            spec,
+        };
+        let (now, jobs) = (Millis(self.now), vec![(JOB, record)]);
+        let progress = FxHashMap::default();
+        self.engine = Engine::recovered(settings(), now, self.now, jobs, &progress);
+        self.engine.configure(config());
+        for id in runners {
+            self.engine.put_runner(now, entry(id));
+        }
+        self.engine.confirm(now);
+    }
+
     fn hold(&mut self, on: usize, ended: Vec<EndedTask>) {
         self.hold_lists(on, Vec::new(), ended);
     }
@@ -252,20 +270,8 @@
     let records = cell.engine.cut_batch();
     assert!(records.is_none(), "the job is durable");
     // A new owner knows the job and holds both runners once; then one is silent.
-    let record = kspan_jobs::record::JobRecord {
-        queue: Name::new("q"),
-        policy: config().queues[0].policy.clone(),
-        accepted_unix_ms: cell.now,
-        spec: spec(),
-    };
     let now = Millis(cell.now);
-    let jobs = vec![(JOB, record)];
-    cell.engine = Engine::recovered(settings(), now, cell.now, jobs, &FxHashMap::default());
-    cell.engine.configure(config());
-    for id in ["w0", "w1"] {
-        cell.engine.put_runner(now, entry(id));
-    }
-    cell.engine.confirm(now);
+    cell.take_over(spec(), &["w0", "w1"]);
     cell.hold_running(0);
     cell.hold(1, Vec::new());
     for _ in 0..10 {
@@ -366,3 +372,66 @@
         .filter(|order| matches!(order, Order::Stop(stop) if stop.task == task()));
     assert_eq!(stops.count(), 1, "{orders:?}");
 }
+
+#[test]
+fn occurrences_that_only_an_earlier_owner_has_begun_are_taken_over() {
+    // By the new owner's clock the second occurrence is due in a second; the runner w0 has had it.
+    let seen = |occurrence| StepId {
+        job: JOB,
+        occurrence,
+        step: 0,
+    };
+    let end = |occurrence| EndedTask {
+        number: u64::from(occurrence) + 1,
+        task: seen(occurrence).task(0),
+        run: 1,
+        how: EndKind::Done,
+        checkpoint: Name::default(),
+    };
+    let running = |occurrence| RunningTask {
+        task: seen(occurrence).task(0),
+        run: 1,
+        checkpoint: Name::default(),
+        percent: 10,
+    };
+    let table: [(Vec<RunningTask>, Vec<EndedTask>); 3] = [
+        (Vec::new(), vec![end(0), end(1)]),
+        (vec![running(1)], vec![end(0)]),
+        (vec![running(0), running(1)], Vec::new()),
+    ];
+    for (row, (running, ended)) in table.into_iter().enumerate() {
+        let mut cell = Cell::new(&[]);
+        let mut spec = spec();
+        spec.steps[0].size = Resources::new(1_000, 1_000, 0);
+        spec.timetable = Some(Timetable {
+            times: 2,
+            first_unix_ms: cell.now,
+            period: Millis(1_000),
+        });
+        cell.take_over(spec, &["w0", "w1"]);
+        cell.hold_lists(0, running, ended);
+        cell.hold(1, Vec::new());
+        cell.pass(2_000);
+        assert!(cell.starts().is_empty(), "row {row}");
+        let orders = cell.engine.take_orders();
+        assert!(orders.is_empty(), "row {row}: {orders:?}");
+    }
+}
+
+#[test]
+fn an_occurrence_that_falls_due_waits_for_runners_out_of_reach() {
+    let mut cell = Cell::new(&[]);
+    let mut spec = spec();
+    spec.timetable = Some(Timetable {
+        times: 2,
+        first_unix_ms: cell.now + 500,
+        period: Millis(1_000),
+    });
+    cell.take_over(spec, &["w0", "w1"]);
+    cell.hold(0, Vec::new());
+    // An earlier owner, by a clock ahead of this one, may have begun it on w1.
+    cell.pass(1_000);
+    assert!(cell.starts().is_empty());
+    cell.hold(1, Vec::new());
+    assert_eq!(cell.starts(), [0]);
+}
