Move tasks that stand still

An inventory shows each task's progress: one whose progress is the same for a quarter of its expected time, and for a second at least on the runner's clock, is stopped and starts elsewhere once its end is listed; the runner's health counts it as a failure. Members of gangs, which wait for each other, and long-running tasks are not watched. Runners with tasks that are suspect for a third of that time are asked again after 0.4 s.

Test: a_task_that_stands_still_is_stopped_and_starts_elsewhere, a table with slow and long tasks that stay; fails without the watch.

--- a/crates/cell/src/owner/notes.rs
+++ b/crates/cell/src/owner/notes.rs
@@ -23,7 +23,10 @@
         Note::NotStarted { why, .. } => measure::not_started(why),
         Note::RunOver { how, .. } => measure::run_over(how.map_or("vanished", how_name)),
         Note::JobEnded { how, after, .. } => measure::job_ended(how, *after),
-        Note::Adopted { .. } | Note::Unwanted { .. } | Note::Runner { .. } => {}
+        Note::Adopted { .. }
+        | Note::Unwanted { .. }
+        | Note::Stalled { .. }
+        | Note::Runner { .. } => {}
     }
 }
 
@@ -45,6 +48,7 @@
         Note::RunOver { .. } => "run over",
         Note::Adopted { .. } => "adopted",
         Note::Unwanted { .. } => "unwanted",
+        Note::Stalled { .. } => "stalled",
         Note::JobEnded { .. } => "job ended",
         Note::Runner { .. } => "runner",
     }
@@ -79,6 +83,9 @@
         Note::Unwanted { task, run, on } => {
             tracing::warn!(%task, run, runner = %on, "unwanted run stopped");
         }
+        Note::Stalled { task, run, on } => {
+            tracing::warn!(%task, run, runner = %on, "run that stands still stopped");
+        }
         Note::JobEnded { job, how, after } => {
             tracing::info!(%job, how, after_ms = after.0, "job ended");
         }
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    fn judge_runner(&mut self, on: RunnerIx, how: EndKind, now: Millis) {
+    pub(super) fn judge_runner(&mut self, on: RunnerIx, how: EndKind, now: Millis) {
         let runner = &mut self.runners[on.0];
         match how {
             EndKind::Done => runner.health.succeeded(),
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -7,6 +7,7 @@
     Engine, Note, RunnerIx,
     job::TaskState,
     runner::{Placed, UnackedEnd},
+    stall::Progress,
 };
 use crate::{
     id::TaskId,
@@ -21,6 +22,9 @@
 /// The same while answers are being lost: ends behind a lost answer are seen only after it.
 const WAIT_IN_TROUBLE: Millis = Millis(350);
 
+/// The same while runs may stand still, which is seen only by comparing answers.
+const WAIT_WITH_SUSPECTS: Millis = Millis(400);
+
 /// How long after a lost answer more losses are expected.
 const TROUBLE_SPAN: Millis = Millis(2_000);
 
@@ -44,8 +48,12 @@
         let durable = self.batches.durable();
         let lost = self.answer_lost;
         let lately = lost.is_some_and(|lost| now.saturating_sub(lost) < TROUBLE_SPAN);
-        let wait = if lately { WAIT_IN_TROUBLE } else { WAIT };
         let runner = &mut self.runners[on.0];
+        let wait = match (lately, runner.has_suspects) {
+            (true, _) => WAIT_IN_TROUBLE,
+            (false, true) => WAIT_WITH_SUSPECTS,
+            (false, false) => WAIT,
+        };
         let ack = runner.ack_cursor(durable);
         runner.unacked.retain(|end| end.number > ack);
         // A runner that does not answer may still get the call, however late: its lease would
@@ -113,12 +121,14 @@
         }
         runner.heard(inventory.clock, now);
         runner.held = true;
+        runner.has_suspects = false;
         let leaves = is_first && runner.entry.draining;
         self.begin_seen(inventory, now);
         let mut listed: FxHashSet<(TaskId, u32)> = FxHashSet::default();
         for row in &inventory.running {
             listed.insert((row.task, row.run));
             self.take_running(on, row, now);
+            self.watch_progress(on, row, inventory.clock, now);
         }
         for end in &inventory.ended {
             listed.insert((end.task, end.run));
@@ -248,6 +258,7 @@
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             proved: Some(self.events),
             stop_sent: None,
+            progress: Progress::default(),
         };
         self.runners[on.0].place(task, run, placed);
     }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod queries;
 mod runner;
 mod runners;
+mod stall;
 mod submit;
 mod urgency;
 
@@ -175,6 +176,15 @@
         /// Runner.
         on: Name,
     },
+    /// A run that stood still is stopped.
+    Stalled {
+        /// Task.
+        task: TaskId,
+        /// Number of the start.
+        run: u32,
+        /// Runner.
+        on: Name,
+    },
     /// A job ended.
     JobEnded {
         /// Job.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -10,6 +10,7 @@
     Engine, Note, Order, RunnerIx, StartOrder,
     job::{Step, Task, TaskState},
     runner::{Placed, Runner},
+    stall::Progress,
     urgency::Urgency,
 };
 use crate::{
@@ -342,6 +343,7 @@
                 sharing,
                 proved: None,
                 stop_sent: None,
+                progress: Progress::default(),
             },
         );
         self.notes.push(Note::Ordered {
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -6,7 +6,7 @@
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 
-use super::{Settings, health::Health};
+use super::{Settings, health::Health, stall::Progress};
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 /// Index of a runner; never used again for another life.
@@ -30,6 +30,7 @@
     pub(super) proved: Option<u64>,
     /// When the last stop was ordered without an answer so far.
     pub(super) stop_sent: Option<Millis>,
+    pub(super) progress: Progress,
 }
 
 /// A reading of the runner's clock.
@@ -68,6 +69,8 @@
     filling_runs: usize,
     pub(super) last_answer: Option<Millis>,
     pub(super) misses: u32,
+    /// Whether its newest inventory had runs that may stand still.
+    pub(super) has_suspects: bool,
     /// When its lease was first seen to have lapsed, since it last answered.
     pub(super) lapsed: Option<Millis>,
     /// Number of the newest end that was taken in.
@@ -94,6 +97,7 @@
             filling_runs: 0,
             last_answer: None,
             misses: 0,
+            has_suspects: false,
             lapsed: None,
             last_end: 0,
             unacked: Vec::new(),
--- /dev/null
+++ b/crates/jobs/src/engine/stall.rs
@@ -0,0 +1,90 @@
+//! Tasks that stand still on runners that answer.
+//!
+//! Answers the load pattern in which some runners accept work, go on answering and never get on
+//! with it: a task whose progress doesn't move for longer than a slow runner needs for one step
+//! of it is stopped and starts elsewhere. Whether the runner is to blame is left to its health.
+
+use kspan_model::Millis;
+
+use super::{Engine, Note, RunnerIx, job::TaskState};
+use crate::{id::TaskId, runner::EndKind, runner::RunningTask};
+
+/// Shortest time without progress that counts as standing still; resuming from a checkpoint
+/// takes as long on a sound runner.
+const SHORTEST_STALL: Millis = Millis(1_000);
+
+/// Share of a task's expected time without progress that counts as standing still: one part in
+/// this many. A runner that is slower by far more than this still moves by a percent.
+const STALL_PART: u64 = 4;
+
+/// Share of the time to a stall after which a runner is looked at more often.
+const SUSPECT_PART: u64 = 3;
+
+/// Progress of a run as inventories show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Progress {
+    /// Share of the work done, and when the runner's clock first showed it.
+    seen: Option<(u32, Millis)>,
+}
+
+impl Progress {
+    /// Takes in a reading; returns for how long the share has been the same.
+    fn learn(&mut self, percent: u32, clock: Millis) -> Millis {
+        match self.seen {
+            Some((known, since)) if known == percent => clock.saturating_sub(since),
+            _ => {
+                self.seen = Some((percent, clock));
+                Millis::ZERO
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Takes in a run's progress, and stops the run if it stands still. `clock` is the runner's.
+    pub(super) fn watch_progress(
+        &mut self,
+        on: RunnerIx,
+        row: &RunningTask,
+        clock: Millis,
+        now: Millis,
+    ) {
+        let (task, run) = (row.task, row.run);
+        let Some(limit) = self.stall_limit(on, task, run) else {
+            return;
+        };
+        let runner = &mut self.runners[on.0];
+        let Some(placed) = runner.placed.get_mut(&(task, run)) else {
+            return;
+        };
+        let still = placed.progress.learn(row.percent, clock);
+        if still >= limit {
+            return self.move_stalled(on, task, run, now);
+        }
+        if still.0 * SUSPECT_PART >= limit.0 {
+            runner.has_suspects = true;
+        }
+    }
+
+    /// Returns how long the run may stand still; `None` for one that isn't watched. Members of a
+    /// gang wait for each other, and a long-running task has no progress.
+    fn stall_limit(&self, on: RunnerIx, task: TaskId, run: u32) -> Option<Millis> {
+        let (step, spec) = self.jobs.get(&task.step.job)?.step(task.step)?;
+        let known = step.tasks.get(task.index as usize)?;
+        let watched = !spec.gang && !spec.long_running;
+        let runs = known.state == TaskState::Running(on) && known.run == run;
+        let part = Millis(self.run_times.expect(spec).0 / STALL_PART);
+        (watched && runs).then_some(part.max(SHORTEST_STALL))
+    }
+
+    fn move_stalled(&mut self, on: RunnerIx, task: TaskId, run: u32, now: Millis) {
+        let id = self.runners[on.0].entry.id.clone();
+        self.notes.push(Note::Stalled { task, run, on: id });
+        self.order_stop(on, task, run, now);
+        self.judge_runner(on, EndKind::Failed, now);
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some((step, _)) = job.and_then(|job| job.step_mut(task.step)) {
+            step.tasks[task.index as usize].shun = Some(on);
+        }
+    }
+}
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -135,11 +135,16 @@
 
     /// Lets a runner list the first run of the task.
     fn hold_running(&mut self, on: usize) {
+        self.hold_at(on, 10);
+    }
+
+    /// Lets a runner list the first run of the task, with so much of its work done.
+    fn hold_at(&mut self, on: usize, percent: u32) {
         let running = RunningTask {
             task: task(),
             run: 1,
             checkpoint: Name::default(),
-            percent: 10,
+            percent,
         };
         self.hold_lists(on, vec![running], Vec::new());
     }
@@ -373,6 +378,57 @@
     assert_eq!(stops.count(), 1, "{orders:?}");
 }
 
+#[test]
+fn a_task_that_stands_still_is_stopped_and_starts_elsewhere() {
+    // Kind of step, expected time, progress each 400 ms, and whether it is stopped within 4 s.
+    let table: [(Change, u64, [u32; 2], bool); 6] = [
+        (|_| {}, 500, [10, 10], true),
+        (|_| {}, 500, [10, 11], false),
+        (|_| {}, 60_000, [10, 10], false),
+        (|step| step.saves_progress = true, 500, [10, 10], true),
+        (|step| step.gang = true, 500, [0, 0], false),
+        (|step| step.long_running = true, 500, [100, 100], false),
+    ];
+    for (row, (change, expected_ms, progress, stopped)) in table.into_iter().enumerate() {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        (0..2).for_each(|on| cell.hold(on, Vec::new()));
+        let mut spec = spec();
+        spec.steps[0].estimate = Millis(expected_ms);
+        change(&mut spec.steps[0]);
+        cell.submit_as(PATH, spec);
+        let on = cell.starts()[0];
+        let started = StartOutcome::Started(Millis(cell.now));
+        cell.engine
+            .start_ended(Millis(cell.now), RunnerIx(on), task(), 1, started);
+        let mut stops = Vec::new();
+        for look in 0..10 {
+            cell.pass(400);
+            cell.hold_at(on, progress[0] + (progress[1] - progress[0]) * look);
+            let orders = cell.engine.take_orders();
+            stops.extend(
+                orders
+                    .into_iter()
+                    .filter(|order| matches!(order, Order::Stop(_))),
+            );
+            if !stops.is_empty() {
+                break;
+            }
+        }
+        assert_eq!(!stops.is_empty(), stopped, "row {row}");
+        if !stopped {
+            continue;
+        }
+        // It starts again only when its end is listed, and not where it stood still.
+        assert!(cell.starts().is_empty(), "row {row}");
+        let end = EndedTask {
+            how: EndKind::Stopped,
+            ..failed(1, 1)
+        };
+        cell.hold(on, vec![end]);
+        assert_eq!(cell.starts(), [1 - on], "row {row}");
+    }
+}
+
 #[test]
 fn occurrences_that_only_an_earlier_owner_has_begun_are_taken_over() {
     // By the new owner's clock the second occurrence is due in a second; the runner w0 has had it.
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -21,6 +21,15 @@
     pub(crate) run: u32,
     pub(crate) fails: bool,
     pub(crate) stopping_until: Option<u64>,
+    pub(crate) began: u64,
+    pub(crate) length: u64,
+}
+
+impl Run {
+    fn percent(&self, now: u64) -> u32 {
+        let done = (now - self.began) * 100 / self.length;
+        u32::try_from(done).expect("a run is short").min(99)
+    }
 }
 
 /// A runner.
@@ -177,12 +186,11 @@
             run: order.run,
             fails: rng.random_range(0..12) == 0,
             stopping_until: None,
+            began: now,
+            length: rng.random_range(50..2_500),
         };
         self.running.insert(order.task, run);
-        (
-            StartOutcome::Started(clock),
-            Some(rng.random_range(50..2_500)),
-        )
+        (StartOutcome::Started(clock), Some(run.length))
     }
 
     /// Returns whether the stop was refused for its fence.
@@ -218,7 +226,7 @@
             task: *task,
             run: run.run,
             checkpoint: Name::default(),
-            percent: 0,
+            percent: run.percent(now),
         });
         HoldOutcome::Inventory(Inventory {
             clock: Millis(self.clock(now)),
