Keep room for long-running tasks that have lost their runner

Cause, from the logs: the tasks waited, accounted for, while hundreds of smaller and more urgent ones started; a large task never found its room at once, and its approvals, asked for only where it fitted, were for runners that were full when they came. Ruled out: runs unaccounted for after the takeover (14.3 s were over), health and labels of the runners.

Test: a_long_running_task_gets_room_in_a_cell_that_small_tasks_keep_full, fails without the reservation.

--- a/crates/jobs/src/engine/ask.rs
+++ b/crates/jobs/src/engine/ask.rs
@@ -80,25 +80,36 @@
             return Vec::new();
         };
         let rate = u64::from(self.approval_rates.expect(&job.record.queue));
+        let policy = &job.record.policy;
+        let is_overdue = self.is_overdue(step, spec, now);
         let mut candidates = Vec::new();
         for (ix, runner) in self.runners.iter().enumerate() {
             let on = RunnerIx(ix);
-            let usable = self.fits(runner, spec, &job.record.policy, now)
+            let fits = self.fits(runner, spec, policy, now);
+            // An overdue task gets room kept for it, so approvals are worth having before.
+            let usable = (fits || is_overdue && self.could_take(runner, spec, policy, now))
+                && !self.reserved.contains(&on)
                 && !step.approvals.is_denied(on)
                 && step.approvals.ticket(on, now).is_none();
             let there = step.on_runner.get(&on).copied().unwrap_or(0);
             let more = spec.per_runner.unwrap_or(u32::MAX).saturating_sub(there);
-            let tasks = room_for(runner.free(), spec.charged()).min(u64::from(more));
+            let room = if fits {
+                runner.free()
+            } else {
+                runner.entry.capacity
+            };
+            let tasks = room_for(room, spec.charged()).min(u64::from(more));
             if usable && tasks > 0 {
                 let known = step.approvals.was_approved(on);
-                candidates.push((!known, runner.health.is_suspect(), Reverse(tasks), on));
+                let suspect = runner.health.is_suspect();
+                candidates.push((!fits, !known, suspect, Reverse(tasks), on));
             }
         }
         candidates.sort_unstable();
         let needed = step.waiting as u64 * SPARE_PERCENT;
         let mut asked = Vec::new();
         let mut covered = 0;
-        for (unknown, _, tasks, on) in candidates {
+        for (_, unknown, _, tasks, on) in candidates {
             let enough = covered >= needed && asked.len() >= FEWEST_ASKED;
             if enough || asked.len() >= MOST_ASKED {
                 break;
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod place;
 mod queries;
+mod reserve;
 mod runner;
 mod runners;
 mod stall;
@@ -217,6 +218,8 @@
     advisors: Advisors,
     approval_rates: ApprovalRates,
     run_times: RunTimes,
+    /// Runners that the decision under way keeps free for tasks that went before.
+    reserved: Vec<RunnerIx>,
     batches: Batches,
     /// Number of the newest event.
     events: u64,
@@ -251,6 +254,7 @@
             advisors: Advisors::default(),
             approval_rates: ApprovalRates::default(),
             run_times: RunTimes::default(),
+            reserved: Vec::new(),
             batches: Batches::default(),
             events: 0,
             unaccounted_until: None,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -43,12 +43,17 @@
             return;
         }
         let accounted = self.is_accounted(now);
-        for (_, step, durable) in self.ready(now) {
+        self.reserved.clear();
+        for (urgency, step, durable) in self.ready(now) {
             if durable {
                 self.place_step(step, accounted, now);
             }
             self.ask_for_approvals(step, now);
+            if urgency.is_overdue() {
+                self.reserve(step, now);
+            }
         }
+        self.reserved.clear();
     }
 
     /// Returns the steps with waiting tasks, the most urgent first.
@@ -69,11 +74,14 @@
             }
             let durable = job.spec_batch <= self.batches.durable();
             let urgency = self.urgency(job, now);
-            let fitting = steps.filter(|step| {
-                let (_, spec) = job.step(*step).expect("a ready step is there");
-                spec.charged().fits_in(most_free)
+            let fitting = steps.filter_map(|id| {
+                let (step, spec) = job.step(id)?;
+                let is_overdue = self.is_overdue(step, spec, now);
+                let urgency = urgency.or_overdue(is_overdue);
+                let fits = is_overdue || spec.charged().fits_in(most_free);
+                fits.then_some((urgency, id, durable))
             });
-            ready.extend(fitting.map(|step| (urgency, step, durable)));
+            ready.extend(fitting);
         }
         for id in closed {
             self.open.remove(&id);
@@ -108,8 +116,18 @@
         now: Millis,
     ) -> bool {
         // Room goes first: in a full cell it rules most runners out, and is cheap to compare.
-        spec.charged().fits_in(runner.free())
-            && runner.takes_work(now, self.confirmed)
+        spec.charged().fits_in(runner.free()) && self.accepts(runner, spec, policy, now)
+    }
+
+    /// Returns whether a runner takes tasks of the step now, room, approvals and counts aside.
+    pub(super) fn accepts(
+        &self,
+        runner: &Runner,
+        spec: &StepSpec,
+        policy: &Policy,
+        now: Millis,
+    ) -> bool {
+        runner.takes_work(now, self.confirmed)
             && runner.suits(spec.sharing())
             && runner.entry.service == policy.service
             && spec
@@ -247,7 +265,7 @@
         now: Millis,
     ) -> Option<Usable> {
         let runner = &self.runners[on.0];
-        if !self.fits(runner, spec, policy, now) {
+        if self.reserved.contains(&on) || !self.fits(runner, spec, policy, now) {
             return None;
         }
         let there = step.on_runner.get(&on).copied().unwrap_or(0);
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -11,11 +11,28 @@
 /// Rank of a job among waiting ones; the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Urgency {
+    /// False where a task of a long-running step has waited for too long, which goes first.
+    can_wait: bool,
     priority: u32,
     is_past_hope: bool,
     due: Millis,
 }
 
+impl Urgency {
+    /// Returns the rank of a step of the job, which may be overdue.
+    pub(super) fn or_overdue(self, is_overdue: bool) -> Self {
+        Self {
+            can_wait: !is_overdue,
+            ..self
+        }
+    }
+
+    /// Returns whether a task of a long-running step has waited for too long.
+    pub(super) fn is_overdue(&self) -> bool {
+        !self.can_wait
+    }
+}
+
 impl Engine {
     /// Ranks a job.
     pub(super) fn urgency(&self, job: &Job, now: Millis) -> Urgency {
@@ -27,6 +44,7 @@
             .map_or(whole, |occ| self.chain(job, Some(occ)));
         let due = job.submitted + stretched(whole, policy.stretch) + policy.slack;
         Urgency {
+            can_wait: true,
             priority: policy.priority,
             is_past_hope: now + left > due,
             due,
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -192,6 +192,22 @@
         }
     }
 
+    /// Decides, and lets every start that is ordered succeed.
+    fn start_all(&mut self) -> Vec<(usize, TaskId)> {
+        let now = Millis(self.now);
+        self.engine.schedule(now);
+        let mut started = Vec::new();
+        for order in self.engine.take_orders() {
+            if let Order::Start(order) = order {
+                let (on, task, run) = (order.on, order.task, order.run);
+                let outcome = StartOutcome::Started(now);
+                self.engine.start_ended(now, on, task, run, outcome);
+                started.push((on.0, task));
+            }
+        }
+        started
+    }
+
     /// Decides, and returns the runners that a task was ordered to start on.
     fn starts(&mut self) -> Vec<usize> {
         self.engine.schedule(Millis(self.now));
@@ -491,3 +507,48 @@
     cell.hold(1, Vec::new());
     assert_eq!(cell.starts(), [0]);
 }
+
+#[test]
+fn a_long_running_task_gets_room_in_a_cell_that_small_tasks_keep_full() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    (0..2).for_each(|on| cell.hold(on, Vec::new()));
+    let mut small = spec();
+    small.steps[0].count = 100;
+    small.steps[0].size = Resources::new(1_000, 1_000, 0);
+    cell.submit_as("/q/0000000000000001", small);
+    let mut running = cell.start_all();
+    assert_eq!(running.len(), 8, "both runners are full");
+
+    // It needs three of a runner's four processors, which come free one by one.
+    let mut lasting = spec();
+    lasting.steps[0].long_running = true;
+    cell.submit_as(PATH, lasting);
+    let mut ends = [0, 0];
+    for round in 0..12 {
+        cell.pass(300);
+        let (on, task) = running.remove(0);
+        ends[on] += 1;
+        let end = EndedTask {
+            number: ends[on],
+            task,
+            how: EndKind::Done,
+            ..failed(0, 1)
+        };
+        let there = running.iter().filter(|(at, _)| *at == on);
+        let rows = there.map(|(_, task)| RunningTask {
+            task: *task,
+            run: 1,
+            checkpoint: Name::default(),
+            percent: round,
+        });
+        let rows = rows.collect();
+        cell.hold_lists(on, rows, vec![end]);
+        cell.write();
+        running.extend(cell.start_all());
+    }
+    let started = running.iter().any(|(_, started)| *started == task());
+    assert!(started, "after {} ms: {running:?}", 12 * 300);
+    // Small tasks went on meanwhile, on the runner that was not kept free.
+    assert!(running.iter().filter(|(on, _)| *on == 0).count() > 0);
+    assert!(running.iter().filter(|(on, _)| *on == 1).count() > 0);
+}
