Judge standing still by the pace of the run and of the runs before it

The engine was wrong too: work whose progress doesn't show, or is far slower than expected, has to end all the same. The time that counts as standing still doubles with each stop of the task, and is at least four times what a percent took so far.

--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -48,6 +48,8 @@
     pub(super) since: Millis,
     /// Runner that the last run failed on.
     pub(super) shun: Option<RunnerIx>,
+    /// Runs that were stopped because they stood still.
+    pub(super) stalls: u32,
     /// Runs to skip before the next start, where a runner knows higher ones.
     pub(super) skip_runs: u32,
     /// Whether a run that an earlier owner ordered may be alive out of reach.
@@ -63,6 +65,7 @@
             checkpoint: Name::default(),
             since: now,
             shun: None,
+            stalls: 0,
             skip_runs: 0,
             unaccounted: false,
         }
--- a/crates/jobs/src/engine/stall.rs
+++ b/crates/jobs/src/engine/stall.rs
@@ -20,23 +20,47 @@
 /// Share of the time to a stall after which a runner is looked at more often.
 const SUSPECT_PART: u64 = 3;
 
+/// Most doublings of the time that counts as standing still.
+const MOST_DOUBLINGS: u32 = 6;
+
+/// How many times as long as it took so far a percent of the work may take.
+const PACE_FACTOR: u64 = 4;
+
+/// Share of a run's work that is done, at a time on the runner's clock.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    percent: u32,
+    at: Millis,
+}
+
 /// Progress of a run as inventories show it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Progress {
-    /// Share of the work done, and when the runner's clock first showed it.
-    seen: Option<(u32, Millis)>,
+    first: Option<Reading>,
+    /// First reading of the newest share.
+    newest: Option<Reading>,
 }
 
 impl Progress {
     /// Takes in a reading; returns for how long the share has been the same.
-    fn learn(&mut self, percent: u32, clock: Millis) -> Millis {
-        match self.seen {
-            Some((known, since)) if known == percent => clock.saturating_sub(since),
-            _ => {
-                self.seen = Some((percent, clock));
-                Millis::ZERO
-            }
+    fn learn(&mut self, percent: u32, at: Millis) -> Millis {
+        let reading = Reading { percent, at };
+        self.first.get_or_insert(reading);
+        let newest = self.newest.get_or_insert(reading);
+        if newest.percent != percent {
+            *newest = reading;
         }
+        at.saturating_sub(newest.at)
+    }
+
+    /// Returns how long a percent took so far; none where no progress was seen.
+    fn pace(&self) -> Millis {
+        let (Some(first), Some(newest)) = (self.first, self.newest) else {
+            return Millis::ZERO;
+        };
+        let done = u64::from(newest.percent.saturating_sub(first.percent));
+        let took = newest.at.saturating_sub(first.at).0;
+        Millis(took.checked_div(done).unwrap_or(0))
     }
 }
 
@@ -58,6 +82,7 @@
             return;
         };
         let still = placed.progress.learn(row.percent, clock);
+        let limit = limit.max(Millis(placed.progress.pace().0 * PACE_FACTOR));
         if still >= limit {
             return self.move_stalled(on, task, run, now);
         }
@@ -74,7 +99,10 @@
         let watched = !spec.gang && !spec.long_running;
         let runs = known.state == TaskState::Running(on) && known.run == run;
         let part = Millis(self.run_times.expect(spec).0 / STALL_PART);
-        (watched && runs).then_some(part.max(SHORTEST_STALL))
+        // Work whose progress doesn't show, wherever it runs, has to end in spite of this.
+        let doublings = known.stalls.min(MOST_DOUBLINGS);
+        let limit = Millis(part.max(SHORTEST_STALL).0 << doublings);
+        (watched && runs).then_some(limit)
     }
 
     fn move_stalled(&mut self, on: RunnerIx, task: TaskId, run: u32, now: Millis) {
@@ -84,7 +112,9 @@
         self.judge_runner(on, EndKind::Failed, now);
         let job = self.jobs.get_mut(&task.step.job);
         if let Some((step, _)) = job.and_then(|job| job.step_mut(task.step)) {
-            step.tasks[task.index as usize].shun = Some(on);
+            let known = &mut step.tasks[task.index as usize];
+            known.shun = Some(on);
+            known.stalls += 1;
         }
     }
 }
