Make runners durable, so that a takeover knows those the host list forgot

The store was away and its host list lapsed, the owner's host was killed, and the same host owned the cell again 0.5 s after the store's return. A task that was done at 17.10 s on a runner started again on another at 17.77 s, as run 1: the new owner knew of no earlier run, and its wait for all runners was over, because the one in question was not in the list yet. Ruled out: the end was lost or acknowledged too early (the run's number shows that no inventory had been read).

A runner's entry is a keyed record now, written before the runner gets work and dropped when its life has ended for certain.

Tests: a_takeover_waits_for_runners_that_the_host_list_has_forgotten and two more in failures.rs; the random schedules' list forgets runners that are cut off, and a mutation that forgets their records is caught (two places).

--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -3,13 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::store::{self as log, Append, KeyedRecord, Topic};
-use kspan_jobs::{
-    engine::Engine,
-    id::JobId,
-    record::{self, JobRecord, ProgressRecord, RecordKey},
-};
-
-use rustc_hash::FxHashMap;
+use kspan_jobs::{engine::Engine, record::Kept};
 
 use super::{Owner, engine_settings};
 
@@ -32,7 +26,7 @@
     pub(super) async fn recover(self: &Rc<Self>) -> Option<Places> {
         self.bar_earlier_owners().await?;
         let jobs = self.read_all_patiently(Topic::Jobs).await?;
-        self.take_jobs(&jobs.records);
+        self.take_kept(&jobs.records).await;
         let config = self.read_all_patiently(Topic::Operators).await?;
         self.take_operator_records(&config.records);
         let runners = self.read_all_patiently(Topic::Runners).await?;
@@ -80,26 +74,26 @@
         None
     }
 
-    fn take_jobs(&self, records: &[KeyedRecord]) {
-        let mut jobs: Vec<(JobId, JobRecord)> = Vec::new();
-        let mut progress: FxHashMap<JobId, ProgressRecord> = FxHashMap::default();
-        for kept in records {
-            let value = kept.value.as_deref().unwrap_or_default();
-            let taken = match RecordKey::parse(&kept.key) {
-                Ok(RecordKey::Job(id)) => record::decode(value).map(|job| jobs.push((id, job))),
-                Ok(RecordKey::Progress(id)) => {
-                    record::decode(value).map(|known| drop(progress.insert(id, known)))
-                }
-                Ok(RecordKey::Alive) => Ok(()),
-                Err(err) => Err(err),
-            };
-            if let Err(err) = taken {
-                tracing::error!(key = kept.key, offset = kept.offset, %err, "unreadable record skipped");
+    /// Takes in what earlier owners kept, and holds the runners that they knew.
+    async fn take_kept(self: &Rc<Self>, records: &[KeyedRecord]) {
+        let mut kept = Kept::default();
+        for record in records {
+            let value = record.value.as_deref().unwrap_or_default();
+            if let Err(err) = kept.add(&record.key, value) {
+                tracing::error!(key = record.key, offset = record.offset, %err, "unreadable record skipped");
             }
         }
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let cfg = engine_settings(&self.node);
-        let recovered = Engine::recovered(cfg, now, unix_ms, jobs, &progress);
+        let recovered = Engine::recovered(cfg, now, unix_ms, kept);
+        let known: Vec<_> = recovered
+            .living_runners()
+            .map(|on| (on, recovered.runner(on).clone()))
+            .collect();
         *self.engine.borrow_mut() = recovered;
+        for (on, entry) in known {
+            let contact = self.contact(on, &entry).await;
+            ntex::rt::spawn(Rc::clone(self).hold(on, contact));
+        }
     }
 }
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -10,12 +10,11 @@
     config::{AdvicePolicy, CellConfig, Policy, Queue},
     engine::{Order, RunnerIx, Settings, Submission},
     id::JobId,
-    record::{self, JobRecord},
+    record::{self, JobRecord, Kept, RecordKey},
     runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, StartOutcome},
     spec::{JobSpec, StepSpec},
 };
 use kspan_model::{Millis, Name, Resources};
-use rustc_hash::FxHashMap;
 
 const HOST: &str = "cell.example";
 const STARTS: u64 = 3_000;
@@ -122,17 +121,13 @@
         .collect();
     let before = resident_kb();
     let began = Instant::now();
-    let records = encoded
-        .iter()
-        .map(|(id, value)| (*id, record::decode(value).expect("a job")));
+    let mut kept = Kept::default();
+    for (id, value) in &encoded {
+        let key = RecordKey::Job(*id).to_string();
+        kept.add(&key, value).expect("a job");
+    }
     let now = Millis(10_000);
-    let mut engine = Engine::recovered(
-        settings(),
-        now,
-        10_000,
-        records.collect(),
-        &FxHashMap::default(),
-    );
+    let mut engine = Engine::recovered(settings(), now, 10_000, kept);
     engine.configure(config());
     list_runners(&mut engine, 50, now);
     (0..50).for_each(|on| hold(&mut engine, on, now, Vec::new()));
@@ -149,6 +144,7 @@
     engine.configure(config());
     list_runners(&mut engine, runners, now);
     (0..runners).for_each(|on| hold(&mut engine, on, now, Vec::new()));
+    commit(&mut engine);
     let submit = |engine: &mut Engine, id: u64, now: Millis| {
         let path = format!("/q/{}", JobId(id));
         let req = Submission {
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -3,13 +3,13 @@
 //! One batch is open and collects what changes; the program cuts it, writes it, and reports it
 //! durable. Nothing is told to a caller or acknowledged to a runner before its batch is.
 
-use kspan_model::Millis;
-use rustc_hash::{FxHashMap, FxHashSet};
+use kspan_model::{Millis, Name};
+use rustc_hash::FxHashSet;
 
 use super::{Engine, Settings, job::Job};
 use crate::{
     id::JobId,
-    record::{self, JobRecord, Phase, ProgressRecord, Record, RecordKey},
+    record::{self, Kept, Phase, Record, RecordKey},
 };
 
 /// Records that are written together.
@@ -29,6 +29,7 @@
     jobs: Vec<JobId>,
     progress: FxHashSet<JobId>,
     dropped: Vec<JobId>,
+    runners: FxHashSet<Name>,
     /// Whether an end waits for the open batch that changes no record.
     acks_only: bool,
 }
@@ -41,6 +42,7 @@
             jobs: Vec::new(),
             progress: FxHashSet::default(),
             dropped: Vec::new(),
+            runners: FxHashSet::default(),
             acks_only: false,
         }
     }
@@ -64,6 +66,12 @@
         self.open
     }
 
+    /// Adds a runner that came or whose life has ended; returns the batch that carries it.
+    pub(super) fn add_runner(&mut self, id: Name) -> u64 {
+        self.runners.insert(id);
+        self.open
+    }
+
     /// Adds an end that changes no record; returns the batch it is acknowledged with.
     pub(super) fn add_end(&mut self) -> u64 {
         self.acks_only = true;
@@ -75,6 +83,7 @@
             || !self.jobs.is_empty()
             || !self.progress.is_empty()
             || !self.dropped.is_empty()
+            || !self.runners.is_empty()
     }
 }
 
@@ -98,6 +107,14 @@
         self.batches.open += 1;
         self.batches.acks_only = false;
         let mut records = Vec::new();
+        for id in std::mem::take(&mut self.batches.runners) {
+            let runner = self.by_id.get(&id).map(|on| &self.runners[on.0]);
+            let alive = runner.filter(|runner| !runner.dead);
+            records.push(Record {
+                key: RecordKey::Runner(id),
+                value: alive.map(|runner| record::encode(&runner.entry)),
+            });
+        }
         for id in std::mem::take(&mut self.batches.jobs) {
             let job = self.jobs.get(&id);
             records.extend(job.map(|job| Record {
@@ -125,22 +142,20 @@
     }
 
     /// Creates an engine that takes over what earlier owners made durable. Runs that they ordered
-    /// may be alive: tasks wait until every runner has answered or time has proved them gone.
+    /// may be alive: tasks wait until every runner has answered or time has proved them gone. A
+    /// runner counts as missing until the host list shows it; it is to be held all the same.
     ///
     /// This is a constructor because an inventory that is read before the jobs are known would
     /// show every run as unwanted and of unknown size.
-    pub fn recovered(
-        cfg: Settings,
-        now: Millis,
-        unix_ms: u64,
-        jobs: Vec<(JobId, JobRecord)>,
-        progress: &FxHashMap<JobId, ProgressRecord>,
-    ) -> Self {
+    pub fn recovered(cfg: Settings, now: Millis, unix_ms: u64, kept: Kept) -> Self {
         let mut engine = Self::new(cfg);
-        for (id, record) in jobs {
+        for entry in kept.runners {
+            engine.recover_runner(now, entry);
+        }
+        for (id, record) in kept.jobs {
             let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
             let mut job = Job::new(id, record, now.saturating_sub(age));
-            if let Some(progress) = progress.get(&id) {
+            if let Some(progress) = kept.progress.get(&id) {
                 job.restore(progress, now);
             }
             if job.phase == Phase::Active {
@@ -187,7 +202,10 @@
         let Some(until) = self.unaccounted_until else {
             return true;
         };
-        let all_answered = self.runners.iter().all(|runner| runner.held || runner.dead);
+        let all_answered = self
+            .runners
+            .iter()
+            .all(|runner| runner.held || runner.dead || runner.is_gone(now));
         if now < until && !all_answered {
             return false;
         }
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -93,10 +93,11 @@
     /// Returns the most of each resource that is free on any runner. What doesn't fit in it fits
     /// nowhere, so that a full cell is found out once and not for each step that waits.
     fn most_free(&self, now: Millis) -> Resources {
+        let durable = self.batches.durable();
         let usable = self
             .runners
             .iter()
-            .filter(|runner| runner.takes_work(now, self.confirmed));
+            .filter(|runner| runner.takes_work(now, self.confirmed, durable));
         usable.fold(Resources::ZERO, |most, runner| {
             let free = runner.free();
             Resources {
@@ -127,7 +128,7 @@
         policy: &Policy,
         now: Millis,
     ) -> bool {
-        runner.takes_work(now, self.confirmed)
+        runner.takes_work(now, self.confirmed, self.batches.durable())
             && runner.suits(spec.sharing())
             && runner.entry.service == policy.service
             && spec
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -55,6 +55,8 @@
     pub(super) missing_since: Option<Millis>,
     /// When this life was first heard of.
     pub(super) first_seen: Millis,
+    /// Batch that makes it known to later owners.
+    pub(super) kept_with: u64,
     /// Whether this life has ended for certain.
     pub(super) dead: bool,
     /// Whether it has answered under the owner's fence.
@@ -83,11 +85,12 @@
 
 impl Runner {
     /// Creates a runner that has not answered yet.
-    pub(super) fn new(entry: RunnerEntry, now: Millis) -> Self {
+    pub(super) fn new(entry: RunnerEntry, now: Millis, kept_with: u64) -> Self {
         Self {
             entry,
             missing_since: None,
             first_seen: now,
+            kept_with,
             dead: false,
             held: false,
             placed: FxHashMap::default(),
@@ -117,16 +120,26 @@
         }
     }
 
-    /// Returns whether new work may be sent by an owner that was last confirmed at `confirmed`.
+    /// Returns whether the host list has not shown the runner for so long that it is to be treated
+    /// as gone; it may still answer.
+    pub(super) fn is_gone(&self, now: Millis) -> bool {
+        self.missing_since
+            .is_some_and(|since| now >= since + MISSING_GRACE)
+    }
+
+    /// Returns whether new work may be sent by an owner that was last confirmed at `confirmed`,
+    /// and whose batches up to `durable` are.
+    ///
+    /// A later owner has to know each runner that may have work, also where the host list has
+    /// forgotten it.
     ///
     /// A runner that has just started has seen no fence and would obey an owner of long ago, so
     /// the owner needs a proof that is younger than the runner. Beside a run of unknown size there
     /// is no room that is known to be free.
-    pub(super) fn takes_work(&self, now: Millis, confirmed: Millis) -> bool {
+    pub(super) fn takes_work(&self, now: Millis, confirmed: Millis, durable: u64) -> bool {
         confirmed >= self.first_seen
-            && self
-                .missing_since
-                .is_none_or(|since| now < since + MISSING_GRACE)
+            && self.kept_with <= durable
+            && !self.is_gone(now)
             && self.held
             && !self.dead
             && !self.entry.draining
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -41,12 +41,23 @@
             }
             self.end_life(on, now);
         }
-        let on = RunnerIx(self.runners.len());
         let id = entry.id.clone();
-        self.by_id.insert(id.clone(), on);
-        self.runners.push(Runner::new(entry, now));
+        let kept_with = self.batches.add_runner(id.clone());
         self.notes.push(Note::Runner { id, what: "listed" });
-        Some(on)
+        Some(self.add_runner(now, entry, kept_with))
+    }
+
+    fn add_runner(&mut self, now: Millis, entry: RunnerEntry, kept_with: u64) -> RunnerIx {
+        let on = RunnerIx(self.runners.len());
+        self.by_id.insert(entry.id.clone(), on);
+        self.runners.push(Runner::new(entry, now, kept_with));
+        on
+    }
+
+    /// Adds a runner that an earlier owner knew.
+    pub(super) fn recover_runner(&mut self, now: Millis, entry: RunnerEntry) {
+        let on = self.add_runner(now, entry, self.batches.durable());
+        self.runners[on.0].missing_since = Some(now);
     }
 
     /// Notes that the host list no longer shows a runner. It may still run what it has.
@@ -81,6 +92,7 @@
         }
         runner.dead = true;
         let id = runner.entry.id.clone();
+        self.batches.add_runner(id.clone());
         self.notes.push(Note::Runner { id, what: "ended" });
         self.lose_all(on, now);
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,14 +2,16 @@
 //!
 //! A job has two keyed records: its specification, written once before the caller is told that
 //! the job is accepted, and its progress, written before any end is acknowledged to a runner.
-//! What runs is not recorded: the runners know it better.
+//! What runs is not recorded: the runners know it better. Which runners there are is: the host
+//! list forgets runners that it doesn't hear, while what they run goes on.
 
 use derive_more::Display;
 use kspan_model::Name;
 use quick_error::quick_error;
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{config::Policy, id::JobId, spec::JobSpec};
+use crate::{config::Policy, id::JobId, runner::RunnerEntry, spec::JobSpec};
 
 /// Result of decoding a record.
 pub type Result<T> = std::result::Result<T, RecordError>;
@@ -41,7 +43,7 @@
 /// assert_eq!(key.to_string(), "p000000000000000a");
 /// assert_eq!(RecordKey::parse("p000000000000000a"), Ok(key));
 /// ```
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash)]
 pub enum RecordKey {
     /// Specification of a job.
     #[display("j{_0}")]
@@ -49,9 +51,9 @@
     /// Progress of a job.
     #[display("p{_0}")]
     Progress(JobId),
-    /// Sign of life of the owner.
-    #[display("o")]
-    Alive,
+    /// Life of a runner, by the runner's id.
+    #[display("r{_0}")]
+    Runner(Name),
 }
 
 impl RecordKey {
@@ -61,14 +63,12 @@
     ///
     /// Returns an error for a key of another form.
     pub fn parse(text: &str) -> Result<Self> {
-        if text == "o" {
-            return Ok(Self::Alive);
-        }
         let (kind, id) = text.split_at_checked(1).ok_or(RecordError::Key)?;
-        let id = id.parse().map_err(|_| RecordError::Key)?;
+        let job = || id.parse().map_err(|_| RecordError::Key);
         match kind {
-            "j" => Ok(Self::Job(id)),
-            "p" => Ok(Self::Progress(id)),
+            "j" => Ok(Self::Job(job()?)),
+            "p" => Ok(Self::Progress(job()?)),
+            "r" => Ok(Self::Runner(Name::new(id))),
             _ => Err(RecordError::Key),
         }
     }
@@ -158,6 +158,33 @@
     pub life: u64,
 }
 
+/// What earlier owners made durable.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    /// Jobs as they were accepted.
+    pub jobs: Vec<(JobId, JobRecord)>,
+    /// How far jobs are.
+    pub progress: FxHashMap<JobId, ProgressRecord>,
+    /// Runners that may have work, whether the host list shows them or not.
+    pub runners: Vec<RunnerEntry>,
+}
+
+impl Kept {
+    /// Adds the newest record of a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a key or value that can't be read, and adds nothing.
+    pub fn add(&mut self, key: &str, value: &[u8]) -> Result<()> {
+        match RecordKey::parse(key)? {
+            RecordKey::Job(id) => self.jobs.push((id, decode(value)?)),
+            RecordKey::Progress(id) => drop(self.progress.insert(id, decode(value)?)),
+            RecordKey::Runner(_) => self.runners.push(decode(value)?),
+        }
+        Ok(())
+    }
+}
+
 /// Encodes a record's value.
 ///
 /// # Panics
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -1,11 +1,12 @@
 //! What runners say, and what they are told.
 
 use kspan_model::{Millis, Name, Resources};
+use serde::{Deserialize, Serialize};
 
 use crate::id::TaskId;
 
 /// A runner as the host list shows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerEntry {
     /// Id of this life of the runner.
     pub id: Name,
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -1,15 +1,17 @@
 //! Failures that were found on whole days, each replayed with a few calls.
 
+use std::collections::BTreeMap;
+
 use kspan_jobs::{
     Engine,
     config::{CellConfig, Policy, Queue},
     engine::{JobState, Order, RunnerIx, Settings, Submission},
     id::{JobId, StepId, TaskId},
+    record::{JobRecord, Kept},
     runner::{EndKind, EndedTask, HoldOutcome, Inventory, RunnerEntry, RunningTask, StartOutcome},
     spec::{JobSpec, StepSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
-use rustc_hash::FxHashMap;
 
 const JOB: JobId = JobId(0xa);
 const HOST: &str = "cell.example";
@@ -95,6 +97,8 @@
 struct Cell {
     engine: Engine,
     now: u64,
+    /// Everything that is durable, by key.
+    store: BTreeMap<String, Vec<u8>>,
 }
 
 impl Cell {
@@ -102,31 +106,49 @@
         let mut cell = Self {
             engine: Engine::new(settings()),
             now: 10_000,
+            store: BTreeMap::new(),
         };
         cell.engine.configure(config());
         for id in runners {
             cell.engine.put_runner(Millis(cell.now), entry(id));
         }
         cell.engine.confirm(Millis(cell.now));
+        cell.write();
         cell
     }
 
     /// Hands the cell to a new owner, which knows the job from its record alone.
     fn take_over(&mut self, spec: JobSpec, runners: &[&str]) {
-        let record = kspan_jobs::record::JobRecord {
+        let record = JobRecord {
             queue: Name::new("q"),
             policy: config().queues[0].policy.clone(),
             accepted_unix_ms: self.now,
             spec,
         };
-        let (now, jobs) = (Millis(self.now), vec![(JOB, record)]);
-        let progress = FxHashMap::default();
-        self.engine = Engine::recovered(settings(), now, self.now, jobs, &progress);
+        let now = Millis(self.now);
+        let kept = Kept {
+            jobs: vec![(JOB, record)],
+            ..Kept::default()
+        };
+        self.engine = Engine::recovered(settings(), now, self.now, kept);
         self.engine.configure(config());
         for id in runners {
             self.engine.put_runner(now, entry(id));
         }
         self.engine.confirm(now);
+        self.write();
+    }
+
+    /// Hands the cell to a new owner, which reads what is durable. The host list shows nothing yet.
+    fn recover(&mut self) {
+        let mut kept = Kept::default();
+        for (key, value) in &self.store {
+            kept.add(key, value).expect("a record");
+        }
+        let now = Millis(self.now);
+        self.engine = Engine::recovered(settings(), now, self.now, kept);
+        self.engine.configure(config());
+        self.engine.confirm(now);
     }
 
     fn hold(&mut self, on: usize, ended: Vec<EndedTask>) {
@@ -140,9 +162,13 @@
 
     /// Lets a runner list the first run of the task, with so much of its work done.
     fn hold_at(&mut self, on: usize, percent: u32) {
+        self.hold_run_at(on, 1, percent);
+    }
+
+    fn hold_run_at(&mut self, on: usize, run: u32, percent: u32) {
         let running = RunningTask {
             task: task(),
-            run: 1,
+            run,
             checkpoint: Name::default(),
             percent,
         };
@@ -179,9 +205,17 @@
     }
 
     fn write(&mut self) {
-        if let Some(batch) = self.engine.cut_batch() {
-            self.engine.committed(batch.number);
+        let Some(batch) = self.engine.cut_batch() else {
+            return;
+        };
+        for record in batch.records {
+            let key = record.key.to_string();
+            match record.value {
+                Some(value) => drop(self.store.insert(key, value)),
+                None => drop(self.store.remove(&key)),
+            }
         }
+        self.engine.committed(batch.number);
     }
 
     fn pass(&mut self, ms: u64) {
@@ -316,6 +350,7 @@
     cell.submit();
     cell.now += 1_000;
     cell.engine.put_runner(Millis(cell.now), entry("w0"));
+    cell.write();
     cell.hold(0, Vec::new());
     assert!(cell.starts().is_empty());
     cell.engine.confirm(Millis(cell.now));
@@ -508,6 +543,40 @@
     assert_eq!(cell.starts(), [0]);
 }
 
+#[test]
+fn a_task_that_is_slower_than_expected_is_not_taken_for_one_that_stands_still() {
+    // Time that a percent of the work takes, against an expected 5 ms, and stops in 60 s.
+    let table = [(400, 0), (2_000, 1), (10_000, 4)];
+    for (percent_ms, most) in table {
+        let mut cell = Cell::new(&["w0"]);
+        cell.hold(0, Vec::new());
+        cell.submit();
+        let mut stops = 0;
+        let mut began = cell.now;
+        cell.start_all();
+        for _ in 0..150 {
+            cell.pass(400);
+            let percent = u32::try_from((cell.now - began) / percent_ms).expect("a short test");
+            let run = u32::try_from(stops + 1).expect("few stops");
+            cell.hold_run_at(0, run, percent);
+            let orders = cell.engine.take_orders();
+            if orders.iter().any(|order| matches!(order, Order::Stop(_))) {
+                stops += 1;
+                let end = EndedTask {
+                    how: EndKind::Stopped,
+                    ..failed(stops, run)
+                };
+                cell.hold(0, vec![end]);
+                cell.pass(20_000);
+                cell.hold(0, Vec::new());
+                began = cell.now;
+                assert_eq!(cell.start_all().len(), 1);
+            }
+        }
+        assert!(stops <= most, "{percent_ms} ms a percent: {stops} stops");
+    }
+}
+
 #[test]
 fn a_long_running_task_gets_room_in_a_cell_that_small_tasks_keep_full() {
     let mut cell = Cell::new(&["w0", "w1"]);
@@ -552,3 +621,59 @@
     assert!(running.iter().filter(|(on, _)| *on == 0).count() > 0);
     assert!(running.iter().filter(|(on, _)| *on == 1).count() > 0);
 }
+
+#[test]
+fn a_runner_gets_work_only_once_later_owners_will_know_it() {
+    let mut cell = Cell::new(&[]);
+    cell.submit();
+    cell.engine.put_runner(Millis(cell.now), entry("w0"));
+    cell.engine.confirm(Millis(cell.now));
+    cell.hold(0, Vec::new());
+    assert!(cell.starts().is_empty());
+    cell.write();
+    assert_eq!(cell.starts(), [0]);
+}
+
+#[test]
+fn a_takeover_waits_for_runners_that_the_host_list_has_forgotten() {
+    // The list lapses while the store is away; runners are back in it some time after it.
+    let mut cell = Cell::new(&["w0", "w1"]);
+    (0..2).for_each(|on| cell.hold(on, Vec::new()));
+    cell.submit();
+    let on = cell.start_all()[0].0;
+    cell.recover();
+    let ids: Vec<Name> = cell
+        .engine
+        .living_runners()
+        .map(|on| cell.engine.runner(on).id.clone())
+        .collect();
+    let busy = ids.iter().position(|id| id.to_string() == format!("w{on}"));
+    let busy = busy.expect("the new owner knows the runner");
+    let now = Millis(cell.now);
+    assert_eq!(cell.engine.put_runner(now, entry(&ids[1 - busy])), None);
+    cell.hold(1 - busy, Vec::new());
+    cell.pass(1_000);
+    assert!(cell.starts().is_empty(), "the task may run where it was");
+    let end = EndedTask {
+        how: EndKind::Done,
+        ..failed(1, 1)
+    };
+    cell.hold(busy, vec![end]);
+    cell.write();
+    assert_eq!(cell.engine.state(JOB), Some(JobState::Completed));
+    assert!(cell.starts().is_empty());
+}
+
+#[test]
+fn a_runner_whose_life_has_ended_is_not_waited_for() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    (0..2).for_each(|on| cell.hold(on, Vec::new()));
+    cell.submit();
+    let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
+    let (now, other) = (Millis(cell.now), HoldOutcome::OtherLife);
+    cell.engine
+        .held(now, cell.now, RunnerIx(0), order.event, &other);
+    cell.write();
+    cell.recover();
+    assert_eq!(cell.engine.living_runners().count(), 1);
+}
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -58,6 +58,7 @@
         (Mutation::StopsDropped, "stuck"),
         (Mutation::SilenceIsDeath, "two places"),
         (Mutation::NoWaitAtTakeover, "two places"),
+        (Mutation::RunnersForgotten, "two places"),
         (Mutation::DependenciesForgotten, "order"),
         (Mutation::OneAttemptMore, "attempts"),
     ];
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -19,13 +19,12 @@
     config::{CellConfig, Policy, Queue},
     engine::{Batch, HoldOrder, Order, Settings, StartOrder, StopOrder},
     id::{JobId, TaskId},
-    record::{self, RecordKey},
+    record::Kept,
     runner::{HoldOutcome, RunnerEntry, StartOutcome},
 };
 use kspan_model::{Millis, Name};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rustc_hash::FxHashMap;
 
 use self::{checks::Checks, runner::FakeRunner};
 
@@ -54,6 +53,8 @@
     StopsDropped,
     /// Runners that vanish count as dead at once.
     SilenceIsDeath,
+    /// A takeover knows the runners of the host list alone.
+    RunnersForgotten,
     /// A takeover does not wait for runners that do not answer.
     NoWaitAtTakeover,
     /// Steps are submitted without their dependencies being told to the engine.
@@ -329,19 +330,19 @@
             keep_ended: Millis(600_000),
             spread_factor: 3,
         };
-        let mut jobs = Vec::new();
-        let mut progress = FxHashMap::default();
+        let mut kept = Kept::default();
         for (key, value) in &self.store {
-            match RecordKey::parse(key).expect("only known keys are written") {
-                RecordKey::Job(id) => jobs.push((id, record::decode(value).expect("a job"))),
-                RecordKey::Progress(id) => {
-                    progress.insert(id, record::decode(value).expect("progress"));
-                }
-                RecordKey::Alive => {}
-            }
+            kept.add(key, value)
+                .expect("only known records are written");
+        }
+        if self.mutation == Mutation::RunnersForgotten {
+            kept.runners.clear();
         }
-        let mut engine = Engine::recovered(cfg, Millis(self.now), self.now, jobs, &progress);
+        let mut engine = Engine::recovered(cfg, Millis(self.now), self.now, kept);
         engine.configure(self.config());
+        let known = engine.living_runners();
+        let runners = known.map(|on| (on.0, number_of(&engine.runner(on).addr)));
+        let runners = runners.collect();
         let number = self.owners.len();
         self.owners.push(Owner {
             engine,
@@ -351,7 +352,7 @@
             confirmed: self.now,
             writing: None,
             holding: BTreeSet::new(),
-            runners: BTreeMap::new(),
+            runners,
             starts: Vec::new(),
             start_answers: Vec::new(),
             stops: Vec::new(),
@@ -372,7 +373,8 @@
         let doubled = self.mutation == Mutation::RoomDoubled;
         for number in 0..self.runners.len() {
             let runner = &self.runners[number];
-            if !runner.up {
+            // The list forgets a runner that is cut off; whoever knows it goes on with it.
+            if !runner.up || runner.cut {
                 continue;
             }
             let mut capacity = runner.capacity;
@@ -555,3 +557,11 @@
         }
     }
 }
+
+/// Returns the number of the runner with an address.
+fn number_of(addr: &Name) -> usize {
+    let number = addr.strip_prefix("runner-");
+    number
+        .and_then(|text| text.parse().ok())
+        .expect("an address of a runner")
+}
