Do not accept a job that another call has given up

Cause, by reading and a test: a caller's second request for the same job comes while the first still waits for the store. The first gives the job up after 0.9 s and says that it was not taken, as nothing of it was written; the second goes on waiting for the number of the batch, which the store's return makes durable without the job, and says accepted (or 504, where its own time ends first). Ruled out: dropping of ended jobs (kept for 120 s, the job was 54 s old).

A call now looks whether the job is still known, with the batch that it waited for, before it says anything.

Test: a_job_that_one_call_gives_up_is_not_accepted_by_another (real processes), 504 before, 503 and a clean second try after.

--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -73,7 +73,20 @@
             }
         };
         self.changed.notify_one();
-        if self.wait_durable(submitted.batch).await {
+        let is_durable = self.wait_durable(submitted.batch).await;
+        // Another call for the same job may have given it up meanwhile, and a further one may have
+        // handed it in again, with a later batch.
+        match self.engine.borrow().spec_batch(submitted.job) {
+            Some(batch) if batch == submitted.batch => {}
+            Some(_) if self.alive.get() => return Ok(CallAnswer::new(504)),
+            None if self.alive.get() => {
+                self.log_call(path, "refused", "withdrawn by another call");
+                let retry_after_s = self.outage_retry().unwrap_or(RETRY_AFTER_S);
+                return Ok(CallAnswer::not_taken(retry_after_s));
+            }
+            Some(_) | None => return Err(Untaken::InDoubt),
+        }
+        if is_durable {
             let how = if submitted.known { "known" } else { "accepted" };
             self.log_call(path, how, "durable");
             return Ok(CallAnswer::new(200));
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -78,6 +78,11 @@
         })
     }
 
+    /// Returns the batch that makes a job durable; `None` where there is no such job.
+    pub fn spec_batch(&self, id: JobId) -> Option<u64> {
+        self.jobs.get(&id).map(|job| job.spec_batch)
+    }
+
     /// Returns how many jobs of a queue were accepted and have no task started.
     pub fn pending(&self, queue: &Name) -> usize {
         let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -315,6 +315,38 @@
     wait_for_state(&processes[last].callers, done, "completed").await;
 }
 
+#[ntex::test]
+async fn a_job_that_one_call_gives_up_is_not_accepted_by_another() {
+    let platform = Platform::start(1);
+    let processes = [Process::start(30, &platform)];
+    owner(&processes).await;
+    let addr = processes[0].callers.clone();
+    let path = |id: &str| format!("{PREFIX}{id}");
+
+    // The write that is under way keeps the next job's from being begun.
+    platform.set_store_down(true);
+    let (met, twice) = ("00000000000000e1", "00000000000000e2");
+    let post = |id: &str, after_ms: u64| {
+        let (addr, path) = (addr.clone(), path(id));
+        ntex::rt::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(after_ms)).await;
+            call("POST", &addr, &path, &job("run 50", &[1])).await
+        })
+    };
+    let _met = post(met, 0);
+    let (first, second) = (post(twice, 200), post(twice, 800));
+    let first = first.await.expect("it ends").expect("an answer").0;
+    assert_eq!(first, 503, "given up, as nothing of it was written");
+    platform.set_store_down(false);
+    let second = second.await.expect("it ends").expect("an answer").0;
+    assert_eq!(second, 503, "nothing of the job is kept");
+    call_until("GET", &addr, &path(twice), "", 410).await;
+
+    // Once more, it is a new job.
+    call_until("POST", &addr, &path(twice), &job("run 50", &[1]), 200).await;
+    wait_for_state(&addr, twice, "completed").await;
+}
+
 #[ntex::test]
 async fn a_weak_owner_hands_the_cell_to_a_strong_host_and_cuts_nothing() {
     let platform = Platform::start(2);
