Wait for runners that went without a word, not for those that said they leave

A runner that is cut off and that the host list has forgotten counted as gone after 2.5 s; its lease went on, its task ended as done, and the end was acknowledged when the cut healed, after the task had started elsewhere.

Now only a runner that had said that it leaves (its record is written again when that shows) counts as gone once the list has not shown it for 2.5 s; any other is waited for until no earlier owner's lease can be alive.

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -205,7 +205,7 @@
         let all_answered = self
             .runners
             .iter()
-            .all(|runner| runner.held || runner.dead || runner.is_gone(now));
+            .all(|runner| runner.held || runner.dead || runner.has_left(now));
         if now < until && !all_answered {
             return false;
         }
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -127,6 +127,12 @@
             .is_some_and(|since| now >= since + MISSING_GRACE)
     }
 
+    /// Returns whether the runner was leaving when it was last listed, and is gone. One that is
+    /// gone without a word may be cut off, and what it runs goes on as long as its lease.
+    pub(super) fn has_left(&self, now: Millis) -> bool {
+        self.entry.draining && self.is_gone(now)
+    }
+
     /// Returns whether new work may be sent by an owner that was last confirmed at `confirmed`,
     /// and whose batches up to `durable` are.
     ///
--- a/crates/jobs/src/engine/runners.rs
+++ b/crates/jobs/src/engine/runners.rs
@@ -28,6 +28,8 @@
                 }
                 known.missing_since = None;
                 if began_draining {
+                    let id = self.runners[on.0].entry.id.clone();
+                    self.batches.add_runner(id);
                     self.evacuate(on, now);
                 }
                 return None;
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -281,3 +281,38 @@
     cell.recover();
     assert_eq!(cell.engine.living_runners().count(), 1);
 }
+
+#[test]
+fn a_takeover_waits_longest_for_runners_that_did_not_say_that_they_leave() {
+    // Whether the runner was leaving, and times after the takeover at which the task starts or not.
+    let table = [
+        (true, 2_000, false),
+        (true, 3_000, true),
+        (false, 6_500, false),
+        (false, 13_500, false),
+        (false, 14_500, true),
+    ];
+    for (leaves, after_ms, starts) in table {
+        let mut cell = Cell::new(&["w0"]);
+        cell.hold(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.start_all().len(), 1);
+        let now = Millis(cell.now);
+        let mut leaving = entry("w0");
+        leaving.draining = leaves;
+        cell.engine.put_runner(now, leaving);
+        cell.engine.put_runner(now, entry("w1"));
+        cell.write();
+        cell.recover();
+        let now = Millis(cell.now);
+        cell.engine.put_runner(now, entry("w1"));
+        let on = cell
+            .engine
+            .living_runners()
+            .find(|on| cell.engine.runner(*on).id == Name::new("w1"));
+        let on = on.expect("the new owner knows both").0;
+        cell.hold(on, Vec::new());
+        cell.pass(after_ms);
+        assert_eq!(!cell.starts().is_empty(), starts, "{leaves} {after_ms}");
+    }
+}
