Say once whether a task may start, and how an inventory call ends in tests

Found on reading the change again: whether a waiting task may start stood three times (placing tasks, placing gangs, overdue tasks); it is Task::may_start now. Tests that let an inventory call fail wrote the four calls out each time; they use Cell::hold_as. Two comments say what their types hold.

--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -18,7 +18,7 @@
 /// MiB in a GiB.
 const GIB: u64 = 1_024;
 
-/// The traces that the figures are measured on.
+/// The traces of the bench.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Traces {
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns whether the task waits and may start: an earlier run that may be alive out of reach
+    /// bars it until all of them are `accounted` for.
+    pub(super) fn may_start(&self, accounted: bool) -> bool {
+        self.state == TaskState::Waiting && (accounted || !self.unaccounted)
+    }
+
     /// Puts the task into a state.
     pub(super) fn enter(&mut self, state: TaskState, now: Millis) {
         self.state = state;
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -179,7 +179,7 @@
             if usable.is_empty() {
                 break;
             }
-            if task.state != TaskState::Waiting || (task.unaccounted && !accounted) {
+            if !task.may_start(accounted) {
                 continue;
             }
             let Some(at) = self.best(&usable, step, spec, Some(task), now) else {
@@ -202,9 +202,7 @@
         accounted: bool,
         now: Millis,
     ) -> Vec<Choice> {
-        let ready =
-            |task: &Task| task.state == TaskState::Waiting && (accounted || !task.unaccounted);
-        if !step.tasks.iter().all(ready) {
+        if !step.tasks.iter().all(|task| task.may_start(accounted)) {
             return Vec::new();
         }
         let all = self.usable(step, spec, policy, now);
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -7,11 +7,7 @@
 
 use kspan_model::Millis;
 
-use super::{
-    Engine, RunnerIx,
-    job::{Step, Task, TaskState},
-    runner::Runner,
-};
+use super::{Engine, RunnerIx, job::Step, runner::Runner};
 use crate::{config::Policy, id::StepId, spec::StepSpec};
 
 /// Wait after which a task of a long-running step goes before others.
@@ -27,9 +23,7 @@
             return false;
         }
         let accounted = self.unaccounted_until.is_none();
-        let may_start =
-            |task: &&Task| task.state == TaskState::Waiting && (accounted || !task.unaccounted);
-        let mut waiting = step.tasks.iter().filter(may_start);
+        let mut waiting = step.tasks.iter().filter(|task| task.may_start(accounted));
         waiting.any(|task| now.saturating_sub(task.since) >= LONGEST_WAIT)
     }
 
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -51,15 +51,7 @@
     cell.hold(1, Vec::new());
     let mut restarted_after = None;
     for waited in (0..20_000_u64).step_by(500) {
-        let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
-        let unreached = HoldOutcome::Unreached;
-        cell.engine.held(
-            Millis(cell.now),
-            cell.now,
-            RunnerIx(0),
-            order.event,
-            &unreached,
-        );
+        cell.hold_as(0, &HoldOutcome::Unreached);
         cell.hold(1, Vec::new());
         cell.pass(500);
         if cell.starts() == [1] {
@@ -87,15 +79,7 @@
     cell.hold_running(0);
     cell.hold(1, Vec::new());
     for _ in 0..10 {
-        let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
-        let unreached = HoldOutcome::Unreached;
-        cell.engine.held(
-            Millis(cell.now),
-            cell.now,
-            RunnerIx(0),
-            order.event,
-            &unreached,
-        );
+        cell.hold_as(0, &HoldOutcome::Unreached);
         cell.pass(500);
         assert!(cell.starts().is_empty(), "after {} ms", cell.now - now.0);
     }
@@ -134,10 +118,7 @@
     assert_eq!(wait(&mut cell), Millis::ZERO, "its clock is not known yet");
     cell.hold(1, Vec::new());
     let calm = wait(&mut cell);
-    let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
-    let lost = HoldOutcome::Unreached;
-    cell.engine
-        .held(Millis(cell.now), cell.now, RunnerIx(0), order.event, &lost);
+    cell.hold_as(0, &HoldOutcome::Unreached);
     // An end hidden by a lost answer is seen within the time that a short job may take longer.
     assert!(wait(&mut cell) <= Millis(400));
     cell.pass(3_000);
@@ -273,10 +254,7 @@
     let mut cell = Cell::new(&["w0", "w1"]);
     (0..2).for_each(|on| cell.hold(on, Vec::new()));
     cell.submit();
-    let order = cell.engine.hold_order(RunnerIx(0), Millis(cell.now));
-    let (now, other) = (Millis(cell.now), HoldOutcome::OtherLife);
-    cell.engine
-        .held(now, cell.now, RunnerIx(0), order.event, &other);
+    cell.hold_as(0, &HoldOutcome::OtherLife);
     cell.write();
     cell.recover();
     assert_eq!(cell.engine.living_runners().count(), 1);
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -183,17 +183,20 @@
         running: Vec<RunningTask>,
         ended: Vec<EndedTask>,
     ) {
-        let now = Millis(self.now);
-        let order = self.engine.hold_order(RunnerIx(on), now);
-        let inventory = Inventory {
-            clock: now,
+        let outcome = HoldOutcome::Inventory(Inventory {
+            clock: Millis(self.now),
             born: 1,
             running,
             ended,
-        };
-        let outcome = HoldOutcome::Inventory(inventory);
-        self.engine
-            .held(now, self.now, RunnerIx(on), order.event, &outcome);
+        });
+        self.hold_as(on, &outcome);
+    }
+
+    /// Lets an inventory call to a runner end in some way.
+    pub(crate) fn hold_as(&mut self, on: usize, outcome: &HoldOutcome) {
+        let (now, on) = (Millis(self.now), RunnerIx(on));
+        let order = self.engine.hold_order(on, now);
+        self.engine.held(now, self.now, on, order.event, outcome);
     }
 
     pub(crate) fn submit(&mut self) {
--- a/crates/lab/src/slopes/fit.rs
+++ b/crates/lab/src/slopes/fit.rs
@@ -7,7 +7,7 @@
 pub struct Point {
     /// Size.
     pub x: f64,
-    /// What was measured at that size.
+    /// Reading at that size.
     pub y: f64,
 }
 
