Reserve runners for gangs and large tasks, and keep whole hosts for them

Shown by logs of waiting gangs: small tasks broke up hosts whose accelerators were all free, a gang never found enough hosts free at one time, and its approvals, which take 0.6 s or more, named only hosts that had room when the call was sent. Ruled out: asking whenever any runner is free (approval hosts were saturated by calls for four runners each).

--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -75,6 +75,16 @@
         self.by_runner.get(&runner_ix) == Some(&Approval::Denied)
     }
 
+    /// Returns the runners that have ever been approved, in index order.
+    pub(super) fn approved_runners(&self) -> impl Iterator<Item = RunnerIx> {
+        let known = self.by_runner.keys().copied();
+        let mut approved: Vec<_> = known
+            .filter(|runner_ix| self.was_approved(*runner_ix))
+            .collect();
+        approved.sort_unstable();
+        approved.into_iter()
+    }
+
     /// Returns whether the runner has ever been approved.
     pub(super) fn was_approved(&self, runner_ix: RunnerIx) -> bool {
         matches!(
--- a/crates/jobs/src/engine/estimate.rs
+++ b/crates/jobs/src/engine/estimate.rs
@@ -36,4 +36,10 @@
             .and_then(|image| self.by_image.get(image));
         recorded.copied().unwrap_or(step.estimate)
     }
+
+    /// Returns the time at which a task of the step is expected to end if it starts now; `None` if
+    /// it runs until it is stopped.
+    pub(super) fn expected_end(&self, step: &StepSpec, now: Millis) -> Option<Millis> {
+        (!step.long_running).then(|| now + self.expected(step))
+    }
 }
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -30,6 +30,7 @@
                     known.entry.started_unix_ms = started_unix_ms;
                 }
                 known.missing_since = None;
+                self.include_in_largest(runner_ix);
                 if began_draining {
                     let id = self.runners[runner_ix.0].entry.id.clone();
                     self.batches.add_runner(id);
@@ -57,6 +58,7 @@
         let runner_ix = RunnerIx(self.runners.len());
         self.by_id.insert(entry.id.clone(), runner_ix);
         self.runners.push(Runner::new(entry, now, record_batch));
+        self.include_in_largest(runner_ix);
         runner_ix
     }
 
@@ -100,6 +102,7 @@
         let id = runner.entry.id.clone();
         self.batches.add_runner(id.clone());
         self.events.push(Event::RunnerChanged { id, what: "ended" });
+        self.recompute_largest();
         self.remove_all_runs(runner_ix, now);
     }
 
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -208,7 +208,7 @@
             run,
             runner: id,
         });
-        self.charge_reported_run(runner_ix, task, run);
+        self.charge_reported_run(runner_ix, task, run, now);
         self.order_stop(runner_ix, task, run, now);
     }
 
@@ -257,7 +257,7 @@
         }
         step.set_state(index, TaskState::Running(runner_ix), now);
         job.started = true;
-        self.charge_reported_run(runner_ix, row.task, row.run);
+        self.charge_reported_run(runner_ix, row.task, row.run, now);
         let id = self.runners[runner_ix.0].entry.id.clone();
         let (task, run) = (row.task, row.run);
         self.events.push(Event::RunAdopted {
@@ -270,7 +270,7 @@
 
     /// Reserves the resources of a run that the runner reported, as specified by its job, which may
     /// have ended already. If the job is unknown, the size of the run is unknown too.
-    fn charge_reported_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32) {
+    fn charge_reported_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32, now: Millis) {
         let job = self.jobs.get(&task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
         let placed = PlacedRun {
@@ -278,6 +278,7 @@
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             settled_sequence: Some(self.last_sequence),
             stop_sent_at: None,
+            expected_end: spec.and_then(|spec| self.run_times.expected_end(spec, now)),
             progress: Progress::default(),
         };
         self.runners[runner_ix.0].add_run(task, run, placed);
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -114,6 +114,13 @@
         self.done == self.tasks.len()
     }
 
+    /// Returns how many more tasks of the step may run on the runner.
+    pub(super) fn remaining_on(&self, runner_ix: RunnerIx, spec: &StepSpec) -> u32 {
+        let there = self.tasks_by_runner.get(&runner_ix).copied().unwrap_or(0);
+        let max = spec.max_per_runner.unwrap_or(u32::MAX);
+        max.saturating_sub(there)
+    }
+
     /// Sets a task's state and updates the counts of the step.
     pub(super) fn set_state(&mut self, index: usize, state: TaskState, now: Millis) {
         let before = self.tasks[index].state;
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 mod approval_requests;
 mod approvals;
+mod demand;
 mod durable;
 mod ends;
 mod estimate;
@@ -24,14 +25,16 @@
 
 use std::collections::VecDeque;
 
-use kspan_model::{Millis, Name};
+use kspan_model::{Millis, Name, Resources};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use self::{
     approvals::{ApprovalHosts, ApprovalRates},
+    demand::Demand,
     durable::Batches,
     estimate::RunTimes,
     job::Job,
+    reserve::Reservation,
     runner::Runner,
 };
 use crate::{
@@ -218,8 +221,11 @@
     approval_hosts: ApprovalHosts,
     approval_rates: ApprovalRates,
     run_times: RunTimes,
-    /// Runners reserved for overdue tasks during the current scheduling pass.
-    reserved: Vec<RunnerIx>,
+    demand: Demand,
+    /// Component-wise maximum of the capacities of each service's runners.
+    largest_runners: FxHashMap<Name, Resources>,
+    /// Runners reserved during the current scheduling pass.
+    reserved: FxHashMap<RunnerIx, Reservation>,
     batches: Batches,
     /// Latest sequence number, which orders calls and outcomes.
     last_sequence: u64,
@@ -254,7 +260,9 @@
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
             run_times: RunTimes::default(),
-            reserved: Vec::new(),
+            demand: Demand::default(),
+            largest_runners: FxHashMap::default(),
+            reserved: FxHashMap::default(),
             batches: Batches::default(),
             last_sequence: 0,
             unverified_until: None,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -1,7 +1,8 @@
 //! Placement of waiting tasks on runners.
 //!
-//! Placement is best-fit: a task goes to the runner with the least resources left over, so that
-//! large tasks and gangs find empty runners when dissimilar tasks share runners of different sizes.
+//! Placement is best-fit: a task goes to the runner where it takes the least room from the large
+//! tasks in demand and then leaves the least resources over, so that large tasks and gangs find
+//! empty runners when dissimilar tasks share runners of different sizes.
 //! Tasks of a long-running step are spread over runners. Tasks with a preferred rack stay there
 //! unless waiting for it takes longer than running elsewhere.
 
@@ -24,6 +25,12 @@
 /// Memory that counts as one thousandth of a core in the comparison of left-over resources, in MiB.
 const MEMORY_MIB_PER_MILLICORE: u64 = 4;
 
+/// Thousandths of a core that count as much as one accelerator in the same comparison.
+const MILLICORES_PER_ACCELERATOR: u64 = 8_000;
+
+/// Weight of the room lost for large tasks, which precedes differences of left-over resources.
+const LOSS_WEIGHT: u64 = 500;
+
 /// Penalty for a runner with recent failures, added to the score of its left-over resources like
 /// the penalties below.
 const SUSPECT_PENALTY: u64 = 1_000_000;
@@ -34,6 +41,17 @@
 /// Penalty for each task of the same long-running step on the runner.
 const SPREAD_PENALTY: u64 = 100_000;
 
+/// A step with waiting tasks whose dependencies are completed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReadyStep {
+    urgency: Urgency,
+    step: StepId,
+    /// Whether the specification of the job is durable.
+    is_durable: bool,
+    /// Whether runners are reserved for the step while its tasks wait.
+    is_reservable: bool,
+}
+
 /// Index of a task, and the runner chosen for it.
 type Choice = (u32, RunnerIx);
 
@@ -45,21 +63,23 @@
         }
         let all_verified = self.are_all_runs_verified(now);
         self.reserved.clear();
-        for (urgency, step, durable) in self.ranked_ready_steps(now) {
-            if durable {
-                self.place_step(step, all_verified, now);
+        for ready in self.ranked_ready_steps(now) {
+            if ready.is_durable {
+                self.place_step(ready.step, all_verified, now);
             }
-            self.request_approvals(step, now);
-            if urgency.is_overdue() {
-                self.reserve_runner(step, now);
+            if ready.urgency.is_overdue() {
+                self.reserve_for_overdue(ready.step, now);
+            } else if ready.is_reservable {
+                self.reserve_for_large(ready.step, now);
             }
+            self.request_approvals(ready.step, now);
         }
         self.reserved.clear();
     }
 
-    /// Returns the ready steps with waiting tasks, the most urgent first, and whether their job is
-    /// durable. Also removes jobs without such steps from the schedulable set.
-    fn ranked_ready_steps(&mut self, now: Millis) -> Vec<(Urgency, StepId, bool)> {
+    /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
+    /// such steps from the schedulable set.
+    fn ranked_ready_steps(&mut self, now: Millis) -> Vec<ReadyStep> {
         let max_free = self.max_free(now);
         let mut ready = Vec::new();
         let mut exhausted = Vec::new();
@@ -74,14 +94,20 @@
                 exhausted.push(*id);
                 continue;
             }
-            let durable = job.spec_batch <= self.batches.durable();
+            let is_durable = job.spec_batch <= self.batches.durable();
             let urgency = self.urgency(job, now);
+            let policy = &job.record.policy;
             let fitting = steps.filter_map(|id| {
                 let (step, spec) = job.step(id)?;
                 let is_overdue = self.is_overdue(step, spec, now);
-                let urgency = urgency.with_overdue(is_overdue);
-                let fits = is_overdue || spec.charged_resources().fits_in(max_free);
-                fits.then_some((urgency, id, durable))
+                let is_reservable = self.is_reservable(spec, policy);
+                let fits = spec.charged_resources().fits_in(max_free);
+                (fits || is_overdue || is_reservable).then_some(ReadyStep {
+                    urgency: urgency.with_overdue(is_overdue),
+                    step: id,
+                    is_durable,
+                    is_reservable,
+                })
             });
             ready.extend(fitting);
         }
@@ -102,12 +128,7 @@
             .iter()
             .filter(|runner| runner.accepts_work(now, self.confirmed_at, durable));
         accepting.fold(Resources::ZERO, |max, runner| {
-            let free = runner.free();
-            Resources {
-                cpu_milli: max.cpu_milli.max(free.cpu_milli),
-                memory_mib: max.memory_mib.max(free.memory_mib),
-                accelerators: max.accelerators.max(free.accelerators),
-            }
+            max.component_max(runner.free())
         })
     }
 
@@ -151,9 +172,9 @@
         };
         let policy = &job.record.policy;
         let choices = if spec.gang {
-            self.choose_gang(step, spec, policy, all_verified, now)
+            self.choose_gang(id, step, spec, policy, all_verified, now)
         } else {
-            self.choose_runners(step, spec, policy, all_verified, now)
+            self.choose_runners(id, step, spec, policy, all_verified, now)
         };
         if choices.is_empty() {
             return;
@@ -171,6 +192,7 @@
     /// Chooses a runner for each waiting task that can be placed.
     fn choose_runners(
         &self,
+        id: StepId,
         step: &Step,
         spec: &StepSpec,
         policy: &Policy,
@@ -178,7 +200,7 @@
         now: Millis,
     ) -> Vec<Choice> {
         let size = spec.charged_resources();
-        let mut candidates = self.candidates(step, spec, policy, now);
+        let mut candidates = self.candidates(id, step, spec, policy, now);
         let mut choices = Vec::new();
         for (index, task) in (0..).zip(&step.tasks) {
             if candidates.is_empty() {
@@ -201,6 +223,7 @@
     /// Chooses runners for all members of a gang, or for none.
     fn choose_gang(
         &self,
+        id: StepId,
         step: &Step,
         spec: &StepSpec,
         policy: &Policy,
@@ -210,7 +233,7 @@
         if !step.tasks.iter().all(|task| task.may_start(all_verified)) {
             return Vec::new();
         }
-        let all = self.candidates(step, spec, policy, now);
+        let all = self.candidates(id, step, spec, policy, now);
         if spec.same_rack {
             let mut racks: Vec<_> = all
                 .iter()
@@ -255,12 +278,14 @@
     /// Returns the runners on which a task of the step can be placed.
     fn candidates(
         &self,
+        id: StepId,
         step: &Step,
         spec: &StepSpec,
         policy: &Policy,
         now: Millis,
     ) -> Vec<Candidate> {
-        let candidate = |runner_ix: RunnerIx| self.candidate(runner_ix, step, spec, policy, now);
+        let candidate =
+            |runner_ix: RunnerIx| self.candidate(runner_ix, id, step, spec, policy, now);
         if policy.approval.is_some() {
             // Only a small share of the runners is approved for a step.
             return step
@@ -279,26 +304,26 @@
     fn candidate(
         &self,
         runner_ix: RunnerIx,
+        id: StepId,
         step: &Step,
         spec: &StepSpec,
         policy: &Policy,
         now: Millis,
     ) -> Option<Candidate> {
         let runner = &self.runners[runner_ix.0];
-        if self.reserved.contains(&runner_ix) || !self.can_place(runner, spec, policy, now) {
+        if !self.can_place(runner, spec, policy, now) {
             return None;
         }
-        let step_tasks = step.tasks_by_runner.get(&runner_ix).copied().unwrap_or(0);
-        let remaining = spec
-            .max_per_runner
-            .unwrap_or(u32::MAX)
-            .checked_sub(step_tasks)?;
-        (remaining > 0).then(|| Candidate {
+        let size = spec.charged_resources();
+        let usable = self.usable_resources(runner_ix, id, spec, now);
+        let remaining = step.remaining_on(runner_ix, spec);
+        (remaining > 0 && size.fits_in(usable)).then(|| Candidate {
             runner_ix,
             free: runner.free(),
-            step_tasks,
+            usable,
+            step_tasks: step.tasks_by_runner.get(&runner_ix).copied().unwrap_or(0),
             remaining,
-            size: spec.charged_resources(),
+            size,
         })
     }
 
@@ -315,6 +340,11 @@
         let locality_wait =
             Millis(self.run_times.expected(spec).0 * u64::from(self.cfg.cross_rack_slowdown - 1));
         let current_rack = self.rack_in_use(step, spec);
+        let service = candidates.first().map(|candidate| {
+            let runner = &self.runners[candidate.runner_ix.0];
+            &runner.entry.service
+        });
+        let shapes = service.and_then(|service| self.demand.shapes(service));
         let scored = candidates.iter().enumerate().filter_map(|(at, candidate)| {
             let runner = &self.runners[candidate.runner_ix.0];
             let target_rack = spec.preferred_rack.as_ref().or(current_rack.as_ref());
@@ -322,7 +352,9 @@
             if off_rack && waited < locality_wait {
                 return None;
             }
-            let mut score = candidate.leftover_score();
+            let left = candidate.left();
+            let loss = shapes.map_or(0, |shapes| shapes.loss(candidate.free, left));
+            let mut score = leftover_score(left) + loss * LOSS_WEIGHT;
             if runner.health.is_suspect() {
                 score += SUSPECT_PENALTY;
             }
@@ -371,6 +403,7 @@
         };
         let index = task.index as usize;
         let (size, sharing) = (spec.charged_resources(), spec.sharing());
+        let expected_end = self.run_times.expected_end(spec, now);
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
         let ticket = step.approvals.ticket(runner_ix, now).cloned();
@@ -390,6 +423,7 @@
                 sharing,
                 settled_sequence: None,
                 stop_sent_at: None,
+                expected_end,
                 progress: Progress::default(),
             },
         );
@@ -417,6 +451,8 @@
 struct Candidate {
     runner_ix: RunnerIx,
     free: Resources,
+    /// Part of the free resources that the step may use.
+    usable: Resources,
     /// Number of the step's tasks on the runner.
     step_tasks: u32,
     /// Number of further tasks of the step that the runner may take.
@@ -427,20 +463,26 @@
 impl Candidate {
     /// Reserves resources for one task; returns whether the runner can take another.
     fn reserve(&mut self, size: Resources) -> bool {
-        self.free = self.free.checked_sub(size).unwrap_or_default();
+        self.free = self.free.saturating_sub(size);
+        self.usable = self.usable.saturating_sub(size);
         self.step_tasks += 1;
         self.remaining -= 1;
-        self.remaining > 0 && size.fits_in(self.free)
+        self.remaining > 0 && size.fits_in(self.usable)
     }
 
-    /// Returns a score for the resources left over after placing one more task, in thousandths of a
-    /// core.
-    fn leftover_score(&self) -> u64 {
-        let left = self.free.checked_sub(self.size).unwrap_or_default();
-        left.cpu_milli + left.memory_mib / MEMORY_MIB_PER_MILLICORE
+    /// Returns the free resources left over after placing one more task.
+    fn left(&self) -> Resources {
+        self.free.saturating_sub(self.size)
     }
 }
 
+/// Returns a score for left-over resources, in thousandths of a core.
+fn leftover_score(left: Resources) -> u64 {
+    left.cpu_milli
+        + left.memory_mib / MEMORY_MIB_PER_MILLICORE
+        + left.accelerators * MILLICORES_PER_ACCELERATOR
+}
+
 fn next_run(task: &Task) -> u32 {
     task.run + 1 + task.skip_runs
 }
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -1,21 +1,49 @@
-//! Reservation of runners for waiting tasks of long-running steps, such as those that lost their
-//! runner.
+//! Reservation of runners for waiting tasks that smaller ones would otherwise keep waiting.
 //!
-//! In a full cell, smaller tasks take resources as soon as they are freed, so a large task would
-//! wait indefinitely. A task of a long-running step that has waited too long becomes overdue: it
-//! precedes all other tasks, and a runner is reserved until the task fits there. Few runners are
-//! reserved at a time, because their free resources stay unused meanwhile.
+//! Load patterns: in a full cell, smaller tasks take resources as soon as they are freed, so a task
+//! of a long-running step that lost its runner would wait indefinitely; and a gang, or a task that
+//! needs most of a runner, never finds enough free resources at one time, although enough are freed
+//! within seconds.
+//!
+//! A task of a long-running step that has waited too long becomes overdue: it precedes all other
+//! tasks, and one runner is reserved for it alone. For gangs and large tasks, the runners that will
+//! have room first are reserved from the time at which the last of them is expected to. Until then
+//! other tasks may use them, if they are expected to end in time or leave enough room. All
+//! reservations are made anew in each scheduling pass, in order of urgency, so none outlives its
+//! reason.
 
-use kspan_model::Millis;
+use kspan_model::{Millis, Name, Resources};
 
-use super::{Engine, RunnerIx, job::Step, runner::Runner};
+use super::{Engine, RunnerIx, demand::is_large, job::Step, runner::Runner};
 use crate::{config::Policy, id::StepId, spec::StepSpec};
 
 /// Waiting time after which a task of a long-running step is overdue.
 const OVERDUE_AFTER: Millis = Millis(1_500);
 
-/// At most one in this many runners is reserved.
-const RESERVED_DIVISOR: usize = 8;
+/// At most one in this many runners is reserved for overdue tasks.
+const OVERDUE_DIVISOR: usize = 8;
+
+/// No further step gets a reservation once one in this many runners is reserved, so that other work
+/// goes on.
+const LARGE_DIVISOR: usize = 2;
+
+/// Resources of a runner that are kept for waiting tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Reservation {
+    /// Step whose tasks may use the resources.
+    step: StepId,
+    /// Time at which the tasks are expected to start.
+    starts_at: Millis,
+    /// Reserved resources.
+    size: Resources,
+}
+
+/// An expected place for one task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Slot {
+    at: Millis,
+    runner_ix: RunnerIx,
+}
 
 impl Engine {
     /// Returns whether a task of a long-running step is overdue.
@@ -31,6 +59,39 @@
         waiting.any(|task| now.saturating_sub(task.state_since) >= OVERDUE_AFTER)
     }
 
+    /// Returns whether runners are reserved for the step while its tasks wait.
+    pub(super) fn is_reservable(&self, spec: &StepSpec, policy: &Policy) -> bool {
+        let is_gang = spec.gang && spec.count > 1;
+        let size = spec.charged_resources();
+        !spec.long_running && (is_gang || is_large(size, self.largest_runner(&policy.service)))
+    }
+
+    /// Returns the component-wise maximum of the capacities of a service's runners.
+    pub(super) fn largest_runner(&self, service: &Name) -> Resources {
+        self.largest_runners
+            .get(service)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Includes a runner in the largest capacities.
+    pub(super) fn include_in_largest(&mut self, runner_ix: RunnerIx) {
+        let entry = &self.runners[runner_ix.0].entry;
+        let largest = self.largest_runners.entry(entry.service.clone());
+        let largest = largest.or_default();
+        *largest = largest.component_max(entry.capacity);
+    }
+
+    /// Computes the largest capacities anew from the runners that are not known to have ended.
+    pub(super) fn recompute_largest(&mut self) {
+        self.largest_runners.clear();
+        for ix in 0..self.runners.len() {
+            if !self.runners[ix].dead {
+                self.include_in_largest(RunnerIx(ix));
+            }
+        }
+    }
+
     /// Returns whether a runner could take a task of the step if it were empty, regardless of
     /// approvals.
     pub(super) fn could_accept_when_empty(
@@ -44,30 +105,145 @@
             && self.accepts(runner, spec, policy, now)
     }
 
-    /// Reserves the runner expected to fit the step first: of those that could take one of its
-    /// tasks when empty, the one with the most free processors.
-    pub(super) fn reserve_runner(&mut self, id: StepId, now: Millis) {
-        if self.reserved.len() >= self.runners.len().div_ceil(RESERVED_DIVISOR) {
+    /// Returns the resources of a runner that a task of the step may use now: all free ones, less
+    /// those reserved for other steps at a time when the task would still run.
+    pub(super) fn usable_resources(
+        &self,
+        runner_ix: RunnerIx,
+        id: StepId,
+        spec: &StepSpec,
+        now: Millis,
+    ) -> Resources {
+        let runner = &self.runners[runner_ix.0];
+        let reservation = self.reserved.get(&runner_ix);
+        let Some(reservation) = reservation.filter(|reservation| reservation.step != id) else {
+            return runner.free();
+        };
+        let expected_end = self.run_times.expected_end(spec, now);
+        if expected_end.is_some_and(|end| end <= reservation.starts_at) {
+            return runner.free();
+        }
+        let free_later = runner.free_at(reservation.starts_at);
+        let unreserved = free_later.saturating_sub(reservation.size);
+        runner.free().component_min(unreserved)
+    }
+
+    /// Reserves the runner expected to fit an overdue step first: of those that could take one of
+    /// its tasks when empty, the one with the most free processors.
+    pub(super) fn reserve_for_overdue(&mut self, id: StepId, now: Millis) {
+        if self.reserved.len() >= self.runners.len().div_ceil(OVERDUE_DIVISOR) {
             return;
         }
-        let Some(job) = self.jobs.get(&id.job) else {
+        let usable = self.reservable_runners(id, now);
+        let max_free = usable
+            .into_iter()
+            .max_by_key(|runner_ix| self.runners[runner_ix.0].free().cpu_milli);
+        let Some(runner_ix) = max_free else {
             return;
         };
-        let Some((step, spec)) = job.step(id) else {
+        let reservation = Reservation {
+            step: id,
+            starts_at: Millis::ZERO,
+            size: self.runners[runner_ix.0].entry.capacity,
+        };
+        self.reserved.insert(runner_ix, reservation);
+    }
+
+    /// Reserves the runners that will have room first for the waiting tasks of a gang or of a step
+    /// of large tasks. Reserves nothing for a gang if its members never fit at the same time.
+    pub(super) fn reserve_for_large(&mut self, id: StepId, now: Millis) {
+        let Some((step, spec)) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+            return;
+        };
+        let (needed, is_gang) = (step.waiting, spec.gang);
+        let size = spec.charged_resources();
+        if self.reserved.len() >= self.runners.len() / LARGE_DIVISOR {
+            return;
+        }
+        let mut slots = self.expected_slots(id, now);
+        slots.sort_unstable();
+        slots.truncate(needed);
+        if is_gang && slots.len() < needed {
+            return;
+        }
+        let Some(starts_at) = slots.last().map(|slot| slot.at) else {
             return;
         };
+        for slot in slots {
+            // Large tasks that are no gang start as soon as each fits.
+            let starts_at = if is_gang { starts_at } else { slot.at };
+            let reservation = self.reserved.entry(slot.runner_ix).or_insert(Reservation {
+                step: id,
+                starts_at,
+                size: Resources::ZERO,
+            });
+            reservation.size = reservation.size.saturating_add(size);
+        }
+    }
+
+    /// Returns the expected places for tasks of a step on runners that are not reserved.
+    fn expected_slots(&self, id: StepId, now: Millis) -> Vec<Slot> {
+        let Some((step, spec)) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+            return Vec::new();
+        };
+        let size = spec.charged_resources();
+        let waiting = u32::try_from(step.waiting).unwrap_or(u32::MAX);
+        let mut slots = Vec::new();
+        for runner_ix in self.reservable_runners(id, now) {
+            let max = step.remaining_on(runner_ix, spec).min(waiting);
+            let times = self.runners[runner_ix.0].slot_times(size, max, now);
+            slots.extend(times.into_iter().map(|at| Slot { at, runner_ix }));
+        }
+        slots
+    }
+
+    /// Returns the runners without a reservation that could take a task of the step when empty and,
+    /// where approvals are needed, have been approved for it.
+    fn reservable_runners(&self, id: StepId, now: Millis) -> Vec<RunnerIx> {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return Vec::new();
+        };
+        let Some((step, spec)) = job.step(id) else {
+            return Vec::new();
+        };
         let policy = &job.record.policy;
-        let could_accept_when_empty = |runner_ix: &RunnerIx| {
+        let is_usable = |runner_ix: &RunnerIx| {
             let runner = &self.runners[runner_ix.0];
-            let step_tasks = step.tasks_by_runner.get(runner_ix).copied().unwrap_or(0);
-            spec.max_per_runner.is_none_or(|max| step_tasks < max)
-                && (policy.approval.is_none() || step.approvals.was_approved(*runner_ix))
+            !self.reserved.contains_key(runner_ix)
+                && step.remaining_on(*runner_ix, spec) > 0
                 && self.could_accept_when_empty(runner, spec, policy, now)
         };
-        let usable = (0..self.runners.len())
+        if policy.approval.is_some() {
+            return step
+                .approvals
+                .approved_runners()
+                .filter(is_usable)
+                .collect();
+        }
+        (0..self.runners.len())
             .map(RunnerIx)
-            .filter(could_accept_when_empty);
-        let max_free = usable.max_by_key(|runner_ix| self.runners[runner_ix.0].free().cpu_milli);
-        self.reserved.extend(max_free);
+            .filter(is_usable)
+            .collect()
+    }
+
+    /// Returns the latest time at which reserved runners of the step are expected to have room;
+    /// `None` if none is reserved.
+    pub(super) fn reserved_start(&self, id: StepId) -> Option<Millis> {
+        let reservations = self.reserved.values();
+        let of_step = reservations.filter(|reservation| reservation.step == id);
+        of_step.map(|reservation| reservation.starts_at).max()
+    }
+
+    /// Returns whether the runner is reserved for another step.
+    pub(super) fn is_reserved_for_other(&self, runner_ix: RunnerIx, id: StepId) -> bool {
+        let reservation = self.reserved.get(&runner_ix);
+        reservation.is_some_and(|reservation| reservation.step != id)
+    }
+
+    /// Returns whether the step has a reservation on the runner.
+    pub(super) fn has_reservation(&self, runner_ix: RunnerIx, id: StepId) -> bool {
+        self.reserved
+            .get(&runner_ix)
+            .is_some_and(|reservation| reservation.step == id)
     }
 }
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -20,6 +20,9 @@
 /// while the list was unavailable come back about two seconds after it does.
 const MISSING_GRACE_PERIOD: Millis = Millis(2_500);
 
+/// Minimum remaining time that is assumed for a run that has exceeded its expected run time.
+const MIN_OVERRUN: Millis = Millis(200);
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlacedRun {
     /// Resources reserved for the run; `None` if unknown.
@@ -30,9 +33,21 @@
     pub(super) settled_sequence: Option<u64>,
     /// Time of the latest stop order that has not been answered.
     pub(super) stop_sent_at: Option<Millis>,
+    /// Time at which the run is expected to end; `None` if it runs until it is stopped.
+    pub(super) expected_end: Option<Millis>,
     pub(super) progress: Progress,
 }
 
+/// Returns the time at which a run is expected to end, as seen `now`. A run that has exceeded its
+/// expected run time is assumed to exceed it by as much again.
+fn remaining_end(expected_end: Millis, now: Millis) -> Millis {
+    let overrun = now.saturating_sub(expected_end);
+    if expected_end > now {
+        return expected_end;
+    }
+    now + overrun.max(MIN_OVERRUN)
+}
+
 /// A reading of the runner's clock, and the owner's time when it arrived.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -119,6 +134,42 @@
         }
     }
 
+    /// Returns the resources that are expected to be free at a later time if nothing else starts.
+    pub(super) fn free_at(&self, at: Millis) -> Resources {
+        let ending = self
+            .runs
+            .values()
+            .filter(|run| run.expected_end.is_some_and(|end| end <= at));
+        let sizes = ending.filter_map(|run| run.size);
+        sizes.fold(self.free(), Resources::saturating_add)
+    }
+
+    /// Returns the expected times, in ascending order, at which the runner has free resources for
+    /// one, two and more tasks of a size, up to `max` tasks. Tasks that could start immediately
+    /// have the time `now`.
+    pub(super) fn slot_times(&self, size: Resources, max: u32, now: Millis) -> Vec<Millis> {
+        let mut ends: Vec<(Millis, Resources)> = self
+            .runs
+            .values()
+            .filter_map(|run| Some((remaining_end(run.expected_end?, now), run.size?)))
+            .collect();
+        ends.sort_unstable();
+        let mut times = Vec::new();
+        let (mut free, mut at) = (self.free(), now);
+        let mut ends = ends.into_iter();
+        loop {
+            while times.len() < max as usize && size.fits_in(free) {
+                free = free.saturating_sub(size);
+                times.push(at);
+            }
+            let Some((end, freed)) = ends.next().filter(|_| times.len() < max as usize) else {
+                return times;
+            };
+            free = free.saturating_add(freed);
+            at = end;
+        }
+    }
+
     /// Returns whether the runner has been missing from the host list for longer than the grace
     /// period. It may still answer.
     pub(super) fn is_missing(&self, now: Millis) -> bool {
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -94,6 +94,7 @@
         };
         let mut job = Job::new(id, record, now);
         job.begin_due_occurrences(now, unix_ms, true);
+        self.record_demand(&job);
         job.spec_batch = self.batches.add_job(id);
         let batch = job.spec_batch;
         self.jobs.insert(id, job);
@@ -106,6 +107,15 @@
         })
     }
 
+    /// Records the large tasks that a job demands.
+    pub(super) fn record_demand(&mut self, job: &Job) {
+        let service = &job.record.policy.service;
+        let largest = self.largest_runner(service);
+        for spec in &job.record.spec.steps {
+            self.demand.record(service, spec, largest);
+        }
+    }
+
     /// Cancels a job. A job that has ended stays unchanged.
     pub fn cancel(&mut self, now: Millis, unix_ms: u64, host: &str, path: &str) -> CancelOutcome {
         let Some((_, rest)) = self.config.find(host, path) else {
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -35,20 +35,25 @@
     }
 }
 
+/// Returns a queue that serves paths below `/name/`.
+pub(crate) fn queue(name: &str) -> Queue {
+    Queue {
+        name: Name::new(name),
+        host: Name::new(HOST),
+        prefix: Name::new(&format!("/{name}/")),
+        policy: Policy {
+            service: Name::new("s"),
+            max_attempts: MAX_ATTEMPTS,
+            stretch: 2.0,
+            ..Policy::default()
+        },
+    }
+}
+
 pub(crate) fn config() -> CellConfig {
     CellConfig {
         version: 1,
-        queues: vec![Queue {
-            name: Name::new("q"),
-            host: Name::new(HOST),
-            prefix: Name::new("/q/"),
-            policy: Policy {
-                service: Name::new("s"),
-                max_attempts: MAX_ATTEMPTS,
-                stretch: 2.0,
-                ..Policy::default()
-            },
-        }],
+        queues: vec![queue("q")],
     }
 }
 
@@ -107,14 +112,22 @@
 
 impl Cell {
     pub(crate) fn new(runners: &[&str]) -> Self {
+        let runners = runners.iter().map(|id| entry(id));
+        Self::with_runners(config(), runners)
+    }
+
+    pub(crate) fn with_runners(
+        config: CellConfig,
+        runners: impl IntoIterator<Item = RunnerEntry>,
+    ) -> Self {
         let mut cell = Self {
             engine: Engine::new(settings()),
             now: 10_000,
             store: BTreeMap::new(),
         };
-        cell.engine.configure(config());
-        for id in runners {
-            cell.engine.upsert_runner(Millis(cell.now), entry(id));
+        cell.engine.configure(config);
+        for entry in runners {
+            cell.engine.upsert_runner(Millis(cell.now), entry);
         }
         cell.engine.confirm_ownership(Millis(cell.now));
         cell.commit();
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -66,6 +66,43 @@
             && self.accelerators <= other.accelerators
     }
 
+    /// Returns how many times the amounts fit in `room` together; `u64::MAX` if every amount is
+    /// zero.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use kspan_model::Resources;
+    ///
+    /// let worker = Resources::new(128_000, 524_288, 8);
+    /// assert_eq!(Resources::new(11_000, 60_000, 1).count_in(worker), 8);
+    /// assert_eq!(Resources::new(62_000, 60_000, 2).count_in(worker), 2);
+    /// ```
+    pub fn count_in(self, room: Self) -> u64 {
+        let ratio = |part: u64, whole: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+        ratio(self.cpu_milli, room.cpu_milli)
+            .min(ratio(self.memory_mib, room.memory_mib))
+            .min(ratio(self.accelerators, room.accelerators))
+    }
+
+    /// Returns the larger of each amount.
+    pub fn component_max(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the smaller of each amount.
+    pub fn component_min(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the sum, saturating at the largest representable amount.
     pub const fn saturating_add(self, other: Self) -> Self {
         Self {
--- a/crates/placement/src/feasible.rs
+++ b/crates/placement/src/feasible.rs
@@ -48,7 +48,7 @@
         }
         let room = shapes
             .iter()
-            .map(|&(shape, count)| count_fitting(size, shape).saturating_mul(u64::from(count)))
+            .map(|&(shape, count)| size.count_in(shape).saturating_mul(u64::from(count)))
             .fold(0, u64::saturating_add);
         (room < u64::from(spec.tasks)).then_some(ImpossibleReason::GangTooLarge {
             tasks: spec.tasks,
@@ -78,14 +78,6 @@
     }
 }
 
-/// Returns how many tasks of a size fit in `room`.
-pub(crate) fn count_fitting(size: Resources, room: Resources) -> u64 {
-    let ratio = |part: u64, whole: u64| whole.checked_div(part).unwrap_or(u64::MAX);
-    ratio(size.cpu_milli, room.cpu_milli)
-        .min(ratio(size.memory_mib, room.memory_mib))
-        .min(ratio(size.accelerators, room.accelerators))
-}
-
 fn too_small_reason(needed: Resources, shapes: &[(Resources, u32)]) -> ImpossibleReason {
     let max = shapes.iter().map(|(shape, _)| shape.accelerators).max();
     let max = max.unwrap_or(0);
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -3,7 +3,6 @@
 use kspan_model::{Millis, Resources};
 
 use crate::{
-    feasible::count_fitting,
     job::JobNo,
     plan::WORKER_AVOIDANCE_DELAY,
     queue::Candidate,
@@ -131,7 +130,7 @@
             rooms.push(WorkerRoom {
                 worker: number,
                 rack: worker.rack,
-                tasks: count_fitting(size, free),
+                tasks: size.count_in(free),
             });
         }
         rooms
--- a/crates/placement/src/openings.rs
+++ b/crates/placement/src/openings.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     TaskState,
-    feasible::count_fitting,
     job::JobNo,
     reserve::{MAX_LIFETIME, MIN_LIFETIME, PlannedTask, Reservation},
     spec::JobKind,
@@ -140,7 +139,7 @@
             return;
         };
         let max_tasks = wanted as u64;
-        let fitting = count_fitting(size, room).min(max_tasks);
+        let fitting = size.count_in(room).min(max_tasks);
         while pushed < fitting {
             pushed += 1;
             openings.push(Opening {
