Bound the work of a scheduling pass in a large cell

Each waiting step looked at every runner in each pass, even when no host could send an approval request: 6.6 to 14.5 ms a pass at 3,000 runners and 300 waiting steps (example slopes). Change: a pass finds the runners with room for the smallest waiting task once; a step examines at most 400 of them, beginning at a place of its own; no candidates are gathered while no host is free. Ruled out: processor time of the ranking (81 us for 300 steps at 3,000 runners). Measured: 0.17 to 0.23 ms a pass for the same cases.

--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -18,6 +18,7 @@
 use kspan_model::{Millis, Name, Resources};
 
 const HOST: &str = "cell.example";
+const RUNNER_CORES: u64 = 32;
 const STARTS: u64 = 3_000;
 const PASSES: u32 = 200;
 
@@ -49,9 +50,13 @@
 }
 
 fn spec(count: u32) -> JobSpec {
+    spec_of_cores(count, 1)
+}
+
+fn spec_of_cores(count: u32, cores: u64) -> JobSpec {
     let step = StepSpec {
         count,
-        size: Resources::new(1_000, 1_000, 0),
+        size: Resources::new(cores * 1_000, cores * 1_000, 0),
         estimate: Millis(500),
         ..StepSpec::default()
     };
@@ -74,7 +79,7 @@
             addr: Name::new("10.0.0.1:80"),
             data_centre: Name::new("dc"),
             draining: false,
-            capacity: Resources::new(32_000, 131_072, 0),
+            capacity: Resources::new(RUNNER_CORES * 1_000, 131_072, 0),
             labels: vec![Name::new("a"), Name::new(&format!("r{}", number / 8))],
             started_unix_ms: 1,
         };
@@ -183,12 +188,16 @@
     println!("submit, start and end, {runners} runners, {waiting} jobs waiting: {each:?}");
 }
 
-/// Measures one scheduling pass over `waiting` jobs of 16 tasks that need approvals, in a full
-/// cell.
-fn measure_scheduling_pass(runners: usize, waiting: u64) {
-    let now = Millis(10_000);
+/// Measures one scheduling pass over `waiting` jobs of 16 tasks that need approvals. The runners
+/// have room for `free_cores`, and each task needs `cores`.
+fn measure_scheduling_pass(runners: usize, waiting: u64, free_cores: u64, cores: u64) {
+    let mut now = Millis(10_000);
     let mut engine = Engine::new(settings());
     let mut config = config();
+    let mut fill = config.queues[0].clone();
+    fill.name = Name::new("fill");
+    fill.prefix = Name::new("/fill/");
+    config.queues.push(fill);
     config.queues[0].policy.approval = Some(ApprovalPolicy {
         base_ms: 20.0,
         per_runner_ms: 0.3,
@@ -198,22 +207,46 @@
     engine.set_approval_hosts(&[Name::new("h1")]);
     list_runners(&mut engine, runners, now);
     (0..runners).for_each(|runner_ix| report_ends(&mut engine, runner_ix, now, Vec::new()));
-    for id in 0..waiting {
-        let path = format!("/q/{}", JobId(id));
+    let submit = |engine: &mut Engine, id: u64, queue: &str, spec: JobSpec| {
+        let path = format!("/{queue}/{}", JobId(id));
         let req = Submission {
             host: HOST,
             path: &path,
-            spec: spec(16),
+            spec,
         };
         engine.submit(now, now.0, req).expect("the job is valid");
+    };
+    for id in 0..runners as u64 {
+        submit(
+            &mut engine,
+            id,
+            "fill",
+            spec_of_cores(1, RUNNER_CORES - free_cores),
+        );
+    }
+    commit(&mut engine);
+    schedule_and_start(&mut engine, now, &mut Vec::new());
+    for id in 0..waiting {
+        submit(
+            &mut engine,
+            runners as u64 + id,
+            "q",
+            spec_of_cores(16, cores),
+        );
     }
     commit(&mut engine);
     engine.schedule(now);
     let began = Instant::now();
-    (0..PASSES).for_each(|_| engine.schedule(now));
+    for _ in 0..PASSES {
+        // Steps without a candidate or a host are tried again after up to 100 ms.
+        now += Millis(20);
+        engine.confirm_ownership(now);
+        engine.schedule(now);
+    }
     let each = began.elapsed() / PASSES;
     println!(
-        "one scheduling pass, {runners} runners, {waiting} jobs waiting for approvals: {each:?}"
+        "one scheduling pass, {runners} runners with {free_cores} free cores, {waiting} jobs of \
+         {cores} cores a task waiting for approvals: {each:?}"
     );
 }
 
@@ -254,7 +287,9 @@
     for waiting in [100, 1_000] {
         measure_starts(50, waiting);
     }
-    for runners in [50, 350] {
-        measure_scheduling_pass(runners, 300);
+    for runners in [50, 350, 3_000] {
+        measure_scheduling_pass(runners, 300, 8, 2);
+        measure_scheduling_pass(runners, 300, 1, 2);
+        measure_scheduling_pass(runners, 300, 1, 9);
     }
 }
--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -17,9 +17,10 @@
 use super::{
     ApprovalRequest, Engine, Order, RunnerIx,
     job::{Job, Step},
+    place::examined,
     runner::Runner,
 };
-use crate::{id::StepId, spec::StepSpec};
+use crate::{config::Policy, id::StepId, spec::StepSpec};
 
 /// Maximum number of runners in one request.
 const MAX_RUNNERS_PER_REQUEST: usize = 40;
@@ -87,6 +88,14 @@
         {
             return;
         }
+        if !self.approval_hosts.has_free(now) {
+            let Some((step, _)) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id))
+            else {
+                return;
+            };
+            step.approvals.not_before = now + NO_HOST_RETRY_DELAY;
+            return;
+        }
         let requested = self.approval_candidates(id, now);
         let duration = policy.call_time(requested.len());
         let reserved = if requested.is_empty() {
@@ -125,10 +134,29 @@
             return Vec::new();
         };
         let need = self.approval_need(id, job, step, spec, now);
-        let candidates = (0..self.runners.len()).map(RunnerIx);
-        let mut candidates: Vec<ApprovalCandidate> = candidates
-            .filter_map(|runner_ix| self.approval_candidate(runner_ix, id, job, need, now))
-            .collect();
+        let mut candidates = Vec::new();
+        if need.starts_soon {
+            let renewals = self.reserved_for(id);
+            candidates.extend(renewals.filter_map(|runner_ix| {
+                self.approval_candidate(runner_ix, Reason::Renewal, id, job, need.renews_at)
+            }));
+        } else {
+            let open = examined(self.open_runners.len(), id);
+            candidates.extend(open.filter_map(|at| {
+                let runner_ix = self.open_runners[at];
+                let reason = self.reason_with_room(runner_ix, id, job, now)?;
+                self.approval_candidate(runner_ix, reason, id, job, now)
+            }));
+        }
+        if need.discovers {
+            let all = examined(self.runners.len(), id).map(RunnerIx);
+            candidates.extend(
+                all.filter(|runner_ix| self.may_discover(*runner_ix, id, job, now))
+                    .filter_map(|runner_ix| {
+                        self.approval_candidate(runner_ix, Reason::Discovery, id, job, now)
+                    }),
+            );
+        }
         candidates.sort_unstable();
         let rate = u64::from(self.approval_rates.expected_percent(&job.record.queue));
         let mut requested = Vec::new();
@@ -166,73 +194,107 @@
         let policy = &job.record.policy;
         let waiting = step.waiting as u64;
         let is_reservable = self.is_reservable(spec, policy);
+        let percent = waiting
+            * if is_reservable {
+                RESERVABLE_CAPACITY_PERCENT
+            } else {
+                REQUESTED_CAPACITY_PERCENT
+            };
         let call_time = policy
             .approval
             .map_or(Millis::ZERO, |approval| approval.call_time(step.waiting));
         let renews_at = now + call_time + RENEWAL_LEAD;
         let starts_at = self.reserved_start(id);
-        let size = spec.charged_resources();
-        let known: u64 = step
-            .approvals
-            .approved_runners()
-            .map(|runner_ix| &self.runners[runner_ix.0])
-            .filter(|runner| self.accepts(runner, spec, policy, now))
-            .map(|runner| size.count_in(runner.entry.capacity).min(waiting))
-            .sum();
+        let known_percent = if is_reservable {
+            100 * self.known_capacity(step, spec, policy, now)
+        } else {
+            0
+        };
+        let starts_soon = is_reservable && starts_at.is_some_and(|at| at <= renews_at);
         ApprovalNeed {
-            is_early: is_reservable || self.is_overdue(step, spec, now),
-            is_reservable,
             renews_at,
+            starts_soon,
             has_plan: is_reservable && starts_at.is_some_and(|at| at <= renews_at + call_time),
-            starts_soon: is_reservable && starts_at.is_some_and(|at| at <= renews_at),
-            known_percent: if is_reservable { known * 100 } else { 0 },
-            percent: waiting
-                * if is_reservable {
-                    RESERVABLE_CAPACITY_PERCENT
-                } else {
-                    REQUESTED_CAPACITY_PERCENT
-                },
+            discovers: self.is_overdue(step, spec, now)
+                || is_reservable && !starts_soon && known_percent < percent,
+            known_percent,
+            percent,
         }
     }
 
-    fn approval_candidate(
+    /// Returns how many waiting tasks of the step the approved runners have room for when empty.
+    fn known_capacity(&self, step: &Step, spec: &StepSpec, policy: &Policy, now: Millis) -> u64 {
+        let size = spec.charged_resources();
+        let approved = step.approvals.approved_runners();
+        let accepting = approved
+            .map(|runner_ix| &self.runners[runner_ix.0])
+            .filter(|runner| self.accepts(runner, spec, policy, now));
+        accepting
+            .map(|runner| {
+                size.count_in(runner.entry.capacity)
+                    .min(step.waiting as u64)
+            })
+            .sum()
+    }
+
+    /// Returns why a request names a runner that has room; `None` if the runner has none for the
+    /// step.
+    fn reason_with_room(
         &self,
         runner_ix: RunnerIx,
         id: StepId,
         job: &Job,
-        need: ApprovalNeed,
         now: Millis,
-    ) -> Option<ApprovalCandidate> {
+    ) -> Option<Reason> {
         let (step, spec) = job.step(id)?;
+        let runner = &self.runners[runner_ix.0];
+        let has_room = self.can_place(runner, spec, &job.record.policy, now)
+            && spec
+                .charged_resources()
+                .fits_in(self.usable_resources(runner_ix, id, spec, now));
+        let is_known = step.approvals.was_approved(runner_ix);
+        has_room.then_some(if is_known {
+            Reason::Approved
+        } else {
+            Reason::Unknown
+        })
+    }
+
+    /// Returns whether a request may name a runner without room that was never approved or denied.
+    fn may_discover(&self, runner_ix: RunnerIx, id: StepId, job: &Job, now: Millis) -> bool {
+        let Some((step, spec)) = job.step(id) else {
+            return false;
+        };
         let policy = &job.record.policy;
         let runner = &self.runners[runner_ix.0];
-        let size = spec.charged_resources();
-        let is_reserved = self.has_reservation(runner_ix, id);
-        let renews = need.is_reservable && is_reserved && need.starts_soon;
-        let valid_at = if renews { need.renews_at } else { now };
+        !spec.charged_resources().fits_in(runner.free())
+            && self.could_accept_when_empty(runner, spec, policy, now)
+            && (self.is_reservable(spec, policy) || !self.is_reserved_for_other(runner_ix, id))
+            && (spec.long_running || !step.approvals.was_approved(runner_ix))
+    }
+
+    /// Returns a runner as a candidate, unless it was denied or its ticket is valid at `valid_at`.
+    fn approval_candidate(
+        &self,
+        runner_ix: RunnerIx,
+        reason: Reason,
+        id: StepId,
+        job: &Job,
+        valid_at: Millis,
+    ) -> Option<ApprovalCandidate> {
+        let (step, spec) = job.step(id)?;
         if step.approvals.is_denied(runner_ix)
             || step.approvals.ticket(runner_ix, valid_at).is_some()
         {
             return None;
         }
-        let usable = self.usable_resources(runner_ix, id, spec, now);
-        let fits = size.fits_in(usable) && self.can_place(runner, spec, policy, now);
-        let is_early = need.is_early && self.could_accept_when_empty(runner, spec, policy, now);
-        let was_approved = step.approvals.was_approved(runner_ix);
-        let reason = match (was_approved, fits) {
-            (true, _) if renews => Reason::Renewal,
-            // The renewals of the reserved runners are about to suffice.
-            _ if need.starts_soon => return None,
-            (true, true) => Reason::Approved,
-            (false, true) => Reason::Unknown,
-            (true, false) if need.is_reservable => return None,
-            _ if is_early && (need.is_reservable || !self.is_reserved_for_other(runner_ix, id)) => {
-                Reason::Discovery
-            }
-            _ => return None,
+        let runner = &self.runners[runner_ix.0];
+        let room = match reason {
+            Reason::Approved | Reason::Unknown => runner.free(),
+            Reason::Renewal | Reason::Discovery => runner.entry.capacity,
         };
-        let room = if fits { usable } else { runner.entry.capacity };
-        let tasks = size
+        let tasks = spec
+            .charged_resources()
             .count_in(room)
             .min(u64::from(step.remaining_on(runner_ix, spec)))
             .min(MAX_TASKS_PER_RUNNER);
@@ -258,16 +320,15 @@
 /// What an approval request of a step has to bring.
 #[derive(Clone, Copy, Debug)]
 struct ApprovalNeed {
-    /// Whether runners without room are named too.
-    is_early: bool,
-    is_reservable: bool,
     /// Time at which a ticket requested now has to be valid.
     renews_at: Millis,
+    /// Whether the reserved runners are expected to have room by then.
+    starts_soon: bool,
     /// Whether the reserved runners are expected to have room before another call could be answered
     /// and its runners used.
     has_plan: bool,
-    /// Whether the reserved runners are expected to have room by then.
-    starts_soon: bool,
+    /// Whether runners without room are named too.
+    discovers: bool,
     /// Capacity of the runners that were approved before, when empty, in percent of a task.
     known_percent: u64,
     /// Wanted capacity, in percent of a task.
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -148,6 +148,14 @@
             .collect();
     }
 
+    /// Returns whether a host can begin a call within the time that calls may queue.
+    pub(super) fn has_free(&self, now: Millis) -> bool {
+        let latest_start = now + MAX_QUEUE_TIME;
+        self.hosts
+            .iter()
+            .any(|entry| now >= entry.paused_until && entry.busy_until <= latest_start)
+    }
+
     /// Reserves the host that can complete a call of duration `length` first. Returns it with the
     /// time until the response, or `None` if every host is busy for too long.
     pub(super) fn reserve(&mut self, length: Millis, now: Millis) -> Option<(Name, Millis)> {
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -224,6 +224,8 @@
     demand: Demand,
     /// Component-wise maximum of the capacities of each service's runners.
     largest_runners: FxHashMap<Name, Resources>,
+    /// Runners that had room for one of the waiting tasks when the current scheduling pass began.
+    open_runners: Vec<RunnerIx>,
     /// Runners reserved during the current scheduling pass.
     reserved: FxHashMap<RunnerIx, Reservation>,
     batches: Batches,
@@ -262,6 +264,7 @@
             run_times: RunTimes::default(),
             demand: Demand::default(),
             largest_runners: FxHashMap::default(),
+            open_runners: Vec::new(),
             reserved: FxHashMap::default(),
             batches: Batches::default(),
             last_sequence: 0,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -41,6 +41,9 @@
 /// Penalty for each task of the same long-running step on the runner.
 const SPREAD_PENALTY: u64 = 100_000;
 
+/// Maximum number of runners that a step examines in one decision.
+const MAX_EXAMINED: usize = 400;
+
 /// A step with waiting tasks whose dependencies are completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyStep {
@@ -63,7 +66,9 @@
         }
         let all_verified = self.are_all_runs_verified(now);
         self.reserved.clear();
-        for ready in self.ranked_ready_steps(now) {
+        let ready_steps = self.ranked_ready_steps(now);
+        self.open_runners = self.runners_with_room(&ready_steps, now);
+        for ready in ready_steps {
             if ready.is_durable {
                 self.place_step(ready.step, all_verified, now);
             }
@@ -132,6 +137,27 @@
         })
     }
 
+    /// Returns the runners that accept work and have free resources for a task of at least one of the
+    /// steps. In a full cell these are few, so that the steps need not look at all others.
+    fn runners_with_room(&self, ready_steps: &[ReadyStep], now: Millis) -> Vec<RunnerIx> {
+        let sizes = ready_steps.iter().filter_map(|ready| {
+            let (_, spec) = self.jobs.get(&ready.step.job)?.step(ready.step)?;
+            Some(spec.charged_resources())
+        });
+        let Some(smallest) = sizes.reduce(Resources::component_min) else {
+            return Vec::new();
+        };
+        let durable = self.batches.durable();
+        let has_room = |runner_ix: &RunnerIx| {
+            let runner = &self.runners[runner_ix.0];
+            smallest.fits_in(runner.free()) && runner.accepts_work(now, self.confirmed_at, durable)
+        };
+        (0..self.runners.len())
+            .map(RunnerIx)
+            .filter(has_room)
+            .collect()
+    }
+
     /// Returns whether a runner has free resources for a task of the step and accepts it, apart
     /// from approvals and the limit per runner.
     pub(super) fn can_place(
@@ -294,8 +320,8 @@
                 .filter_map(candidate)
                 .collect();
         }
-        (0..self.runners.len())
-            .filter_map(|ix| candidate(RunnerIx(ix)))
+        examined(self.open_runners.len(), id)
+            .filter_map(|at| candidate(self.open_runners[at]))
             .collect()
     }
 
@@ -476,6 +502,15 @@
     }
 }
 
+/// Returns which of `count` runners a step examines, as indices below `count`. In a large cell each
+/// step examines a part, so that a decision takes the same time however large the cell is; steps
+/// begin at different places, so that they don't all choose the same runners.
+pub(super) fn examined(count: usize, id: StepId) -> impl Iterator<Item = usize> {
+    let step = id.job.0.wrapping_add(u64::from(id.step));
+    let first = usize::try_from(step % count.max(1) as u64).unwrap_or(0);
+    (0..count.min(MAX_EXAMINED)).map(move |offset| (first + offset) % count)
+}
+
 /// Returns a score for left-over resources, in thousandths of a core.
 fn leftover_score(left: Resources) -> u64 {
     left.cpu_milli
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -240,10 +240,14 @@
         reservation.is_some_and(|reservation| reservation.step != id)
     }
 
-    /// Returns whether the step has a reservation on the runner.
-    pub(super) fn has_reservation(&self, runner_ix: RunnerIx, id: StepId) -> bool {
-        self.reserved
-            .get(&runner_ix)
-            .is_some_and(|reservation| reservation.step == id)
+    /// Returns the runners reserved for the step, in index order.
+    pub(super) fn reserved_for(&self, id: StepId) -> impl Iterator<Item = RunnerIx> {
+        let of_step = self
+            .reserved
+            .iter()
+            .filter(|(_, reservation)| reservation.step == id);
+        let mut runners: Vec<_> = of_step.map(|(runner_ix, _)| *runner_ix).collect();
+        runners.sort_unstable();
+        runners.into_iter()
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,8 +3,11 @@
 #![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "../../../../tests/loopback/mod.rs"]
+mod loopback;
+
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -167,8 +170,15 @@
 
 /// Creates the settings of process `i`, on free ports of a loopback address of its own.
 pub fn settings(i: u8, region: &str, platform: SocketAddr) -> Settings {
-    let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1 + i));
-    let free_addr = || TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap();
+    let ip = loopback::own_address();
+    let mut ports = Vec::new();
+    // Two ports of one address may be found equal unless both are held until the second is found.
+    while ports.len() < 3 {
+        let port = loopback::free_port(ip);
+        if !ports.contains(&port) {
+            ports.push(port);
+        }
+    }
     Settings {
         name: format!("node-{i:02}").as_str().into(),
         host: format!("host-{i:02}").as_str().into(),
@@ -176,9 +186,9 @@
         region: region.into(),
         data_centre: format!("{region}-1").as_str().into(),
         listen: Listen {
-            http: free_addr(),
-            admin: free_addr(),
-            wire: free_addr(),
+            http: ports[0],
+            admin: ports[1],
+            wire: ports[2],
         },
         platform: Platform {
             log: platform,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: real processes of a cell against a fake of the users' platform.
 
+mod loopback;
 #[path = "../platform/standin/mod.rs"]
 mod standin;
 
@@ -41,8 +42,9 @@
 
     /// Starts a process on a host that offers `processors` processors.
     fn start_on(number: usize, processors: f64, platform: &Platform) -> Self {
+        let address = loopback::own_address();
         let ports: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .map(|_| TcpListener::bind((address, 0)).expect("a free port"))
             .collect();
         let addrs: Vec<_> = ports
             .iter()
@@ -50,7 +52,7 @@
             .collect();
         drop(ports);
         let settings = format!(
-            "node: host-{number}\naddress: 127.0.0.1\ndata_centre: z\ncallers: {}\nready: {}\n\
+            "node: host-{number}\naddress: {address}\ndata_centre: z\ncallers: {}\nready: {}\n\
              admin: {}\ninternal_port: {}\nstore: {}\nmax_lease_ms: 10000\nspread_factor: 3\n\
              keep_ended_s: 120\ngrace_s: 6\nprocessors: {processors}\n",
             addrs[0],
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -3,9 +3,11 @@
 //!
 //! Skipped with a message if chromedriver is not installed (Debian package `chromium-driver`).
 
+mod loopback;
+
 use std::{
     fs,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -49,13 +51,6 @@
     dir: PathBuf,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("failed to bind a free port");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
-}
-
 fn wait_for_listener(address: SocketAddr) {
     for _ in 0..MAX_POLLS {
         if TcpStream::connect(address).is_ok() {
@@ -73,7 +68,9 @@
     let address = "127.0.0.1:0".parse().expect("a valid address");
     let pool = ThreadPool::new(1);
     let serving = log.serve(&pool, address).expect("failed to start the log");
-    let (console, driver) = (free_address(), free_address());
+    // The driver listens on the default loopback address only.
+    let console = loopback::free_port(loopback::own_address());
+    let driver = loopback::free_port(Ipv4Addr::LOCALHOST.into());
     let settings = dir.join("console.yaml");
     let text = format!("listen: {console}\nlog: {}\n", serving.address);
     fs::write(&settings, text).expect("failed to write the settings");
