Reject unservable jobs at once, and report jobs that wait beyond their objective

Cause: a job whose tasks fit on no runner of its service, need a label that none has, or form a gang larger than all runners together was accepted and waited for ever; a job that never started left one log line, accepted, and nothing after it. Change: such a job is rejected before anything is stored (503, Retry-After 30 s, the reason in the body and the log), unless the runners are known for less than 5 s or the ones that would do ended less than 30 s ago. A job that can no longer meet its objective is reported once, with what the runners lack; explain says the same. Metrics show used and free accelerators and the most free on one host. Tests: three more in tests/large_tasks.rs.

--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -26,6 +26,10 @@
 /// Time after which a caller that was not served should retry, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
+/// Time after which a caller should retry a job that the cell's runners cannot run, in seconds. New
+/// runners take at least as long to be added.
+const UNSERVABLE_RETRY_AFTER_S: u32 = 30;
+
 /// Maximum `Retry-After` during an outage of the store, in seconds.
 const MAX_RETRY_AFTER_S: u64 = 3;
 
@@ -69,6 +73,13 @@
         let submitted = match submitted {
             Ok(submitted) => submitted,
             Err(SubmitError::NoQueue) => return Ok(CallResponse::new(404)),
+            Err(err @ SubmitError::Unservable(..)) => {
+                self.log_call(path, "refused", &err.to_string());
+                return Ok(CallResponse {
+                    body: err.to_string().into_bytes(),
+                    ..CallResponse::unavailable(UNSERVABLE_RETRY_AFTER_S)
+                });
+            }
             Err(err) => {
                 self.log_call(path, "refused", "malformed");
                 return Ok(CallResponse::with_body(400, err.to_string().into_bytes()));
--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -25,6 +25,7 @@
             telemetry::record_run_end(how.map_or("vanished", end_kind_name))
         }
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
+        Event::JobLate { .. } => telemetry::record_late_job(),
         Event::RunAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
@@ -52,6 +53,7 @@
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
         Event::JobEnded { .. } => "job ended",
+        Event::JobLate { .. } => "job late",
         Event::RunnerChanged { .. } => "runner",
     }
 }
@@ -96,6 +98,9 @@
         Event::JobEnded { job, how, elapsed } => {
             tracing::info!(%job, how, after_ms = elapsed.0, "job ended");
         }
+        Event::JobLate { job, why, elapsed } => {
+            tracing::warn!(%job, why, after_ms = elapsed.0, "job waits beyond its objective");
+        }
         Event::RunnerChanged { id, what } => {
             tracing::info!(runner = %id, what, "runner state changed")
         }
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -50,6 +50,11 @@
     histogram!("kspan_cell_job_seconds", "how" => how).record(seconds(after));
 }
 
+/// Records a job that waits beyond its objective.
+pub(crate) fn record_late_job() {
+    counter!("kspan_cell_jobs_late_total").increment(1);
+}
+
 /// Records the outcome of an inventory call.
 pub(crate) fn record_inventory(outcome: &'static str) {
     counter!("kspan_cell_inventories_total", "outcome" => outcome).increment(1);
@@ -92,6 +97,9 @@
     gauge!("kspan_cell_tasks_waiting").set(to_f64(totals.waiting as u64));
     gauge!("kspan_cell_cpu_cores_used").set(to_f64(totals.used.cpu_milli) / 1_000.0);
     gauge!("kspan_cell_cpu_cores_capacity").set(to_f64(totals.capacity.cpu_milli) / 1_000.0);
+    gauge!("kspan_cell_accelerators_used").set(to_f64(totals.used.accelerators));
+    gauge!("kspan_cell_accelerators_capacity").set(to_f64(totals.capacity.accelerators));
+    gauge!("kspan_cell_accelerators_largest_free").set(to_f64(totals.largest_free_accelerators));
 }
 
 fn seconds(span: Millis) -> f64 {
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -1,13 +1,14 @@
 //! Explanations of a job's state, for operators.
 
-use kspan_model::Millis;
+use kspan_model::{Millis, Resources};
 use serde::Serialize;
 
 use super::{
-    Engine, RunnerIx,
+    Engine, Event, RunnerIx,
     job::{Job, Occurrence, Step, TaskState},
+    servable::lacking_resource,
 };
-use crate::{id::JobId, record::Phase, spec::StepSpec};
+use crate::{config::Policy, id::JobId, record::Phase, spec::StepSpec};
 
 /// State of a job and the reasons for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -44,7 +45,7 @@
     /// Number of failed runs.
     pub failures: usize,
     /// Reason why tasks wait; empty if none does.
-    pub why: &'static str,
+    pub why: String,
     /// Runners with tasks of the step.
     pub runners: Vec<String>,
 }
@@ -77,6 +78,23 @@
         })
     }
 
+    /// Reports a job that can no longer meet its objective, if its tasks still wait. A pass reports
+    /// one job at most, because an explanation examines all runners.
+    pub(super) fn report_late_job(&mut self, id: Option<JobId>, now: Millis) {
+        let Some(explanation) = id.and_then(|id| self.explain(id, now)) else {
+            return;
+        };
+        let Some(job) = id.and_then(|id| self.jobs.get_mut(&id)) else {
+            return;
+        };
+        job.reported_late = true;
+        let (job, elapsed) = (job.id, now.saturating_sub(job.submitted));
+        let waiting = explanation.steps.into_iter().map(|step| step.why);
+        if let Some(why) = waiting.into_iter().find(|why| !why.is_empty()) {
+            self.events.push(Event::JobLate { job, why, elapsed });
+        }
+    }
+
     fn explain_step(
         &self,
         job: &Job,
@@ -119,36 +137,64 @@
         number: usize,
         step: &Step,
         now: Millis,
-    ) -> &'static str {
+    ) -> String {
         let spec: &StepSpec = &job.record.spec.steps[number];
         let is_step_done = |step: &u32| occurrence.steps[*step as usize].is_done();
         let unverified = step.tasks.iter().any(|task| task.unverified);
         if step.waiting == 0 {
-            return "";
+            return String::new();
         }
         if !spec.depends_on.iter().all(is_step_done) {
-            return "steps that it depends on are not completed";
+            return "steps that it depends on are not completed".to_owned();
         }
         if job.spec_batch > self.batches.durable() {
-            return "the specification of the job is not durable yet";
+            return "the specification of the job is not durable yet".to_owned();
         }
         if !self.is_confirmed_since_gap() {
-            return "ownership has not been confirmed since a gap between ticks";
+            return "ownership has not been confirmed since a gap between ticks".to_owned();
         }
         if unverified && self.unverified_until.is_some() {
-            return "a run of a previous owner may be alive on a runner that has not answered";
+            return "a run of a previous owner may be alive on a runner that has not answered"
+                .to_owned();
         }
         let policy = &job.record.policy;
         let can_place = self
             .runners
             .iter()
             .any(|runner| self.can_place(runner, spec, policy, now));
-        match can_place {
-            false => "no runner that accepts work has enough free resources",
-            true if step.approvals.request_in_flight => "an approval request is in flight",
-            true if policy.approval.is_some() => "no runner with enough free resources is approved",
-            true if spec.gang => "not all members of the gang fit at the same time",
-            true => "runners with enough free resources are at the step's limit per runner",
+        if !can_place {
+            return self.lacking_room(spec, policy, now);
+        }
+        let why = if step.approvals.request_in_flight {
+            "an approval request is in flight"
+        } else if policy.approval.is_some() {
+            "no runner with enough free resources is approved"
+        } else if spec.gang {
+            "not all members of the gang fit at the same time"
+        } else {
+            "runners with enough free resources are at the step's limit per runner, or reserved"
+        };
+        why.to_owned()
+    }
+
+    /// Describes what the runners that accept tasks of a step lack for one more.
+    fn lacking_room(&self, spec: &StepSpec, policy: &Policy, now: Millis) -> String {
+        let accepting = self
+            .runners
+            .iter()
+            .filter(|runner| self.accepts(runner, spec, policy, now));
+        let size = spec.charged_resources();
+        let (mut runners, mut largest) = (0, Resources::ZERO);
+        for runner in accepting {
+            runners += 1;
+            largest = largest.component_max(runner.free());
+        }
+        if runners == 0 {
+            return "no runner of the service accepts work of the step".to_owned();
         }
+        let lacking = lacking_resource(size, largest).unwrap_or("with all that a task needs free");
+        format!(
+            "none of {runners} runners is one {lacking}: a task needs {size}, the most free is {largest}"
+        )
     }
 }
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -99,6 +99,7 @@
             return;
         }
         runner.dead = true;
+        runner.ended_at = Some(now);
         let id = runner.entry.id.clone();
         self.batches.add_runner(id.clone());
         self.events.push(Event::RunnerChanged { id, what: "ended" });
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -182,6 +182,8 @@
     pub(super) ended_unix_ms: u64,
     /// Whether any task has started.
     pub(super) started: bool,
+    /// Whether the job was reported as late.
+    pub(super) reported_late: bool,
     /// Number of completed occurrences.
     pub(super) occurrences_done: u32,
     /// Number of the next occurrence to begin.
@@ -201,6 +203,7 @@
             submitted: now,
             ended_unix_ms: 0,
             started: false,
+            reported_late: false,
             occurrences_done: 0,
             next_occurrence: 0,
             occurrences: Vec::new(),
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod queries;
 mod reserve;
 mod runner;
+mod servable;
 mod stall;
 mod submit;
 mod urgency;
@@ -198,6 +199,15 @@
         /// Time since the submission.
         elapsed: Millis,
     },
+    /// A job with waiting tasks can no longer meet its objective. Emitted once for each job.
+    JobLate {
+        /// Job id.
+        job: JobId,
+        /// Reason why its tasks wait.
+        why: String,
+        /// Time since the submission.
+        elapsed: Millis,
+    },
     /// The status of a runner changed.
     RunnerChanged {
         /// Id of the runner.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     config::Policy,
-    id::{StepId, TaskId},
+    id::{JobId, StepId, TaskId},
     record::Phase,
     spec::StepSpec,
 };
@@ -55,6 +55,15 @@
     is_reservable: bool,
 }
 
+/// The ready steps of a scheduling pass.
+#[derive(Debug)]
+struct ReadySteps {
+    /// The steps, the most urgent first.
+    steps: Vec<ReadyStep>,
+    /// A job that can no longer meet its objective and was not reported yet.
+    late_job: Option<JobId>,
+}
+
 /// Index of a task, and the runner chosen for it.
 type Choice = (u32, RunnerIx);
 
@@ -66,7 +75,10 @@
         }
         let all_verified = self.are_all_runs_verified(now);
         self.reserved.clear();
-        let ready_steps = self.ranked_ready_steps(now);
+        let ReadySteps {
+            steps: ready_steps,
+            late_job,
+        } = self.ranked_ready_steps(now);
         self.open_runners = self.runners_with_room(&ready_steps, now);
         for ready in ready_steps {
             if ready.is_durable {
@@ -80,13 +92,15 @@
             self.request_approvals(ready.step, now);
         }
         self.reserved.clear();
+        self.report_late_job(late_job, now);
     }
 
     /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
     /// such steps from the schedulable set.
-    fn ranked_ready_steps(&mut self, now: Millis) -> Vec<ReadyStep> {
+    fn ranked_ready_steps(&mut self, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let mut ready = Vec::new();
+        let mut late_job = None;
         let mut exhausted = Vec::new();
         for id in &self.schedulable {
             let job = self.jobs.get(id).filter(|job| job.phase == Phase::Active);
@@ -101,6 +115,9 @@
             }
             let is_durable = job.spec_batch <= self.batches.durable();
             let urgency = self.urgency(job, now);
+            if urgency.misses_objective() && !job.reported_late {
+                late_job = Some(*id);
+            }
             let policy = &job.record.policy;
             let fitting = steps.filter_map(|id| {
                 let (step, spec) = job.step(id)?;
@@ -120,7 +137,10 @@
             self.schedulable.remove(&id);
         }
         ready.sort_unstable();
-        ready
+        ReadySteps {
+            steps: ready,
+            late_job,
+        }
     }
 
     /// Returns the component-wise maximum of the free resources over all runners. A task that does
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -39,6 +39,8 @@
     pub capacity: Resources,
     /// Reserved resources of those runners.
     pub used: Resources,
+    /// Largest number of free accelerators on one of those runners.
+    pub largest_free_accelerators: u64,
     /// Number of running tasks.
     pub running: usize,
     /// Number of waiting tasks in occurrences that have begun.
@@ -140,6 +142,8 @@
             totals.runners += 1;
             totals.capacity = totals.capacity.saturating_add(runner.entry.capacity);
             totals.used = totals.used.saturating_add(runner.used);
+            let free = runner.free().accelerators;
+            totals.largest_free_accelerators = totals.largest_free_accelerators.max(free);
         }
         let jobs = self.active.iter().filter_map(|id| self.jobs.get(id));
         for step in jobs
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -73,6 +73,8 @@
     pub(super) record_batch: u64,
     /// Whether this incarnation is known to have ended.
     pub(super) dead: bool,
+    /// Time at which this incarnation was found to have ended.
+    pub(super) ended_at: Option<Millis>,
     /// Whether the runner has answered under the current fencing token.
     pub(super) has_answered: bool,
     pub(super) runs: FxHashMap<(TaskId, u32), PlacedRun>,
@@ -106,6 +108,7 @@
             first_seen: now,
             record_batch,
             dead: false,
+            ended_at: None,
             has_answered: false,
             runs: FxHashMap::default(),
             used: Resources::ZERO,
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -25,6 +25,10 @@
         InvalidId {
             display("invalid job id: expected 16 lower-case hexadecimal digits")
         }
+        /// No runner of the service can ever take a task of the step.
+        Unservable(step: usize, lacking: &'static str) {
+            display("step {step}: the service has no runners {lacking}")
+        }
         /// The specification is invalid.
         Spec(err: SpecError) {
             from()
@@ -86,6 +90,7 @@
             });
         }
         req.spec.validate()?;
+        self.check_servable(&req.spec, &queue.policy, now)?;
         let record = JobRecord {
             queue: queue.name.clone(),
             policy: queue.policy.clone(),
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns whether the job can no longer meet its objective.
+    pub(super) fn misses_objective(&self) -> bool {
+        self.misses_objective
+    }
+
     /// Returns whether a task of a long-running step is overdue.
     pub(super) fn is_overdue(&self) -> bool {
         !self.is_not_overdue
--- a/crates/jobs/tests/large_tasks.rs
+++ b/crates/jobs/tests/large_tasks.rs
@@ -6,9 +6,9 @@
 
 use kspan_jobs::{
     config::{ApprovalPolicy, CellConfig},
-    engine::{ApprovalRequest, Order, RunnerIx},
+    engine::{ApprovalRequest, Event, Order, RunnerIx, Submission, SubmitError},
     id::TaskId,
-    runner::{EndKind, EndedTask, RunnerEntry, RunningTask},
+    runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask},
     spec::{JobSpec, StepSpec},
 };
 use kspan_model::{Millis, Name, Resources};
@@ -378,3 +378,115 @@
         }
     }
 }
+
+fn submit(simulation: &mut Simulation, number: usize, spec: JobSpec) -> Option<SubmitError> {
+    let now = simulation.cell.now;
+    let path = path("q", number);
+    let req = Submission {
+        host: HOST,
+        path: &path,
+        spec,
+    };
+    let submitted = simulation.cell.engine.submit(Millis(now), now, req);
+    submitted.err()
+}
+
+/// Jobs that no runner can ever take are rejected when they are submitted, and nothing of them is
+/// stored.
+#[test]
+fn unservable_job_is_rejected_at_once() {
+    let whole = HOST_WITH_ACCELERATORS;
+    let labelled = |label: &str| {
+        let mut spec = job(1, ONE_ACCELERATOR, 1_000);
+        spec.steps[0].label = Some(Name::new(label));
+        spec
+    };
+    let at_most_one = |mut spec: JobSpec| {
+        spec.steps[0].max_per_runner = Some(1);
+        spec
+    };
+    let unservable = |lacking| Some(SubmitError::Unservable(0, lacking));
+    let table = [
+        (job(1, whole, 1_000), None),
+        (job(50, whole, 1_000), None),
+        (gang(2, whole, 1_000), None),
+        (labelled("a"), None),
+        (at_most_one(gang(2, ONE_ACCELERATOR, 1_000)), None),
+        (
+            job(1, Resources::new(1_000, 1_000, 9), 1_000),
+            unservable("with enough accelerators"),
+        ),
+        (
+            job(1, Resources::new(128_001, 1_000, 0), 1_000),
+            unservable("with enough processors"),
+        ),
+        (
+            job(1, Resources::new(1_000, 512_001, 0), 1_000),
+            unservable("with enough memory"),
+        ),
+        (
+            gang(3, whole, 1_000),
+            unservable("that can hold the whole gang together"),
+        ),
+        (
+            at_most_one(gang(3, ONE_ACCELERATOR, 1_000)),
+            unservable("that can hold the whole gang together"),
+        ),
+        (labelled("z"), unservable("with the required label")),
+    ];
+    for (row, (spec, expected)) in table.into_iter().enumerate() {
+        let runners = vec![runner("w0", whole), runner("w1", whole)];
+        let mut simulation = Simulation::new(queues_by_priority(), runners);
+        simulation.cell.commit();
+        let stored = simulation.cell.store.len();
+        // The host list may still be incomplete.
+        assert_eq!(submit(&mut simulation, 1, spec.clone()), None, "row {row}");
+        simulation.cell.commit();
+        assert_eq!(simulation.cell.store.len(), stored + 1, "row {row}");
+        simulation.cell.advance(5_000);
+        assert_eq!(submit(&mut simulation, 2, spec), expected, "row {row}");
+        simulation.cell.commit();
+        let accepted = 1 + usize::from(expected.is_none());
+        assert_eq!(simulation.cell.store.len(), stored + accepted, "row {row}");
+    }
+}
+
+/// While the only runners that a job fits on have just ended, they may come back.
+#[test]
+fn job_is_accepted_while_its_runners_may_come_back() {
+    let table = [(10_000, None), (31_000, Some("with enough accelerators"))];
+    for (gone_ms, lacking) in table {
+        let small = Resources::new(16_000, 64_000, 0);
+        let runners = vec![runner("w0", HOST_WITH_ACCELERATORS), runner("w1", small)];
+        let mut simulation = Simulation::new(queues_by_priority(), runners);
+        simulation.cell.advance(5_000);
+        let ended = InventoryOutcome::OtherIncarnation;
+        simulation.cell.complete_inventory_call(0, &ended);
+        simulation.cell.advance(gone_ms);
+        let rejected = submit(&mut simulation, 1, job(1, ONE_ACCELERATOR, 1_000));
+        let expected = lacking.map(|lacking| SubmitError::Unservable(0, lacking));
+        assert_eq!(rejected, expected, "{gone_ms} ms");
+    }
+}
+
+/// A job that waits beyond its objective is reported once, with what the runners lack.
+#[test]
+fn late_job_is_reported_once_with_the_lacking_resource() {
+    let runners = vec![runner("w0", HOST_WITH_ACCELERATORS)];
+    let mut simulation = Simulation::new(queues_by_priority(), runners);
+    simulation.submit("q", 1, job(1, WHOLE_HOST, 60_000));
+    simulation.step(100);
+    simulation.submit("low", 2, job(2, ONE_ACCELERATOR, 1_000));
+    let mut late = Vec::new();
+    for _ in 0..40 {
+        simulation.step(100);
+        let events = simulation.cell.engine.take_events();
+        late.extend(events.into_iter().filter_map(|event| match event {
+            Event::JobLate { job, why, .. } => Some((job.0, why)),
+            _ => None,
+        }));
+    }
+    let why = "none of 1 runners is one with enough accelerators: a task needs 11000m cpu, \
+               59000 MiB, 1 accelerators, the most free is 66000m cpu, 332000 MiB, 0 accelerators";
+    assert_eq!(late, [(2, why.to_owned())]);
+}
