Rank jobs last whose result would come too late to be of use

Cause: in a backlog, jobs that miss their objective were served oldest first within their priority, even after three objectives, when their callers have no use for the result; a recurring job counted its objective from its submission, so that its occurrences always ranked as late. Change: such jobs rank after all others, long-running ones excepted; objectives of recurring jobs count from the beginning of the occurrence. Tests: two more in tests/load_patterns.rs; both fail on the engine before.

--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -147,13 +147,19 @@
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
     pub(super) number: u32,
+    /// Time at which the occurrence began.
+    began: Millis,
     pub(super) steps: Vec<Step>,
 }
 
 impl Occurrence {
     fn new(number: u32, spec: &JobSpec, now: Millis) -> Self {
         let steps = spec.steps.iter().map(|step| Step::new(step, now)).collect();
-        Self { number, steps }
+        Self {
+            number,
+            began: now,
+            steps,
+        }
     }
 
     /// Returns whether all steps are done.
@@ -269,6 +275,13 @@
         self.occurrences_done == self.record.spec.occurrences()
     }
 
+    /// Returns the time from which the objective of the oldest occurrence counts.
+    pub(super) fn oldest_occurrence_began(&self) -> Millis {
+        let oldest = self.occurrences.first();
+        let timed = oldest.filter(|_| self.record.spec.timetable.is_some());
+        timed.map_or(self.submitted, |occurrence| occurrence.began)
+    }
+
     /// Returns a step with its specification.
     pub(super) fn step(&self, id: StepId) -> Option<(&Step, &StepSpec)> {
         let occurrence = self
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -4,16 +4,25 @@
 //! come first, the one whose objective ends soonest at the head. Jobs that can no longer meet it
 //! come last, also ordered by the end of their objective, so that the longest waiting precede and
 //! none starves.
+//!
+//! Load pattern: a backlog that outlasts a disturbance. Jobs that would end so late that their
+//! callers no longer have any use for the result rank after all others, whatever their priority;
+//! they would otherwise hold back jobs that can still be useful.
 
 use kspan_model::Millis;
 
 use super::{Engine, job::Job, job::Occurrence};
 
+/// Multiple of its objective within which the result of a job is of use to its caller.
+const USEFUL_OBJECTIVES: u64 = 3;
+
 /// Rank of a waiting step; the smallest is scheduled first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Urgency {
     /// False if a task of a long-running step is overdue, which ranks it first.
     is_not_overdue: bool,
+    /// Whether the job would end too late to be of any use.
+    is_useless: bool,
     priority: u32,
     misses_objective: bool,
     due: Millis,
@@ -48,9 +57,13 @@
             .occurrences
             .first()
             .map_or(total, |occ| self.critical_path(job, Some(occ)));
-        let due = job.submitted + stretched(total, policy.stretch) + policy.slack;
+        let objective = stretched(total, policy.stretch) + policy.slack;
+        let began = job.oldest_occurrence_began();
+        let due = began + objective;
+        let latest_useful = began + Millis(objective.0 * USEFUL_OBJECTIVES);
         Urgency {
             is_not_overdue: true,
+            is_useless: !job.record.spec.is_long_running() && now + remaining > latest_useful,
             priority: policy.priority,
             misses_objective: now + remaining > due,
             due,
--- a/crates/jobs/tests/load_patterns.rs
+++ b/crates/jobs/tests/load_patterns.rs
@@ -6,7 +6,7 @@
 use kspan_jobs::{
     engine::{Order, RunnerIx},
     runner::{EndKind, EndedTask, RunningTask, StartOutcome},
-    spec::StepSpec,
+    spec::{StepSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
 use one_cell::*;
@@ -182,3 +182,48 @@
             > 0
     );
 }
+
+#[test]
+fn useless_job_does_not_hold_back_one_that_is_still_useful() {
+    // Objective: twice the run time of 500 ms, which leaves 3 s until a result is of no use. Time
+    // that the older job waits in ms, and which of the two starts first.
+    let older = "/high/0000000000000001";
+    let newer = "/low/0000000000000002";
+    let table = [(2_000, 1), (2_600, 2), (60_000, 2)];
+    for (waits_ms, expected) in table {
+        let mut config = config();
+        for (priority, name) in [(0, "high"), (1, "low")] {
+            let mut queue = queue(name);
+            queue.policy.priority = priority;
+            config.queues.push(queue);
+        }
+        let mut cell = Cell::with_runners(config, [entry("w0")]);
+        cell.submit_spec(older, spec());
+        cell.advance(waits_ms);
+        cell.submit_spec(newer, spec());
+        cell.report_ends(0, Vec::new());
+        let started = cell.schedule_and_start();
+        let started: Vec<u64> = started.iter().map(|(_, task)| task.step.job.0).collect();
+        assert_eq!(started, [expected], "after {waits_ms} ms");
+    }
+}
+
+#[test]
+fn objective_of_a_recurring_job_counts_from_its_occurrence() {
+    // A recurring job that was submitted a minute ago has a new occurrence, and competes with a job
+    // of the same queue that was submitted right after it began.
+    let mut cell = Cell::new(&["w0"]);
+    let mut recurring = spec();
+    recurring.timetable = Some(Timetable {
+        times: 2,
+        first_unix_ms: cell.now + 60_000,
+        period: Millis(60_000),
+    });
+    cell.submit_spec("/q/0000000000000001", recurring);
+    cell.advance(60_100);
+    cell.submit_spec("/q/0000000000000002", spec());
+    cell.report_ends(0, Vec::new());
+    let started = cell.schedule_and_start();
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.step.job.0, 1);
+}
