Plan reservations with the time that approvals take

A gang planned on whichever approved runners had room first, without its tickets, so more urgent gangs took the runners for which others had just renewed theirs, and the next call began anew. Change: an expected start includes the time until the ticket is there, so a gang keeps to the runners of its request in flight; gangs learn of four times the room they need instead of two and a half.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -16,6 +16,7 @@
 
 use super::{
     ApprovalRequest, Engine, Order, RunnerIx,
+    approvals::PendingRequest,
     job::{Job, Step},
     place::examined,
     runner::Runner,
@@ -39,7 +40,7 @@
 const REQUESTED_CAPACITY_PERCENT: u64 = 150;
 
 /// The same for steps for which runners are reserved: they have to find enough runners at a time.
-const RESERVABLE_CAPACITY_PERCENT: u64 = 250;
+const RESERVABLE_CAPACITY_PERCENT: u64 = 400;
 
 /// Time by which an approval call may end before the reserved runners have room.
 const RENEWAL_LEAD: Millis = Millis(300);
@@ -84,7 +85,7 @@
         let Some((step, _)) = job.step(id) else {
             return;
         };
-        if step.waiting == 0 || step.approvals.request_in_flight || now < step.approvals.not_before
+        if step.waiting == 0 || step.approvals.pending.is_some() || now < step.approvals.not_before
         {
             return;
         }
@@ -115,7 +116,10 @@
             step.approvals.not_before = now + retry;
             return;
         };
-        step.approvals.request_in_flight = true;
+        step.approvals.pending = Some(PendingRequest {
+            runners: requested.clone(),
+            expected_at: now + expected_wait,
+        });
         self.orders
             .push_back(Order::RequestApprovals(ApprovalRequest {
                 step: id,
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -39,12 +39,21 @@
     Denied,
 }
 
+/// An approval request in flight.
+#[derive(Clone, Debug)]
+pub(super) struct PendingRequest {
+    /// Runners that it names.
+    pub(super) runners: Vec<RunnerIx>,
+    /// Time at which the response is expected.
+    pub(super) expected_at: Millis,
+}
+
 /// Approvals of one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Approvals {
     by_runner: FxHashMap<RunnerIx, Approval>,
-    /// Whether a request is in flight.
-    pub(super) request_in_flight: bool,
+    /// The request in flight.
+    pub(super) pending: Option<PendingRequest>,
     /// Earliest time of the next request.
     pub(super) not_before: Millis,
 }
@@ -70,6 +79,28 @@
         }
     }
 
+    /// Returns when a task can start on a runner that has room from `room_at` on: at that time if
+    /// the ticket is valid then, otherwise once a request that takes `call_time` is answered.
+    pub(super) fn earliest_start(
+        &self,
+        runner_ix: RunnerIx,
+        room_at: Millis,
+        call_time: Millis,
+        now: Millis,
+    ) -> Millis {
+        if self.ticket(runner_ix, room_at).is_some() {
+            return room_at;
+        }
+        let Some(pending) = &self.pending else {
+            return room_at.max(now + call_time);
+        };
+        let answered_at = pending.expected_at.max(now);
+        if pending.runners.contains(&runner_ix) {
+            return room_at.max(answered_at);
+        }
+        room_at.max(answered_at + call_time)
+    }
+
     /// Returns whether the runner was denied.
     pub(super) fn is_denied(&self, runner_ix: RunnerIx) -> bool {
         self.by_runner.get(&runner_ix) == Some(&Approval::Denied)
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -165,7 +165,7 @@
         if !can_place {
             return self.lacking_room(spec, policy, now);
         }
-        let why = if step.approvals.request_in_flight {
+        let why = if step.approvals.pending.is_some() {
             "an approval request is in flight"
         } else if policy.approval.is_some() {
             "no runner with enough free resources is approved"
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -110,7 +110,7 @@
         let Some((step, _)) = job.step_mut(order.step) else {
             return;
         };
-        step.approvals.request_in_flight = false;
+        step.approvals.pending = None;
         let Some((approved, validity)) = rows else {
             return;
         };
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -183,16 +183,30 @@
 
     /// Returns the expected places for tasks of a step on runners that are not reserved.
     fn expected_slots(&self, id: StepId, now: Millis) -> Vec<Slot> {
-        let Some((step, spec)) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return Vec::new();
+        };
+        let Some((step, spec)) = job.step(id) else {
             return Vec::new();
         };
         let size = spec.charged_resources();
         let waiting = u32::try_from(step.waiting).unwrap_or(u32::MAX);
+        let approval = job.record.policy.approval;
+        let call_time = approval.map(|policy| policy.call_time(step.waiting));
+        let starts_at = |runner_ix: RunnerIx, room_at: Millis| match call_time {
+            Some(call_time) => step
+                .approvals
+                .earliest_start(runner_ix, room_at, call_time, now),
+            None => room_at,
+        };
         let mut slots = Vec::new();
         for runner_ix in self.reservable_runners(id, now) {
             let max = step.remaining_on(runner_ix, spec).min(waiting);
             let times = self.runners[runner_ix.0].slot_times(size, max, now);
-            slots.extend(times.into_iter().map(|at| Slot { at, runner_ix }));
+            slots.extend(times.into_iter().map(|room_at| Slot {
+                at: starts_at(runner_ix, room_at),
+                runner_ix,
+            }));
         }
         slots
     }
