--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -98,8 +98,13 @@
         Event::JobEnded { job, how, elapsed } => {
             tracing::info!(%job, how, after_ms = elapsed.0, "job ended");
         }
-        Event::JobLate { job, why, elapsed } => {
-            tracing::warn!(%job, why, after_ms = elapsed.0, "job waits beyond its objective");
+        Event::JobLate {
+            job,
+            queue,
+            why,
+            elapsed,
+        } => {
+            tracing::warn!(%job, queue, why, after_ms = elapsed.0, "job waits beyond its objective");
         }
         Event::RunnerChanged { id, what } => {
             tracing::info!(runner = %id, what, "runner state changed")
--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -42,6 +42,10 @@
 /// The same for steps for which runners are reserved: they have to find enough runners at a time.
 const RESERVABLE_CAPACITY_PERCENT: u64 = 400;
 
+/// Capacity for which tickets are renewed, in percent of the needs: a reserved runner may be lost or
+/// keep its present tasks for longer than expected.
+const RENEWED_CAPACITY_PERCENT: u64 = 250;
+
 /// Time by which an approval call may end before the reserved runners have room.
 const RENEWAL_LEAD: Millis = Millis(300);
 
@@ -137,53 +141,76 @@
         let Some((step, spec)) = job.step(id) else {
             return Vec::new();
         };
+        let policy = &job.record.policy;
+        if self.is_reservable(spec, policy)
+            && self.reserved_start(id).is_none()
+            && self.is_reservation_limit_reached(&policy.service)
+        {
+            // More urgent steps wait for the same runners; calls for this one would delay theirs.
+            return Vec::new();
+        }
         let need = self.approval_need(id, job, step, spec, now);
-        let mut candidates = Vec::new();
-        if need.starts_soon {
-            let renewals = self.reserved_for(id);
-            candidates.extend(renewals.filter_map(|runner_ix| {
-                self.approval_candidate(runner_ix, Reason::Renewal, id, job, need.renews_at)
-            }));
-        } else {
-            let open = examined(self.open_runners.len(), id);
-            candidates.extend(open.filter_map(|at| {
-                let runner_ix = self.open_runners[at];
-                let reason = self.reason_with_room(runner_ix, id, job, now)?;
-                self.approval_candidate(runner_ix, reason, id, job, now)
-            }));
+        let mut candidates = self.renewals(id, job, need);
+        // A renewal names further runners, but they are no reason for a request of their own.
+        if !need.starts_soon || !candidates.is_empty() {
+            candidates.extend(self.candidates_with_room(id, job, need, now));
         }
         if need.discovers {
-            let all = examined(self.runners.len(), id).map(RunnerIx);
-            candidates.extend(
-                all.filter(|runner_ix| self.may_discover(*runner_ix, id, job, now))
-                    .filter_map(|runner_ix| {
-                        self.approval_candidate(runner_ix, Reason::Discovery, id, job, now)
-                    }),
-            );
+            candidates.extend(self.candidates_without_room(id, job, now));
         }
         candidates.sort_unstable();
-        let rate = u64::from(self.approval_rates.expected_percent(&job.record.queue));
-        let mut requested = Vec::new();
-        let mut expected_percent = 0;
-        for candidate in candidates {
-            let has_min = requested.len() >= MIN_RUNNERS_PER_REQUEST;
-            let is_enough = match candidate.reason {
-                Reason::Renewal => false,
-                Reason::Approved => has_min && expected_percent >= need.percent,
-                Reason::Unknown if need.has_plan => {
-                    expected_percent + need.known_percent >= need.percent
-                }
-                Reason::Unknown => has_min && expected_percent >= need.percent,
-                Reason::Discovery => expected_percent + need.known_percent >= need.percent,
-            };
-            if is_enough || requested.len() >= MAX_RUNNERS_PER_REQUEST {
-                break;
-            }
-            let is_known = candidate.reason <= Reason::Approved;
-            expected_percent += candidate.tasks.0 * if is_known { 100 } else { rate };
-            requested.push(candidate.runner_ix);
+        let approval_rate = self.approval_rates.expected_percent(&job.record.queue);
+        need.select(&candidates, u64::from(approval_rate))
+    }
+
+    /// Returns the reserved runners whose tickets have to be renewed.
+    fn renewals(&self, id: StepId, job: &Job, need: ApprovalNeed) -> Vec<ApprovalCandidate> {
+        if !need.starts_soon {
+            return Vec::new();
         }
-        requested
+        let renewal = |runner_ix| {
+            self.approval_candidate(runner_ix, Reason::Renewal, id, job, need.renews_at)
+        };
+        self.reserved_for(id).filter_map(renewal).collect()
+    }
+
+    /// Returns the runners that have room for the step; beside a renewal, only those approved
+    /// before that nobody has reserved.
+    fn candidates_with_room(
+        &self,
+        id: StepId,
+        job: &Job,
+        need: ApprovalNeed,
+        now: Millis,
+    ) -> Vec<ApprovalCandidate> {
+        let candidate = |at: usize| {
+            let runner_ix = self.open_runners[at];
+            let reason = self.reason_with_room(runner_ix, id, job, now)?;
+            let is_spare = reason == Reason::Approved && !self.is_reserved(runner_ix);
+            if need.starts_soon && !is_spare {
+                return None;
+            }
+            self.approval_candidate(runner_ix, reason, id, job, now)
+        };
+        examined(self.open_runners.len(), id)
+            .filter_map(candidate)
+            .collect()
+    }
+
+    /// Returns the runners without room that the step may wait for.
+    fn candidates_without_room(
+        &self,
+        id: StepId,
+        job: &Job,
+        now: Millis,
+    ) -> Vec<ApprovalCandidate> {
+        examined(self.runners.len(), id)
+            .map(RunnerIx)
+            .filter(|runner_ix| self.may_discover(*runner_ix, id, job, now))
+            .filter_map(|runner_ix| {
+                self.approval_candidate(runner_ix, Reason::Discovery, id, job, now)
+            })
+            .collect()
     }
 
     /// Returns what a request of the step has to bring.
@@ -204,9 +231,7 @@
             } else {
                 REQUESTED_CAPACITY_PERCENT
             };
-        let call_time = policy
-            .approval
-            .map_or(Millis::ZERO, |approval| approval.call_time(step.waiting));
+        let call_time = Self::approval_time(step, policy);
         let renews_at = now + call_time + RENEWAL_LEAD;
         let starts_at = self.reserved_start(id);
         let known_percent = if is_reservable {
@@ -223,6 +248,7 @@
                 || is_reservable && !starts_soon && known_percent < percent,
             known_percent,
             percent,
+            spare_percent: waiting * RENEWED_CAPACITY_PERCENT,
         }
     }
 
@@ -337,4 +363,40 @@
     known_percent: u64,
     /// Wanted capacity, in percent of a task.
     percent: u64,
+    /// Wanted capacity of a request that renews tickets, in percent of a task.
+    spare_percent: u64,
+}
+
+impl ApprovalNeed {
+    /// Selects the runners to name from candidates in order of preference, until the expected
+    /// capacity suffices. `approval_rate` is the expected rate of approvals, in percent.
+    fn select(&self, candidates: &[ApprovalCandidate], approval_rate: u64) -> Vec<RunnerIx> {
+        let mut requested = Vec::new();
+        let mut expected_percent = 0;
+        for candidate in candidates {
+            if requested.len() >= MAX_RUNNERS_PER_REQUEST
+                || self.is_met(candidate.reason, expected_percent, requested.len())
+            {
+                break;
+            }
+            let is_known = candidate.reason <= Reason::Approved;
+            expected_percent += candidate.tasks.0 * if is_known { 100 } else { approval_rate };
+            requested.push(candidate.runner_ix);
+        }
+        requested
+    }
+
+    /// Returns whether the expected capacity suffices without further runners of a reason.
+    fn is_met(&self, reason: Reason, expected_percent: u64, requested: usize) -> bool {
+        let has_min = requested >= MIN_RUNNERS_PER_REQUEST;
+        let meets_need = expected_percent >= self.percent;
+        let meets_need_with_known = expected_percent + self.known_percent >= self.percent;
+        match reason {
+            Reason::Renewal => false,
+            Reason::Approved if self.starts_soon => expected_percent >= self.spare_percent,
+            Reason::Unknown if self.has_plan => meets_need_with_known,
+            Reason::Approved | Reason::Unknown => has_min && meets_need,
+            Reason::Discovery => meets_need_with_known,
+        }
+    }
 }
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -187,15 +187,19 @@
             .any(|entry| now >= entry.paused_until && entry.busy_until <= latest_start)
     }
 
+    /// Returns the index of the first host that may make a call of duration `length`.
+    fn first_host(&self, length: Millis) -> usize {
+        if length <= MAX_SHORT_CALL {
+            0
+        } else {
+            self.hosts.len() / SHORT_CALL_HOST_DIVISOR
+        }
+    }
+
     /// Reserves the host that can complete a call of duration `length` first. Returns it with the
     /// time until the response, or `None` if every host is busy for too long.
     pub(super) fn reserve(&mut self, length: Millis, now: Millis) -> Option<(Name, Millis)> {
-        let reserved = self.hosts.len() / SHORT_CALL_HOST_DIVISOR;
-        let first = if length <= MAX_SHORT_CALL {
-            0
-        } else {
-            reserved
-        };
+        let first = self.first_host(length);
         let usable = self.hosts[first..]
             .iter_mut()
             .filter(|entry| now >= entry.paused_until);
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -91,7 +91,12 @@
         let (job, elapsed) = (job.id, now.saturating_sub(job.submitted));
         let waiting = explanation.steps.into_iter().map(|step| step.why);
         if let Some(why) = waiting.into_iter().find(|why| !why.is_empty()) {
-            self.events.push(Event::JobLate { job, why, elapsed });
+            self.events.push(Event::JobLate {
+                job,
+                queue: explanation.queue,
+                why,
+                elapsed,
+            });
         }
     }
 
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -58,7 +58,7 @@
         let runner_ix = RunnerIx(self.runners.len());
         self.by_id.insert(entry.id.clone(), runner_ix);
         self.runners.push(Runner::new(entry, now, record_batch));
-        self.include_in_largest(runner_ix);
+        self.recompute_services();
         runner_ix
     }
 
@@ -103,7 +103,7 @@
         let id = runner.entry.id.clone();
         self.batches.add_runner(id.clone());
         self.events.push(Event::RunnerChanged { id, what: "ended" });
-        self.recompute_largest();
+        self.recompute_services();
         self.remove_all_runs(runner_ix, now);
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -26,7 +26,7 @@
 
 use std::collections::VecDeque;
 
-use kspan_model::{Millis, Name, Resources};
+use kspan_model::{Millis, Name};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use self::{
@@ -35,7 +35,7 @@
     durable::Batches,
     estimate::RunTimes,
     job::Job,
-    reserve::Reservation,
+    reserve::{Reservation, ServiceRunners},
     runner::Runner,
 };
 use crate::{
@@ -203,6 +203,8 @@
     JobLate {
         /// Job id.
         job: JobId,
+        /// Queue that the job was submitted to.
+        queue: String,
         /// Reason why its tasks wait.
         why: String,
         /// Time since the submission.
@@ -232,8 +234,8 @@
     approval_rates: ApprovalRates,
     run_times: RunTimes,
     demand: Demand,
-    /// Component-wise maximum of the capacities of each service's runners.
-    largest_runners: FxHashMap<Name, Resources>,
+    /// Runners of each service.
+    services: FxHashMap<Name, ServiceRunners>,
     /// Runners that had room for one of the waiting tasks when the current scheduling pass began.
     open_runners: Vec<RunnerIx>,
     /// Runners reserved during the current scheduling pass.
@@ -273,7 +275,7 @@
             approval_rates: ApprovalRates::default(),
             run_times: RunTimes::default(),
             demand: Demand::default(),
-            largest_runners: FxHashMap::default(),
+            services: FxHashMap::default(),
             open_runners: Vec::new(),
             reserved: FxHashMap::default(),
             batches: Batches::default(),
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -23,9 +23,17 @@
 /// At most one in this many runners is reserved for overdue tasks.
 const OVERDUE_DIVISOR: usize = 8;
 
-/// No further step gets a reservation once one in this many runners is reserved, so that other work
-/// goes on.
-const LARGE_DIVISOR: usize = 2;
+/// No further step gets a reservation once this share of the runners of its service is reserved, so
+/// that other work goes on, in percent.
+const MAX_RESERVED_PERCENT: usize = 75;
+
+/// Runners of one service that are not known to have ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServiceRunners {
+    /// Component-wise maximum of their capacities.
+    largest: Resources,
+    count: usize,
+}
 
 /// Resources of a runner that are kept for waiting tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,30 +76,44 @@
 
     /// Returns the component-wise maximum of the capacities of a service's runners.
     pub(super) fn largest_runner(&self, service: &Name) -> Resources {
-        self.largest_runners
+        self.services
             .get(service)
-            .copied()
-            .unwrap_or_default()
+            .map_or(Resources::ZERO, |runners| runners.largest)
     }
 
-    /// Includes a runner in the largest capacities.
+    /// Includes the capacity of a runner in the largest of its service.
     pub(super) fn include_in_largest(&mut self, runner_ix: RunnerIx) {
         let entry = &self.runners[runner_ix.0].entry;
-        let largest = self.largest_runners.entry(entry.service.clone());
-        let largest = largest.or_default();
-        *largest = largest.component_max(entry.capacity);
+        let runners = self.services.entry(entry.service.clone()).or_default();
+        runners.largest = runners.largest.component_max(entry.capacity);
     }
 
-    /// Computes the largest capacities anew from the runners that are not known to have ended.
-    pub(super) fn recompute_largest(&mut self) {
-        self.largest_runners.clear();
-        for ix in 0..self.runners.len() {
-            if !self.runners[ix].dead {
-                self.include_in_largest(RunnerIx(ix));
-            }
+    /// Computes the largest capacity and the number of runners of each service anew, from the
+    /// runners that are not known to have ended.
+    pub(super) fn recompute_services(&mut self) {
+        self.services.clear();
+        for runner in self.runners.iter().filter(|runner| !runner.dead) {
+            let service = runner.entry.service.clone();
+            let runners = self.services.entry(service).or_default();
+            runners.largest = runners.largest.component_max(runner.entry.capacity);
+            runners.count += 1;
         }
     }
 
+    /// Returns whether so many runners of a service are reserved that no further step may reserve
+    /// any.
+    pub(super) fn is_reservation_limit_reached(&self, service: &Name) -> bool {
+        let count = self
+            .services
+            .get(service)
+            .map_or(0, |runners| runners.count);
+        let of_service = self
+            .reserved
+            .keys()
+            .filter(|runner_ix| self.runners[runner_ix.0].entry.service == *service);
+        of_service.count() * 100 >= count * MAX_RESERVED_PERCENT
+    }
+
     /// Returns whether a runner could take a task of the step if it were empty, regardless of
     /// approvals.
     pub(super) fn could_accept_when_empty(
@@ -152,14 +174,17 @@
     /// Reserves the runners that will have room first for the waiting tasks of a gang or of a step
     /// of large tasks. Reserves nothing for a gang if its members never fit at the same time.
     pub(super) fn reserve_for_large(&mut self, id: StepId, now: Millis) {
-        let Some((step, spec)) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+        let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let (needed, is_gang) = (step.waiting, spec.gang);
-        let size = spec.charged_resources();
-        if self.reserved.len() >= self.runners.len() / LARGE_DIVISOR {
+        let Some((step, spec)) = job.step(id) else {
+            return;
+        };
+        if self.is_reservation_limit_reached(&job.record.policy.service) {
             return;
         }
+        let (needed, is_gang) = (step.waiting, spec.gang);
+        let size = spec.charged_resources();
         let mut slots = self.expected_slots(id, now);
         slots.sort_unstable();
         slots.truncate(needed);
@@ -181,6 +206,14 @@
         }
     }
 
+    /// Returns the duration of an approval call for the waiting tasks of a step; zero if it needs no
+    /// approvals.
+    pub(super) fn approval_time(step: &Step, policy: &Policy) -> Millis {
+        let approval = policy.approval;
+        let length = approval.map(|approval| approval.call_time(step.waiting));
+        length.unwrap_or_default()
+    }
+
     /// Returns the expected places for tasks of a step on runners that are not reserved.
     fn expected_slots(&self, id: StepId, now: Millis) -> Vec<Slot> {
         let Some(job) = self.jobs.get(&id.job) else {
@@ -191,10 +224,10 @@
         };
         let size = spec.charged_resources();
         let waiting = u32::try_from(step.waiting).unwrap_or(u32::MAX);
-        let approval = job.record.policy.approval;
-        let call_time = approval.map(|policy| policy.call_time(step.waiting));
-        let starts_at = |runner_ix: RunnerIx, room_at: Millis| match call_time {
-            Some(call_time) => step
+        let policy = &job.record.policy;
+        let call_time = Self::approval_time(step, policy);
+        let starts_at = |runner_ix: RunnerIx, room_at: Millis| match policy.approval {
+            Some(_) => step
                 .approvals
                 .earliest_start(runner_ix, room_at, call_time, now),
             None => room_at,
@@ -248,6 +281,11 @@
         of_step.map(|reservation| reservation.starts_at).max()
     }
 
+    /// Returns whether the runner is reserved.
+    pub(super) fn is_reserved(&self, runner_ix: RunnerIx) -> bool {
+        self.reserved.contains_key(&runner_ix)
+    }
+
     /// Returns whether the runner is reserved for another step.
     pub(super) fn is_reserved_for_other(&self, runner_ix: RunnerIx, id: StepId) -> bool {
         let reservation = self.reserved.get(&runner_ix);
