Warn of teams without a quota, and drop unused functions

Cause: left over from earlier work. A quota of zero passed without a warning, although its team runs only on what others leave; token_holder and WorkerLease::reset_failures were used nowhere. Change: a warning at teams[i].quota; the two functions are gone (no test used them). Measured: one more case in the table of diagnostics; no other change of behaviour.

--- a/crates/model/src/document/semantics.rs
+++ b/crates/model/src/document/semantics.rs
@@ -15,6 +15,7 @@
     check_references(document, &mut diagnostics);
     check_services(document, &mut diagnostics);
     check_capacity(document, &mut diagnostics);
+    check_teams(document, &mut diagnostics);
     diagnostics
 }
 
@@ -207,6 +208,17 @@
     }
 }
 
+/// Warns of teams without a quota, whose tasks run only on what other teams leave unused.
+fn check_teams(document: &Document, diagnostics: &mut Vec<Diagnostic>) {
+    let without_quota = document.teams.iter().enumerate();
+    for (number, team) in without_quota.filter(|(_, team)| team.quota.is_zero()) {
+        let message = format!("the quota of team `{}` is zero", team.name);
+        let hint = "set `cpu`, `memory` or `accelerators` to what the team may use at once";
+        let path = format!("teams[{number}].quota");
+        diagnostics.push(Diagnostic::new(path, message, hint).into_warning());
+    }
+}
+
 fn check_quota(document: &Document, work: &Workload<'_>, diagnostics: &mut Vec<Diagnostic>) {
     let Some(team) = document.team(work.team) else {
         return;
--- a/crates/model/tests/document.rs
+++ b/crates/model/tests/document.rs
@@ -57,7 +57,7 @@
 }
 
 /// Text to replace, its replacement, and the expected diagnostic: path, line, severity.
-const CASES: [(&str, &str, &str, usize, Severity); 16] = [
+const CASES: [(&str, &str, &str, usize, Severity); 17] = [
     (
         "quota: {cpu: 8",
         "quota: {cpu: 8GB",
@@ -170,6 +170,13 @@
         21,
         Severity::Warning,
     ),
+    (
+        "quota: {cpu: 8, memory: 32GiB}",
+        "quota: {cpu: 0, memory: 0GiB}",
+        "teams[0].quota",
+        9,
+        Severity::Warning,
+    ),
 ];
 
 #[test]
--- a/crates/scheduler/src/lease.rs
+++ b/crates/scheduler/src/lease.rs
@@ -109,12 +109,6 @@
         }
     }
 
-    /// Resets the count of failures after a pause of this process, in which missing replies prove
-    /// nothing about the worker.
-    pub fn reset_failures(&mut self) {
-        self.failures = 0;
-    }
-
     /// Extends the last instant at which another owner may have renewed the task leases.
     pub fn extend_possible_renewal(&mut self, until: Millis) {
         self.last_possible_renewal = self.last_possible_renewal.max(until);
--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -42,13 +42,3 @@
     }
     Some(Fence::new(view.number, token.checked_add(steps)?))
 }
-
-/// Returns the scheduler to which `token` belongs, or `None` if the token is not of this view.
-pub fn token_holder<'a>(view: &'a View, shard: &Site, token: Fence) -> Option<&'a NodeId> {
-    if token.view != view.number {
-        return None;
-    }
-    let ranked = rank_shard(view, shard);
-    let rank = (token.rank as usize).checked_rem(ranked.len())?;
-    ranked.get(rank).map(|member| &member.node)
-}
