Let a step that waits move on to other runners

Cause: found by reading. A step examined the same 400 runners in every pass, so in a cell with more, a task that fits on one of the others only would never start. Change: the part that a step examines moves on each 100 ms. Test: only_runner_with_room_in_a_large_cell_is_found in tests/load_patterns.rs; failed before.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -192,7 +192,7 @@
             }
             self.approval_candidate(runner_ix, reason, id, job, now)
         };
-        examined(self.open_runners.len(), id)
+        examined(self.open_runners.len(), id, now)
             .filter_map(candidate)
             .collect()
     }
@@ -204,7 +204,7 @@
         job: &Job,
         now: Millis,
     ) -> Vec<ApprovalCandidate> {
-        examined(self.runners.len(), id)
+        examined(self.runners.len(), id, now)
             .map(RunnerIx)
             .filter(|runner_ix| self.may_discover(*runner_ix, id, job, now))
             .filter_map(|runner_ix| {
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -44,6 +44,9 @@
 /// Maximum number of runners that a step examines in one decision.
 const MAX_EXAMINED: usize = 400;
 
+/// How long a step examines the same part of the runners.
+const EXAMINATION_PERIOD: Millis = Millis(100);
+
 /// A step with waiting tasks whose dependencies are completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ReadyStep {
@@ -340,7 +343,7 @@
                 .filter_map(candidate)
                 .collect();
         }
-        examined(self.open_runners.len(), id)
+        examined(self.open_runners.len(), id, now)
             .filter_map(|at| candidate(self.open_runners[at]))
             .collect()
     }
@@ -522,12 +525,15 @@
     }
 }
 
-/// Returns which of `count` runners a step examines, as indices below `count`. In a large cell each
-/// step examines a part, so that a decision takes the same time however large the cell is; steps
-/// begin at different places, so that they don't all choose the same runners.
-pub(super) fn examined(count: usize, id: StepId) -> impl Iterator<Item = usize> {
+/// Returns which of `count` runners a step examines now, as indices below `count`. In a large cell
+/// each step examines a part, so that a decision takes the same time however large the cell is.
+/// Steps begin at different places, so that they do not all choose the same runners, and a step that
+/// keeps waiting moves on to the next part.
+pub(super) fn examined(count: usize, id: StepId, now: Millis) -> impl Iterator<Item = usize> {
+    let parts_passed = now.0 / EXAMINATION_PERIOD.0;
     let step = id.job.0.wrapping_add(u64::from(id.step));
-    let first = usize::try_from(step % count.max(1) as u64).unwrap_or(0);
+    let first = step.wrapping_add(parts_passed * MAX_EXAMINED as u64) % count.max(1) as u64;
+    let first = usize::try_from(first).unwrap_or(0);
     (0..count.min(MAX_EXAMINED)).map(move |offset| (first + offset) % count)
 }
 
--- a/crates/jobs/tests/load_patterns.rs
+++ b/crates/jobs/tests/load_patterns.rs
@@ -227,3 +227,32 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].1.step.job.0, 1);
 }
+
+#[test]
+fn only_runner_with_room_in_a_large_cell_is_found() {
+    // Index of the only runner with room, among more runners than a step examines at a time. A small
+    // task that no runner accepts keeps all others under consideration.
+    const RUNNERS: usize = 1_000;
+    for with_room in [0, 499, 999] {
+        let names: Vec<String> = (0..RUNNERS).map(|ix| format!("w{ix}")).collect();
+        let runners = names.iter().enumerate().map(|(ix, name)| {
+            let mut entry = entry(name);
+            let cores = if ix == with_room { 4 } else { 1 };
+            entry.capacity = Resources::new(cores * 1_000, 4_000, 0);
+            entry
+        });
+        let mut cell = Cell::with_runners(config(), runners);
+        (0..RUNNERS).for_each(|runner_ix| cell.report_ends(runner_ix, Vec::new()));
+        let mut small = spec();
+        small.steps[0].size = Resources::new(1_000, 1_000, 0);
+        small.steps[0].label = Some(Name::new("none has it"));
+        cell.submit_spec("/q/0000000000000001", small);
+        cell.submit();
+        let mut started = Vec::new();
+        for _ in 0..10 {
+            started.extend(cell.schedule());
+            cell.advance(100);
+        }
+        assert_eq!(started, [with_room]);
+    }
+}
