--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -170,26 +170,14 @@
 
 /// Creates the settings of process `i`, on free ports of a loopback address of its own.
 pub fn settings(i: u8, region: &str, platform: SocketAddr) -> Settings {
-    let ip = loopback::own_address();
-    let mut ports = Vec::new();
-    // Two ports of one address may be found equal unless both are held until the second is found.
-    while ports.len() < 3 {
-        let port = loopback::free_port(ip);
-        if !ports.contains(&port) {
-            ports.push(port);
-        }
-    }
+    let [http, admin, wire] = loopback::free_ports(loopback::own_address());
     Settings {
         name: format!("node-{i:02}").as_str().into(),
         host: format!("host-{i:02}").as_str().into(),
         cell: "test".into(),
         region: region.into(),
         data_centre: format!("{region}-1").as_str().into(),
-        listen: Listen {
-            http: ports[0],
-            admin: ports[1],
-            wire: ports[2],
-        },
+        listen: Listen { http, admin, wire },
         platform: Platform {
             log: platform,
             hosts: platform,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -8,7 +8,6 @@
     collections::BTreeMap,
     fs,
     io::{BufRead, BufReader},
-    net::TcpListener,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -43,14 +42,7 @@
     /// Starts a process on a host that offers `processors` processors.
     fn start_on(number: usize, processors: f64, platform: &Platform) -> Self {
         let address = loopback::own_address();
-        let ports: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind((address, 0)).expect("a free port"))
-            .collect();
-        let addrs: Vec<_> = ports
-            .iter()
-            .map(|port| port.local_addr().expect("bound"))
-            .collect();
-        drop(ports);
+        let addrs: [_; 4] = loopback::free_ports(address);
         let settings = format!(
             "node: host-{number}\naddress: {address}\ndata_centre: z\ncallers: {}\nready: {}\n\
              admin: {}\ninternal_port: {}\nstore: {}\nmax_lease_ms: 10000\nspread_factor: 3\n\
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -69,8 +69,8 @@
     let pool = ThreadPool::new(1);
     let serving = log.serve(&pool, address).expect("failed to start the log");
     // The driver listens on the default loopback address only.
-    let console = loopback::free_port(loopback::own_address());
-    let driver = loopback::free_port(Ipv4Addr::LOCALHOST.into());
+    let [console] = loopback::free_ports(loopback::own_address());
+    let [driver] = loopback::free_ports(Ipv4Addr::LOCALHOST.into());
     let settings = dir.join("console.yaml");
     let text = format!("listen: {console}\nlog: {}\n", serving.address);
     fs::write(&settings, text).expect("failed to write the settings");
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -16,7 +16,7 @@
 /// # Panics
 ///
 /// Panics if the process has used all of its addresses.
-pub fn own_address() -> IpAddr {
+pub(crate) fn own_address() -> IpAddr {
     let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
     assert!(number < 254, "more than 254 addresses in one process");
     let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -24,14 +24,17 @@
     IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, number + 1))
 }
 
-/// Returns a port of an address from [`own_address`] that nothing listens on.
+/// Returns ports of an address that nothing listens on, all of them different.
 ///
 /// # Panics
 ///
 /// Panics if the address cannot be bound.
-pub fn free_port(address: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((address, 0)).expect("a loopback address can be bound");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+pub(crate) fn free_ports<const COUNT: usize>(address: IpAddr) -> [SocketAddr; COUNT] {
+    let listeners: [TcpListener; COUNT] = std::array::from_fn(|_| {
+        TcpListener::bind((address, 0)).expect("a loopback address can be bound")
+    });
+    listeners.map(|listener| {
+        let address = listener.local_addr();
+        address.expect("a bound socket has an address")
+    })
 }
