Count the runners of a service as they are added

Cause: found by reading the whole change. Each runner that was added made the engine count all runners anew, which is quadratic at a takeover.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -58,7 +58,7 @@
         let runner_ix = RunnerIx(self.runners.len());
         self.by_id.insert(entry.id.clone(), runner_ix);
         self.runners.push(Runner::new(entry, now, record_batch));
-        self.recompute_services();
+        self.include_in_service(runner_ix);
         runner_ix
     }
 
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -88,15 +88,23 @@
         runners.largest = runners.largest.component_max(entry.capacity);
     }
 
+    /// Includes a runner that was added in those of its service.
+    pub(super) fn include_in_service(&mut self, runner_ix: RunnerIx) {
+        self.include_in_largest(runner_ix);
+        let service = &self.runners[runner_ix.0].entry.service;
+        if let Some(runners) = self.services.get_mut(service) {
+            runners.count += 1;
+        }
+    }
+
     /// Computes the largest capacity and the number of runners of each service anew, from the
     /// runners that are not known to have ended.
     pub(super) fn recompute_services(&mut self) {
         self.services.clear();
-        for runner in self.runners.iter().filter(|runner| !runner.dead) {
-            let service = runner.entry.service.clone();
-            let runners = self.services.entry(service).or_default();
-            runners.largest = runners.largest.component_max(runner.entry.capacity);
-            runners.count += 1;
+        for ix in 0..self.runners.len() {
+            if !self.runners[ix].dead {
+                self.include_in_service(RunnerIx(ix));
+            }
         }
     }
 
@@ -256,7 +264,7 @@
         let policy = &job.record.policy;
         let is_usable = |runner_ix: &RunnerIx| {
             let runner = &self.runners[runner_ix.0];
-            !self.reserved.contains_key(runner_ix)
+            !self.is_reserved(*runner_ix)
                 && step.remaining_on(*runner_ix, spec) > 0
                 && self.could_accept_when_empty(runner, spec, policy, now)
         };
