Log the relays tried and the age of the configuration

The logs could not tell the hypotheses apart: neither the relays tried and their failures nor the age of the owner's configuration were visible, and a 404 left no line.

Decisions are unchanged.

--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -75,7 +75,7 @@
     pub(crate) local: Member,
     pub(crate) peers: Rc<Peers>,
     pub(crate) store: StoreClient,
-    pub(crate) log_limit: LogLimit,
+    pub(crate) log_limit: Rc<LogLimit>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) in_flight: InFlight,
     approvals: Client,
@@ -99,7 +99,9 @@
             power_milli: cfg.processors_milli(),
         };
         let peers = Rc::new(Peers::default());
-        let store = StoreClient::new(&cfg.store, clock, Rc::clone(&peers)).await;
+        let log_limit = Rc::new(LogLimit::default());
+        let store =
+            StoreClient::new(&cfg.store, clock, Rc::clone(&log_limit), Rc::clone(&peers)).await;
         Rc::new(Self {
             clock,
             election: RefCell::new(Election::new(local.clone(), clock.now())),
@@ -107,7 +109,7 @@
             local,
             peers,
             store,
-            log_limit: LogLimit::default(),
+            log_limit,
             stopping: Cell::new(false),
             in_flight: InFlight::default(),
             approvals: kspan_adapter::http::client(MAX_APPROVAL_CONNECTIONS).await,
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -72,7 +72,7 @@
         let submitted = self.engine.borrow_mut().submit(self.now(), unix_ms, req);
         let submitted = match submitted {
             Ok(submitted) => submitted,
-            Err(SubmitError::NoQueue) => return Ok(CallResponse::new(404)),
+            Err(SubmitError::NoQueue) => return Ok(self.unknown_queue(path)),
             Err(err @ SubmitError::Unservable(..)) => {
                 self.log_call(path, "refused", &err.to_string());
                 return Ok(CallResponse {
@@ -131,7 +131,7 @@
     fn show(&self, host: &str, path: &str) -> CallResponse {
         let engine = self.engine.borrow();
         let Some((queue, job)) = engine.find_queue(host, path) else {
-            return CallResponse::new(404);
+            return self.unknown_queue(path);
         };
         let Some(job) = job else {
             let pending = engine.queued_jobs(&queue) as u64;
@@ -150,7 +150,7 @@
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let cancelled = self.engine.borrow_mut().cancel(now, unix_ms, host, path);
         match cancelled {
-            CancelOutcome::NoQueue => Ok(CallResponse::new(404)),
+            CancelOutcome::NoQueue => Ok(self.unknown_queue(path)),
             CancelOutcome::Unknown if self.time_since_confirmed() < MAX_UNCONFIRMED_NOT_FOUND => {
                 Ok(CallResponse::new(410))
             }
@@ -170,6 +170,16 @@
         }
     }
 
+    /// Answers a call for a queue that the configuration does not contain.
+    fn unknown_queue(&self, path: &str) -> CallResponse {
+        if self.node.log_limit.allows("unknown queue", self.now()) {
+            let version = self.config_version();
+            let age_ms = self.config_age().0;
+            tracing::info!(path, version, age_ms, "no queue serves the path");
+        }
+        CallResponse::new(404)
+    }
+
     /// Waits until a batch is durable, up to a timeout. Returns whether it is durable.
     async fn wait_until_durable(&self, batch: u64) -> bool {
         let mut durable_batch = self.durable_batch.subscribe();
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -82,6 +82,9 @@
     confirmed_at: Cell<Millis>,
     /// Clock reading at the last confirmation.
     confirmed_reading: Cell<ClockReading>,
+    /// Time at which the last successful read of the configuration was sent. Versions that were
+    /// accepted before that time have been applied.
+    config_read_at: Cell<Millis>,
     /// End offset of the topic of claims.
     claims_end: Cell<u64>,
     member_liveness: RefCell<Vec<MemberLiveness>>,
@@ -117,6 +120,7 @@
             writing_since: Cell::new(None),
             confirmed_at: Cell::new(now),
             confirmed_reading: Cell::new(node.clock.reading()),
+            config_read_at: Cell::new(Millis::ZERO),
             claims_end: Cell::new(claims_end),
             member_liveness: RefCell::new(member_liveness),
             heartbeats_until_list: Cell::new(0),
@@ -268,6 +272,11 @@
         self.engine.borrow().config_version()
     }
 
+    /// Returns the time since the configuration was last known to be the newest one.
+    pub(crate) fn config_age(&self) -> Millis {
+        self.now().saturating_sub(self.config_read_at.get())
+    }
+
     /// Explains a job's state.
     pub(crate) fn explain(&self, id: JobId) -> Option<Explanation> {
         self.engine.borrow().explain(id, self.now())
@@ -276,6 +285,7 @@
     /// Records the totals as metrics. They are computed only when metrics are read.
     pub(crate) fn record_totals(&self) {
         telemetry::set_totals(&self.totals());
+        telemetry::set_config_age(self.config_age());
     }
 
     /// Returns the connections to a runner, creating them if there are none.
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -24,14 +24,28 @@
     /// Applies each new configuration until the role ends.
     pub(super) async fn follow_config(self: Rc<Self>, mut from: u64) {
         while self.is_active.get() {
-            match self
+            let sent_at = self.now();
+            let changes = self
                 .read_changes(Topic::Operators, &mut from, CONFIG_WAIT)
-                .await
-            {
+                .await;
+            match changes {
                 Some(Changes::Records(records)) => self.apply_operator_records(&records),
                 Some(Changes::Snapshot(page)) => self.apply_operator_records(&page.records),
-                None => tokio::time::sleep(RETRY_DELAY).await,
+                None => {
+                    self.log_failed_config_read();
+                    tokio::time::sleep(RETRY_DELAY).await;
+                    continue;
+                }
             }
+            self.config_read_at.set(sent_at);
+        }
+    }
+
+    fn log_failed_config_read(&self) {
+        if self.node.log_limit.allows("config", self.now()) {
+            let age_ms = self.config_age().0;
+            let version = self.config_version();
+            tracing::warn!(version, age_ms, "configuration could not be read");
         }
     }
 
--- a/crates/cell/src/store.rs
+++ b/crates/cell/src/store.rs
@@ -18,8 +18,9 @@
 
 use crate::{
     clock::Clock,
+    log_limit::LogLimit,
     message::{Member, PeerReply, PeerRequest},
-    peers::Peers,
+    peers::{Peers, RequestError},
     telemetry,
 };
 
@@ -43,6 +44,7 @@
     client: Client,
     addr: String,
     clock: Clock,
+    log_limit: Rc<LogLimit>,
     peers: Rc<Peers>,
     members: RefCell<Vec<Member>>,
     /// Index of the member that relayed the last request.
@@ -53,11 +55,17 @@
 
 impl StoreClient {
     /// Creates a client of the store at `addr`.
-    pub(crate) async fn new(addr: &str, clock: Clock, peers: Rc<Peers>) -> Self {
+    pub(crate) async fn new(
+        addr: &str,
+        clock: Clock,
+        log_limit: Rc<LogLimit>,
+        peers: Rc<Peers>,
+    ) -> Self {
         Self {
             client: kspan_adapter::http::client(MAX_CONNECTIONS).await,
             addr: addr.to_owned(),
             clock,
+            log_limit,
             peers,
             members: RefCell::default(),
             last_relay: Cell::new(0),
@@ -94,6 +102,9 @@
                 Err(err) => failure = err,
             }
             self.direct_retry_at.set(self.clock.now() + DIRECT_BACKOFF);
+            if self.log_limit.allows("store", self.clock.now()) {
+                tracing::warn!(err = %failure, "direct request to the store failed");
+            }
         }
         let relayed = self.send_relayed(req, wait).await;
         telemetry::record_store_request(if relayed.is_some() {
@@ -118,20 +129,32 @@
         let members = self.members.borrow().clone();
         for attempt in 0..MAX_RELAYS.min(members.len()) {
             let index = (self.last_relay.get() + attempt) % members.len();
+            let relay = &members[index];
+            let sent_at = self.clock.now();
             let peer_req = PeerRequest::RelayToStore(req.clone());
             let reply = self
                 .peers
-                .request(&members[index], peer_req, RELAY_TIMEOUT + wait)
+                .request(relay, peer_req, RELAY_TIMEOUT + wait)
                 .await;
-            if let Ok(PeerReply::StoreResponse(Some((status, body)))) = reply
-                && status != 503
-                && status != 429
-            {
-                self.last_relay.set(index);
-                return Some(Response {
-                    status,
-                    body: body.into(),
-                });
+            let why = match reply {
+                Ok(PeerReply::StoreResponse(Some((status, body))))
+                    if status != 503 && status != 429 =>
+                {
+                    self.last_relay.set(index);
+                    return Some(Response {
+                        status,
+                        body: body.into(),
+                    });
+                }
+                Ok(PeerReply::StoreResponse(Some(_))) => "the store refuses the relay",
+                Ok(PeerReply::StoreResponse(None)) => "the store does not answer the relay",
+                Ok(_) => "the relay gave an unexpected reply",
+                Err(RequestError::NotSent) => "the relay is not reachable",
+                Err(RequestError::InDoubt) => "the relay did not reply",
+            };
+            if self.log_limit.allows("store", self.clock.now()) {
+                let took_ms = self.clock.now().saturating_sub(sent_at).0;
+                tracing::warn!(relay = %relay.node, why, took_ms, "relayed request to the store failed");
             }
         }
         None
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -89,6 +89,11 @@
     gauge!("kspan_cell_config_version").set(to_f64(version));
 }
 
+/// Records the time since the configuration was last known to be the newest one.
+pub(crate) fn set_config_age(age: Millis) {
+    gauge!("kspan_cell_config_age_seconds").set(seconds(age));
+}
+
 /// Records the owner's totals over jobs, tasks and runners.
 pub(crate) fn set_totals(totals: &kspan_jobs::engine::Totals) {
     gauge!("kspan_cell_jobs_active").set(to_f64(totals.active_jobs as u64));
