--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -8,6 +8,7 @@
     collections::BTreeMap,
     fs,
     io::{BufRead, BufReader},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -17,7 +18,7 @@
 
 use ntex::client::Client;
 use serde_json::Value;
-use standin::{HOST, MAX_ATTEMPTS, PREFIX, Platform, job_body};
+use standin::{Access, FIRST_VERSION, Gate, HOST, MAX_ATTEMPTS, PREFIX, Platform, job_body};
 
 /// Timeout of every wait for an expected state.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -36,11 +37,12 @@
 
 impl Process {
     fn start(number: usize, platform: &Platform) -> Self {
-        Self::start_on(number, 1.0, platform)
+        Self::start_on(number, 1.0, platform.store_addr)
     }
 
-    /// Starts a process on a host that offers `processors` processors.
-    fn start_on(number: usize, processors: f64, platform: &Platform) -> Self {
+    /// Starts a process on a host that offers `processors` processors and reaches the store at
+    /// `store_addr`.
+    fn start_on(number: usize, processors: f64, store_addr: SocketAddr) -> Self {
         let address = loopback::own_address();
         let addrs: [_; 4] = loopback::free_ports(address);
         let settings = format!(
@@ -51,7 +53,7 @@
             addrs[1],
             addrs[2],
             addrs[3].port(),
-            platform.store_addr
+            store_addr
         );
         let file = format!("kspan-cell-{}-{number}.yaml", std::process::id());
         let path = std::env::temp_dir().join(file);
@@ -157,7 +159,7 @@
         for (at, process) in processes.iter().enumerate() {
             if let Some((200, dump)) = call("GET", &process.admin, "/dump", "").await {
                 let dump: Value = serde_json::from_str(&dump).expect("a dump");
-                if dump["owned"].is_object() && dump["owned"]["config_version"] == 3 {
+                if dump["owned"].is_object() && dump["owned"]["config_version"] == FIRST_VERSION {
                     return at;
                 }
             }
@@ -390,7 +392,7 @@
 #[ntex::test]
 async fn weak_owner_hands_over_to_much_stronger_host_without_interrupting_runs() {
     let platform = Platform::start(2);
-    let mut processes = vec![Process::start_on(20, 0.1, &platform)];
+    let mut processes = vec![Process::start_on(20, 0.1, platform.store_addr)];
     assert_eq!(wait_for_owner(&processes).await, 0);
     let long = "00000000000000d1";
     let path = format!("{PREFIX}{long}");
@@ -399,8 +401,8 @@
     wait_for_state(&processes[0].callers, long, "running").await;
 
     // A slightly stronger host does not take over; a much stronger one does.
-    processes.push(Process::start_on(21, 0.15, &platform));
-    processes.push(Process::start_on(22, 1.0, &platform));
+    processes.push(Process::start_on(21, 0.15, platform.store_addr));
+    processes.push(Process::start_on(22, 1.0, platform.store_addr));
     let started_at = Instant::now();
     while wait_for_owner(&processes).await != 2 {
         assert!(
@@ -460,3 +462,91 @@
     wait_for_state(addr, refused, "completed").await;
     check_runs(&platform);
 }
+
+/// Time after which every process must have an accepted version of the configuration in force.
+const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_500);
+
+/// Additional time while the store turns hosts away, during which the cell may refuse requests
+/// with 503.
+const MAX_STRETCH: Duration = Duration::from_millis(5_000);
+
+/// Starts a cell of `count` hosts, each with its own access to the store, and waits until the owner
+/// knows all of them. Returns the processes, their gates and the owner's index.
+async fn start_cell_with_gates(
+    platform: &Platform,
+    first: usize,
+    count: usize,
+) -> (Vec<Process>, Vec<Gate>, usize) {
+    let gates: Vec<_> = (0..count).map(|_| platform.open_gate()).collect();
+    let numbers = first..first + count;
+    let processes: Vec<_> = numbers
+        .zip(&gates)
+        .map(|(number, gate)| Process::start_on(number, 1.0, gate.addr))
+        .collect();
+    let started_at = Instant::now();
+    loop {
+        let owner = wait_for_owner(&processes).await;
+        let dump = call_until("GET", &processes[owner].admin, "/dump", "", 200).await;
+        let dump: Value = serde_json::from_str(&dump).expect("a dump");
+        if dump["members"]
+            .as_array()
+            .is_some_and(|all| all.len() == count)
+        {
+            return (processes, gates, owner);
+        }
+        assert!(started_at.elapsed() < TIMEOUT, "{dump}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Checks a change of the queues made at `changed_at`: no request sent later than the bound gets an
+/// answer that only the older version allows, and every process serves the added queue in time.
+async fn check_change_in_force(
+    processes: &[Process],
+    changed_at: Instant,
+    added: &str,
+    removed: &str,
+) {
+    let mut is_served = vec![false; processes.len()];
+    let end = CONFIG_APPLY_TIME + MAX_STRETCH;
+    while changed_at.elapsed() < end {
+        for (process, is_served) in processes.iter().zip(&mut is_served) {
+            for (path, outdated) in [(added, 404), (removed, 200)] {
+                let sent_after = changed_at.elapsed();
+                let Some((status, _)) = call("GET", &process.callers, path, "").await else {
+                    continue;
+                };
+                let is_late = sent_after > CONFIG_APPLY_TIME;
+                assert!(
+                    !is_late || status != outdated,
+                    "GET {path} sent {sent_after:?} after the change: {status}"
+                );
+                *is_served |= path == added && status == 200;
+            }
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert!(
+        is_served.iter().all(|served| *served),
+        "the added queue is not served by all processes within {end:?}: {is_served:?}"
+    );
+}
+
+#[ntex::test]
+async fn change_of_queues_is_in_force_while_the_store_turns_away_the_owner_and_most_hosts() {
+    for (first, access) in [(40, Access::Refused), (50, Access::Silent)] {
+        let platform = Platform::start(1);
+        platform.publish_config(FIRST_VERSION, &[PREFIX, "/removed/"]);
+        let (processes, gates, owner) = start_cell_with_gates(&platform, first, 6).await;
+        // Only one host, the last in the order of names, can still reach the store.
+        let relay = (0..gates.len()).rfind(|at| *at != owner);
+        for (at, gate) in gates.iter().enumerate() {
+            if Some(at) != relay {
+                gate.set_access(access);
+            }
+        }
+        let changed_at = Instant::now();
+        platform.publish_config(FIRST_VERSION + 1, &[PREFIX, "/added/"]);
+        check_change_in_force(&processes, changed_at, "/added/", "/removed/").await;
+    }
+}
