Answer by the configuration only while it is known to be current

Cause: the owner answered from the last configuration that it had read, however long ago that was. A failed read changed nothing.

The owner now keeps the clock reading at which the last successful read was sent. 404, the number of pending jobs and the acceptance of new jobs need a configuration younger than three quarters of config_apply_ms (a new setting), else the caller gets 503 with Retry-After. Reads wait for 250 ms instead of a second, so that the age stays small.

Evidence: no_outdated_answer_about_queues_is_given_while_no_host_reaches_the_store fails without the change (404 for a request sent 2.5 s after the change) and passes with it.

--- a/crates/cell/src/admin.rs
+++ b/crates/cell/src/admin.rs
@@ -26,7 +26,7 @@
 struct Owned {
     unconfirmed_ms: u64,
     config_version: u64,
-    config_age_ms: u64,
+    config_age_ms: Option<u64>,
     active_jobs: usize,
     known_jobs: usize,
     runners: usize,
@@ -79,7 +79,7 @@
         Owned {
             unconfirmed_ms: role.time_since_confirmed().0,
             config_version: role.config_version(),
-            config_age_ms: role.config_age().0,
+            config_age_ms: role.config_age().map(|age| age.0),
             active_jobs: totals.active_jobs,
             known_jobs: totals.known_jobs,
             runners: totals.runners,
--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -69,6 +69,13 @@
 }
 
 impl ClockReading {
+    /// Returns the time between `earlier` and this reading, including time for which the host was
+    /// suspended.
+    pub(crate) fn since(&self, earlier: &Self) -> Millis {
+        let monotonic = self.monotonic.saturating_sub(earlier.monotonic);
+        monotonic.max(self.boot.saturating_sub(earlier.boot))
+    }
+
     /// Returns whether the host was suspended between `earlier` and this reading.
     pub(crate) fn was_suspended_since(&self, earlier: &Self) -> bool {
         let monotonic = self.monotonic.saturating_sub(earlier.monotonic);
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -67,6 +67,9 @@
             self.log_call(path, "refused", "store unavailable");
             return Ok(CallResponse::unavailable(retry_after_s));
         }
+        if is_new && !self.is_config_current() {
+            return Ok(self.refuse_for_outdated_config(path));
+        }
         let req = Submission { host, path, spec };
         let unix_ms = self.node.clock.unix_ms();
         let submitted = self.engine.borrow_mut().submit(self.now(), unix_ms, req);
@@ -134,6 +137,9 @@
             return self.unknown_queue(path);
         };
         let Some(job) = job else {
+            if !self.is_config_current() {
+                return self.refuse_for_outdated_config(path);
+            }
             let pending = engine.queued_jobs(&queue) as u64;
             return CallResponse::with_body(200, entry::encode_pending(pending));
         };
@@ -172,14 +178,24 @@
 
     /// Answers a call for a queue that the configuration does not contain.
     fn unknown_queue(&self, path: &str) -> CallResponse {
+        if !self.is_config_current() {
+            return self.refuse_for_outdated_config(path);
+        }
         if self.node.log_limit.allows("unknown queue", self.now()) {
             let version = self.config_version();
-            let age_ms = self.config_age().0;
+            let age_ms = self.config_age().map(|age| age.0);
             tracing::info!(path, version, age_ms, "no queue serves the path");
         }
         CallResponse::new(404)
     }
 
+    /// Refuses a call whose answer depends on which queues exist, while a version that has been
+    /// accepted may not have been applied here.
+    fn refuse_for_outdated_config(&self, path: &str) -> CallResponse {
+        self.log_call(path, "refused", "configuration may be outdated");
+        CallResponse::unavailable(RETRY_AFTER_S)
+    }
+
     /// Waits until a batch is durable, up to a timeout. Returns whether it is durable.
     async fn wait_until_durable(&self, batch: u64) -> bool {
         let mut durable_batch = self.durable_batch.subscribe();
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -82,9 +82,9 @@
     confirmed_at: Cell<Millis>,
     /// Clock reading at the last confirmation.
     confirmed_reading: Cell<ClockReading>,
-    /// Time at which the last successful read of the configuration was sent. Versions that were
-    /// accepted before that time have been applied.
-    config_read_at: Cell<Millis>,
+    /// Clock reading at which the last successful read of the configuration was sent. Versions that
+    /// were accepted before have been applied. `None` until the configuration has been read.
+    config_read: Cell<Option<ClockReading>>,
     /// End offset of the topic of claims.
     claims_end: Cell<u64>,
     member_liveness: RefCell<Vec<MemberLiveness>>,
@@ -120,7 +120,7 @@
             writing_since: Cell::new(None),
             confirmed_at: Cell::new(now),
             confirmed_reading: Cell::new(node.clock.reading()),
-            config_read_at: Cell::new(Millis::ZERO),
+            config_read: Cell::new(None),
             claims_end: Cell::new(claims_end),
             member_liveness: RefCell::new(member_liveness),
             heartbeats_until_list: Cell::new(0),
@@ -273,8 +273,16 @@
     }
 
     /// Returns the time since the configuration was last known to be the newest one.
-    pub(crate) fn config_age(&self) -> Millis {
-        self.now().saturating_sub(self.config_read_at.get())
+    pub(crate) fn config_age(&self) -> Option<Millis> {
+        let read = self.config_read.get()?;
+        Some(self.node.clock.reading().since(&read))
+    }
+
+    /// Returns whether every version of the configuration that must be in force by now has been
+    /// applied.
+    fn is_config_current(&self) -> bool {
+        let max_age = Millis(self.node.cfg.config_apply_ms * 3 / 4);
+        self.config_age().is_some_and(|age| age < max_age)
     }
 
     /// Explains a job's state.
@@ -285,7 +293,9 @@
     /// Records the totals as metrics. They are computed only when metrics are read.
     pub(crate) fn record_totals(&self) {
         telemetry::set_totals(&self.totals());
-        telemetry::set_config_age(self.config_age());
+        if let Some(age) = self.config_age() {
+            telemetry::set_config_age(age);
+        }
     }
 
     /// Returns the connections to a runner, creating them if there are none.
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -27,10 +27,10 @@
         self.fence_previous_owners().await?;
         let jobs = self.read_all_with_retries(Topic::Jobs).await?;
         self.restore_engine(&jobs.records).await;
-        let config_sent_at = self.now();
+        let reading = self.node.clock.reading();
         let config = self.read_all_with_retries(Topic::Operators).await?;
         self.apply_operator_records(&config.records);
-        self.config_read_at.set(config_sent_at);
+        self.config_read.set(Some(reading));
         let runners = self.read_all_with_retries(Topic::Runners).await?;
         self.replace_runners(&runners.records).await;
         // The engine sends a runner tasks only after the ownership was confirmed later than the
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -11,8 +11,9 @@
 use super::Owner;
 use crate::telemetry;
 
-/// Time for which the store waits for a change of the configuration before it answers a read.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which the store waits for a change of the configuration before it answers a read. Short,
+/// because the configuration's age grows until the answer.
+const CONFIG_WAIT: Duration = Duration::from_millis(250);
 
 /// Interval at which the host list is read.
 const HOST_LIST_READ_INTERVAL: Duration = Duration::from_millis(300);
@@ -23,27 +24,39 @@
 impl Owner {
     /// Applies each new configuration until the role ends.
     pub(super) async fn follow_config(self: Rc<Self>, mut from: u64) {
+        // The first read does not wait, because the recovery may have taken long.
+        let mut wait = Duration::ZERO;
         while self.is_active.get() {
-            let sent_at = self.now();
-            let changes = self
-                .read_changes(Topic::Operators, &mut from, CONFIG_WAIT)
-                .await;
-            match changes {
-                Some(Changes::Records(records)) => self.apply_operator_records(&records),
-                Some(Changes::Snapshot(page)) => self.apply_operator_records(&page.records),
+            let reading = self.node.clock.reading();
+            let changes = self.read_changes(Topic::Operators, &mut from, wait).await;
+            let is_complete = match changes {
+                Some(Changes::Records {
+                    records,
+                    is_complete,
+                }) => {
+                    self.apply_operator_records(&records);
+                    is_complete
+                }
+                Some(Changes::Snapshot(page)) => {
+                    self.apply_operator_records(&page.records);
+                    true
+                }
                 None => {
                     self.log_failed_config_read();
                     tokio::time::sleep(RETRY_DELAY).await;
-                    continue;
+                    false
                 }
+            };
+            if is_complete {
+                self.config_read.set(Some(reading));
+                wait = CONFIG_WAIT;
             }
-            self.config_read_at.set(sent_at);
         }
     }
 
     fn log_failed_config_read(&self) {
         if self.node.log_limit.allows("config", self.now()) {
-            let age_ms = self.config_age().0;
+            let age_ms = self.config_age().map(|age| age.0);
             let version = self.config_version();
             tracing::warn!(version, age_ms, "configuration could not be read");
         }
@@ -57,7 +70,7 @@
                 .read_changes(Topic::Runners, &mut from, Duration::ZERO)
                 .await
             {
-                Some(Changes::Records(records)) => self.apply_runner_records(&records).await,
+                Some(Changes::Records { records, .. }) => self.apply_runner_records(&records).await,
                 Some(Changes::Snapshot(page)) => self.replace_runners(&page.records).await,
                 None => {}
             }
@@ -74,12 +87,13 @@
             .await
             .ok()?;
         match store::parse_read(&response, *from).ok()? {
-            ReadOutcome::Records { records, end } => {
-                *from = records
-                    .last()
-                    .map_or(end.min(*from), |last| last.offset + 1)
-                    .max(*from);
-                Some(Changes::Records(records))
+            ReadOutcome::Records { records, next, end } => {
+                let is_complete = (*from..=next).contains(&end);
+                *from = next;
+                Some(Changes::Records {
+                    records,
+                    is_complete,
+                })
             }
             ReadOutcome::Truncated => {
                 let page = self.read_all(topic).await?;
@@ -186,7 +200,11 @@
 /// Changes of a topic.
 enum Changes {
     /// The records appended since the last read.
-    Records(Vec<KeyedRecord>),
+    Records {
+        records: Vec<KeyedRecord>,
+        /// Whether there are no further records yet.
+        is_complete: bool,
+    },
     /// The newest record of every key, after a gap.
     Snapshot(Page),
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -62,6 +62,9 @@
     pub(crate) spread_factor: f64,
     /// Time for which an ended job's state stays available, in seconds.
     pub(crate) keep_ended_s: u64,
+    /// Time within which an accepted version of the configuration must be in force, in milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub(crate) config_apply_ms: u64,
     /// Grace period of a graceful shutdown, after which the platform ends the process, in seconds.
     pub(crate) grace_s: f64,
 }
@@ -78,6 +81,11 @@
         if cfg.max_lease_ms < 1_000 {
             return Err(SettingsError::Value("max_lease_ms: must be at least 1000"));
         }
+        if cfg.config_apply_ms < 1_000 {
+            return Err(SettingsError::Value(
+                "config_apply_ms: must be at least 1000",
+            ));
+        }
         if cfg.spread_factor.is_nan() || cfg.spread_factor < 1.0 {
             return Err(SettingsError::Value("spread_factor: must be at least 1"));
         }
@@ -97,6 +105,10 @@
     }
 }
 
+fn default_config_apply_ms() -> u64 {
+    2_500
+}
+
 fn default_processors() -> f64 {
     1.0
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -499,19 +499,17 @@
     }
 }
 
-/// Checks a change of the queues made at `changed_at`: no request sent later than the bound gets an
-/// answer that only the older version allows, and every process serves the added queue in time.
-async fn check_change_in_force(
-    processes: &[Process],
-    changed_at: Instant,
-    added: &str,
-    removed: &str,
-) {
+/// Prefixes of queues that a change of the configuration adds and removes.
+const ADDED: &str = "/added/";
+const REMOVED: &str = "/removed/";
+
+/// Checks for a while after a change of the queues that no request sent later than the bound gets an
+/// answer that only the older version allows. Returns which processes have served the added queue.
+async fn check_no_outdated_answers(processes: &[Process], changed_at: Instant) -> Vec<bool> {
     let mut is_served = vec![false; processes.len()];
-    let end = CONFIG_APPLY_TIME + MAX_STRETCH;
-    while changed_at.elapsed() < end {
+    while changed_at.elapsed() < CONFIG_APPLY_TIME + MAX_STRETCH {
         for (process, is_served) in processes.iter().zip(&mut is_served) {
-            for (path, outdated) in [(added, 404), (removed, 200)] {
+            for (path, outdated) in [(ADDED, 404), (REMOVED, 200)] {
                 let sent_after = changed_at.elapsed();
                 let Some((status, _)) = call("GET", &process.callers, path, "").await else {
                     continue;
@@ -521,22 +519,41 @@
                     !is_late || status != outdated,
                     "GET {path} sent {sent_after:?} after the change: {status}"
                 );
-                *is_served |= path == added && status == 200;
+                *is_served |= path == ADDED && status == 200;
             }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    assert!(
-        is_served.iter().all(|served| *served),
-        "the added queue is not served by all processes within {end:?}: {is_served:?}"
-    );
+    is_served
+}
+
+#[ntex::test]
+async fn no_outdated_answer_about_queues_is_given_while_no_host_reaches_the_store() {
+    let platform = Platform::start(1);
+    platform.publish_config(FIRST_VERSION, &[PREFIX, REMOVED]);
+    let (processes, gates, _) = start_cell_with_gates(&platform, 60, 2).await;
+    for gate in &gates {
+        gate.set_access(Access::Silent);
+    }
+    let changed_at = Instant::now();
+    platform.publish_config(FIRST_VERSION + 1, &[PREFIX, ADDED]);
+    let is_served = check_no_outdated_answers(&processes, changed_at).await;
+    assert_eq!(is_served, [false, false], "no host could know the change");
+
+    for gate in &gates {
+        gate.set_access(Access::Served);
+    }
+    for process in &processes {
+        call_until("GET", &process.callers, ADDED, "", 200).await;
+        call_until("GET", &process.callers, REMOVED, "", 404).await;
+    }
 }
 
 #[ntex::test]
 async fn change_of_queues_is_in_force_while_the_store_turns_away_the_owner_and_most_hosts() {
     for (first, access) in [(40, Access::Refused), (50, Access::Silent)] {
         let platform = Platform::start(1);
-        platform.publish_config(FIRST_VERSION, &[PREFIX, "/removed/"]);
+        platform.publish_config(FIRST_VERSION, &[PREFIX, REMOVED]);
         let (processes, gates, owner) = start_cell_with_gates(&platform, first, 6).await;
         // Only one host, the last in the order of names, can still reach the store.
         let relay = (0..gates.len()).rfind(|at| *at != owner);
@@ -546,7 +563,11 @@
             }
         }
         let changed_at = Instant::now();
-        platform.publish_config(FIRST_VERSION + 1, &[PREFIX, "/added/"]);
-        check_change_in_force(&processes, changed_at, "/added/", "/removed/").await;
+        platform.publish_config(FIRST_VERSION + 1, &[PREFIX, ADDED]);
+        let is_served = check_no_outdated_answers(&processes, changed_at).await;
+        assert!(
+            is_served.iter().all(|served| *served),
+            "the added queue is not served by all processes in time: {is_served:?}"
+        );
     }
 }
