Reach the store through whichever host can

Cause: a request that failed directly was relayed through three hosts, one after the other, each until its timeout. A failure did not change the order, so the same three neighbours were asked for every request until the outage ended. A relayed read that waits for a change was given less time than it waits and could not succeed, and each second one request and whoever waited for it spent 0.9 s or more on a direct attempt.

A request now starts the next attempt beside one that takes long, the first answer counts, and failures are remembered by host and by data centre. A relay that has just failed itself says so at once. The time that the store may wait is read from the request, also by the relay.

--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -100,8 +100,14 @@
         };
         let peers = Rc::new(Peers::default());
         let log_limit = Rc::new(LogLimit::default());
-        let store =
-            StoreClient::new(&cfg.store, clock, Rc::clone(&log_limit), Rc::clone(&peers)).await;
+        let store = StoreClient::new(
+            &cfg.store,
+            cfg.data_centre.clone(),
+            clock,
+            Rc::clone(&log_limit),
+            Rc::clone(&peers),
+        )
+        .await;
         Rc::new(Self {
             clock,
             election: RefCell::new(Election::new(local.clone(), clock.now())),
@@ -166,11 +172,9 @@
                 PeerReply::Approvals(self.request_approvals(step, &runners).await)
             }
             PeerRequest::RelayToStore(req) => {
-                let response = self.store.send_direct(&req, Duration::ZERO).await;
+                let response = self.store.send_for_peer(&req).await;
                 PeerReply::StoreResponse(
-                    response
-                        .ok()
-                        .map(|response| (response.status, response.body.to_vec())),
+                    response.map(|response| (response.status, response.body.to_vec())),
                 )
             }
             PeerRequest::MemberHeartbeat(member) => {
@@ -251,7 +255,7 @@
     pub(crate) async fn read_claims(&self) -> Result<Claims> {
         let response = self
             .store
-            .send(&store::newest_request(Topic::Claims, None), Duration::ZERO)
+            .send(&store::newest_request(Topic::Claims, None))
             .await?;
         let page = store::parse_newest(&response)?;
         Ok(self.parse_claims(&page))
@@ -367,7 +371,7 @@
             CLAIM_KEY,
             &peers::encode(&record),
         );
-        let response = self.store.send(&req, Duration::ZERO).await;
+        let response = self.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
                 tracing::info!(fence = offset + 1, why, "claimed the cell");
--- a/crates/cell/src/owner/commit.rs
+++ b/crates/cell/src/owner/commit.rs
@@ -79,7 +79,7 @@
         while self.is_active.get() {
             attempts += 1;
             let (sent_at, reading) = (self.now(), self.node.clock.reading());
-            let response = self.node.store.send(&req, Duration::ZERO).await;
+            let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
                 Ok(AppendOutcome::Done { .. }) => {
                     self.confirm(sent_at);
--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -55,7 +55,7 @@
         let value = peers::encode(&record);
         let req = store::conditional_append_request(Topic::Claims, end, HEARTBEAT_KEY, &value);
         let (sent_at, reading) = (self.now(), self.node.clock.reading());
-        let response = self.node.store.send(&req, Duration::ZERO).await;
+        let response = self.node.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
                 self.claims_end.set(offset + 1);
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -49,7 +49,7 @@
                 return None;
             }
             let sent_at = self.now();
-            let response = self.node.store.send(&req, Duration::ZERO).await;
+            let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
                 Ok(AppendOutcome::Done { .. }) => {
                     self.confirm(sent_at);
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -83,7 +83,7 @@
         let response = self
             .node
             .store
-            .send(&store::read_request(topic, *from, wait), wait)
+            .send(&store::read_request(topic, *from, wait))
             .await
             .ok()?;
         match store::parse_read(&response, *from).ok()? {
@@ -109,7 +109,7 @@
         let mut after: Option<String> = None;
         loop {
             let req = store::newest_request(topic, after.as_deref());
-            let response = self.node.store.send(&req, Duration::ZERO).await.ok()?;
+            let response = self.node.store.send(&req).await.ok()?;
             let page = store::parse_newest(&response).ok()?;
             // Records appended while the pages are read come after the first page's end offset,
             // from which the topic is followed.
