Forward calls through the owner's data centre beside a silent connection

Callers waited 1.8 s and got 504, or ran into their deadlines, for three seconds when the owner was cut off from the other data centres.

Cause: a call went to the owner alone until its timeout, and then through the first member with an open connection, the same at each retry, whether or not that member reached the owner. Like the order of relays to the store: a fixed choice, tried one after the other.

While the owner's heartbeats do not arrive, a call goes through another process beside the attempt in flight, of the owner's data centre first, others in random order. Refusing a submission on one way while another attempt may still be executed would break the promise that a refused job never runs; it is answered as in doubt. The same holds for retries, where it could happen before.

Evidence: three tests with fake processes; the function is new, so they were not run on the code before.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -3,26 +3,27 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use kspan_adapter::entry;
+use kspan_model::Millis;
 use ntex::http::{Method, Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::{
-    http,
-    message::{CallFailure, CallResponse, JobCall, PeerReply, PeerRequest, Verb},
+    forward, http,
+    message::{CallFailure, CallResponse, JobCall, Verb},
     node::Node,
     peers::RequestError,
     telemetry,
 };
 
-/// Timeout of a call that is forwarded to the owner.
-pub(crate) const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_800);
-
 /// Maximum time for which a call is retried until an owner executes it.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Delay between two attempts to reach the owner.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Time without the owner's heartbeats after which calls are sent through other processes as well.
+const MIN_SILENCE: Millis = Millis(600);
+
 /// Time after which a caller that was not served should retry, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -106,6 +107,8 @@
     let mut in_doubt = false;
     while started.elapsed() < OWNER_TIMEOUT {
         match call_owner(node, &call).await {
+            // The earlier attempt may still be executed.
+            Ok(response) if in_doubt && call.is_refused_by(&response) => {}
             Ok(response) => return response,
             Err(RequestError::NotSent) => {}
             Err(RequestError::InDoubt) => in_doubt = true,
@@ -145,46 +148,15 @@
     let Some(owner) = known else {
         return Err(RequestError::NotSent);
     };
-    let reply = node
-        .peers
-        .request(
-            &owner.member,
-            PeerRequest::Call(call.clone()),
-            FORWARD_TIMEOUT,
-        )
-        .await;
-    match reply {
-        Ok(PeerReply::Call(response)) => Ok(response),
-        Ok(PeerReply::NotOwner) => Err(RequestError::NotSent),
-        Ok(_) => Err(RequestError::InDoubt),
-        Err(RequestError::NotSent) => relay(node, call, &owner.member.node).await,
-        Err(RequestError::InDoubt) => Err(RequestError::InDoubt),
-    }
-}
-
-/// Forwards a call through another process, for an owner that cannot be reached directly.
-async fn relay(
-    node: &Rc<Node>,
-    call: &JobCall,
-    owner: &kspan_model::Name,
-) -> Result<CallResponse, RequestError> {
-    let members = node.other_members();
-    let other = members
-        .iter()
-        .find(|member| member.node != *owner && node.peers.is_connected(member));
-    let other = other.or_else(|| members.iter().find(|member| member.node != *owner));
-    let Some(other) = other else {
-        return Err(RequestError::NotSent);
-    };
-    match node
-        .peers
-        .request(other, PeerRequest::Call(call.clone()), FORWARD_TIMEOUT)
-        .await
-    {
-        Ok(PeerReply::Call(response)) => Ok(response),
-        Ok(PeerReply::NotOwner) | Err(RequestError::NotSent) => Err(RequestError::NotSent),
-        Ok(_) | Err(RequestError::InDoubt) => Err(RequestError::InDoubt),
-    }
+    let is_silent = || node.owner_silence() >= MIN_SILENCE;
+    forward::call_owner(
+        &node.peers,
+        &owner.member,
+        node.other_members(),
+        call,
+        is_silent,
+    )
+    .await
 }
 
 fn respond(node: &Node, response: &CallResponse) -> Response {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,9 +8,11 @@
 //! formats of the platform are in `kspan-adapter`.
 
 mod admin;
+mod attempts;
 mod clock;
 mod election;
 mod entry;
+mod forward;
 mod http;
 mod log_limit;
 mod logging;
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -70,6 +70,14 @@
     pub(crate) hops_left: u8,
 }
 
+impl JobCall {
+    /// Returns whether the response says that the call submits a job which is not accepted. That must
+    /// not be said while another attempt at the call may still be executed.
+    pub(crate) fn is_refused_by(&self, response: &CallResponse) -> bool {
+        matches!(self.verb, Verb::Submit(_)) && matches!(response.status, 404 | 429 | 503)
+    }
+}
+
 /// HTTP response to a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CallResponse {
--- a/crates/cell/src/node.rs
+++ b/crates/cell/src/node.rs
@@ -15,11 +15,13 @@
 use ntex::client::Client;
 use rand::seq::SliceRandom as _;
 use serde::{Deserialize, Serialize};
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{net::UdpSocket, time::Instant};
 
 use crate::{
+    attempts::{Attempts, Progress},
     clock::Clock,
     election::{Claims, Election, KnownOwner, Step},
+    forward,
     log_limit::LogLimit,
     message::{CallFailure, Heartbeat, JobCall, Member, PeerReply, PeerRequest},
     owner::Owner,
@@ -219,15 +221,11 @@
             return PeerReply::NotOwner;
         };
         call.hops_left -= 1;
-        let timeout = crate::entry::FORWARD_TIMEOUT;
-        let reply = self
-            .peers
-            .request(&owner.member, PeerRequest::Call(call), timeout)
-            .await;
-        reply.unwrap_or_else(|err| match err {
-            RequestError::NotSent => PeerReply::NotOwner,
-            RequestError::InDoubt => PeerReply::InDoubt,
-        })
+        match forward::forward(&self.peers, &owner.member, call).await {
+            Ok(response) => PeerReply::Call(response),
+            Err(RequestError::NotSent) => PeerReply::NotOwner,
+            Err(RequestError::InDoubt) => PeerReply::InDoubt,
+        }
     }
 
     /// Requests approvals from this host. Returns `None` if the service gives no valid response.
@@ -349,24 +347,22 @@
         let mut others = self.other_members();
         others.retain(|member| owner.as_ref() != Some(&member.node));
         let (queried, _) = others.partial_shuffle(&mut rand::rng(), MAX_QUERIED_MEMBERS);
-        let (tx, mut rx) = mpsc::unbounded_channel();
+        let mut queries = Attempts::new();
         for member in queried.iter().cloned() {
-            let (peers, tx) = (Rc::clone(&self.peers), tx.clone());
-            ntex::rt::spawn(async move {
-                if receives_heartbeats(&peers, &member, fence).await {
-                    // Another process may have answered earlier.
-                    let _ = tx.send(member.node);
-                }
+            let peers = Rc::clone(&self.peers);
+            queries.start(async move {
+                let receives = receives_heartbeats(&peers, &member, fence).await;
+                receives.then_some(member.node)
             });
         }
-        // The channel closes when no query is left.
-        drop(tx);
-        let first = tokio::time::timeout(QUERY_TIMEOUT, rx.recv()).await;
-        let Ok(Some(through)) = first else {
-            return false;
-        };
-        tracing::info!(fence, %through, "another process receives the owner's heartbeats; cell not claimed");
-        true
+        let deadline = Instant::now() + QUERY_TIMEOUT;
+        while let Progress::Ended(receiver) = queries.wait(deadline).await {
+            if let Some(through) = receiver {
+                tracing::info!(fence, %through, "another process receives the owner's heartbeats; cell not claimed");
+                return true;
+            }
+        }
+        false
     }
 
     async fn claim(self: &Rc<Self>, end: u64, why: &str) {
--- a/crates/cell/src/store/mod.rs
+++ b/crates/cell/src/store/mod.rs
@@ -15,9 +15,10 @@
 };
 use kspan_model::{Millis, Name};
 use ntex::client::Client;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
+    attempts::{Attempts, Progress},
     clock::Clock,
     log_limit::LogLimit,
     message::{Member, PeerReply, PeerRequest},
@@ -107,7 +108,7 @@
     ///
     /// Returns the failure of the last attempt if none has an answer of the store.
     pub(crate) async fn send(&self, req: &Request) -> Result<Response> {
-        let outcome = Attempts::new(&self.shared, req).first_answer().await;
+        let outcome = Exchange::new(&self.shared, req).first_answer().await;
         telemetry::record_store_request(match &outcome {
             Ok(answer) => answer.way,
             Err(_) => "failed",
@@ -202,26 +203,21 @@
     way: &'static str,
 }
 
-/// The attempts of one request.
-struct Attempts<'a> {
+/// A request in progress.
+struct Exchange<'a> {
     shared: &'a Rc<Shared>,
     req: &'a Request,
-    tx: mpsc::UnboundedSender<Result<Answer>>,
-    rx: mpsc::UnboundedReceiver<Result<Answer>>,
-    in_flight: usize,
+    attempts: Attempts<Result<Answer>>,
     /// Hosts of the relays tried, in the order in which they were tried.
     tried: Vec<Name>,
 }
 
-impl<'a> Attempts<'a> {
+impl<'a> Exchange<'a> {
     fn new(shared: &'a Rc<Shared>, req: &'a Request) -> Self {
-        let (tx, rx) = mpsc::unbounded_channel();
         Self {
             shared,
             req,
-            tx,
-            rx,
-            in_flight: 0,
+            attempts: Attempts::new(),
             tried: Vec::new(),
         }
     }
@@ -231,23 +227,19 @@
         let deadline = Instant::now() + SEND_TIMEOUT + self.req.wait();
         let mut failure = CallError::NotSent("no host reaches the store".to_owned());
         self.start_first();
-        while self.in_flight > 0 {
+        loop {
             let until = deadline.min(Instant::now() + self.patience());
-            match tokio::time::timeout_at(until, self.rx.recv()).await {
-                Ok(Some(Ok(answer))) => return Ok(answer),
-                Ok(Some(Err(err))) => {
-                    self.in_flight -= 1;
-                    failure = err;
-                }
-                Ok(None) => break,
-                Err(_) if Instant::now() >= deadline => {
+            match self.attempts.wait(until).await {
+                Progress::Ended(Ok(answer)) => return Ok(answer),
+                Progress::Ended(Err(err)) => failure = err,
+                Progress::Slow if Instant::now() >= deadline => {
                     return Err(CallError::InDoubt("timeout".to_owned()));
                 }
-                Err(_) => self.record_slow_attempt(),
+                Progress::Slow => self.record_slow_attempt(),
+                Progress::NoneInFlight => return Err(failure),
             }
             self.start_relayed();
         }
-        Err(failure)
     }
 
     /// Starts a direct attempt, unless one has failed a moment ago. If the last one failed, a relay
@@ -265,19 +257,17 @@
     }
 
     fn start_direct(&mut self, is_probe: bool) {
-        let (shared, req, tx) = (Rc::clone(self.shared), self.req.clone(), self.tx.clone());
+        let (shared, req) = (Rc::clone(self.shared), self.req.clone());
         if is_probe {
             shared.is_probing.set(true);
         }
-        self.in_flight += 1;
-        ntex::rt::spawn(async move {
+        self.attempts.start(async move {
             let response = shared.send_direct(&req).await;
             if is_probe {
                 shared.is_probing.set(false);
             }
             let way = "direct";
-            // The request may have been answered on another way.
-            let _ = tx.send(response.map(|response| Answer { response, way }));
+            response.map(|response| Answer { response, way })
         });
     }
 
@@ -291,13 +281,11 @@
             return;
         };
         self.tried.push(relay.node.clone());
-        let (shared, req, tx) = (Rc::clone(self.shared), self.req.clone(), self.tx.clone());
-        self.in_flight += 1;
-        ntex::rt::spawn(async move {
+        let (shared, req) = (Rc::clone(self.shared), self.req.clone());
+        self.attempts.start(async move {
             let response = shared.send_through(&relay, &req).await;
             let way = "relayed";
-            // The request may have been answered on another way.
-            let _ = tx.send(response.map(|response| Answer { response, way }));
+            response.map(|response| Answer { response, way })
         });
     }
 
--- a/crates/cell/src/store/relays.rs
+++ b/crates/cell/src/store/relays.rs
@@ -1,5 +1,8 @@
 //! Order in which other processes are tried as relays to the store.
 
+#[cfg(test)]
+mod tests;
+
 use kspan_model::{Millis, Name};
 
 use crate::message::Member;
