Bound two queues of the routing engine, and reject frames cut in the length prefix

A stream that ended within a frame's length prefix was taken for a clean end. The order of answers kept the keys of evicted records, and the loans that a router had received were only forgotten when no request of it was in flight: both grew without bound in a busy process.

Evidence: read_frame_rejects_truncated_and_oversized_frames (extended by cuts within the prefix) and registry_keeps_nothing_of_evicted_keys fail without the changes and pass with them. The bound on known loans has no test of its own; the tests of loans pass as before.

Also removes a field that nothing read and the second copy of a constant.

--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -85,7 +85,6 @@
     latency_sensitive_runs: usize,
     /// Number of best-effort runs.
     best_effort_runs: usize,
-    pub(super) last_response: Option<Millis>,
     pub(super) missed_responses: u32,
     /// Whether the latest inventory had runs that may be stalled.
     pub(super) has_suspected_stalls: bool,
@@ -115,7 +114,6 @@
             unsized_runs: 0,
             latency_sensitive_runs: 0,
             best_effort_runs: 0,
-            last_response: None,
             missed_responses: 0,
             has_suspected_stalls: false,
             lease_expired_at: None,
@@ -259,7 +257,6 @@
         if self.reading.is_none_or(|reading| clock >= reading.clock) {
             self.reading = Some(ClockReading { clock, at: now });
         }
-        self.last_response = Some(now);
         self.missed_responses = 0;
         self.lease_expired_at = None;
     }
--- a/crates/placement/src/openings.rs
+++ b/crates/placement/src/openings.rs
@@ -17,8 +17,8 @@
 const MAX_RESERVATIONS: usize = 8;
 /// Fraction of the total capacity up to which further reservations are made.
 const MAX_RESERVED_SHARE: f64 = 0.5;
-/// Expected time until a stopping or checkpointing task has ended.
-const EXPECTED_STOP_TIME: Millis = Millis(500);
+/// Expected time until a stopping, preempted or checkpointing task has ended.
+pub(crate) const EXPECTED_STOP_TIME: Millis = Millis(500);
 /// Ratio of a reservation's lifetime to the expected time until its capacity is free.
 const LIFETIME_FACTOR: u64 = 2;
 
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -12,6 +12,7 @@
 use crate::{
     TaskState,
     job::JobNo,
+    openings::EXPECTED_STOP_TIME,
     queue::Candidate,
     reserve::{MIN_LIFETIME, PlannedTask, Reservation},
     spec::Decision,
@@ -37,8 +38,6 @@
 const RECLAIM_AFTER_LOW_SHARE: Millis = Millis::from_secs(10);
 /// Waiting time before a job of any other team within its quota reclaims borrowed capacity.
 const RECLAIM_AFTER: Millis = Millis::from_secs(60);
-/// Expected time until a preempted task has ended.
-const EXPECTED_STOP_TIME: Millis = Millis(500);
 /// Cost of a victim that cannot be checkpointed, in addition to its run time in milliseconds.
 const LOST_WORK_COST: u64 = 10_000;
 /// Upper bound on the run time included in a victim's cost.
--- a/crates/routing/src/engine/borrow.rs
+++ b/crates/routing/src/engine/borrow.rs
@@ -36,8 +36,16 @@
     seq: u64,
     /// Sequence number and time of each request, oldest first.
     requests: VecDeque<(u64, Millis)>,
-    /// Loans that were received, so that a duplicated message adds no second loan.
-    known_loans: VecDeque<(NodeId, u64)>,
+    /// Loans that were received, so that a duplicated message adds no second loan; oldest first.
+    known_loans: VecDeque<KnownLoan>,
+}
+
+/// A loan that was received.
+#[derive(Clone, Debug)]
+struct KnownLoan {
+    from: NodeId,
+    loan: u64,
+    received_at: Millis,
 }
 
 impl Borrower {
@@ -58,15 +66,19 @@
     }
 
     /// Records a loan. Returns whether it is new.
-    fn record_loan(&mut self, from: &NodeId, loan: u64) -> bool {
+    fn record_loan(&mut self, from: &NodeId, loan: u64, now: Millis) -> bool {
         if self
             .known_loans
             .iter()
-            .any(|(node, id)| *id == loan && node == from)
+            .any(|known| known.loan == loan && known.from == *from)
         {
             return false;
         }
-        self.known_loans.push_back((from.clone(), loan));
+        self.known_loans.push_back(KnownLoan {
+            from: from.clone(),
+            loan,
+            received_at: now,
+        });
         true
     }
 
@@ -80,8 +92,14 @@
         {
             self.requests.pop_front();
         }
-        if self.requests.is_empty() {
-            self.known_loans.clear();
+        // The request of a loan is as old as the loan or older, and a duplicate is only accepted
+        // while its request is known.
+        while self
+            .known_loans
+            .front()
+            .is_some_and(|known| is_expired(known.received_at))
+        {
+            self.known_loans.pop_front();
         }
     }
 }
@@ -109,7 +127,7 @@
             self.decline_loan(from, credit_loan);
             return;
         };
-        if !self.borrower.record_loan(from, credit_loan.loan) {
+        if !self.borrower.record_loan(from, credit_loan.loan, now) {
             return;
         }
         let Some((index, runner)) = self.runner_mut(credit_loan.runner) else {
--- a/crates/routing/src/key/registry.rs
+++ b/crates/routing/src/key/registry.rs
@@ -308,6 +308,11 @@
             self.answer_bytes -= self.body_len(key);
             self.records.remove(&key);
         }
+        let records = &self.records;
+        let is_evicted = |key: &KeyId| !records.contains_key(key);
+        while self.answer_order.front().is_some_and(is_evicted) {
+            self.answer_order.pop_front();
+        }
     }
 
     fn body_len(&self, key: KeyId) -> usize {
--- a/crates/routing/tests/engine/keys.rs
+++ b/crates/routing/tests/engine/keys.rs
@@ -456,6 +456,25 @@
     assert_eq!(registry.answer_bytes(), 0);
 }
 
+#[test]
+fn registry_keeps_nothing_of_evicted_keys() {
+    let mut registry = KeyRegistry::new(Limits::default());
+    let empty = format!("{registry:?}");
+    for at in 0..100 {
+        let key = u128::from(at);
+        decide(&mut registry, "a", &claim(key, key, true), at);
+        let settle = Settle {
+            key: KeyId(key),
+            text: "k".into(),
+            request: RequestId(key),
+            result: Settlement::Answered(answer()),
+        };
+        registry.settle(&node("a"), settle, Some(COVERAGE), Millis(200 - at));
+    }
+    registry.tick(Millis(100).saturating_add(KEY_TTL).saturating_add(KEY_TTL));
+    assert_eq!(format!("{registry:?}"), empty);
+}
+
 #[test]
 fn key_ids_are_scoped_by_service_class_and_caller() {
     let ids = [
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -9,19 +9,19 @@
 /// Result of reading or writing a frame.
 pub type Result<T> = io::Result<T>;
 
-/// Reads one frame into `buf`. Returns `false` if the stream ends before a complete length prefix.
+/// Reads one frame into `buf`. Returns `false` if the stream ends before it.
 ///
 /// # Errors
 ///
-/// Returns an error if the stream fails or ends within the payload, or if the frame is larger
-/// than [`MAX_FRAME_BYTES`]. An oversized frame is rejected before anything is allocated for it.
+/// Returns an error if the stream fails or ends within the frame, or if the frame is larger than
+/// [`MAX_FRAME_BYTES`]. An oversized frame is rejected before anything is allocated for it.
 pub async fn read_frame(rx: &mut (impl AsyncRead + Unpin), buf: &mut Vec<u8>) -> Result<bool> {
     let mut length = [0; 4];
-    match rx.read_exact(&mut length).await {
-        Ok(_) => {}
-        Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => return Ok(false),
-        Err(err) => return Err(err),
+    let (first, rest) = length.split_at_mut(1);
+    if rx.read(first).await? == 0 {
+        return Ok(false);
     }
+    rx.read_exact(rest).await?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
         return Err(io::Error::new(
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -114,6 +114,10 @@
     assert!(stream::read_frame(&mut rx, &mut buf).await.is_err());
     let mut rx: &[u8] = &[];
     assert!(!stream::read_frame(&mut rx, &mut buf).await.unwrap());
+    for length in 1..4 {
+        let mut rx = &bytes[..length];
+        assert!(stream::read_frame(&mut rx, &mut buf).await.is_err());
+    }
     let mut rx: &[u8] = &[0xff, 0xff, 0xff, 0xff, 0];
     let mut buf = Vec::new();
     assert!(stream::read_frame(&mut rx, &mut buf).await.is_err());
