--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod forward;
 mod http;
+mod in_flight;
 mod log_limit;
 mod logging;
 mod message;
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -21,10 +21,7 @@
     time::Instant,
 };
 
-use crate::{
-    message::{Frame, Member, PeerReply, PeerRequest},
-    node::Node,
-};
+use crate::message::{Frame, Member, PeerReply, PeerRequest};
 
 /// Result of a request.
 pub(crate) type Result<T> = std::result::Result<T, RequestError>;
@@ -187,19 +184,27 @@
     connection.close();
 }
 
-/// Serves requests of other processes until this process exits.
-pub(crate) async fn serve(node: Rc<Node>, listener: TcpListener) {
+/// Serves requests of other processes with `handle` until this process exits.
+pub(crate) async fn serve<H, R>(listener: TcpListener, handle: H)
+where
+    H: Fn(PeerRequest) -> R + Clone + 'static,
+    R: Future<Output = PeerReply> + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
-        ntex::rt::spawn(serve_connection(Rc::clone(&node), stream));
+        ntex::rt::spawn(serve_connection(stream, handle.clone()));
     }
 }
 
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection<H, R>(stream: TcpStream, handle: H)
+where
+    H: Fn(PeerRequest) -> R + Clone + 'static,
+    R: Future<Output = PeerReply> + 'static,
+{
     let (mut reader, mut writer) = stream.into_split();
     let (tx, mut rx) = mpsc::channel::<Vec<u8>>(MAX_QUEUED_FRAMES);
     ntex::rt::spawn(async move {
@@ -215,10 +220,10 @@
             tracing::warn!("malformed frame from another process; connection closed");
             return;
         };
-        let (node, tx) = (Rc::clone(&node), tx.clone());
+        let (reply, tx) = (handle(frame.content), tx.clone());
+        let number = frame.number;
         ntex::rt::spawn(async move {
-            let content = node.handle_request(frame.content).await;
-            let number = frame.number;
+            let content = reply.await;
             // A lost reply appears as a timeout to the sender, which retries if it needs to.
             let _ = tx.try_send(encode(&Frame { number, content }));
         });
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -1,8 +1,6 @@
 //! Entry point of the program: arguments, settings, start and graceful shutdown.
 
-use std::{
-    cell::Cell, env, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration,
-};
+use std::{env, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
 
 use argh::FromArgs;
 use signal_hook::{
@@ -45,31 +43,6 @@
     check: bool,
 }
 
-/// Counter of requests in flight.
-#[derive(Debug, Default)]
-pub(crate) struct InFlight(Rc<Cell<usize>>);
-
-/// Guard that counts one request in flight.
-pub(crate) struct InFlightGuard(Rc<Cell<usize>>);
-
-impl InFlight {
-    /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn enter(&self) -> InFlightGuard {
-        self.0.set(self.0.get() + 1);
-        InFlightGuard(Rc::clone(&self.0))
-    }
-
-    fn is_empty(&self) -> bool {
-        self.0.get() == 0
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Runs the program.
 pub fn main() -> ExitCode {
     let argv: Vec<String> = env::args().collect();
@@ -134,7 +107,11 @@
         entry::serve(Rc::clone(&node), ready).await?;
     }
     admin::serve(Rc::clone(&node), admin_addr, metrics).await?;
-    ntex::rt::spawn(peers::serve(Rc::clone(&node), listener));
+    let handler = Rc::clone(&node);
+    ntex::rt::spawn(peers::serve(listener, move |req| {
+        let node = Rc::clone(&handler);
+        async move { node.handle_request(req).await }
+    }));
     ntex::rt::spawn(Rc::clone(&node).receive_heartbeats(socket));
     ntex::rt::spawn(Rc::clone(&node).monitor_owner());
     ntex::rt::spawn(Rc::clone(&node).send_member_heartbeats());
