Accept jobs while only the topic of the configuration is unavailable

Cause: the check held for submissions whatever the reason of the failed reads. Besides, a refusal for one topic suspended direct requests for all topics.

A failed read is put down to its topic if the store has answered another request less than a second ago. Then new jobs of known queues are accepted; 404 and the number of pending jobs still need a current configuration. Only a direct request without an answer suspends direct requests; a refusal costs one round trip.

--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -67,7 +67,7 @@
             self.log_call(path, "refused", "store unavailable");
             return Ok(CallResponse::unavailable(retry_after_s));
         }
-        if is_new && !self.is_config_current() {
+        if is_new && !self.may_accept_jobs() {
             return Ok(self.refuse_for_outdated_config(path));
         }
         let req = Submission { host, path, spec };
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -85,6 +85,8 @@
     /// Clock reading at which the last successful read of the configuration was sent. Versions that
     /// were accepted before have been applied. `None` until the configuration has been read.
     config_read: Cell<Option<ClockReading>>,
+    /// Whether the store serves other requests but not reads of the configuration.
+    is_config_topic_unavailable: Cell<bool>,
     /// End offset of the topic of claims.
     claims_end: Cell<u64>,
     member_liveness: RefCell<Vec<MemberLiveness>>,
@@ -121,6 +123,7 @@
             confirmed_at: Cell::new(now),
             confirmed_reading: Cell::new(node.clock.reading()),
             config_read: Cell::new(None),
+            is_config_topic_unavailable: Cell::new(false),
             claims_end: Cell::new(claims_end),
             member_liveness: RefCell::new(member_liveness),
             heartbeats_until_list: Cell::new(0),
@@ -285,6 +288,13 @@
         self.config_age().is_some_and(|age| age < max_age)
     }
 
+    /// Returns whether jobs may be accepted by the configuration in force. While the store serves
+    /// everything but the configuration, refusing all jobs would cost callers more than accepting one
+    /// for a queue that has just been removed.
+    fn may_accept_jobs(&self) -> bool {
+        self.is_config_current() || self.is_config_topic_unavailable.get()
+    }
+
     /// Explains a job's state.
     pub(crate) fn explain(&self, id: JobId) -> Option<Explanation> {
         self.engine.borrow().explain(id, self.now())
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -6,7 +6,7 @@
     config, runner_entry,
     store::{self, KeyedRecord, Page, ReadOutcome, Topic},
 };
-use kspan_model::Name;
+use kspan_model::{Millis, Name};
 
 use super::Owner;
 use crate::telemetry;
@@ -15,6 +15,10 @@
 /// because the configuration's age grows until the answer.
 const CONFIG_WAIT: Duration = Duration::from_millis(250);
 
+/// Time since the last answer of the store to another request up to which a failed read of the
+/// configuration is put down to its topic.
+const MAX_STORE_SILENCE: Millis = Millis(1_000);
+
 /// Interval at which the host list is read.
 const HOST_LIST_READ_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -42,19 +46,22 @@
                     true
                 }
                 None => {
-                    self.log_failed_config_read();
+                    self.handle_failed_config_read();
                     tokio::time::sleep(RETRY_DELAY).await;
                     false
                 }
             };
             if is_complete {
                 self.config_read.set(Some(reading));
+                self.is_config_topic_unavailable.set(false);
                 wait = CONFIG_WAIT;
             }
         }
     }
 
-    fn log_failed_config_read(&self) {
+    fn handle_failed_config_read(&self) {
+        let is_store_available = self.time_since_confirmed() < MAX_STORE_SILENCE;
+        self.is_config_topic_unavailable.set(is_store_available);
         if self.node.log_limit.allows("config", self.now()) {
             let age_ms = self.config_age().map(|age| age.0);
             let version = self.config_version();
--- a/crates/cell/src/store/mod.rs
+++ b/crates/cell/src/store/mod.rs
@@ -43,7 +43,7 @@
 /// Time without an answer after which the next relay is tried beside the ones before.
 const RELAY_PATIENCE: Duration = Duration::from_millis(300);
 
-/// Time after a failed direct attempt for which only relays are used.
+/// Time after a direct attempt without an answer for which only relays are used.
 const DIRECT_BACKOFF: Millis = Millis(1_000);
 
 /// Maximum number of relays that are tried for one request.
@@ -66,7 +66,7 @@
     log_limit: Rc<LogLimit>,
     peers: Rc<Peers>,
     relays: RefCell<Relays>,
-    /// Time of the last failure of a direct attempt, if none has succeeded since.
+    /// Time at which a direct attempt was last not answered, if none has been answered since.
     direct_failed_at: Cell<Option<Millis>>,
     /// Whether a direct attempt is in flight that finds out whether the store is reachable again.
     is_probing: Cell<bool>,
@@ -117,8 +117,8 @@
         outcome.map(|answer| answer.response)
     }
 
-    /// Sends a request of another process directly. Returns `None` without an attempt if one has
-    /// failed a moment ago.
+    /// Sends a request of another process directly. Returns `None` without an attempt if one was not
+    /// answered a moment ago.
     pub(crate) async fn send_for_peer(&self, req: &Request) -> Option<Response> {
         if self.shared.is_direct_suspended() {
             return None;
@@ -147,6 +147,9 @@
     async fn send_direct(&self, req: &Request) -> Result<Response> {
         let timeout = DIRECT_TIMEOUT + req.wait();
         let response = store::send(&self.client, &self.addr, req, timeout).await;
+        // A refusal may concern only one topic, and costs little time.
+        let failed_at = response.is_err().then(|| self.clock.now());
+        self.direct_failed_at.set(failed_at);
         let answer = response.and_then(|response| {
             if is_refusal(response.status) {
                 let why = format!("unexpected status {}", response.status);
@@ -154,14 +157,10 @@
             }
             Ok(response)
         });
-        match &answer {
-            Ok(_) => self.direct_failed_at.set(None),
-            Err(err) => {
-                self.direct_failed_at.set(Some(self.clock.now()));
-                if self.log_limit.allows("store", self.clock.now()) {
-                    tracing::warn!(%err, "direct request to the store failed");
-                }
-            }
+        if let Err(err) = &answer
+            && self.log_limit.allows("store", self.clock.now())
+        {
+            tracing::warn!(%err, "direct request to the store failed");
         }
         answer
     }
@@ -242,8 +241,8 @@
         }
     }
 
-    /// Starts a direct attempt, unless one has failed a moment ago. If the last one failed, a relay
-    /// is tried at the same time.
+    /// Starts a direct attempt, unless one was not answered a moment ago. If the last one was not, a
+    /// relay is tried at the same time.
     fn start_first(&mut self) {
         let has_failed = self.shared.direct_failed_at.get().is_some();
         let may_send_direct =
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -552,6 +552,29 @@
     }
 }
 
+#[ntex::test]
+async fn jobs_are_accepted_while_only_the_topic_of_the_configuration_is_unavailable() {
+    let platform = Platform::start(1);
+    let (processes, gates, _) = start_cell_with_gates(&platform, 90, 2).await;
+    for gate in &gates {
+        gate.set_access(Access::WithoutConfig);
+    }
+    tokio::time::sleep(CONFIG_APPLY_TIME).await;
+    let body = job_body("run 50", &[1]);
+    for (process, id) in processes
+        .iter()
+        .zip(["00000000000000f1", "00000000000000f2"])
+    {
+        let path = format!("{PREFIX}{id}");
+        let response = call("POST", &process.callers, &path, &body).await;
+        assert_eq!(response.map(|(status, _)| status), Some(200));
+        wait_for_state(&process.callers, id, "completed").await;
+        // The queue may have been added meanwhile.
+        let response = call("GET", &process.callers, ADDED, "").await;
+        assert_eq!(response.map(|(status, _)| status), Some(503));
+    }
+}
+
 /// Time within which urgent work must start, and with it a takeover be complete.
 const URGENT_START_TIME: Duration = Duration::from_millis(4_800);
 
