Say that something is not declared only with contact to the cell

Cause: the answer came from the state in force, however old. The guard that keeps an isolated process from acting was not asked.

During an outage of the log alone the members confirm each other, so 404 stays possible.

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Rejects a request for something that the document in force does not declare. A process without
+/// contact with the log or a majority of the members may have missed a newer document.
+fn reject_undeclared(app: &App, reason: &'static str) -> Rejection {
+    if app.node.guard().may_act() {
+        Rejection::new(StatusCode::NOT_FOUND, reason)
+    } else {
+        let reason = "the document on this host may be outdated";
+        Rejection::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+}
+
 /// Handles one request of a caller.
 pub(crate) async fn handle(
     req: HttpRequest,
@@ -135,14 +146,12 @@
 ) -> Result<IncomingRequest, Rejection> {
     let (service, class) = service_and_class(req.path());
     let document = app.document.borrow().clone();
-    let declared = document.service(&service).ok_or(Rejection::new(
-        StatusCode::NOT_FOUND,
-        "service is not declared",
-    ))?;
-    let class = declared.class(&class).ok_or(Rejection::new(
-        StatusCode::NOT_FOUND,
-        "request class is not declared",
-    ))?;
+    let declared = document
+        .service(&service)
+        .ok_or_else(|| reject_undeclared(app, "service is not declared"))?;
+    let class = declared
+        .class(&class)
+        .ok_or_else(|| reject_undeclared(app, "request class is not declared"))?;
     let caller = text_header(req, CALLER_HEADER, MAX_CALLER_BYTES)?.unwrap_or_default();
     let attempt = parse_header(req, ATTEMPT_HEADER)?;
     let created = parse_header(req, KEY_CREATED_HEADER)?.map(UnixMillis);
--- a/crates/scheduler/src/http/commands.rs
+++ b/crates/scheduler/src/http/commands.rs
@@ -14,7 +14,7 @@
 use super::{
     HandlerState, append_error_response,
     bodies::{SubmitRequest, SubmitResponse},
-    ended_job_view, error_response, parse_job, wait_for_end,
+    ended_job_view, error_response, not_found_status, parse_job, wait_for_end,
 };
 use crate::{
     commit::commit,
@@ -112,7 +112,7 @@
                 request.workload
             )
         };
-        return refuse(StatusCode::NOT_FOUND, error);
+        return refuse(not_found_status(&state.node), error);
     };
     if let Some(team) = &request.team
         && team != workload.team.as_str()
@@ -172,7 +172,7 @@
         let error = format!(
             "job {job} is not open; it may have ended and its record may have been removed"
         );
-        return error_response(StatusCode::NOT_FOUND, "not accepted", error);
+        return error_response(not_found_status(&state.node), "not accepted", error);
     }
     let outcome = commit(&state.cancels, job).await;
     log::info!("scheduler: cancellation of job {job}: {outcome:?}");
--- a/crates/scheduler/src/http/mod.rs
+++ b/crates/scheduler/src/http/mod.rs
@@ -83,6 +83,16 @@
     });
 }
 
+/// Returns the status for what this process does not know. Without contact with the log or a
+/// majority of the members it may have missed the record that says otherwise.
+fn not_found_status(node: &Node) -> StatusCode {
+    if node.guard().may_act() {
+        StatusCode::NOT_FOUND
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
 fn error_response(
     status: StatusCode,
     outcome: &'static str,
--- a/crates/scheduler/src/http/queries.rs
+++ b/crates/scheduler/src/http/queries.rs
@@ -10,7 +10,7 @@
 use super::{
     HandlerState,
     bodies::{CellView, Explanation, JobView, ShardView},
-    ended_job_view, error_response, parse_job,
+    ended_job_view, error_response, not_found_status, parse_job,
 };
 use crate::decision_loop::query_owner;
 
@@ -32,15 +32,15 @@
 ) -> HttpResponse {
     match find_job(state, job).await {
         Some(view) => response.json(&view),
-        None => job_not_found(job),
+        None => job_not_found(state, job),
     }
 }
 
-fn job_not_found(job: JobId) -> HttpResponse {
+fn job_not_found(state: &HandlerState, job: JobId) -> HttpResponse {
     let error = format!(
         "this host does not know job {job}; it may have ended and its record may have been removed"
     );
-    error_response(StatusCode::NOT_FOUND, "unknown", error)
+    error_response(not_found_status(&state.node), "unknown", error)
 }
 
 /// Returns the state of a job: its recorded end, or its status as reported by the shard's owner.
@@ -87,7 +87,7 @@
         Err(response) => return response,
     };
     let Some(view) = find_job(&state, job).await else {
-        return job_not_found(job);
+        return job_not_found(&state, job);
     };
     let explanation = match (&view.result, &view.waits) {
         (Some(result), _) => {
