Tell callers when to come back after an answer from an outdated document

A router without contact to the cell answers 503 for services that it does not know; the answer now carries Retry-After like its other refusals.

Evidence: what_an_isolated_process_does_not_know_is_not_said_to_be_undeclared now requires the header of both programs; it failed for the router before (none).

--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -40,6 +40,9 @@
 const DEADLINE_HEADER: &str = "kspan-deadline-ms";
 const REPLAYED_HEADER: &str = "kspan-replayed";
 
+/// Time after which a caller should retry a request that an outdated document may not declare.
+const OUTDATED_RETRY_AFTER: Millis = Millis::from_secs(1);
+
 /// The reason for rejecting a request that is invalid or incomplete.
 struct Rejection {
     status: StatusCode,
@@ -81,7 +84,12 @@
         Ok(incoming) => serve_detached(&app, incoming).await,
         Err(rejection) => {
             let outcome = outcome_of_rejected(&req);
-            Response::without_answer(outcome, rejection.status, rejection.reason)
+            let response = Response::without_answer(outcome, rejection.status, rejection.reason);
+            if rejection.status == StatusCode::SERVICE_UNAVAILABLE {
+                response.with_retry_after(OUTDATED_RETRY_AFTER)
+            } else {
+                response
+            }
         }
     };
     if response.replayed {
--- a/tests/undeclared.rs
+++ b/tests/undeclared.rs
@@ -81,21 +81,26 @@
     }
 }
 
-async fn status_of(method: &str, addr: SocketAddr, path: &str, body: &str) -> Option<u16> {
+/// Status and `Retry-After` of an answer.
+type Answer = (u16, Option<String>);
+
+async fn answer_to(method: &str, addr: SocketAddr, path: &str, body: &str) -> Option<Answer> {
     let method = method.parse().expect("a method");
     let req = Client::new()
         .await
         .request(method, format!("http://{addr}{path}"));
     let req = req.content_type("application/json");
     let response = req.send_body(body.to_owned()).await.ok()?;
-    Some(response.status().as_u16())
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.map(|value| value.to_str().expect("a number").to_owned());
+    Some((response.status().as_u16(), retry_after))
 }
 
 async fn wait_for_status(method: &str, addr: SocketAddr, path: &str, body: &str, status: u16) {
     let started_at = Instant::now();
     loop {
-        let answered = status_of(method, addr, path, body).await;
-        if answered == Some(status) {
+        let answered = answer_to(method, addr, path, body).await;
+        if answered.as_ref().is_some_and(|answer| answer.0 == status) {
             return;
         }
         assert!(
@@ -186,9 +191,12 @@
         let faults = serde_json::to_string(&faults).expect("faults are serialisable");
         wait_for_status("PUT", isolated.listen.admin, "/faults", &faults, 204).await;
         thread::sleep(Duration::from_secs(5));
-        let status = status_of(method, isolated.listen.http, path, body).await;
-        assert_eq!(status, Some(503), "{method} {path}");
-        let status = status_of(method, processes[1].listen.http, path, body).await;
-        assert_eq!(status, Some(404), "{method} {path}");
+        let answer = answer_to(method, isolated.listen.http, path, body).await;
+        assert!(
+            matches!(answer, Some((503, Some(_)))),
+            "{method} {path}: {answer:?}"
+        );
+        let answer = answer_to(method, processes[1].listen.http, path, body).await;
+        assert_eq!(answer, Some((404, None)), "{method} {path}");
     }
 }
