--- a/crates/cell/src/forward.rs
+++ b/crates/cell/src/forward.rs
@@ -19,7 +19,7 @@
 
 /// Time without a reply after which a relay is tried beside the attempts in flight, if the owner's
 /// heartbeats do not arrive either.
-const FORWARD_PATIENCE: Duration = Duration::from_millis(300);
+const HEDGE_DELAY: Duration = Duration::from_millis(300);
 
 /// Maximum number of relays that are tried for one call.
 const MAX_RELAYS: usize = 2;
@@ -62,7 +62,7 @@
             let (peers, call) = (Rc::clone(peers), call.clone());
             attempts.start(async move { forward(&peers, &to, call).await });
         }
-        match attempts.wait(Instant::now() + FORWARD_PATIENCE).await {
+        match attempts.wait(Instant::now() + HEDGE_DELAY).await {
             Progress::Ended(Ok(response)) => {
                 is_in_doubt |= attempts.are_in_flight();
                 if !(is_in_doubt && call.is_refused_by(&response)) {
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -47,6 +47,10 @@
 /// Maximum time for which an owner sends orders without a confirmation of its ownership.
 const MAX_UNCONFIRMED_TIME: Millis = Millis(8_000);
 
+/// Age up to which the configuration counts as current, in percent of the time within which a
+/// version must be in force. The rest is a margin for unequal clocks.
+const MAX_CONFIG_AGE_PERCENT: u64 = 75;
+
 /// Interval at which the engine handles timeouts and due times.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -284,7 +288,7 @@
     /// Returns whether every version of the configuration that must be in force by now has been
     /// applied.
     fn is_config_current(&self) -> bool {
-        let max_age = Millis(self.node.cfg.config_apply_ms * 3 / 4);
+        let max_age = Millis(self.node.cfg.config_apply_ms * MAX_CONFIG_AGE_PERCENT / 100);
         self.config_age().is_some_and(|age| age < max_age)
     }
 
--- a/crates/cell/src/store/mod.rs
+++ b/crates/cell/src/store/mod.rs
@@ -7,7 +7,11 @@
 
 mod relays;
 
-use std::{cell::Cell, cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use kspan_adapter::{
     http::{CallError, Response, Result},
@@ -38,10 +42,10 @@
 
 /// Time without an answer after which a relay is tried beside a direct attempt. A slow store must
 /// not look like an outage.
-const DIRECT_PATIENCE: Duration = Duration::from_millis(600);
+const DIRECT_HEDGE_DELAY: Duration = Duration::from_millis(600);
 
 /// Time without an answer after which the next relay is tried beside the ones before.
-const RELAY_PATIENCE: Duration = Duration::from_millis(300);
+const RELAY_HEDGE_DELAY: Duration = Duration::from_millis(300);
 
 /// Time after a direct attempt without an answer for which only relays are used.
 const DIRECT_BACKOFF: Millis = Millis(1_000);
@@ -227,7 +231,7 @@
         let mut failure = CallError::NotSent("no host reaches the store".to_owned());
         self.start_first();
         loop {
-            let until = deadline.min(Instant::now() + self.patience());
+            let until = deadline.min(Instant::now() + self.hedge_delay());
             match self.attempts.wait(until).await {
                 Progress::Ended(Ok(answer)) => return Ok(answer),
                 Progress::Ended(Err(err)) => failure = err,
@@ -289,13 +293,13 @@
     }
 
     /// Returns the time to wait for an answer before the next attempt is started.
-    fn patience(&self) -> Duration {
-        let patience = if self.tried.is_empty() {
-            DIRECT_PATIENCE
+    fn hedge_delay(&self) -> Duration {
+        let delay = if self.tried.is_empty() {
+            DIRECT_HEDGE_DELAY
         } else {
-            RELAY_PATIENCE
+            RELAY_HEDGE_DELAY
         };
-        patience + self.req.wait()
+        delay + self.req.wait()
     }
 
     /// Lets other requests avoid the attempt that was started last, which takes long.
