Name busy runners in approval requests of steps that compete for room

In a full cell callers waited for approval calls, not for room: each call named the few runners with room, whose room was taken when the answer came, and the step asked again; hosts were busy with calls 81% to 91% of the time. A step that competes for room now names as many runners as add half a call, those approved before first, then those with room soonest, and asks for no more while its tickets cover its tasks three times over.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -27,7 +27,10 @@
 const MAX_RUNNERS_PER_REQUEST: usize = 40;
 
 /// Minimum number of runners in one request, if as many are available.
-const MIN_RUNNERS_PER_REQUEST: usize = 4;
+pub(super) const MIN_RUNNERS_PER_REQUEST: usize = 4;
+
+/// Maximum number of runners that the approval service accepts in one call.
+pub(super) const MAX_RUNNERS_PER_CALL: usize = 100;
 
 /// Time before the next attempt for a step without any candidate.
 const NO_CANDIDATE_RETRY_DELAY: Millis = Millis(60);
@@ -54,7 +57,7 @@
 
 /// Reason to name a runner in a request, in the order in which runners are named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Reason {
+pub(super) enum Reason {
     /// The ticket of a reserved runner has to be renewed.
     Renewal,
     /// The runner was approved before and has room now.
@@ -67,14 +70,23 @@
 
 /// A runner that a request may name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ApprovalCandidate {
+pub(super) struct ApprovalCandidate {
     reason: Reason,
     is_suspect: bool,
     /// Room that a task of the step would take from large tasks.
     loss: u64,
     /// Number of tasks that the runner has room for.
     tasks: Reverse<u64>,
-    runner_ix: RunnerIx,
+    pub(super) runner_ix: RunnerIx,
+}
+
+impl ApprovalCandidate {
+    /// Returns the capacity that the runner is expected to add, in percent of a task.
+    /// `approval_rate` is the expected rate of approvals, in percent.
+    fn expected_percent(&self, approval_rate: u64) -> u64 {
+        let is_known = self.reason <= Reason::Approved;
+        self.tasks.0 * if is_known { 100 } else { approval_rate }
+    }
 }
 
 impl Engine {
@@ -159,8 +171,18 @@
             candidates.extend(self.candidates_without_room(id, job, now));
         }
         candidates.sort_unstable();
-        let approval_rate = self.approval_rates.expected_percent(&job.record.queue);
-        need.select(&candidates, u64::from(approval_rate))
+        let approval_rate = u64::from(self.approval_rates.expected_percent(&job.record.queue));
+        if !self.is_reservable(spec, policy) {
+            let with_room_percent = candidates
+                .iter()
+                .filter(|candidate| candidate.reason != Reason::Discovery)
+                .map(|candidate| candidate.expected_percent(approval_rate))
+                .fold(0, u64::saturating_add);
+            if Self::is_contended(step, with_room_percent, need.percent) {
+                return self.contended_runners(id, job, &candidates, with_room_percent, now);
+            }
+        }
+        need.select(&candidates, approval_rate)
     }
 
     /// Returns the reserved runners whose tickets have to be renewed.
@@ -379,8 +401,7 @@
             {
                 break;
             }
-            let is_known = candidate.reason <= Reason::Approved;
-            expected_percent += candidate.tasks.0 * if is_known { 100 } else { approval_rate };
+            expected_percent += candidate.expected_percent(approval_rate);
             requested.push(candidate.runner_ix);
         }
         requested
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -101,6 +101,11 @@
         room_at.max(answered_at + call_time)
     }
 
+    /// Returns whether any request was answered.
+    pub(super) fn has_responses(&self) -> bool {
+        !self.by_runner.is_empty()
+    }
+
     /// Returns whether the runner was denied.
     pub(super) fn is_denied(&self, runner_ix: RunnerIx) -> bool {
         self.by_runner.get(&runner_ix) == Some(&Approval::Denied)
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 mod approval_requests;
 mod approvals;
+mod contention;
 mod demand;
 mod durable;
 mod ends;
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -88,7 +88,7 @@
             if ready.is_durable {
                 self.place_step(ready.step, all_verified, now);
             }
-            if self.tasks_within_cap(ready.step) == 0 {
+            if self.is_blocked_by_cap(ready.step) {
                 // Runners and approvals would be kept from steps that may start.
                 self.mark_blocked_by_cap(ready.step);
                 continue;
--- a/crates/jobs/src/engine/quota.rs
+++ b/crates/jobs/src/engine/quota.rs
@@ -164,6 +164,12 @@
         fitting.min(step.waiting)
     }
 
+    /// Returns whether the cap of its team keeps the waiting tasks of a step from starting.
+    pub(super) fn is_blocked_by_cap(&self, id: StepId) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.is_some_and(|(step, _)| step.waiting > 0) && self.tasks_within_cap(id) == 0
+    }
+
     /// Records that the cap of a step's team keeps its tasks from starting.
     pub(super) fn mark_blocked_by_cap(&mut self, id: StepId) {
         let team = self.jobs.get(&id.job).and_then(|job| job.team);
@@ -199,7 +205,7 @@
     pub(super) fn cap_reason(&self, id: StepId) -> Option<String> {
         let job = self.jobs.get(&id.job)?;
         let team = self.teams.get(job.team?);
-        if self.tasks_within_cap(id) > 0 {
+        if !self.is_blocked_by_cap(id) {
             return None;
         }
         let (_, spec) = job.step(id)?;
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Returns the expected time at which the runner has free resources for a task of a size, if
+    /// nothing else starts; the latest representable time if its runs are not expected to leave enough.
+    pub(super) fn room_at(&self, size: Resources, now: Millis) -> Millis {
+        let times = self.slot_times(size, 1, now);
+        times.first().copied().unwrap_or(Millis(u64::MAX))
+    }
+
     /// Returns whether the runner has been missing from the host list for longer than the grace
     /// period. It may still answer.
     pub(super) fn is_missing(&self, now: Millis) -> bool {
