Keep short records of ended jobs, and read topics side by side in a takeover

After the loss of the owner callers waited up to 1.5 s longer than the election takes: the new owner read the specifications and progress of all jobs, most of which had ended, topic after topic. Three seconds after a job's end one short record replaces both; specifications are deleted before progress, because a job whose progress alone is deleted would run again. The three topics are read at the same time.

--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -25,13 +25,16 @@
     /// Fences off previous owners and recovers their state. Returns `None` if that fails.
     pub(super) async fn recover(self: &Rc<Self>) -> Option<RecoveredOffsets> {
         self.fence_previous_owners().await?;
-        let jobs = self.read_all_with_retries(Topic::Jobs).await?;
-        self.restore_engine(&jobs.records).await;
         let reading = self.node.clock.reading();
-        let config = self.read_all_with_retries(Topic::Operators).await?;
+        let (jobs, config, runners) = tokio::join!(
+            self.read_all_with_retries(Topic::Jobs),
+            self.read_all_with_retries(Topic::Operators),
+            self.read_all_with_retries(Topic::Runners),
+        );
+        let (jobs, config, runners) = (jobs?, config?, runners?);
+        self.restore_engine(&jobs.records).await;
         self.apply_operator_records(&config.records);
         self.config_read.set(Some(reading));
-        let runners = self.read_all_with_retries(Topic::Runners).await?;
         self.replace_runners(&runners.records).await;
         // The engine sends a runner tasks only after the ownership was confirmed later than the
         // runner became known.
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -12,6 +12,10 @@
     record::{self, DurableState, Phase, Record, RecordKey},
 };
 
+/// Time after the end of a job at which its records are replaced by a short one. Runs that were being
+/// stopped at its end are gone by then, so that the size of no run is unknown after a takeover.
+const COMPACTION_DELAY: Millis = Millis(3_000);
+
 /// Records that are written together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -29,6 +33,8 @@
     jobs: Vec<JobId>,
     progress: FxHashSet<JobId>,
     removed: Vec<JobId>,
+    /// Jobs of which only the end is kept from now on.
+    compacted: Vec<JobId>,
     runners: FxHashSet<Name>,
     /// Whether the open batch carries an end that changes no record.
     has_unrecorded_end: bool,
@@ -42,6 +48,7 @@
             jobs: Vec::new(),
             progress: FxHashSet::default(),
             removed: Vec::new(),
+            compacted: Vec::new(),
             runners: FxHashSet::default(),
             has_unrecorded_end: false,
         }
@@ -83,6 +90,7 @@
             || !self.jobs.is_empty()
             || !self.progress.is_empty()
             || !self.removed.is_empty()
+            || !self.compacted.is_empty()
             || !self.runners.is_empty()
     }
 }
@@ -134,8 +142,21 @@
             }));
         }
         for id in std::mem::take(&mut self.batches.removed) {
-            let keys = [RecordKey::Progress(id), RecordKey::Job(id)];
-            records.extend(keys.map(|key| Record { key, value: None }));
+            records.extend(job_records_removed(id));
+            records.push(Record {
+                key: RecordKey::Ended(id),
+                value: None,
+            });
+        }
+        for id in std::mem::take(&mut self.batches.compacted) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            records.push(Record {
+                key: RecordKey::Ended(id),
+                value: Some(record::encode(&job.ended_record())),
+            });
+            records.extend(job_records_removed(id));
         }
         Some(Batch { number, records })
     }
@@ -157,7 +178,14 @@
         for entry in state.runners {
             engine.recover_runner(now, entry);
         }
+        for (id, end) in state.ended {
+            engine.jobs.insert(id, Job::ended(id, end, now));
+        }
         for (id, record) in state.jobs {
+            if engine.jobs.contains_key(&id) {
+                // The job has ended; its specification was not deleted yet.
+                continue;
+            }
             let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
             let mut job = Job::new(id, record, now.saturating_sub(age));
             if let Some(progress) = state.progress.get(&id) {
@@ -199,6 +227,21 @@
         true
     }
 
+    /// Drops all but the end of jobs that ended some time ago and have no runs left. The records of
+    /// all jobs have to be read in a takeover, before anything can start.
+    pub(super) fn compact_ended_jobs(&mut self, now: Millis) {
+        let durable = self.batches.durable();
+        for job in self.jobs.values_mut() {
+            let is_due = job
+                .ended_at
+                .is_some_and(|ended_at| now >= ended_at + COMPACTION_DELAY);
+            if is_due && !job.is_compacted && job.phase_batch <= durable && job.has_no_runs() {
+                job.compact();
+                self.batches.compacted.push(job.id);
+            }
+        }
+    }
+
     /// Removes ended jobs whose retention period is over.
     pub(super) fn remove_expired_jobs(&mut self, unix_ms: u64) {
         let keep = self.cfg.ended_job_retention.0;
@@ -228,3 +271,9 @@
         true
     }
 }
+
+/// Returns the records that delete the specification and the progress of a job. The specification
+/// goes first: without its progress, an ended job would run again if only a part is written.
+fn job_records_removed(id: JobId) -> [Record; 2] {
+    [RecordKey::Job(id), RecordKey::Progress(id)].map(|key| Record { key, value: None })
+}
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -160,6 +160,7 @@
             self.check_lease_expiry(RunnerIx(ix), now);
         }
         self.resend_stops(now);
+        self.compact_ended_jobs(now);
         self.remove_expired_jobs(unix_ms);
     }
 
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -6,7 +6,9 @@
 use super::{approvals::Approvals, quota::TeamIx, runner::RunnerIx};
 use crate::{
     id::{JobId, StepId},
-    record::{FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
+    record::{
+        EndedRecord, FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress,
+    },
     spec::{JobSpec, StepSpec},
 };
 
@@ -203,6 +205,8 @@
     pub(super) ended_unix_ms: u64,
     /// Time at which the job ended.
     pub(super) ended_at: Option<Millis>,
+    /// Whether only the end of the job is kept.
+    pub(super) is_compacted: bool,
     /// Whether any task has started.
     pub(super) started: bool,
     /// Whether the job was reported as late.
@@ -227,6 +231,7 @@
             team: None,
             ended_unix_ms: 0,
             ended_at: None,
+            is_compacted: false,
             started: false,
             reported_late: false,
             occurrences_done: 0,
@@ -235,6 +240,44 @@
         }
     }
 
+    /// Creates a job that has ended and of which only the end is known.
+    pub(super) fn ended(id: JobId, end: EndedRecord, now: Millis) -> Self {
+        let record = JobRecord {
+            queue: end.queue,
+            team: end.team,
+            ..JobRecord::default()
+        };
+        let mut job = Self::new(id, record, now);
+        job.phase = end.phase;
+        job.ended_unix_ms = end.ended_unix_ms;
+        job.is_compacted = true;
+        job
+    }
+
+    /// Returns the record of the job's end.
+    pub(super) fn ended_record(&self) -> EndedRecord {
+        EndedRecord {
+            queue: self.record.queue.clone(),
+            team: self.record.team.clone(),
+            phase: self.phase,
+            ended_unix_ms: self.ended_unix_ms,
+        }
+    }
+
+    /// Returns whether no run of the job is known to be alive.
+    pub(super) fn has_no_runs(&self) -> bool {
+        let steps = self.occurrences.iter().flat_map(|occ| &occ.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.all(|task| task.state.runner().is_none())
+    }
+
+    /// Drops everything but the job's end.
+    pub(super) fn compact(&mut self) {
+        self.record.spec = JobSpec::default();
+        self.occurrences = Vec::new();
+        self.is_compacted = true;
+    }
+
     /// Begins the occurrences that are due and returns whether there were any. Unless
     /// `all_verified`, a previous owner may have begun them too, so their tasks are marked as
     /// unverified.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,7 +2,7 @@
 //!
 //! A job has two keyed records: its specification, written once before the submission is
 //! acknowledged to the caller, and its progress, written before the end of a run is acknowledged to
-//! a runner. Running tasks are not recorded, because the runners report them in their inventories.
+//! a runner. Soon after the job's end a short record of the end replaces both. Running tasks are not recorded, because the runners report them in their inventories.
 //! The set of runners is recorded: the host list drops a runner that is unreachable, while its
 //! tasks may continue to run.
 
@@ -23,7 +23,7 @@
     pub enum RecordError {
         /// The key does not denote a known kind of record.
         UnknownKey {
-            display("unknown record key: expected j, p or r followed by an id")
+            display("unknown record key: expected j, p, e or r followed by an id")
         }
         /// The value does not decode as a record of the kind that the key denotes.
         InvalidValue(err: postcard::Error) {
@@ -52,6 +52,9 @@
     /// Progress of a job.
     #[display("p{_0}")]
     Progress(JobId),
+    /// End of a job whose specification and progress are no longer needed.
+    #[display("e{_0}")]
+    Ended(JobId),
     /// One incarnation of a runner, by its id.
     #[display("r{_0}")]
     Runner(Name),
@@ -69,6 +72,7 @@
         match kind {
             "j" => Ok(Self::Job(job()?)),
             "p" => Ok(Self::Progress(job()?)),
+            "e" => Ok(Self::Ended(job()?)),
             "r" => Ok(Self::Runner(Name::new(id))),
             _ => Err(RecordError::UnknownKey),
         }
@@ -197,6 +201,20 @@
     pub incarnation: u64,
 }
 
+/// Durable end of a job. It replaces the job's specification and progress, which would only make a
+/// takeover slower.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndedRecord {
+    /// Queue that the job was submitted to.
+    pub queue: Name,
+    /// Team that submitted the job.
+    pub team: Option<Name>,
+    /// How the job ended.
+    pub phase: Phase,
+    /// Time at which the job ended, in milliseconds since the Unix epoch.
+    pub ended_unix_ms: u64,
+}
+
 /// State that previous owners made durable.
 #[derive(Clone, Debug, Default)]
 pub struct DurableState {
@@ -204,6 +222,8 @@
     pub jobs: Vec<(JobId, JobRecord)>,
     /// Progress of the jobs.
     pub progress: FxHashMap<JobId, ProgressRecord>,
+    /// Ends of jobs without a specification.
+    pub ended: Vec<(JobId, EndedRecord)>,
     /// Runners that may have tasks, including those missing from the host list.
     pub runners: Vec<RunnerEntry>,
 }
@@ -218,6 +238,7 @@
         match RecordKey::parse(key)? {
             RecordKey::Job(id) => self.jobs.push((id, JobRecord::decode(value)?)),
             RecordKey::Progress(id) => drop(self.progress.insert(id, decode(value)?)),
+            RecordKey::Ended(id) => self.ended.push((id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(decode(value)?),
         }
         Ok(())
