Request no approvals for tasks that may run under a previous owner

After a takeover callers of new jobs waited for approval calls for 6 s. Such steps are left out of the scheduling pass until their runs are verified. Approval calls are logged and measured.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -7,10 +7,13 @@
     engine::{ApprovalRequest, Order, StartOrder, StopOrder},
     runner::{Refusal, StartOutcome, StopOutcome},
 };
-use kspan_model::Name;
+use kspan_model::{Millis, Name};
 
 use super::{Owner, RunnerConnection};
-use crate::message::{PeerReply, PeerRequest};
+use crate::{
+    message::{PeerReply, PeerRequest},
+    telemetry,
+};
 
 /// Timeout of one attempt to send an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
@@ -116,7 +119,9 @@
                 .map(|runner_ix| engine.runner(*runner_ix).id.clone())
                 .collect()
         };
+        let sent_at = self.now();
         let approved = self.request_approvals_via(&order, names).await;
+        self.log_approvals(&order, approved.as_ref(), sent_at);
         let response = approved
             .as_ref()
             .map(|approved| (approved.runners.as_slice(), approved.validity));
@@ -126,6 +131,22 @@
         self.state_changed.notify_one();
     }
 
+    fn log_approvals(&self, order: &ApprovalRequest, approved: Option<&Approved>, sent_at: Millis) {
+        let took = self.now().saturating_sub(sent_at);
+        telemetry::record_approval_call(approved.is_some(), took);
+        if self.node.log_limit.allows("approval", self.now()) {
+            tracing::info!(
+                step = %order.step,
+                host = %order.host,
+                named = order.runners.len(),
+                approved = approved.map(|approved| approved.runners.len()),
+                expected_ms = order.expected_wait.0,
+                took_ms = took.0,
+                "approval call ended"
+            );
+        }
+    }
+
     /// Requests approvals through the host that the order names.
     async fn request_approvals_via(
         &self,
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -62,6 +62,12 @@
     counter!("kspan_cell_jobs_late_total").increment(1);
 }
 
+/// Records an approval call, whether it was answered, and its duration.
+pub(crate) fn record_approval_call(is_answered: bool, took: Millis) {
+    let outcome = if is_answered { "answered" } else { "failed" };
+    histogram!("kspan_cell_approval_seconds", "outcome" => outcome).record(seconds(took));
+}
+
 /// Records a request that was refused because of its key.
 pub(crate) fn record_refused_key(why: &'static str) {
     counter!("kspan_cell_keys_refused_total", "why" => why).increment(1);
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -82,7 +82,7 @@
         let ReadySteps {
             steps: ready_steps,
             late_job,
-        } = self.ranked_ready_steps(now);
+        } = self.ranked_ready_steps(all_verified, now);
         self.open_runners = self.runners_with_room(&ready_steps, now);
         for ready in ready_steps {
             if ready.is_durable {
@@ -106,8 +106,9 @@
     }
 
     /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
-    /// such steps from the schedulable set.
-    fn ranked_ready_steps(&mut self, now: Millis) -> ReadySteps {
+    /// such steps from the schedulable set. Steps whose tasks may all be running under a previous
+    /// owner are left out, because their approval calls would delay those of others.
+    fn ranked_ready_steps(&mut self, all_verified: bool, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let share_unit = self.share_unit();
         let mut ready = Vec::new();
@@ -132,6 +133,9 @@
             let policy = &job.record.policy;
             let fitting = steps.filter_map(|id| {
                 let (step, spec) = job.step(id)?;
+                if !all_verified && !step.tasks.iter().any(|task| task.may_start(false)) {
+                    return None;
+                }
                 let is_overdue = self.is_overdue(step, spec, now);
                 let is_reservable = self.is_reservable(spec, policy);
                 let fits = spec.charged_resources().fits_in(max_free);
