--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -10,12 +10,23 @@
 
 use crate::{message::Member, precedence};
 
+#[cfg(test)]
+mod tests;
+
 /// Time without a heartbeat after which the owner is suspected.
 const SUSPICION_TIMEOUT: Millis = Millis(900);
 
 /// Time without a heartbeat after which the owner is suspected if the connection to it is broken.
 const DISCONNECTED_SUSPICION_TIMEOUT: Millis = Millis(250);
 
+/// Time without a heartbeat after which the topic of claims is observed, two heartbeats. The evidence is
+/// then complete soon after the owner is suspected.
+const OBSERVATION_TIMEOUT: Millis = Millis(500);
+
+/// Time after its start at which a process that received no heartbeat suspects the owner that the topic of
+/// claims names. A living owner sends it a heartbeat sooner.
+const STARTUP_SUSPICION_TIMEOUT: Millis = Millis(600);
+
 /// Additional time for each process that precedes this one in the order of successors.
 const RANK_DELAY: Millis = Millis(150);
 
@@ -31,8 +42,20 @@
     pub(crate) member: Member,
 }
 
+/// How far the owner's heartbeats are overdue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Suspicion {
+    /// Heartbeats arrive.
+    None,
+    /// Heartbeats are overdue; the topic of claims has to be observed.
+    Possible,
+    /// The owner may be replaced if the topic of claims confirms that it has failed.
+    Confirmed,
+}
+
+/// End of the topic of claims, and since when it is unchanged.
 #[derive(Clone, Copy, Debug)]
-struct Suspicion {
+struct Observation {
     since: Millis,
     end: u64,
 }
@@ -43,7 +66,9 @@
     local: Member,
     known: Option<KnownOwner>,
     last_heartbeat: Millis,
-    suspicion: Option<Suspicion>,
+    /// Whether a heartbeat has arrived since the start of the process.
+    has_received_heartbeat: bool,
+    observation: Option<Observation>,
     /// Highest fence whose ownership this process has released.
     released_fence: u64,
 }
@@ -77,7 +102,8 @@
             local,
             known: None,
             last_heartbeat: now,
-            suspicion: None,
+            has_received_heartbeat: false,
+            observation: None,
             released_fence: 0,
         }
     }
@@ -100,7 +126,8 @@
             return false;
         }
         self.last_heartbeat = now;
-        self.suspicion = None;
+        self.has_received_heartbeat = true;
+        self.observation = None;
         let member = owner.clone();
         let known = Some(KnownOwner { fence, member });
         let is_new = self.known != known;
@@ -114,28 +141,46 @@
         self.last_heartbeat = now;
     }
 
-    /// Returns whether the owner is suspected, so that the claims have to be read.
-    pub(crate) fn is_owner_suspected(
+    /// Returns whether the owner is suspected.
+    pub(crate) fn suspicion(
         &self,
         now: Millis,
         members: &[Member],
         is_connected: bool,
-    ) -> bool {
+    ) -> Suspicion {
         let Some(known) = &self.known else {
-            return true;
+            return Suspicion::Confirmed;
         };
-        let silence = if is_connected {
-            SUSPICION_TIMEOUT
+        let (observed, suspected) = if !self.has_received_heartbeat {
+            (Millis::ZERO, STARTUP_SUSPICION_TIMEOUT)
+        } else if is_connected {
+            (OBSERVATION_TIMEOUT, SUSPICION_TIMEOUT)
         } else {
-            DISCONNECTED_SUSPICION_TIMEOUT
+            (
+                DISCONNECTED_SUSPICION_TIMEOUT,
+                DISCONNECTED_SUSPICION_TIMEOUT,
+            )
         };
         let owner = &known.member.node;
         let rank = precedence::rank(&self.local.node, owner, known.fence, members);
-        self.silence(now) >= silence + Millis(RANK_DELAY.0 * rank)
+        let silence = self.silence(now);
+        let delay = Millis(RANK_DELAY.0 * rank);
+        if silence >= suspected + delay {
+            Suspicion::Confirmed
+        } else if silence >= observed + delay {
+            Suspicion::Possible
+        } else {
+            Suspicion::None
+        }
     }
 
     /// Determines the next step from the state of the topic of claims.
-    pub(crate) fn evaluate_claims(&mut self, now: Millis, claims: &Claims) -> Step {
+    pub(crate) fn evaluate_claims(
+        &mut self,
+        now: Millis,
+        claims: &Claims,
+        suspicion: Suspicion,
+    ) -> Step {
         let Some(owner) = &claims.owner else {
             let waited = now.saturating_sub(self.last_heartbeat);
             let may_claim = waited >= precedence::first_claim_delay(&self.local);
@@ -160,17 +205,17 @@
                 self.last_heartbeat = now;
             }
         }
-        match self.suspicion {
-            Some(suspicion) if suspicion.end == claims.end => {
-                let is_unchanged = now.saturating_sub(suspicion.since) >= MIN_UNCHANGED_TIME;
-                if is_unchanged {
+        match self.observation {
+            Some(observation) if observation.end == claims.end => {
+                let is_unchanged = now.saturating_sub(observation.since) >= MIN_UNCHANGED_TIME;
+                if is_unchanged && suspicion == Suspicion::Confirmed {
                     Step::QueryOthers
                 } else {
                     Step::Wait
                 }
             }
             _ => {
-                self.suspicion = Some(Suspicion {
+                self.observation = Some(Observation {
                     since: now,
                     end: claims.end,
                 });
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -13,7 +13,7 @@
 use super::{Node, PEER_TIMEOUT};
 use crate::{
     attempts::{Attempts, Progress},
-    election::{Claims, KnownOwner, Step},
+    election::{Claims, KnownOwner, Step, Suspicion},
     message::{Member, PeerReply, PeerRequest},
     owner::Owner,
     peers::{self, Peers},
@@ -32,6 +32,13 @@
 /// opening connections.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Number of processes without the owner's heartbeats from which the answers of further ones are awaited
+/// only briefly. Many may be lost together with the owner.
+const SUFFICIENT_ANSWERS: usize = 4;
+
+/// Time for which further answers are awaited then, since the start of the query.
+const MIN_QUERY_TIME: Duration = Duration::from_millis(150);
+
 /// Maximum number of processes that are queried whether they receive the owner's heartbeats.
 const MAX_QUERIED_MEMBERS: usize = 8;
 
@@ -104,14 +111,14 @@
     async fn check_owner(self: &Rc<Self>) {
         let planned = self.planned_takeover.take();
         let now = self.clock.now();
-        let is_suspected = {
+        let suspicion = {
             let election = self.election.borrow();
             let is_connected = election
                 .owner()
                 .is_none_or(|owner| self.peers.is_connected(&owner.member));
-            election.is_owner_suspected(now, &self.members.borrow(), is_connected)
+            election.suspicion(now, &self.members.borrow(), is_connected)
         };
-        if !is_suspected && planned.is_none() {
+        if suspicion == Suspicion::None && planned.is_none() {
             return;
         }
         let claims = match self.read_claims().await {
@@ -127,7 +134,7 @@
         let step = self
             .election
             .borrow_mut()
-            .evaluate_claims(self.clock.now(), &claims);
+            .evaluate_claims(self.clock.now(), &claims, suspicion);
         match step {
             Step::AlreadyOwner(fence) => self.become_owner(fence, claims.end).await,
             Step::Claim => self.claim(claims.end, "first").await,
@@ -151,15 +158,21 @@
             let peers = Rc::clone(&self.peers);
             queries.start(async move {
                 let receives = receives_heartbeats(&peers, &member, fence).await;
-                receives.then_some(member.node)
+                (receives, member.node)
             });
         }
-        let deadline = Instant::now() + QUERY_TIMEOUT;
-        while let Progress::Ended(receiver) = queries.wait(deadline).await {
-            if let Some(through) = receiver {
+        let started_at = Instant::now();
+        let mut deadline = started_at + QUERY_TIMEOUT;
+        let mut silent_for_others = 0;
+        while let Progress::Ended((receives, through)) = queries.wait(deadline).await {
+            if receives == Some(true) {
                 tracing::info!(fence, %through, "another process receives the owner's heartbeats; cell not claimed");
                 return true;
             }
+            silent_for_others += usize::from(receives == Some(false));
+            if silent_for_others >= SUFFICIENT_ANSWERS {
+                deadline = started_at + MIN_QUERY_TIME;
+            }
         }
         false
     }
@@ -218,8 +231,8 @@
 }
 
 /// Returns whether a process has received a recent heartbeat of the owner with this fence or a higher
-/// one.
-async fn receives_heartbeats(peers: &Peers, member: &Member, fence: u64) -> bool {
+/// one; `None` if the process does not answer.
+async fn receives_heartbeats(peers: &Peers, member: &Member, fence: u64) -> Option<bool> {
     let status = peers
         .request(member, PeerRequest::OwnerStatus, PEER_TIMEOUT)
         .await;
@@ -228,7 +241,7 @@
         silent_ms,
     }) = status
     else {
-        return false;
+        return None;
     };
-    known_fence >= fence && silent_ms < MAX_REPORTED_SILENCE_MS
+    Some(known_fence >= fence && silent_ms < MAX_REPORTED_SILENCE_MS)
 }
--- a/crates/cell/src/owner/hand_over.rs
+++ b/crates/cell/src/owner/hand_over.rs
@@ -1,4 +1,4 @@
-//! Handover of the cell to a much stronger host.
+//! Handover of the cell to a much stronger host, or away from an overloaded one.
 //!
 //! A weak host may own the cell because it started first or because the strong hosts were
 //! unavailable. The owner only requests the takeover, and keeps its role until the other process
@@ -30,8 +30,29 @@
         }
     }
 
+    /// Requests another host to take over, because this one has too little processor time.
+    pub(super) async fn hand_over_overloaded(self: Rc<Self>, timer_delay: Millis) {
+        let local = &self.node.local;
+        let successor = self.find_successor(|member| member.power_milli >= local.power_milli);
+        tracing::warn!(
+            fence = self.fence,
+            timer_delay_ms = timer_delay.0,
+            successor = successor.as_ref().map(|member| member.node.to_string()),
+            "timers are late; requesting another host to take over"
+        );
+        if let Some(successor) = successor {
+            self.node.request_takeover(&successor, self.fence).await;
+        }
+    }
+
     /// Returns the first stable member, in the order of successors, whose host is much stronger.
     fn find_stronger_member(&self) -> Option<Member> {
+        let local = &self.node.local;
+        self.find_successor(|member| precedence::is_much_stronger(member, local))
+    }
+
+    /// Returns the first stable member, in the order of successors, that meets a condition.
+    fn find_successor(&self, is_suitable: impl Fn(&Member) -> bool) -> Option<Member> {
         let (local, now) = (&self.node.local, self.now());
         let stable_members: Vec<Member> = self
             .member_liveness
@@ -42,6 +63,6 @@
             .collect();
         precedence::successors(&local.node, self.fence, &stable_members)
             .into_iter()
-            .find(|member| precedence::is_much_stronger(member, local))
+            .find(is_suitable)
     }
 }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod event_log;
 mod hand_over;
 mod heartbeat;
+mod lag;
 mod members;
 mod orders;
 mod recover;
@@ -35,6 +36,7 @@
 };
 
 use crate::{clock::ClockReading, node::Node, telemetry};
+use lag::LagMonitor;
 use members::MemberLiveness;
 
 /// Lease of a runner, after which it stops its runs unless the lease is renewed. It is longer than
@@ -262,11 +264,21 @@
     }
 
     async fn run_timer(self: Rc<Self>) {
+        let mut lag = LagMonitor::new(self.now());
         while self.is_active.get() {
-            tokio::time::sleep(TICK_INTERVAL).await;
+            let due = Instant::now() + TICK_INTERVAL;
+            tokio::time::sleep_until(due).await;
             let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
             self.engine.borrow_mut().tick(now, unix_ms);
             self.state_changed.notify_one();
+            if !self.engine.borrow().has_unverified_runs() {
+                lag.record_settled(now);
+            }
+            let delay = Millis(due.elapsed().as_millis().try_into().unwrap_or(u64::MAX));
+            if lag.record_timer(delay, now) {
+                lag = LagMonitor::new(now);
+                ntex::rt::spawn(Rc::clone(&self).hand_over_overloaded(delay));
+            }
         }
     }
 
--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -18,6 +18,10 @@
 /// Timeout of one attempt to send an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Timeout of the first attempt to send a start order. An order is idempotent, and a second attempt is
+/// answered sooner than a lost answer is given up.
+const FIRST_START_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Maximum number of attempts to send a start order.
 const MAX_START_ATTEMPTS: u32 = 3;
 
@@ -68,11 +72,16 @@
             return StartOutcome::Refused(Refusal::DeadlinePassed);
         };
         let mut in_doubt = false;
-        for _ in 0..MAX_START_ATTEMPTS {
+        for attempt in 0..MAX_START_ATTEMPTS {
             if !self.may_send_orders() {
                 break;
             }
-            match runner::start(&connection.client, order, ORDER_TIMEOUT).await {
+            let timeout = if attempt == 0 {
+                FIRST_START_TIMEOUT
+            } else {
+                ORDER_TIMEOUT
+            };
+            match runner::start(&connection.client, order, timeout).await {
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
                 }
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -49,6 +49,11 @@
 }
 
 impl Engine {
+    /// Returns whether runs of a previous owner may exist that are not known yet.
+    pub fn has_unverified_runs(&self) -> bool {
+        self.unverified_until.is_some()
+    }
+
     /// Returns the version of the configuration in force; 0 if there is none.
     pub fn config_version(&self) -> u64 {
         self.config.version
--- a/crates/jobs/src/engine/share.rs
+++ b/crates/jobs/src/engine/share.rs
@@ -112,10 +112,10 @@
         }
     }
 
-    /// Returns whether a team uses more than its share of the cell.
+    /// Returns whether a team uses its whole share of the cell, so that another task would exceed it.
     pub(super) fn is_over_share(&self, team: TeamIx, unit: ShareUnit) -> bool {
         let entry = self.teams.get(team);
-        entry.committed.dominant_share(unit.total) > entry.weight * unit.of_weight
+        entry.committed.dominant_share(unit.total) >= entry.weight * unit.of_weight
     }
 }
 
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -32,7 +32,7 @@
     priority: u32,
     /// Whether the step's waiting tasks have failed repeatedly.
     fails_repeatedly: bool,
-    /// Whether the job's team uses more than its share of the cell.
+    /// Whether the job's team uses its whole share of the cell.
     is_over_share: bool,
     misses_objective: bool,
     due: Millis,
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -7,7 +7,7 @@
 use kspan_jobs::{
     Engine,
     config::{CellConfig, Policy, Queue},
-    engine::{Order, RunnerIx, Settings, Submission},
+    engine::{Order, RunnerIx, Settings, Submission, SubmitError, Submitted},
     id::{JobId, StepId, TaskId},
     record::{DurableState, JobRecord},
     runner::{
@@ -162,13 +162,18 @@
     /// Replaces the owner by a new one that restores all durable records. The host list is still
     /// empty.
     pub(crate) fn recover(&mut self) {
+        self.recover_with(config());
+    }
+
+    /// Does the same with a configuration.
+    pub(crate) fn recover_with(&mut self, config: CellConfig) {
         let mut state = DurableState::default();
         for (key, value) in &self.store {
             state.add(key, value).expect("stored records decode");
         }
         let now = Millis(self.now);
         self.engine = Engine::recover(settings(), now, self.now, state);
-        self.engine.configure(config());
+        self.engine.configure(config);
         self.engine.confirm_ownership(now);
     }
 
@@ -224,15 +229,36 @@
     }
 
     pub(crate) fn submit_spec(&mut self, path: &str, spec: JobSpec) {
+        let submitted = self.try_submit(path, spec, None);
+        assert!(submitted.is_ok());
+        self.commit();
+    }
+
+    /// Submits a job for a team, and commits it if it is accepted.
+    pub(crate) fn submit_for_team(
+        &mut self,
+        path: &str,
+        spec: JobSpec,
+        team: &str,
+    ) -> Result<(), SubmitError> {
+        self.try_submit(path, spec, Some(Name::new(team)))?;
+        self.commit();
+        Ok(())
+    }
+
+    fn try_submit(
+        &mut self,
+        path: &str,
+        spec: JobSpec,
+        team: Option<Name>,
+    ) -> Result<Submitted, SubmitError> {
         let req = Submission {
             host: HOST,
             path,
             spec,
-            team: None,
+            team,
         };
-        let submitted = self.engine.submit(Millis(self.now), self.now, req);
-        assert!(submitted.is_ok());
-        self.commit();
+        self.engine.submit(Millis(self.now), self.now, req)
     }
 
     pub(crate) fn commit(&mut self) {
