Tolerate reported runs of tasks that a step does not have

A runner whose inventory listed a task index beyond its step's tasks ended the owner's process: the run was charged to the runner as an orphan, and the stop, the removal of lost runs and draining indexed the step's tasks with it. Each successor read the same inventory and ended too.

The index is looked up instead. The run is stopped like any other orphan.

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -107,7 +107,9 @@
         };
         let gang = spec.gang;
         let index = task.index as usize;
-        let known = &step.tasks[index];
+        let Some(known) = step.tasks.get(index) else {
+            return;
+        };
         if known.run != run || known.state.runner() != Some(runner_ix) {
             return;
         }
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -130,9 +130,11 @@
             let Some((step, spec)) = job.step(task.step) else {
                 continue;
             };
-            let state = step.tasks[task.index as usize].state;
+            let known = step.tasks.get(task.index as usize);
+            let is_running_here =
+                known.is_some_and(|known| known.state == TaskState::Running(runner_ix));
             let is_movable = spec.long_running || spec.saves_progress;
-            if is_movable && !spec.gang && state == TaskState::Running(runner_ix) {
+            if is_movable && !spec.gang && is_running_here {
                 self.order_stop(runner_ix, task, run, now);
             }
         }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -220,6 +220,9 @@
         let Some((step, spec)) = job.step_mut(row.task.step) else {
             return;
         };
+        if index >= step.tasks.len() {
+            return;
+        }
         let slot = if spec.gang { 0 } else { index };
         if !row.checkpoint.is_empty() {
             step.tasks[slot].checkpoint = row.checkpoint.clone();
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -138,7 +138,10 @@
             return;
         };
         let index = task.index as usize;
-        let known = &step.tasks[index];
+        // The run may be one that a runner reported, with any index.
+        let Some(known) = step.tasks.get(index) else {
+            return;
+        };
         let alive = matches!(known.state, TaskState::Starting(at) | TaskState::Running(at) if at == runner_ix);
         if alive && known.run == run {
             step.set_state(index, TaskState::Stopping(runner_ix), now);
--- /dev/null
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -0,0 +1,88 @@
+//! Values that callers, runners and the store choose, out of range: no call of the engine may
+//! panic, run for long or allocate without bound because of them.
+
+mod one_cell;
+
+use kspan_jobs::{
+    engine::{JobState, Order, RunnerIx, Submission, SubmitError},
+    id::{JobId, StepId, TaskId},
+    record::{self, DurableState, JobRecord, OccurrenceProgress, ProgressRecord, TaskProgress},
+    runner::{
+        EndKind, EndedTask, Inventory, InventoryOutcome, Refusal, RunningTask, StartOutcome,
+        StopOutcome,
+    },
+    spec::{JobSpec, SpecError, StepSpec, Timetable},
+};
+use kspan_model::{Millis, Name, Resources};
+use one_cell::*;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn running(task: TaskId, run: u32) -> RunningTask {
+    RunningTask {
+        task,
+        run,
+        checkpoint: Name::default(),
+        percent: 10,
+    }
+}
+
+fn end(number: u64, task: TaskId, run: u32, how: EndKind) -> EndedTask {
+    EndedTask {
+        number,
+        task,
+        run,
+        how,
+        checkpoint: Name::default(),
+    }
+}
+
+fn task_at(occurrence: u32, step: u32, index: u32) -> TaskId {
+    let step = StepId {
+        job: JOB,
+        occurrence,
+        step,
+    };
+    step.task(index)
+}
+
+/// Returns the specification of a job that recurs immediately.
+fn recurring(times: u32) -> JobSpec {
+    JobSpec {
+        timetable: Some(Timetable {
+            times,
+            first_unix_ms: 0,
+            period: Millis::ZERO,
+        }),
+        ..spec()
+    }
+}
+
+/// Guards against an index into a step's tasks that a runner chooses: one inventory row ended the
+/// owner's process, and that of each successor.
+#[test]
+fn reported_task_that_its_step_does_not_have_is_stopped() {
+    for task in [
+        task_at(0, 0, 1),
+        task_at(0, 0, u32::MAX),
+        task_at(0, 7, 0),
+        task_at(9, 0, 0),
+    ] {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        cell.submit();
+        cell.report_inventory(0, vec![running(task, 1)], Vec::new());
+        let orders = cell.engine.take_orders();
+        let is_stop = |order: &Order| matches!(order, Order::Stop(stop) if stop.task == task);
+        assert!(orders.iter().any(is_stop), "{task}");
+        // It is listed again, its runner drains and it ends: none may index the step either.
+        cell.report_inventory(0, vec![running(task, 1)], Vec::new());
+        let draining = kspan_jobs::runner::RunnerEntry {
+            draining: true,
+            ..entry("w0")
+        };
+        cell.engine.upsert_runner(Millis(cell.now), draining);
+        cell.report_inventory(0, Vec::new(), Vec::new());
+        cell.report_ends(0, vec![end(1, task, 1, EndKind::Done)]);
+        cell.report_ends(1, Vec::new());
+        assert_eq!(cell.schedule(), [1], "{task}: the job itself is unaffected");
+    }
+}
