Limit the steps and tasks of a job

A request body of 512 KiB has room for thousands of steps of 10,000 tasks, and the owner allocates each task when the job is accepted: one submission took gigabytes and could end the process. Only the tasks of one step were limited.

A job may have 1,000 steps and 100,000 tasks in all; more is answered with 400. Jobs accepted before are restored regardless of the new limits.

--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -10,6 +10,13 @@
 /// Maximum number of tasks in one step.
 const MAX_TASKS_PER_STEP: u32 = 10_000;
 
+/// Maximum number of steps of a job.
+const MAX_STEPS: usize = 1_000;
+
+/// Maximum number of tasks in all steps of a job. Each takes memory at the owner from the submission
+/// on, and a request body has room for thousands of steps.
+pub(crate) const MAX_TASKS: u64 = 100_000;
+
 quick_error! {
     /// Reason why a specification is rejected.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +29,14 @@
         TaskCount(step: usize) {
             display("step {step}: number of tasks out of range: expected 1 to {MAX_TASKS_PER_STEP}")
         }
+        /// The job has too many steps.
+        StepCount {
+            display("invalid job: expected at most {MAX_STEPS} steps")
+        }
+        /// The job has too many tasks in all its steps.
+        TotalTasks {
+            display("invalid job: expected at most {MAX_TASKS} tasks in all steps")
+        }
         /// A step depends on itself or on a later step.
         Dependency(step: usize) {
             display("step {step}: invalid dependency: expected the index of an earlier step")
@@ -131,13 +146,30 @@
 }
 
 impl JobSpec {
-    /// Validates the specification: every step needs tasks within the allowed number, and
-    /// dependencies must point to earlier steps.
+    /// Validates the specification: every step needs tasks within the allowed number, dependencies
+    /// must point to earlier steps, and the numbers of steps and of tasks in all are limited.
     ///
     /// # Errors
     ///
     /// Returns the first violation found.
     pub fn validate(&self) -> Result<()> {
+        self.validate_steps()?;
+        if self.steps.len() > MAX_STEPS {
+            return Err(SpecError::StepCount);
+        }
+        if self.tasks_per_occurrence() > MAX_TASKS {
+            return Err(SpecError::TotalTasks);
+        }
+        Ok(())
+    }
+
+    /// Validates each step. Unlike the totals, these rules hold for every job that was ever
+    /// accepted, so that stored jobs are checked by them too.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation found.
+    pub(crate) fn validate_steps(&self) -> Result<()> {
         if self.steps.is_empty() {
             return Err(SpecError::NoSteps);
         }
@@ -157,6 +189,11 @@
         self.timetable.map_or(1, |table| table.times)
     }
 
+    /// Returns the number of tasks in one occurrence.
+    pub(crate) fn tasks_per_occurrence(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns whether the job runs until it is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -86,3 +86,32 @@
         assert_eq!(cell.schedule(), [1], "{task}: the job itself is unaffected");
     }
 }
+
+/// Guards against a caller's request for more memory than a host has: 1,000 steps of 10,000 tasks
+/// fit into one request body.
+#[test]
+fn job_with_too_many_tasks_in_total_is_rejected() {
+    let mut cell = Cell::new(&["w0"]);
+    let step = |count| StepSpec {
+        count,
+        ..spec().steps[0].clone()
+    };
+    let table = [
+        (vec![step(10_000); 10], None),
+        (vec![step(10_000); 1_000], Some(SpecError::TotalTasks)),
+        (vec![step(1); 1_000], None),
+        (vec![step(1); 1_001], Some(SpecError::StepCount)),
+    ];
+    for (number, (steps, expected)) in (0..).zip(table) {
+        let path = format!("/q/{number:016x}");
+        let spec = JobSpec { steps, ..spec() };
+        let now = Millis(cell.now);
+        let req = Submission {
+            host: HOST,
+            path: &path,
+            spec,
+        };
+        let outcome = cell.engine.submit(now, cell.now, req);
+        assert_eq!(outcome.err(), expected.map(SubmitError::Spec), "{path}");
+    }
+}
