Check the steps of stored jobs before they are restored

A job record that decodes but has a dependency on a later step, or a step of billions of tasks, ended each new owner's process while it recovered, because only submissions were validated. Such a record is now skipped and logged like one that does not decode. The new test failed before and passes now.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -12,7 +12,12 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{config::Policy, id::JobId, runner::RunnerEntry, spec::JobSpec};
+use crate::{
+    config::Policy,
+    id::JobId,
+    runner::RunnerEntry,
+    spec::{JobSpec, SpecError},
+};
 
 /// Result of decoding a record.
 pub type Result<T> = std::result::Result<T, RecordError>;
@@ -25,6 +30,11 @@
         UnknownKey {
             display("unknown record key: expected j, p or r followed by an id")
         }
+        /// The record is of a job whose specification is invalid.
+        InvalidSpec(err: SpecError) {
+            from()
+            display("stored job is invalid: {err}")
+        }
         /// The value does not decode as a record of the kind that the key denotes.
         InvalidValue(err: postcard::Error) {
             from()
@@ -176,10 +186,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error, and adds nothing, if the key or the value cannot be decoded.
+    /// Returns an error, and adds nothing, if the key or the value cannot be decoded or the job
+    /// has steps that are not valid.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<()> {
         match RecordKey::parse(key)? {
-            RecordKey::Job(id) => self.jobs.push((id, decode(value)?)),
+            RecordKey::Job(id) => {
+                let record: JobRecord = decode(value)?;
+                record.spec.validate_steps()?;
+                self.jobs.push((id, record));
+            }
             RecordKey::Progress(id) => drop(self.progress.insert(id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(decode(value)?),
         }
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Guards against a caller's request for more memory than a host has: 1,000 steps of 10,000 tasks
+/// Guards against a caller's request for more memory than a host has: 3,000 steps of 10,000 tasks
 /// fit into one request body.
 #[test]
 fn job_with_too_many_tasks_in_total_is_rejected() {
@@ -115,3 +115,34 @@
         assert_eq!(outcome.err(), expected.map(SubmitError::Spec), "{path}");
     }
 }
+
+/// Guards against a stored record that no owner could have written: each owner's process ended
+/// while it recovered.
+#[test]
+fn record_that_violates_the_rules_for_jobs_is_not_restored() {
+    let record = |steps: Vec<StepSpec>| JobRecord {
+        queue: Name::new("q"),
+        policy: config().queues[0].policy.clone(),
+        accepted_unix_ms: 1,
+        spec: JobSpec { steps, ..spec() },
+    };
+    let step = spec().steps[0].clone();
+    let depends_on = |on| StepSpec {
+        depends_on: vec![on],
+        ..step.clone()
+    };
+    let count = StepSpec {
+        count: u32::MAX,
+        ..step.clone()
+    };
+    for steps in [
+        vec![depends_on(0)],
+        vec![step.clone(), depends_on(9)],
+        vec![count],
+    ] {
+        let mut state = DurableState::default();
+        let value = record::encode(&record(steps));
+        assert!(state.add("j000000000000000a", &value).is_err());
+        assert!(state.jobs.is_empty());
+    }
+}
