Bound the occurrences of a job that have begun

A timetable with a period of 0 and billions of occurrences, or one whose first occurrence is long past, began all of them in one loop at the owner, which ran out of memory. An inventory row of an occurrence far ahead did the same.

A job has at most 1,000 begun occurrences, and at most 100,000 tasks in them; the others begin as earlier ones complete. A reported occurrence further ahead is treated as an orphan, since no owner can have begun it.

--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -7,9 +7,14 @@
 use crate::{
     id::{JobId, StepId},
     record::{FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
-    spec::{JobSpec, StepSpec},
+    spec::{JobSpec, MAX_TASKS, StepSpec},
 };
 
+/// Maximum number of occurrences of a job that have begun and are not completed. A timetable may be
+/// due billions of times at once, and each occurrence takes memory and is written with the job's
+/// progress. Those beyond the bound begin as earlier ones complete.
+const MAX_BEGUN_OCCURRENCES: u64 = 1_000;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -226,7 +231,7 @@
         all_verified: bool,
     ) -> bool {
         let first = self.next_occurrence;
-        while self.next_occurrence < self.record.spec.occurrences() {
+        while self.next_occurrence < self.record.spec.occurrences() && self.may_begin(1) {
             let number = self.next_occurrence;
             let due = self
                 .record
@@ -246,6 +251,13 @@
         self.next_occurrence > first
     }
 
+    /// Returns whether `count` more occurrences may begin. One may always begin if there is none.
+    fn may_begin(&self, count: u64) -> bool {
+        let begun = self.occurrences.len() as u64 + count;
+        let tasks = begun.saturating_mul(self.record.spec.tasks_per_occurrence());
+        begun <= 1 || (begun <= MAX_BEGUN_OCCURRENCES && tasks <= MAX_TASKS)
+    }
+
     /// Begins all occurrences up to one that a runner has reported. A previous owner has begun
     /// them, possibly by a clock ahead of this one, and their runs may be alive. Returns whether
     /// any occurrence began.
@@ -254,6 +266,10 @@
         if self.phase != Phase::Active || occurrence < self.next_occurrence || occurrence >= last {
             return false;
         }
+        // No owner has begun more occurrences than that.
+        if !self.may_begin(u64::from(occurrence - self.next_occurrence) + 1) {
+            return false;
+        }
         for number in self.next_occurrence..=occurrence {
             let mut begun = Occurrence::new(number, &self.record.spec, now);
             begun.mark_unverified();
@@ -356,13 +372,14 @@
             for known in &saved.tasks {
                 restore_task(&mut occurrence, known, now);
             }
-            self.next_occurrence = self.next_occurrence.max(saved.number + 1);
+            self.next_occurrence = self.next_occurrence.max(saved.number.saturating_add(1));
             self.occurrences.push(occurrence);
         }
         if has_timetable {
             // Occurrences may complete out of order: every occurrence that has begun and is not in
             // the record is completed.
-            let begun = self.occurrences_done + u32::try_from(self.occurrences.len()).unwrap_or(0);
+            let open = u32::try_from(self.occurrences.len()).unwrap_or(0);
+            let begun = self.occurrences_done.saturating_add(open);
             self.next_occurrence = self.next_occurrence.max(begun);
         }
         self.started = !progress.occurrences.is_empty() || self.occurrences_done > 0;
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Guards against a caller's request for more memory than a host has: 3,000 steps of 10,000 tasks
+/// Guards against a caller's request for more memory than a host has: 1,000 steps of 10,000 tasks
 /// fit into one request body.
 #[test]
 fn job_with_too_many_tasks_in_total_is_rejected() {
@@ -116,6 +116,56 @@
     }
 }
 
+/// Guards against a timetable that is due all at once: the owner looped over 4 billion occurrences
+/// and allocated each of them.
+#[test]
+fn occurrences_that_are_due_at_once_begin_within_a_bound() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.submit_spec(PATH, recurring(u32::MAX));
+    cell.advance(1_000);
+    let begun = cell.engine.totals().waiting;
+    assert!((1..=1_000).contains(&begun), "{begun}");
+}
+
+/// Occurrences beyond the bound begin as earlier ones complete, so that none is lost.
+#[test]
+fn occurrences_beyond_the_bound_begin_once_earlier_ones_are_done() {
+    let times = 1_200;
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit_spec(PATH, recurring(times));
+    let mut number = 0;
+    let mut done = |cell: &mut Cell, occurrences: std::ops::Range<u32>| {
+        let ends = occurrences.map(|occurrence| {
+            number += 1;
+            end(number, task_at(occurrence, 0, 0), 1, EndKind::Done)
+        });
+        let ends = ends.collect();
+        cell.report_ends(0, ends);
+        cell.commit();
+        cell.advance(100);
+    };
+    done(&mut cell, 0..1_000);
+    assert_eq!(cell.engine.totals().waiting, 200);
+    done(&mut cell, 1_000..times);
+    cell.commit();
+    assert_eq!(cell.engine.job_state(JOB), Some(JobState::Completed));
+}
+
+/// Guards against an occurrence number that a runner chooses: the owner began all occurrences up to
+/// it.
+#[test]
+fn reported_occurrence_far_ahead_begins_nothing() {
+    let mut cell = Cell::new(&["w0"]);
+    let mut spec = recurring(u32::MAX);
+    spec.timetable.as_mut().expect("a timetable").period = Millis(1_000_000);
+    cell.submit_spec(PATH, spec);
+    let before = cell.engine.totals().waiting;
+    let row = running(task_at(u32::MAX - 1, 0, 0), 1);
+    cell.report_inventory(0, vec![row], Vec::new());
+    assert_eq!(cell.engine.totals().waiting, before);
+}
+
 /// Guards against a stored record that no owner could have written: each owner's process ended
 /// while it recovered.
 #[test]
