Apply the ends in an inventory in the order of their numbers

If a runner listed its ends in descending order, only the first was applied and all were acknowledged. The next inventory no longer listed the others, and their tasks ran again although they were done.

The ends are sorted by number before they are applied. The new test failed before (the job stayed running) and passes now.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -137,7 +137,11 @@
             self.reconcile_run(runner_ix, row, now);
             self.check_progress(runner_ix, row, inventory.clock, now);
         }
-        for end in &inventory.ended {
+        // Ends are acknowledged up to a number, so that one applied out of order would be skipped and
+        // its run be taken for lost.
+        let mut ended: Vec<_> = inventory.ended.iter().collect();
+        ended.sort_by_key(|end| end.number);
+        for end in ended {
             reported.insert((end.task, end.run));
             if end.number <= self.runners[runner_ix.0].last_end_number {
                 continue;
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -166,6 +166,29 @@
     assert_eq!(cell.engine.totals().waiting, before);
 }
 
+/// Guards against work that runs again: of ends that arrived in descending order, only the first
+/// was applied, and all were acknowledged.
+#[test]
+fn ends_in_any_order_of_their_numbers_are_all_applied() {
+    for order in [[1, 2, 3], [3, 2, 1], [2, 3, 1]] {
+        let mut cell = Cell::new(&["w0"]);
+        cell.report_ends(0, Vec::new());
+        let mut spec = spec();
+        spec.steps[0].count = 3;
+        spec.steps[0].size = Resources::new(1_000, 1_000, 0);
+        cell.submit_spec(PATH, spec);
+        assert_eq!(cell.schedule_and_start().len(), 3);
+        let ends = order.map(|number: u64| {
+            let index = u32::try_from(number - 1).expect("a small number");
+            end(number, task_at(0, 0, index), 1, EndKind::Done)
+        });
+        cell.report_ends(0, ends.to_vec());
+        cell.commit();
+        let state = cell.engine.job_state(JOB);
+        assert_eq!(state, Some(JobState::Completed), "{order:?}");
+    }
+}
+
 /// Guards against a stored record that no owner could have written: each owner's process ended
 /// while it recovered.
 #[test]
