Ignore run numbers that leave none for the next start

A runner that reported run 4,294,967,295 of a task made the next run number overflow: it became 0, which every runner refuses as old, and a build with overflow checks panicked.

Numbers in the upper half of the range are not taken over, and such a run is stopped as an orphan. The new test panicked before and passes now.

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    job::{Task, TaskState},
+    job::{MAX_RUN, Task, TaskState},
 };
 use crate::{
     id::{JobId, TaskId},
@@ -54,7 +54,9 @@
         let task = &step.tasks[index];
         let current = task.run == end.run && task.state.runner() == Some(runner_ix);
         let run_time = now.saturating_sub(task.state_since);
-        step.tasks[index].run = step.tasks[index].run.max(end.run);
+        if end.run <= MAX_RUN {
+            step.tasks[index].run = step.tasks[index].run.max(end.run);
+        }
         if end.how == EndKind::Done && !is_long_running {
             let image = spec
                 .image
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    job::TaskState,
+    job::{MAX_RUN, TaskState},
     runner::{PlacedRun, UnackedEnd},
     stall::Progress,
 };
@@ -253,7 +253,8 @@
             return false;
         };
         let gang_restarted = spec.gang && !task.unverified;
-        if !active || task.state != TaskState::Waiting || task.run > row.run || gang_restarted {
+        let is_unusable = row.run < task.run || row.run > MAX_RUN;
+        if !active || task.state != TaskState::Waiting || is_unusable || gang_restarted {
             return false;
         }
         task.run = row.run;
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -15,6 +15,10 @@
 /// progress. Those beyond the bound begin as earlier ones complete.
 const MAX_BEGUN_OCCURRENCES: u64 = 1_000;
 
+/// Maximum run number that is taken over from a runner or a record. A higher one would leave none
+/// for the next starts.
+pub(super) const MAX_RUN: u32 = u32::MAX / 2;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -426,7 +430,7 @@
         step.set_state(index, TaskState::Done, now);
     }
     let task = &mut step.tasks[index];
-    task.run = known.run;
+    task.run = known.run.min(MAX_RUN);
     task.failures.clone_from(&known.failures);
     task.checkpoint = known.checkpoint.clone();
 }
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -545,5 +545,5 @@
 }
 
 fn next_run(task: &Task) -> u32 {
-    task.run + 1 + task.skip_runs
+    task.run.saturating_add(1).saturating_add(task.skip_runs)
 }
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -189,6 +189,22 @@
     }
 }
 
+/// Guards against a run number that leaves no higher one for the next start.
+#[test]
+fn highest_run_number_does_not_keep_a_task_from_starting() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.submit();
+    cell.report_ends(0, vec![end(1, task(), u32::MAX, EndKind::Stopped)]);
+    cell.commit();
+    cell.engine.schedule(Millis(cell.now));
+    let orders = cell.engine.take_orders();
+    let runs = orders.iter().filter_map(|order| match order {
+        Order::Start(order) => Some(order.run),
+        _ => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), [1]);
+}
+
 /// Guards against a stored record that no owner could have written: each owner's process ended
 /// while it recovered.
 #[test]
