Saturate times and amounts that callers and runners decide

An estimate, a ticket's validity, a runner's clock or a capacity near the end of the range made sums wrap around: a task expected to end in 500 million years counted as overdue, a stall timeout became 0, and a build with overflow checks panicked.

Sums of Millis saturate, and the engine's products and scores do too.

--- a/crates/jobs/src/engine/demand.rs
+++ b/crates/jobs/src/engine/demand.rs
@@ -68,9 +68,11 @@
     pub(super) fn loss(&self, before: Resources, after: Resources) -> u64 {
         let lost = self.shapes.iter().map(|shape| {
             let fits = |free| shape.size.count_in(free);
-            shape.weight * fits(before).saturating_sub(fits(after))
+            let fewer = fits(before).saturating_sub(fits(after));
+            shape.weight.saturating_mul(fewer)
         });
-        (lost.sum::<u64>() * LOSS_SCALE)
+        lost.fold(0, u64::saturating_add)
+            .saturating_mul(LOSS_SCALE)
             .checked_div(self.total_weight())
             .unwrap_or(0)
     }
@@ -110,9 +112,10 @@
 }
 
 fn round_up(size: Resources) -> Resources {
+    let round = |amount: u64, quantum| amount.checked_next_multiple_of(quantum).unwrap_or(amount);
     Resources::new(
-        size.cpu_milli.next_multiple_of(QUANTUM.cpu_milli),
-        size.memory_mib.next_multiple_of(QUANTUM.memory_mib),
-        size.accelerators.next_multiple_of(QUANTUM.accelerators),
+        round(size.cpu_milli, QUANTUM.cpu_milli),
+        round(size.memory_mib, QUANTUM.memory_mib),
+        round(size.accelerators, QUANTUM.accelerators),
     )
 }
--- a/crates/jobs/src/engine/estimate.rs
+++ b/crates/jobs/src/engine/estimate.rs
@@ -24,8 +24,9 @@
             return;
         }
         let known = self.by_image.entry(image.clone()).or_insert(run_time);
-        let mixed = known.0 * (100 - NEWEST_WEIGHT_PERCENT) + run_time.0 * NEWEST_WEIGHT_PERCENT;
-        *known = Millis(mixed / 100);
+        let mixed = known.saturating_mul(100 - NEWEST_WEIGHT_PERCENT)
+            + run_time.saturating_mul(NEWEST_WEIGHT_PERCENT);
+        *known = Millis(mixed.0 / 100);
     }
 
     /// Returns the expected run time of the step's tasks.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -386,8 +386,8 @@
         now: Millis,
     ) -> Option<usize> {
         let waited = task.map_or(Millis::ZERO, |task| now.saturating_sub(task.state_since));
-        let locality_wait =
-            Millis(self.run_times.expected(spec).0 * u64::from(self.cfg.cross_rack_slowdown - 1));
+        let slowdown = u64::from(self.cfg.cross_rack_slowdown.saturating_sub(1));
+        let locality_wait = self.run_times.expected(spec).saturating_mul(slowdown);
         let current_rack = self.rack_in_use(step, spec);
         let service = candidates.first().map(|candidate| {
             let runner = &self.runners[candidate.runner_ix.0];
@@ -403,15 +403,16 @@
             }
             let left = candidate.left();
             let loss = shapes.map_or(0, |shapes| shapes.loss(candidate.free, left));
-            let mut score = leftover_score(left) + loss * LOSS_WEIGHT;
+            let mut score = leftover_score(left).saturating_add(loss.saturating_mul(LOSS_WEIGHT));
             if runner.health.is_suspect() {
-                score += SUSPECT_PENALTY;
+                score = score.saturating_add(SUSPECT_PENALTY);
             }
             if task.is_some_and(|task| task.last_failed_on == Some(candidate.runner_ix)) {
-                score += FAILED_RUNNER_PENALTY;
+                score = score.saturating_add(FAILED_RUNNER_PENALTY);
             }
             if spec.long_running {
-                score += SPREAD_PENALTY * u64::from(candidate.step_tasks);
+                let penalty = SPREAD_PENALTY.saturating_mul(u64::from(candidate.step_tasks));
+                score = score.saturating_add(penalty);
             }
             Some((score, at))
         });
@@ -539,9 +540,10 @@
 
 /// Returns a score for left-over resources, in thousandths of a core.
 fn leftover_score(left: Resources) -> u64 {
+    let accelerators = left.accelerators.saturating_mul(MILLICORES_PER_ACCELERATOR);
     left.cpu_milli
-        + left.memory_mib / MEMORY_MIB_PER_MILLICORE
-        + left.accelerators * MILLICORES_PER_ACCELERATOR
+        .saturating_add(left.memory_mib / MEMORY_MIB_PER_MILLICORE)
+        .saturating_add(accelerators)
 }
 
 fn next_run(task: &Task) -> u32 {
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -284,8 +284,9 @@
         let Some(reading) = self.reading else {
             return false;
         };
-        let elapsed = now.saturating_sub(reading.at).0 * MIN_CLOCK_RATE_PERMILLE / 1_000;
-        reading.clock.0 + elapsed > self.latest_deadline.0 + cfg.lease_margin.0
+        let elapsed = now.saturating_sub(reading.at);
+        let elapsed = Millis(elapsed.saturating_mul(MIN_CLOCK_RATE_PERMILLE).0 / 1_000);
+        reading.clock + elapsed > self.latest_deadline + cfg.lease_margin
     }
 
     /// Returns the highest end number that may be acknowledged when batches up to `durable` are
--- a/crates/jobs/src/engine/stall.rs
+++ b/crates/jobs/src/engine/stall.rs
@@ -83,13 +83,12 @@
             return;
         };
         let unchanged = placed.progress.record(row.percent, clock);
-        let timeout = timeout.max(Millis(
-            placed.progress.time_per_percent().0 * MAX_SLOWDOWN_FACTOR,
-        ));
+        let time_per_percent = placed.progress.time_per_percent();
+        let timeout = timeout.max(time_per_percent.saturating_mul(MAX_SLOWDOWN_FACTOR));
         if unchanged >= timeout {
             return self.stop_stalled_run(runner_ix, task, run, now);
         }
-        if unchanged.0 * SUSPECT_TIMEOUT_DIVISOR >= timeout.0 {
+        if unchanged.saturating_mul(SUSPECT_TIMEOUT_DIVISOR) >= timeout {
             runner.has_suspected_stalls = true;
         }
     }
@@ -105,7 +104,7 @@
         // A task that never reports progress must still be able to finish, so each stall doubles
         // the timeout.
         let doublings = known.stall_count.min(MAX_TIMEOUT_DOUBLINGS);
-        let timeout = Millis(share.max(MIN_STALL_TIMEOUT).0 << doublings);
+        let timeout = share.max(MIN_STALL_TIMEOUT).saturating_mul(1 << doublings);
         (is_checked && is_running).then_some(timeout)
     }
 
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -60,7 +60,7 @@
         let objective = stretched(total, policy.stretch) + policy.slack;
         let began = job.oldest_occurrence_began();
         let due = began + objective;
-        let latest_useful = began + Millis(objective.0 * USEFUL_OBJECTIVES);
+        let latest_useful = began + objective.saturating_mul(USEFUL_OBJECTIVES);
         Urgency {
             is_not_overdue: true,
             is_useless: !job.record.spec.is_long_running() && now + remaining > latest_useful,
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -3,7 +3,9 @@
 //! Code that makes decisions takes the time as an argument, so that tests and benchmarks control
 //! it.
 
-use derive_more::{Add, AddAssign, Display, From, Sub};
+use std::ops::{Add, AddAssign};
+
+use derive_more::{Display, From, Sub};
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds: a duration, or a time on a process's monotonic clock since the process started.
@@ -15,10 +17,9 @@
 ///
 /// assert_eq!(Millis::from_secs(2), Millis(2_000));
 /// assert_eq!(Millis(5).saturating_sub(Millis(9)), Millis::ZERO);
+/// assert_eq!(Millis::MAX + Millis(1), Millis::MAX);
 /// ```
 #[derive(
-    Add,
-    AddAssign,
     Clone,
     Copy,
     Debug,
@@ -46,7 +47,7 @@
 
     /// Creates a duration from seconds.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000)
+        Self(secs.saturating_mul(1_000))
     }
 
     /// Returns the difference, saturating at zero.
@@ -59,12 +60,33 @@
         Self(self.0.saturating_add(other.0))
     }
 
+    /// Returns the duration multiplied by `factor`, saturating at [`Millis::MAX`].
+    pub const fn saturating_mul(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+
     /// Converts to the standard library's duration type.
     pub const fn as_duration(self) -> std::time::Duration {
         std::time::Duration::from_millis(self.0)
     }
 }
 
+/// Sums saturate, because callers and runners decide some of the terms: a sum that wrapped around
+/// would turn the latest time into the earliest one.
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        self.saturating_add(other)
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
 /// Milliseconds since the Unix epoch, for times that are exchanged between hosts.
 #[derive(
     Clone,
