Skip the rows of an inventory that name no task

One row with an id of another system made the whole inventory invalid, and every later one. The runner counted as unreachable, its lease ran out, and all its tasks were given up and started elsewhere although it was well.

Such rows are skipped, logged and counted in kspan_cell_malformed_total.

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -61,6 +61,15 @@
             }
             InventoryOutcome::NoResponse
         });
+        if let InventoryOutcome::Inventory(inventory) = &outcome
+            && inventory.skipped_rows > 0
+        {
+            let (rows, runner) = (inventory.skipped_rows, &connection.client.id);
+            telemetry::record_malformed("inventory row");
+            if self.node.log_limit.allows("row", self.now()) {
+                tracing::warn!(%runner, rows, "rows of an inventory that name no task skipped");
+            }
+        }
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         self.engine.borrow_mut().record_inventory(
             now,
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -60,6 +60,11 @@
     counter!("kspan_cell_inventories_total", "outcome" => outcome).increment(1);
 }
 
+/// Records an input that was malformed and skipped or refused, by its kind.
+pub(crate) fn record_malformed(kind: &'static str) {
+    counter!("kspan_cell_malformed_total", "kind" => kind).increment(1);
+}
+
 /// Records a batch that became durable.
 pub(crate) fn record_batch(records: usize, took: Millis) {
     counter!("kspan_cell_records_written_total").increment(records as u64);
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -95,6 +95,7 @@
         started_unix_ms: 1,
         running: Vec::new(),
         ended,
+        skipped_rows: 0,
     };
     engine.record_inventory(
         now,
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -82,6 +82,8 @@
     pub running: Vec<RunningTask>,
     /// Ends that have not been acknowledged yet.
     pub ended: Vec<EndedTask>,
+    /// Number of rows that name no task of this system and were skipped.
+    pub skipped_rows: usize,
 }
 
 /// Reason why a runner refused a start.
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -359,6 +359,7 @@
             started_unix_ms,
             running,
             ended,
+            skipped_rows: 0,
         },
     )
 }
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -204,6 +204,7 @@
             started_unix_ms: 1,
             running,
             ended,
+            skipped_rows: 0,
         });
         self.complete_inventory_call(runner_ix, &outcome);
     }
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -233,6 +233,7 @@
             started_unix_ms: self.incarnation,
             running: running.collect(),
             ended: self.ended.clone(),
+            skipped_rows: 0,
         })
     }
 
