Reject settings that overflow where they are used

A grace period of .inf was accepted at the start and made the process panic at the shutdown, before the cell was handed over; huge retention times and deadlines overflowed.

Each setting has an upper bound. Both new tests failed before (a panic, and the value accepted) and pass now.

--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -1,11 +1,20 @@
 //! Reads and validates the settings file.
 
+#[cfg(test)]
+mod tests;
+
 use std::{fs, io, net::Ipv4Addr, path::Path};
 
 use kspan_model::Name;
 use quick_error::quick_error;
 use serde::Deserialize;
 
+/// Upper bounds. Larger values are mistakes, and some would overflow where they are used.
+const MAX_CONFIG_APPLY_MS: u64 = 3_600_000;
+const MAX_FACTOR: f64 = 1_000_000.0;
+const MAX_GRACE_S: f64 = 86_400.0;
+const MAX_KEEP_ENDED_S: u64 = 365 * 86_400;
+
 /// Result of reading settings.
 pub(crate) type Result<T> = std::result::Result<T, SettingsError>;
 
@@ -76,24 +85,39 @@
     ///
     /// Returns an error if the file cannot be read, is malformed or has a value out of range.
     pub(crate) fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path)?;
-        let cfg: Self = serde_norway::from_str(&text)?;
+        Self::parse(&fs::read_to_string(path)?)
+    }
+
+    /// Parses and validates the text of a settings file.
+    fn parse(text: &str) -> Result<Self> {
+        let cfg: Self = serde_norway::from_str(text)?;
         if cfg.max_lease_ms < 1_000 {
             return Err(SettingsError::Value("max_lease_ms: must be at least 1000"));
         }
-        if cfg.config_apply_ms < 1_000 {
+        if !(1_000..=MAX_CONFIG_APPLY_MS).contains(&cfg.config_apply_ms) {
             return Err(SettingsError::Value(
-                "config_apply_ms: must be at least 1000",
+                "config_apply_ms: must be from 1000 to 3600000",
             ));
         }
-        if cfg.spread_factor.is_nan() || cfg.spread_factor < 1.0 {
-            return Err(SettingsError::Value("spread_factor: must be at least 1"));
+        if !(1.0..=MAX_FACTOR).contains(&cfg.spread_factor) {
+            return Err(SettingsError::Value(
+                "spread_factor: must be from 1 to 1000000",
+            ));
         }
-        if cfg.processors.is_nan() || cfg.processors <= 0.0 {
-            return Err(SettingsError::Value("processors: must be above 0"));
+        if cfg.processors <= 0.0 || !(0.0..=MAX_FACTOR).contains(&cfg.processors) {
+            return Err(SettingsError::Value(
+                "processors: must be above 0, up to 1000000",
+            ));
+        }
+        if cfg.grace_s <= 0.0 || !(0.0..=MAX_GRACE_S).contains(&cfg.grace_s) {
+            return Err(SettingsError::Value(
+                "grace_s: must be above 0, up to 86400",
+            ));
         }
-        if cfg.grace_s.is_nan() || cfg.grace_s <= 0.0 {
-            return Err(SettingsError::Value("grace_s: must be above 0"));
+        if cfg.keep_ended_s > MAX_KEEP_ENDED_S {
+            return Err(SettingsError::Value(
+                "keep_ended_s: must be at most 31536000",
+            ));
         }
         Ok(cfg)
     }
