--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -56,6 +56,7 @@
         Method::POST => match entry::decode_job(&body) {
             Ok(spec) => Verb::Submit(spec),
             Err(err) => {
+                telemetry::record_malformed("job");
                 let response = CallResponse::with_body(400, err.to_string().into_bytes());
                 return respond(node, &response);
             }
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -83,7 +83,7 @@
         }
         Claims {
             owner: claim.map(|(offset, claim)| KnownOwner {
-                fence: offset + 1,
+                fence: offset.saturating_add(1),
                 member: claim.owner,
             }),
             end: page.end,
@@ -178,8 +178,9 @@
         let response = self.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
-                tracing::info!(fence = offset + 1, why, "claimed the cell");
-                self.become_owner(offset + 1, offset + 1).await;
+                let fence = offset.saturating_add(1);
+                tracing::info!(fence, why, "claimed the cell");
+                self.become_owner(fence, fence).await;
             }
             Ok(outcome) => tracing::info!(?outcome, why, "claim refused by the store"),
             // The next read of the claims shows whether the append took effect.
--- a/crates/cell/src/node/heartbeats.rs
+++ b/crates/cell/src/node/heartbeats.rs
@@ -7,7 +7,7 @@
 use super::{Node, PEER_TIMEOUT};
 use crate::{
     message::{Heartbeat, PeerRequest},
-    peers,
+    peers, telemetry,
 };
 
 /// Interval of a member's heartbeats to the owner.
@@ -29,6 +29,10 @@
                 continue;
             };
             let Some(heartbeat) = peers::decode::<Heartbeat>(&buf[..length]) else {
+                telemetry::record_malformed("heartbeat");
+                if self.log_limit.allows("heartbeat", self.clock.now()) {
+                    tracing::warn!(length, "malformed heartbeat ignored");
+                }
                 continue;
             };
             self.handle_heartbeat(&heartbeat);
--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -58,7 +58,7 @@
         let response = self.node.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
-                self.claims_end.set(offset + 1);
+                self.claims_end.set(offset.saturating_add(1));
                 self.confirm(sent_at);
                 self.confirmed_reading.set(reading);
             }
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -6,6 +6,7 @@
 use kspan_jobs::{engine::Engine, record::DurableState};
 
 use super::{Owner, engine_settings};
+use crate::telemetry;
 
 /// Maximum number of attempts for each request of the recovery.
 const MAX_ATTEMPTS: u32 = 20;
@@ -84,6 +85,7 @@
         for record in records {
             let value = record.value.as_deref().unwrap_or_default();
             if let Err(err) = durable_state.add(&record.key, value) {
+                telemetry::record_malformed("job record");
                 tracing::error!(key = record.key, offset = record.offset, %err, "malformed record skipped during recovery");
             }
         }
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -155,6 +155,7 @@
                     }
                 }
                 Err(err) => {
+                    telemetry::record_malformed("configuration");
                     tracing::error!(%err, offset = record.offset, "malformed configuration ignored")
                 }
             }
@@ -188,6 +189,7 @@
             return self.engine.borrow_mut().unlist_runner(self.now(), &id);
         };
         let Some(entry) = runner_entry::decode(&id, value) else {
+            telemetry::record_malformed("runner entry");
             if self.node.log_limit.allows("entry", self.now()) {
                 tracing::warn!(id = %id, offset = record.offset, "malformed runner entry skipped");
             }
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -1,6 +1,9 @@
 //! Requests between the processes of a cell. A process keeps one connection to each process that
 //! it sends requests to, and multiplexes concurrent requests on it.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell, RefCell},
     net::{Ipv4Addr, SocketAddr},
@@ -21,7 +24,10 @@
     time::Instant,
 };
 
-use crate::message::{Frame, Member, PeerReply, PeerRequest};
+use crate::{
+    message::{Frame, Member, PeerReply, PeerRequest},
+    telemetry,
+};
 
 /// Result of a request.
 pub(crate) type Result<T> = std::result::Result<T, RequestError>;
@@ -173,6 +179,8 @@
     while connection.is_open.get() && matches!(read_frame(&mut reader, &mut buf).await, Ok(true)) {
         connection.last_received.set(Instant::now());
         let Some(frame) = decode::<Frame<PeerReply>>(&buf) else {
+            telemetry::record_malformed("frame");
+            tracing::warn!("malformed reply of another process; connection closed");
             break;
         };
         let waiter = connection.pending.borrow_mut().remove(&frame.number);
@@ -217,6 +225,7 @@
     let mut buf = Vec::new();
     while matches!(read_frame(&mut reader, &mut buf).await, Ok(true)) {
         let Some(frame) = decode::<Frame<PeerRequest>>(&buf) else {
+            telemetry::record_malformed("frame");
             tracing::warn!("malformed frame from another process; connection closed");
             return;
         };
