Count suspended time in the age of the ownership's confirmation

After a suspension of its host, an owner answered 410 for jobs that a newer owner had accepted meanwhile: the limit on the age of its last confirmation used the monotonic clock, which stands still while the host is suspended. A late response to an older request also took back a newer confirmation.

One reading of both clocks holds the newest confirmation, and its age is the larger of the two. With either change taken back, its new test fails; both pass now.

--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -69,6 +69,20 @@
 }
 
 impl ClockReading {
+    /// Returns the monotonic time.
+    pub(crate) fn monotonic(&self) -> Millis {
+        self.monotonic
+    }
+
+    /// Returns the reading of a time from which the host has been suspended for `suspended`.
+    #[cfg(test)]
+    pub(crate) fn before_suspension(self, suspended: Millis) -> Self {
+        Self {
+            boot: self.boot.saturating_sub(suspended),
+            ..self
+        }
+    }
+
     /// Returns the time between `earlier` and this reading, including time for which the host was
     /// suspended.
     pub(crate) fn since(&self, earlier: &Self) -> Millis {
--- a/crates/cell/src/owner/commit.rs
+++ b/crates/cell/src/owner/commit.rs
@@ -78,12 +78,11 @@
         let mut attempts = 0;
         while self.is_active.get() {
             attempts += 1;
-            let (sent_at, reading) = (self.now(), self.node.clock.reading());
+            let sent = self.node.clock.reading();
             let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
                 Ok(AppendOutcome::Done { .. }) => {
-                    self.confirm(sent_at);
-                    self.confirmed_reading.set(reading);
+                    self.confirm(sent);
                     return true;
                 }
                 Ok(AppendOutcome::Fenced) => {
--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -54,13 +54,12 @@
         let end = self.claims_end.get();
         let value = peers::encode(&record);
         let req = store::conditional_append_request(Topic::Claims, end, HEARTBEAT_KEY, &value);
-        let (sent_at, reading) = (self.now(), self.node.clock.reading());
+        let sent = self.node.clock.reading();
         let response = self.node.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
                 self.claims_end.set(offset.saturating_add(1));
-                self.confirm(sent_at);
-                self.confirmed_reading.set(reading);
+                self.confirm(sent);
             }
             Ok(AppendOutcome::Moved) => self.check_for_newer_claim().await,
             Ok(outcome) => tracing::warn!(?outcome, "heartbeat refused by the store"),
@@ -75,7 +74,7 @@
     /// Reads the topic of claims after its end has changed, and ends the role if another owner has
     /// claimed. The change may also be an append of this owner whose response was lost.
     async fn check_for_newer_claim(&self) {
-        let (sent_at, reading) = (self.now(), self.node.clock.reading());
+        let sent = self.node.clock.reading();
         let Ok(claims) = self.node.read_claims().await else {
             return;
         };
@@ -84,7 +83,6 @@
             return self.step_down("a newer owner has claimed the cell");
         }
         self.claims_end.set(claims.end);
-        self.confirm(sent_at);
-        self.confirmed_reading.set(reading);
+        self.confirm(sent);
     }
 }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -12,6 +12,8 @@
 mod orders;
 mod recover;
 mod runners;
+#[cfg(test)]
+mod tests;
 mod topics;
 
 use std::{
@@ -82,10 +84,9 @@
     durable_batch: watch::Sender<u64>,
     /// Time at which the write of the batch in flight began.
     writing_since: Cell<Option<Millis>>,
-    /// Time of the last confirmation that no newer owner has claimed.
-    confirmed_at: Cell<Millis>,
-    /// Clock reading at the last confirmation.
-    confirmed_reading: Cell<ClockReading>,
+    /// Clock reading at which the latest request was sent whose response confirmed that no newer
+    /// owner had claimed.
+    confirmed: Cell<ClockReading>,
     /// Clock reading at which the last successful read of the configuration was sent. Versions that
     /// were accepted before have been applied. `None` until the configuration has been read.
     config_read: Cell<Option<ClockReading>>,
@@ -124,8 +125,7 @@
             batch_ready: Notify::new(),
             durable_batch: watch::Sender::new(0),
             writing_since: Cell::new(None),
-            confirmed_at: Cell::new(now),
-            confirmed_reading: Cell::new(node.clock.reading()),
+            confirmed: Cell::new(node.clock.reading()),
             config_read: Cell::new(None),
             is_config_topic_unavailable: Cell::new(false),
             claims_end: Cell::new(claims_end),
@@ -192,15 +192,18 @@
         self.node.clock.now()
     }
 
-    /// Records a confirmation, by a request sent at `sent_at`, that no newer owner has claimed.
-    fn confirm(&self, sent_at: Millis) {
-        self.confirmed_at.set(self.confirmed_at.get().max(sent_at));
-        self.engine.borrow_mut().confirm_ownership(sent_at);
+    /// Records a confirmation, by a request sent at `sent`, that no newer owner has claimed.
+    fn confirm(&self, sent: ClockReading) {
+        if sent.monotonic() >= self.confirmed.get().monotonic() {
+            self.confirmed.set(sent);
+        }
+        self.engine.borrow_mut().confirm_ownership(sent.monotonic());
     }
 
-    /// Returns the time since the last confirmation of the ownership.
+    /// Returns the time since the last confirmation of the ownership, including time for which the
+    /// host was suspended.
     pub(crate) fn time_since_confirmed(&self) -> Millis {
-        self.now().saturating_sub(self.confirmed_at.get())
+        self.node.clock.reading().since(&self.confirmed.get())
     }
 
     /// Returns whether orders may be sent now.
@@ -213,7 +216,7 @@
     /// Returns whether the host was suspended since the last confirmation of the ownership.
     fn was_suspended(&self) -> bool {
         let reading = self.node.clock.reading();
-        reading.was_suspended_since(&self.confirmed_reading.get())
+        reading.was_suspended_since(&self.confirmed.get())
     }
 
     /// Runs a scheduling pass after each change. Changes during the pause after a pass share the
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -49,11 +49,11 @@
             if !self.is_active.get() {
                 return None;
             }
-            let sent_at = self.now();
+            let sent = self.node.clock.reading();
             let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
                 Ok(AppendOutcome::Done { .. }) => {
-                    self.confirm(sent_at);
+                    self.confirm(sent);
                     return Some(());
                 }
                 Ok(AppendOutcome::Fenced) => return None,
