Check the permission for an order directly before it is sent

A stop was checked against the ownership before it waited for a slot at its runner, and sent after the wait although the ownership might have ended. A start whose lease or ticket ended while it waited was sent all the same, and took a slot and a timeout only to be refused.

Both are checked after the wait, and a start carries the time for which it may be sent, which counts suspended time.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -1,5 +1,8 @@
 //! Executes the engine's orders: starts, stops and requests for approvals.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{approvals::Approved, http::CallError, runner};
@@ -10,7 +13,10 @@
 use kspan_model::Name;
 
 use super::{Owner, RunnerConnection};
-use crate::message::{PeerReply, PeerRequest};
+use crate::{
+    clock::ClockReading,
+    message::{PeerReply, PeerRequest},
+};
 
 /// Timeout of one attempt to send an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
@@ -36,13 +42,14 @@
     }
 
     async fn start_task(self: Rc<Self>, order: StartOrder) {
+        let decided = self.node.clock.reading();
         let connection = self
             .runner_connections
             .borrow()
             .get(&order.runner_ix)
             .cloned();
         let outcome = match connection {
-            Some(connection) => self.send_start(&connection, &order).await,
+            Some(connection) => self.send_start(&connection, &order, &decided).await,
             None => StartOutcome::Refused(Refusal::DeadlinePassed),
         };
         let StartOrder {
@@ -59,8 +66,14 @@
 
     /// Sends a start order until it is answered, up to a number of attempts. If an earlier attempt
     /// is in doubt, a refusal does not prove that the task will not run, except for
-    /// [`Refusal::StaleRun`].
-    async fn send_start(&self, connection: &RunnerConnection, order: &StartOrder) -> StartOutcome {
+    /// [`Refusal::StaleRun`]. Whether the order may be sent is checked after each wait, since the
+    /// ownership, the lease or the ticket may have ended during it.
+    async fn send_start(
+        &self,
+        connection: &RunnerConnection,
+        order: &StartOrder,
+        decided: &ClockReading,
+    ) -> StartOutcome {
         let Ok(_slot) = connection.order_slots.acquire().await else {
             return StartOutcome::Refused(Refusal::DeadlinePassed);
         };
@@ -69,6 +82,14 @@
             if !self.may_send_orders() {
                 break;
             }
+            if self.node.clock.reading().since(decided) >= order.valid_for {
+                let expired = StartOutcome::Refused(Refusal::DeadlinePassed);
+                return if in_doubt {
+                    StartOutcome::InDoubt
+                } else {
+                    expired
+                };
+            }
             match runner::start(&connection.client, order, ORDER_TIMEOUT).await {
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
@@ -93,13 +114,16 @@
         } = order;
         let connection = self.runner_connections.borrow().get(&runner_ix).cloned();
         let outcome = match connection {
-            Some(connection) if self.may_send_orders() => {
-                let slot = connection.order_slots.acquire().await;
-                let outcome = runner::stop(&connection.client, task, run, ORDER_TIMEOUT).await;
-                drop(slot);
-                outcome
+            Some(connection) => {
+                let _slot = connection.order_slots.acquire().await;
+                // The ownership may have ended during the wait.
+                if self.may_send_orders() {
+                    runner::stop(&connection.client, task, run, ORDER_TIMEOUT).await
+                } else {
+                    StopOutcome::InDoubt
+                }
             }
-            _ => StopOutcome::InDoubt,
+            None => StopOutcome::InDoubt,
         };
         self.engine
             .borrow_mut()
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -71,9 +71,14 @@
 
     /// Returns the ticket for a start on the runner now.
     pub(super) fn ticket(&self, runner_ix: RunnerIx, now: Millis) -> Option<&Name> {
+        self.valid_ticket(runner_ix, now).map(|(ticket, _)| ticket)
+    }
+
+    /// Returns the ticket for a start on the runner now, and the end of its validity.
+    pub(super) fn valid_ticket(&self, runner_ix: RunnerIx, now: Millis) -> Option<(&Name, Millis)> {
         match self.by_runner.get(&runner_ix)? {
             Approval::Approved { ticket, until } if now + MIN_TICKET_VALIDITY <= *until => {
-                Some(ticket)
+                Some((ticket, *until))
             }
             _ => None,
         }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -97,6 +97,8 @@
     pub checkpoint: Option<Name>,
     /// Approval ticket, where the queue requires one.
     pub ticket: Option<Name>,
+    /// Time from the order on for which it may be sent: until its lease or its ticket ends.
+    pub valid_for: Millis,
 }
 
 /// A stop order for a runner.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -456,7 +456,10 @@
         let expected_end = self.run_times.expected_end(spec, now);
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
-        let ticket = step.approvals.ticket(runner_ix, now).cloned();
+        let ticket = step.approvals.valid_ticket(runner_ix, now);
+        let ticket_validity = ticket.map(|(_, until)| until.saturating_sub(now));
+        let valid_for = ticket_validity.map_or(self.cfg.lease, |left| left.min(self.cfg.lease));
+        let ticket = ticket.map(|(ticket, _)| ticket.clone());
         let known = &mut step.tasks[index];
         let run = gang_run.unwrap_or_else(|| next_run(known));
         let waited = now.saturating_sub(known.state_since);
@@ -492,6 +495,7 @@
             deadline,
             checkpoint,
             ticket,
+            valid_for,
         }));
     }
 }
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -3,6 +3,7 @@
 mod one_cell;
 
 use kspan_jobs::{
+    config::ApprovalPolicy,
     engine::{JobState, Order, RunnerIx},
     id::StepId,
     runner::{EndKind, EndedTask, InventoryOutcome, RunningTask, StartOutcome},
@@ -324,3 +325,36 @@
         );
     }
 }
+
+/// Guards against a start that is sent after its ticket has expired, because it waited at the owner.
+#[test]
+fn start_order_is_valid_until_its_ticket_or_its_lease_ends() {
+    for (validity, expected) in [(1_000, 700), (60_000, 6_000)] {
+        let mut config = config();
+        config.queues[0].policy.approval = Some(ApprovalPolicy {
+            base_ms: 10.0,
+            per_runner_ms: 0.0,
+            validity: Millis(validity),
+        });
+        let mut cell = Cell::with_runners(config, [entry("w0")]);
+        cell.engine.set_approval_hosts(&[Name::new("h")]);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        cell.engine.schedule(Millis(cell.now));
+        let orders = cell.engine.take_orders();
+        let [Order::RequestApprovals(request)] = &orders[..] else {
+            panic!("expected one request for approvals: {orders:?}");
+        };
+        let rows = [(Name::new("w0"), Name::new("ticket"))];
+        let response = Some((&rows[..], Millis(validity)));
+        cell.engine
+            .record_approvals(Millis(cell.now), request, response);
+        cell.advance(300);
+        cell.engine.schedule(Millis(cell.now));
+        let orders = cell.engine.take_orders();
+        let [Order::Start(start)] = &orders[..] else {
+            panic!("expected one start: {orders:?}");
+        };
+        assert_eq!(start.valid_for, Millis(expected));
+    }
+}
