--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -2,6 +2,10 @@
 
 use kspan_jobs::config::{CellConfig, Queue};
 use kspan_model::Name;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
 
 use super::*;
 use crate::{
@@ -9,6 +13,43 @@
     settings::Settings as ProcessSettings,
 };
 
+/// Starts a store that answers each request by `answer`, which gets the request's target and returns
+/// the status and the body. Returns the store's address.
+pub(crate) async fn start_store<F>(answer: F) -> String
+where
+    F: Fn(&str) -> (u16, Vec<u8>) + Clone + 'static,
+{
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let addr = listener.local_addr().expect("a bound port");
+    ntex::rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            ntex::rt::spawn(async move {
+                let mut buf = [0; 64 * 1024];
+                // The bodies of requests arrive in a read of their own or with the head.
+                while let Ok(length @ 1..) = stream.read(&mut buf).await {
+                    let head = String::from_utf8_lossy(&buf[..length]).into_owned();
+                    let Some(target) = head.split(' ').nth(1).filter(|_| head.contains("/api/"))
+                    else {
+                        continue;
+                    };
+                    let (status, body) = answer(target);
+                    let head = format!(
+                        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n\r\n",
+                        body.len()
+                    );
+                    let response = [head.as_bytes(), &body].concat();
+                    if stream.write_all(&response).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr.to_string()
+}
+
 /// Creates a process whose store listens on `store`.
 pub(crate) async fn node(store: &str) -> Rc<Node> {
     Node::new(ProcessSettings {
@@ -85,3 +126,69 @@
     owner.confirm(first);
     assert_eq!(owner.confirmed.get().monotonic(), second.monotonic());
 }
+
+/// State of a submission's record when the wait for it ends.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    NotTaken,
+    InFlight,
+    InFlightAndOwnershipEnded,
+    NotTakenAndOwnershipEnded,
+    Durable,
+}
+
+/// Guards against an answer that does not say what may become of the job: 503 only if it is certain
+/// that it is never stored, 200 only if it is stored.
+#[ntex::test]
+async fn answer_to_a_submission_follows_from_the_state_of_its_record() {
+    use kspan_jobs::spec::{JobSpec, StepSpec};
+
+    let table = [
+        (Fate::NotTaken, Ok(503)),
+        (Fate::InFlight, Ok(504)),
+        (
+            Fate::InFlightAndOwnershipEnded,
+            Err(crate::message::CallFailure::InDoubt),
+        ),
+        (Fate::NotTakenAndOwnershipEnded, Ok(503)),
+        (Fate::Durable, Ok(200)),
+    ];
+    for (fate, expected) in table {
+        let owner = owner("127.0.0.1:1").await;
+        owner.config_read.set(Some(owner.node.clock.reading()));
+        let spec = JobSpec {
+            steps: vec![StepSpec {
+                count: 1,
+                ..StepSpec::default()
+            }],
+            ..JobSpec::default()
+        };
+        let submission = ntex::rt::spawn({
+            let owner = Rc::clone(&owner);
+            async move { owner.call(call(Verb::Submit(spec))).await }
+        });
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let is_taken = !matches!(fate, Fate::NotTaken | Fate::NotTakenAndOwnershipEnded);
+        let batch = is_taken.then(|| owner.engine.borrow_mut().take_batch());
+        match fate {
+            Fate::NotTaken | Fate::InFlight => {}
+            Fate::InFlightAndOwnershipEnded | Fate::NotTakenAndOwnershipEnded => {
+                owner.step_down("test");
+            }
+            Fate::Durable => {
+                let number = batch.flatten().expect("the job's batch").number;
+                owner.engine.borrow_mut().mark_durable(number);
+                owner.durable_batch.send_replace(number);
+            }
+        }
+        let response = submission.await.expect("the call ends");
+        let status = response.map(|response| response.status);
+        assert_eq!(status, expected, "{fate:?}");
+        // A job that is said not to be accepted is not in the next batch either.
+        if status == Ok(503) {
+            let batch = owner.engine.borrow_mut().take_batch();
+            let records = batch.map_or(0, |batch| batch.records.len());
+            assert_eq!(records, 0, "{fate:?}");
+        }
+    }
+}
