Use no answer of the store that is older than one before it

A new owner restored the jobs from such an answer too, without those accepted last.

The offset of the fence request bounds the jobs from below, since previous owners append nothing after it.

--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -11,8 +11,10 @@
     time::Duration,
 };
 
+use kspan_adapter::store::Topic;
 use kspan_model::{Millis, Name};
 use ntex::client::Client;
+use rustc_hash::FxHashMap;
 
 use crate::{
     clock::Clock,
@@ -52,6 +54,9 @@
     election: RefCell<Election>,
     members: RefCell<Vec<Member>>,
     owner: RefCell<Option<Rc<Owner>>>,
+    /// Highest end offset of each topic that an answer of the store has shown. An answer that shows a
+    /// lower one is outdated.
+    known_ends: RefCell<FxHashMap<Topic, u64>>,
     /// Fence of the owner that requested a planned takeover.
     planned_takeover: Cell<Option<u64>>,
 }
@@ -90,6 +95,7 @@
             in_flight: InFlight::default(),
             approvals: kspan_adapter::http::client(MAX_APPROVAL_CONNECTIONS).await,
             owner: RefCell::default(),
+            known_ends: RefCell::default(),
             planned_takeover: Cell::new(None),
             cfg,
         })
@@ -134,6 +140,16 @@
         self.store.set_members(self.other_members());
     }
 
+    /// Records the end offset of a topic as shown by an answer of the store. Returns whether the
+    /// answer is at least as new as all answers before it.
+    pub(crate) fn record_end(&self, topic: Topic, end: u64) -> bool {
+        let mut known_ends = self.known_ends.borrow_mut();
+        let known = known_ends.entry(topic).or_default();
+        let is_newest = end >= *known;
+        *known = end.max(*known);
+        is_newest
+    }
+
     /// Handles a request of another process.
     pub(crate) async fn handle_request(self: &Rc<Self>, req: PeerRequest) -> PeerReply {
         match req {
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -52,7 +52,9 @@
             let sent = self.node.clock.reading();
             let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
-                Ok(AppendOutcome::Done { .. }) => {
+                Ok(AppendOutcome::Done { offset }) => {
+                    // The records of previous owners precede this offset.
+                    self.node.record_end(Topic::Jobs, offset);
                     self.confirm(sent);
                     return Some(());
                 }
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -1,5 +1,8 @@
 //! Follows the topics of the operators' configuration and of the host list.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{
@@ -97,6 +100,7 @@
             ReadOutcome::Records { records, next, end } => {
                 let is_complete = (*from..=next).contains(&end);
                 *from = next;
+                self.node.record_end(topic, next.max(end));
                 Some(Changes::Records {
                     records,
                     is_complete,
@@ -110,7 +114,8 @@
         }
     }
 
-    /// Reads the newest record of every key. Returns `None` if the store gave no valid response.
+    /// Reads the newest record of every key. Returns `None` if the store gave no valid response or an
+    /// outdated one, which would bring back what has been replaced since.
     pub(super) async fn read_all(&self, topic: Topic) -> Option<Page> {
         let mut all = Page::default();
         let mut after: Option<String> = None;
@@ -123,6 +128,16 @@
             if after.is_none() {
                 all.end = page.end;
             }
+            if !self.node.record_end(topic, page.end) {
+                if self.node.log_limit.allows("outdated", self.now()) {
+                    tracing::warn!(
+                        ?topic,
+                        end = page.end,
+                        "outdated answer of the store ignored"
+                    );
+                }
+                return None;
+            }
             all.records.extend(page.records);
             match page.next {
                 Some(next) => after = Some(next),
