Give runners that do not answer in time more time

A runner whose answers took longer than 400 ms was never heard: each call timed out, its lease ran out, and its tasks were given up and started elsewhere although it only was slow.

After two calls in a row without an answer, further calls wait for 1.2 s, so that such a runner is heard within its lease of 6 s. The new test, with a runner that takes 900 ms, failed before and passes now.

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -1,6 +1,9 @@
 //! Inventory calls to runners. Each runner has one call in flight, which it answers when a run ends
 //! or the wait time is over.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::runner::{self, InventoryCall};
@@ -12,6 +15,13 @@
 /// Timeout of an inventory call, in addition to its wait time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same after [`MISSES_BEFORE_SLOW_TIMEOUT`] calls in a row without an answer. A runner that
+/// answers slowly must be heard before its lease ends.
+const SLOW_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Number of calls in a row without an answer after which a runner is given more time.
+const MISSES_BEFORE_SLOW_TIMEOUT: u32 = 2;
+
 /// Delay before the next call to a runner that did not answer.
 const NO_RESPONSE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -25,21 +35,28 @@
         runner_ix: RunnerIx,
         connection: Rc<RunnerConnection>,
     ) {
+        let mut missed = 0;
         while self.is_active.get() && !self.engine.borrow().is_dead(runner_ix) {
             if !self.may_send_orders() {
                 tokio::time::sleep(NO_RESPONSE_RETRY_DELAY).await;
                 continue;
             }
-            self.poll_inventory_once(runner_ix, &connection).await;
+            let is_answered = self
+                .poll_inventory_once(runner_ix, &connection, missed)
+                .await;
+            missed = if is_answered { 0 } else { missed + 1 };
         }
         self.runner_connections.borrow_mut().remove(&runner_ix);
     }
 
+    /// Makes one call, after `missed` calls in a row without an answer. Returns whether it was
+    /// answered.
     async fn poll_inventory_once(
         self: &Rc<Self>,
         runner_ix: RunnerIx,
         connection: &RunnerConnection,
-    ) {
+        missed: u32,
+    ) -> bool {
         let next_call = self
             .engine
             .borrow_mut()
@@ -50,10 +67,14 @@
             ack: next_call.ack,
             wait,
         };
-        let response =
-            runner::request_inventory(&connection.client, call, CALL_TIMEOUT + wait).await;
+        let timeout = if missed < MISSES_BEFORE_SLOW_TIMEOUT {
+            CALL_TIMEOUT
+        } else {
+            SLOW_CALL_TIMEOUT
+        };
+        let response = runner::request_inventory(&connection.client, call, timeout + wait).await;
         if !self.is_active.get() {
-            return;
+            return false;
         }
         let outcome = response.unwrap_or_else(|err| {
             if self.node.log_limit.allows("hold", self.now()) {
@@ -80,6 +101,7 @@
         );
         self.state_changed.notify_one();
         telemetry::record_inventory(outcome_name(&outcome));
+        let is_answered = outcome != InventoryOutcome::NoResponse;
         match outcome {
             InventoryOutcome::NoResponse => {
                 tokio::time::sleep(NO_RESPONSE_RETRY_DELAY).await;
@@ -89,6 +111,7 @@
             }
             _ => {}
         }
+        is_answered
     }
 
     /// Waits until another batch is durable, up to a timeout, so that the next call can acknowledge
