Do not claim the cell once the shutdown has begun

A process whose shutdown began while it queried others about the owner claimed the cell all the same. The handover had found no role to hand over and had ended, so that the process kept the cell until the end of its grace period and left it without an owner.

The claim checks for a shutdown directly before it is sent.

--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -1,5 +1,8 @@
 //! Monitors the owner, and claims the cell if the owner has failed or hands it over.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{
@@ -165,6 +168,10 @@
     }
 
     async fn claim(self: &Rc<Self>, end: u64, why: &str) {
+        // The shutdown may have begun while the claims were read or other processes queried.
+        if self.stopping.get() {
+            return;
+        }
         let record = ClaimRecord {
             owner: self.local.clone(),
             members: self.members(),
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -192,3 +192,31 @@
         }
     }
 }
+
+/// Guards against two owners that both accept jobs: once the store has seen a newer fence, the
+/// previous owner's role ends and its callers are not told that their jobs are accepted.
+#[ntex::test]
+async fn owner_fenced_off_by_the_store_accepts_nothing() {
+    use kspan_jobs::spec::{JobSpec, StepSpec};
+
+    let store = start_store(|target| match target.contains("keyed.jobs") {
+        true => (409, br#"{"Reason":"fenced"}"#.to_vec()),
+        false => (200, br#"{"Offset":1}"#.to_vec()),
+    });
+    let owner = owner(&store.await).await;
+    owner.config_read.set(Some(owner.node.clock.reading()));
+    ntex::rt::spawn(Rc::clone(&owner).write_batches());
+    ntex::rt::spawn(Rc::clone(&owner).run_scheduler());
+    let spec = JobSpec {
+        steps: vec![StepSpec {
+            count: 1,
+            ..StepSpec::default()
+        }],
+        ..JobSpec::default()
+    };
+    let response = owner.call(call(Verb::Submit(spec))).await;
+    assert_eq!(response, Err(crate::message::CallFailure::InDoubt));
+    assert!(!owner.is_active() && !owner.may_send_orders());
+    let response = owner.call(call(Verb::Show)).await;
+    assert_eq!(response, Err(crate::message::CallFailure::NotExecuted));
+}
