--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -56,6 +56,7 @@
         Method::POST => match entry::decode_job(&body) {
             Ok(spec) => Verb::Submit(spec),
             Err(err) => {
+                telemetry::record_malformed("job");
                 let response = CallResponse::with_body(400, err.to_string().into_bytes());
                 return respond(node, &response);
             }
@@ -109,7 +110,7 @@
 
 /// Executes a call at the owner. Retries until the timeout, so that a takeover does not fail the
 /// call.
-async fn execute(node: &Rc<Node>, call: JobCall) -> CallResponse {
+pub(crate) async fn execute(node: &Rc<Node>, call: JobCall) -> CallResponse {
     let started = Instant::now();
     let mut in_doubt = false;
     while started.elapsed() < OWNER_TIMEOUT {
@@ -122,7 +123,6 @@
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    let submits = matches!(call.verb, Verb::Submit(_));
     if node.log_limit.allows("entry", node.clock.now()) {
         let job = call.path.rsplit('/').next().unwrap_or_default();
         let owner = node.known_owner().map_or(0, |owner| owner.fence);
@@ -135,7 +135,7 @@
             "no owner executed the call before the timeout"
         );
     }
-    if in_doubt && submits {
+    if in_doubt && call.changes_state() {
         CallResponse::new(504)
     } else {
         CallResponse::unavailable(RETRY_AFTER_S)
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -1,5 +1,8 @@
 //! Monitors the owner, and claims the cell if the owner has failed or hands it over.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{
@@ -90,7 +93,7 @@
         }
         Claims {
             owner: claim.map(|(offset, claim)| KnownOwner {
-                fence: offset + 1,
+                fence: offset.saturating_add(1),
                 member: claim.owner,
             }),
             end: page.end,
@@ -178,6 +181,10 @@
     }
 
     async fn claim(self: &Rc<Self>, end: u64, why: &str) {
+        // The shutdown may have begun while the claims were read or other processes queried.
+        if self.stopping.get() {
+            return;
+        }
         let record = ClaimRecord {
             owner: self.local.clone(),
             members: self.members(),
@@ -191,8 +198,9 @@
         let response = self.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
-                tracing::info!(fence = offset + 1, why, "claimed the cell");
-                self.become_owner(offset + 1, offset + 1).await;
+                let fence = offset.saturating_add(1);
+                tracing::info!(fence, why, "claimed the cell");
+                self.become_owner(fence, fence).await;
             }
             Ok(outcome) => tracing::info!(?outcome, why, "claim refused by the store"),
             // The next read of the claims shows whether the append took effect.
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -6,6 +6,7 @@
 use kspan_jobs::{engine::Engine, record::DurableState};
 
 use super::{Owner, engine_settings};
+use crate::telemetry;
 
 /// Maximum number of attempts for each request of the recovery.
 const MAX_ATTEMPTS: u32 = 20;
@@ -51,11 +52,13 @@
             if !self.is_active.get() {
                 return None;
             }
-            let sent_at = self.now();
+            let sent = self.node.clock.reading();
             let response = self.node.store.send(&req).await;
             match response.and_then(|response| store::parse_append(&response)) {
-                Ok(AppendOutcome::Done { .. }) => {
-                    self.confirm(sent_at);
+                Ok(AppendOutcome::Done { offset }) => {
+                    // The records of previous owners precede this offset.
+                    self.node.record_end(Topic::Jobs, offset);
+                    self.confirm(sent);
                     return Some(());
                 }
                 Ok(AppendOutcome::Fenced) => return None,
@@ -87,6 +90,7 @@
         for record in records {
             let value = record.value.as_deref().unwrap_or_default();
             if let Err(err) = durable_state.add(&record.key, value) {
+                telemetry::record_malformed("job record");
                 tracing::error!(key = record.key, offset = record.offset, %err, "malformed record skipped during recovery");
             }
         }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    job::TaskState,
+    job::{MAX_RUN, TaskState},
     runner::{PlacedRun, UnackedEnd},
     stall::Progress,
 };
@@ -137,7 +137,11 @@
             self.reconcile_run(runner_ix, row, now);
             self.check_progress(runner_ix, row, inventory.clock, now);
         }
-        for end in &inventory.ended {
+        // Ends are acknowledged up to a number, so that one applied out of order would be skipped and
+        // its run be taken for lost.
+        let mut ended: Vec<_> = inventory.ended.iter().collect();
+        ended.sort_by_key(|end| end.number);
+        for end in ended {
             reported.insert((end.task, end.run));
             if end.number <= self.runners[runner_ix.0].last_end_number {
                 continue;
@@ -220,6 +224,9 @@
         let Some((step, spec)) = job.step_mut(row.task.step) else {
             return;
         };
+        if index >= step.tasks.len() {
+            return;
+        }
         let slot = if spec.gang { 0 } else { index };
         if !row.checkpoint.is_empty() {
             step.tasks[slot].checkpoint = row.checkpoint.clone();
@@ -246,7 +253,8 @@
             return false;
         };
         let gang_restarted = spec.gang && !task.unverified;
-        if !active || task.state != TaskState::Waiting || task.run > row.run || gang_restarted {
+        let is_unusable = row.run < task.run || row.run > MAX_RUN;
+        if !active || task.state != TaskState::Waiting || is_unusable || gang_restarted {
             return false;
         }
         task.run = row.run;
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -9,13 +9,22 @@
     record::{
         EndedRecord, FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress,
     },
-    spec::{JobSpec, StepSpec},
+    spec::{JobSpec, MAX_TASKS, StepSpec},
 };
 
 /// Number of failed runs from which a task counts as failing repeatedly. A single failure says more
 /// about the runner.
 const REPEATED_FAILURES: usize = 2;
 
+/// Maximum number of occurrences of a job that have begun and are not completed. A timetable may be
+/// due billions of times at once, and each occurrence takes memory and is written with the job's
+/// progress. Those beyond the bound begin as earlier ones complete.
+const MAX_BEGUN_OCCURRENCES: u64 = 1_000;
+
+/// Maximum run number that is taken over from a runner or a record. A higher one would leave none
+/// for the next starts.
+pub(super) const MAX_RUN: u32 = u32::MAX / 2;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -288,7 +297,7 @@
         all_verified: bool,
     ) -> bool {
         let first = self.next_occurrence;
-        while self.next_occurrence < self.record.spec.occurrences() {
+        while self.next_occurrence < self.record.spec.occurrences() && self.may_begin(1) {
             let number = self.next_occurrence;
             let due = self
                 .record
@@ -308,6 +317,13 @@
         self.next_occurrence > first
     }
 
+    /// Returns whether `count` more occurrences may begin. One may always begin if there is none.
+    fn may_begin(&self, count: u64) -> bool {
+        let begun = self.occurrences.len() as u64 + count;
+        let tasks = begun.saturating_mul(self.record.spec.tasks_per_occurrence());
+        begun <= 1 || (begun <= MAX_BEGUN_OCCURRENCES && tasks <= MAX_TASKS)
+    }
+
     /// Begins all occurrences up to one that a runner has reported. A previous owner has begun
     /// them, possibly by a clock ahead of this one, and their runs may be alive. Returns whether
     /// any occurrence began.
@@ -316,6 +332,10 @@
         if self.phase != Phase::Active || occurrence < self.next_occurrence || occurrence >= last {
             return false;
         }
+        // No owner has begun more occurrences than that.
+        if !self.may_begin(u64::from(occurrence - self.next_occurrence) + 1) {
+            return false;
+        }
         for number in self.next_occurrence..=occurrence {
             let mut begun = Occurrence::new(number, &self.record.spec, now);
             begun.mark_unverified();
@@ -442,13 +462,14 @@
             for known in &saved.tasks {
                 restore_task(&mut occurrence, known, now);
             }
-            self.next_occurrence = self.next_occurrence.max(saved.number + 1);
+            self.next_occurrence = self.next_occurrence.max(saved.number.saturating_add(1));
             self.occurrences.push(occurrence);
         }
         if has_timetable {
             // Occurrences may complete out of order: every occurrence that has begun and is not in
             // the record is completed.
-            let begun = self.occurrences_done + u32::try_from(self.occurrences.len()).unwrap_or(0);
+            let open = u32::try_from(self.occurrences.len()).unwrap_or(0);
+            let begun = self.occurrences_done.saturating_add(open);
             self.next_occurrence = self.next_occurrence.max(begun);
         }
         self.started = !progress.occurrences.is_empty() || self.occurrences_done > 0;
@@ -495,7 +516,7 @@
         step.set_state(index, TaskState::Done, now);
     }
     let task = &mut step.tasks[index];
-    task.run = known.run;
+    task.run = known.run.min(MAX_RUN);
     task.failures.clone_from(&known.failures);
     task.checkpoint = known.checkpoint.clone();
 }
--- a/crates/jobs/tests/teams.rs
+++ b/crates/jobs/tests/teams.rs
@@ -588,6 +588,7 @@
             started_unix_ms: 1,
             running: rows.collect(),
             ended: self.ends[number].clone(),
+            skipped_rows: 0,
         };
         let outcome = InventoryOutcome::Inventory(inventory);
         self.cell.complete_inventory_call(runner_ix.0, &outcome);
