Pause between configuration reads that yield nothing

While a replica of the store lagged, or answered a read with none of the records that it said it had, the owner sent the next read of the configuration at once: such an answer arrives without the store's wait for a change, so the owner was in a busy loop of reads. An answer is now classified as complete, partial or nothing, and reads start at least 50 ms apart after one that yields nothing. Partial answers are still followed by the next read at once.

With the pause removed the new test fails.

--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -1,5 +1,8 @@
 //! Follows the topics of the operators' configuration and of the host list.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{
@@ -7,6 +10,7 @@
     store::{self, KeyedRecord, Page, ReadOutcome, Topic},
 };
 use kspan_model::{Millis, Name};
+use tokio::time::Instant;
 
 use super::Owner;
 use crate::telemetry;
@@ -25,6 +29,11 @@
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Minimum time between the starts of two reads of the configuration if the first one yields nothing.
+/// A store whose replica lags answers such a read at once, without waiting for a change. Short,
+/// because the configuration's age grows until a read is complete.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Owner {
     /// Applies each new configuration until the role ends.
     pub(super) async fn follow_config(self: Rc<Self>, mut from: u64) {
@@ -32,30 +41,29 @@
         let mut wait = Duration::ZERO;
         while self.is_active.get() {
             let reading = self.node.clock.reading();
+            let sent_at = Instant::now();
             let changes = self.read_changes(Topic::Operators, &mut from, wait).await;
-            let is_complete = match changes {
-                Some(Changes::Records {
-                    records,
-                    is_complete,
-                }) => {
+            let coverage = match changes {
+                Some(Changes::Records { records, coverage }) => {
                     self.apply_operator_records(&records);
-                    is_complete
+                    coverage
                 }
                 Some(Changes::Snapshot(page)) => {
                     self.apply_operator_records(&page.records);
-                    true
+                    Coverage::Complete
                 }
                 None => {
                     self.handle_failed_config_read();
                     tokio::time::sleep(RETRY_DELAY).await;
-                    false
+                    continue;
                 }
             };
-            if is_complete {
+            if coverage == Coverage::Complete {
                 self.config_read.set(Some(reading));
                 self.is_config_topic_unavailable.set(false);
                 wait = CONFIG_WAIT;
             }
+            tokio::time::sleep(coverage.pause(sent_at.elapsed())).await;
         }
     }
 
@@ -95,12 +103,9 @@
             .ok()?;
         match store::parse_read(&response, *from).ok()? {
             ReadOutcome::Records { records, next, end } => {
-                let is_complete = (*from..=next).contains(&end);
+                let coverage = Coverage::new(*from, next, end);
                 *from = next;
-                Some(Changes::Records {
-                    records,
-                    is_complete,
-                })
+                Some(Changes::Records { records, coverage })
             }
             ReadOutcome::Truncated => {
                 let page = self.read_all(topic).await?;
@@ -209,9 +214,43 @@
     /// The records appended since the last read.
     Records {
         records: Vec<KeyedRecord>,
-        /// Whether there are no further records yet.
-        is_complete: bool,
+        /// Which of the records the answer contained.
+        coverage: Coverage,
     },
     /// The newest record of every key, after a gap.
     Snapshot(Page),
 }
+
+/// Part of the records after an offset that an answer of the store contained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Coverage {
+    /// All records.
+    Complete,
+    /// Some records; more can be read at once.
+    Partial,
+    /// No records although there are some, or an outdated answer.
+    Nothing,
+}
+
+impl Coverage {
+    /// Classifies an answer to a read from `from` that continues at `next`, when the topic ended at
+    /// `end`.
+    fn new(from: u64, next: u64, end: u64) -> Self {
+        if (from..=next).contains(&end) {
+            Self::Complete
+        } else if next > from {
+            Self::Partial
+        } else {
+            Self::Nothing
+        }
+    }
+
+    /// Returns the pause before the next read, if this one took `took`.
+    fn pause(self, took: Duration) -> Duration {
+        match self {
+            // The store waits for a change before it answers the next read.
+            Self::Complete | Self::Partial => Duration::ZERO,
+            Self::Nothing => MIN_READ_INTERVAL.saturating_sub(took),
+        }
+    }
+}
