Decide in one place whether a refusal answers a call

Two places decided whether a refused submission may be reported while another attempt at it may still be executed: the entry, for its own attempts, and the forwarder, for relayed ones. They could have diverged, and a caller would have been told that a job was not accepted although it was. Both now ask JobCall::is_settled_by. Behaviour is unchanged; a table test states the rule.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -107,9 +107,9 @@
     let mut in_doubt = false;
     while started.elapsed() < OWNER_TIMEOUT {
         match call_owner(node, &call).await {
+            Ok(response) if call.is_settled_by(&response, in_doubt) => return response,
             // The earlier attempt may still be executed.
-            Ok(response) if in_doubt && call.is_refused_by(&response) => {}
-            Ok(response) => return response,
+            Ok(_) => {}
             Err(RequestError::NotSent) => {}
             Err(RequestError::InDoubt) => in_doubt = true,
         }
--- a/crates/cell/src/forward.rs
+++ b/crates/cell/src/forward.rs
@@ -65,7 +65,7 @@
         match attempts.wait(Instant::now() + HEDGE_DELAY).await {
             Progress::Ended(Ok(response)) => {
                 is_in_doubt |= attempts.are_in_flight();
-                if !(is_in_doubt && call.is_refused_by(&response)) {
+                if call.is_settled_by(&response, is_in_doubt) {
                     return Ok(response);
                 }
             }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -1,5 +1,8 @@
 //! Messages between the processes of a cell.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::Ipv4Addr;
 
 use kspan_adapter::{approvals::Approved, store};
@@ -71,9 +74,14 @@
 }
 
 impl JobCall {
-    /// Returns whether the response says that the call submits a job which is not accepted. That must
-    /// not be said while another attempt at the call may still be executed.
-    pub(crate) fn is_refused_by(&self, response: &CallResponse) -> bool {
+    /// Returns whether the caller may receive the response. While another attempt at the call may
+    /// still be executed, the caller must not be told that its job was not accepted.
+    pub(crate) fn is_settled_by(&self, response: &CallResponse, is_in_doubt: bool) -> bool {
+        !(is_in_doubt && self.is_refused_by(response))
+    }
+
+    /// Returns whether the response says that the call submits a job which is not accepted.
+    fn is_refused_by(&self, response: &CallResponse) -> bool {
         matches!(self.verb, Verb::Submit(_)) && matches!(response.status, 404 | 429 | 503)
     }
 }
