Request several successors at a time on a graceful shutdown

An owner that was shut down requested its successors one after the other. Up to three requests are now in flight: the next successor is requested after 60 ms without a reply or at once after a refusal. The first in the order of successors still takes over if it replies.

Several successors can now accept for the same fence. At most one claims because of it: a successor that reads the claims after another one's claim finds a newer fence than the one it was requested for, and of several that read the same end of the topic the store accepts one conditional append. Tests against a topic of claims show both.

--- a/crates/cell/src/attempts.rs
+++ b/crates/cell/src/attempts.rs
@@ -40,6 +40,11 @@
         self.in_flight > 0
     }
 
+    /// Returns the number of attempts in flight.
+    pub(crate) fn count(&self) -> usize {
+        self.in_flight
+    }
+
     /// Starts an attempt. It runs to its end even if the request is dropped before.
     pub(crate) fn start(&mut self, attempt: impl Future<Output = T> + 'static) {
         let tx = self.tx.clone();
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -1,5 +1,8 @@
 //! Monitors the owner, and claims the cell if the owner has failed or hands it over.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::{
@@ -131,6 +134,9 @@
         match step {
             Step::AlreadyOwner(fence) => self.become_owner(fence, claims.end).await,
             Step::Claim => self.claim(claims.end, "first").await,
+            // Several processes may have been requested to take over from the same owner. The newest
+            // claim is no longer that owner's after one of them has claimed, and the store accepts
+            // only one of their claims if they read the same end of the topic.
             _ if planned == Some(newest) => self.claim(claims.end, "planned").await,
             Step::QueryOthers if !self.others_receive_heartbeats(newest).await => {
                 self.claim(claims.end, "owner silent").await;
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -1,6 +1,12 @@
 //! Entry point of the program: arguments, settings, start and graceful shutdown.
 
-use std::{env, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+#[cfg(test)]
+mod tests;
+
+use std::{
+    env, future::Future, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc,
+    time::Duration,
+};
 
 use argh::FromArgs;
 use signal_hook::{
@@ -13,7 +19,16 @@
     time::Instant,
 };
 
-use crate::{admin, entry, logging, node::Node, peers, precedence, settings::Settings, telemetry};
+use crate::{
+    admin,
+    attempts::{Attempts, Progress},
+    entry, logging,
+    message::Member,
+    node::Node,
+    peers, precedence,
+    settings::Settings,
+    telemetry,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -30,6 +45,13 @@
 /// Time that a process needs to claim the cell after it accepted a takeover, if the store answers.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(500);
 
+/// Maximum number of takeover requests in flight.
+const MAX_TAKEOVER_REQUESTS: usize = 3;
+
+/// Time without a reply after which the next successor is requested as well. A reachable process
+/// replies sooner, so that the first one in the order of successors usually takes over.
+const TAKEOVER_HEDGE_DELAY: Duration = Duration::from_millis(60);
+
 /// Runs one process of a cell on the users' platform.
 #[derive(FromArgs, Debug)]
 #[argh(example = "kspan-cell --settings cell.yaml")]
@@ -155,22 +177,51 @@
     );
 }
 
-/// Requests the other processes, one after the other, to claim the cell until one has.
+/// Requests the other processes to claim the cell until one has.
 async fn hand_over(node: Rc<Node>) {
     loop {
         let fence = node.owner_role().map_or(0, |owner| owner.fence());
-        for member in precedence::successors(&node.local.node, fence, &node.members()) {
-            if node.owner_role().is_none() {
-                return;
-            }
-            if node.request_takeover(&member, fence).await {
-                tokio::time::sleep(TAKEOVER_WAIT).await;
-            }
+        let successors = precedence::successors(&node.local.node, fence, &node.members());
+        let is_owner = || node.owner_role().is_some();
+        request_takeovers(successors, is_owner, |member| {
+            let node = Rc::clone(&node);
+            async move { node.request_takeover(&member, fence).await }
+        })
+        .await;
+        if !is_owner() {
+            return;
         }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
 }
 
+/// Sends a takeover request to each successor in turn while `is_owner` holds. A successor that does
+/// not reply does not hold up the next ones; one that accepts has time to claim. Several may accept:
+/// all are requested for the same fence, so that at most one claims.
+async fn request_takeovers<R>(
+    successors: Vec<Member>,
+    is_owner: impl Fn() -> bool,
+    request: impl Fn(Member) -> R,
+) where
+    R: Future<Output = bool> + 'static,
+{
+    let mut successors = successors.into_iter();
+    let mut requests = Attempts::new();
+    while is_owner() {
+        if requests.count() < MAX_TAKEOVER_REQUESTS
+            && let Some(member) = successors.next()
+        {
+            requests.start(request(member));
+        }
+        let until = Instant::now() + TAKEOVER_HEDGE_DELAY;
+        match requests.wait(until).await {
+            Progress::Ended(true) => tokio::time::sleep(TAKEOVER_WAIT).await,
+            Progress::Ended(false) | Progress::Slow => {}
+            Progress::NoneInFlight => return,
+        }
+    }
+}
+
 /// Spawns the thread that forwards signals to the returned channel.
 fn spawn_signal_thread() -> io::Result<mpsc::UnboundedReceiver<i32>> {
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
