Untie the cell's process state from the owner's role

The module of the process's state created and held the owner's role, and the role holds the process's state, so neither module could be read or changed without the other. Node now holds only what is independent of the role. The new Process holds a Node and the role: it handles requests, follows the owner and claims the cell. The owner's modules are unchanged. Behaviour is unchanged.

--- a/crates/cell/src/admin.rs
+++ b/crates/cell/src/admin.rs
@@ -6,7 +6,7 @@
 use ntex::http::{Request, Response, StatusCode};
 use serde::Serialize;
 
-use crate::{http, message::Member, node::Node};
+use crate::{http, message::Member, process::Process};
 
 /// State of the process.
 #[derive(Serialize)]
@@ -42,21 +42,21 @@
 ///
 /// Returns an error if the address cannot be bound.
 pub(crate) async fn serve(
-    node: Rc<Node>,
+    process: Rc<Process>,
     addr: SocketAddr,
     metrics: PrometheusHandle,
 ) -> io::Result<()> {
     http::serve(addr, move |req: Request| {
-        let response = respond(&node, &metrics, req.path());
+        let response = respond(&process, &metrics, req.path());
         async move { response }
     })
     .await
 }
 
-fn respond(node: &Node, metrics: &PrometheusHandle, path: &str) -> Response {
+fn respond(process: &Process, metrics: &PrometheusHandle, path: &str) -> Response {
     match path {
         "/metrics" => {
-            if let Some(owner) = node.owner_role() {
+            if let Some(owner) = process.owner_role() {
                 owner.record_totals();
             }
             metrics.run_upkeep();
@@ -64,17 +64,17 @@
                 .content_type("text/plain")
                 .body(metrics.render())
         }
-        "/dump" => Response::build(StatusCode::OK).json(&dump(node)),
+        "/dump" => Response::build(StatusCode::OK).json(&dump(process)),
         _ => match path.strip_prefix("/explain/") {
-            Some(id) => explain(node, id),
+            Some(id) => explain(process, id),
             None => Response::new(StatusCode::NOT_FOUND),
         },
     }
 }
 
-fn dump(node: &Node) -> Dump<'_> {
-    let owner = node.known_owner();
-    let owned = node.owner_role().map(|role| {
+fn dump(process: &Process) -> Dump<'_> {
+    let owner = process.node.known_owner();
+    let owned = process.owner_role().map(|role| {
         let totals = role.totals();
         Owned {
             unconfirmed_ms: role.time_since_confirmed().0,
@@ -90,25 +90,26 @@
         }
     });
     Dump {
-        node: &node.local.node,
-        life: node.local.life,
-        stopping: node.stopping.get(),
+        node: &process.node.local.node,
+        life: process.node.local.life,
+        stopping: process.node.stopping.get(),
         owner: owner.as_ref().map(|owner| owner.member.node.to_string()),
         fence: owner.map_or(0, |owner| owner.fence),
-        owner_silent_ms: node.owner_silence().0,
-        members: node.members(),
+        owner_silent_ms: process.owner_silence().0,
+        members: process.node.members(),
         owned,
     }
 }
 
 /// Explains a job's state. Only the owner can; other processes answer with the owner's name.
-fn explain(node: &Node, id: &str) -> Response {
+fn explain(process: &Process, id: &str) -> Response {
     let Ok(id) = id.parse() else {
         return Response::build(StatusCode::BAD_REQUEST)
             .body("invalid job id: expected 16 lower-case hexadecimal digits");
     };
-    let Some(role) = node.owner_role() else {
-        let owner = node
+    let Some(role) = process.owner_role() else {
+        let owner = process
+            .node
             .known_owner()
             .map(|owner| owner.member.node.to_string());
         let text = format!(
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -10,8 +10,8 @@
 use crate::{
     forward, http,
     message::{CallFailure, CallResponse, JobCall, Verb},
-    node::Node,
     peers::RequestError,
+    process::Process,
     telemetry,
 };
 
@@ -35,34 +35,34 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub(crate) async fn serve(node: Rc<Node>, addr: SocketAddr) -> io::Result<()> {
+pub(crate) async fn serve(process: Rc<Process>, addr: SocketAddr) -> io::Result<()> {
     http::serve(addr, move |req| {
-        let node = Rc::clone(&node);
-        async move { handle(&node, req).await }
+        let process = Rc::clone(&process);
+        async move { handle(&process, req).await }
     })
     .await
 }
 
-async fn handle(node: &Rc<Node>, mut req: Request) -> Response {
+async fn handle(process: &Rc<Process>, mut req: Request) -> Response {
     if req.path() == entry::READY_PATH {
-        return respond(node, &readiness(node));
+        return respond(process, &readiness(process));
     }
-    let _in_flight = node.in_flight.enter();
+    let _in_flight = process.node.in_flight.enter();
     let body = match http::read_body(&mut req).await {
         Ok(body) => body,
-        Err(_) => return respond(node, &CallResponse::new(400)),
+        Err(_) => return respond(process, &CallResponse::new(400)),
     };
     let verb = match *req.method() {
         Method::POST => match entry::decode_job(&body) {
             Ok(spec) => Verb::Submit(spec),
             Err(err) => {
                 let response = CallResponse::with_body(400, err.to_string().into_bytes());
-                return respond(node, &response);
+                return respond(process, &response);
             }
         },
         Method::GET => Verb::Show,
         Method::DELETE => Verb::Cancel,
-        _ => return respond(node, &CallResponse::new(405)),
+        _ => return respond(process, &CallResponse::new(405)),
     };
     let host = req
         .headers()
@@ -79,21 +79,22 @@
         verb,
         hops_left: 1,
     };
-    let (verb, began) = (call.verb.name(), node.clock.now());
-    let response = execute(node, call).await;
+    let (verb, began) = (call.verb.name(), process.node.clock.now());
+    let response = execute(process, call).await;
     telemetry::record_call(
         verb,
         response.status,
-        node.clock.now().saturating_sub(began),
+        process.node.clock.now().saturating_sub(began),
     );
-    respond(node, &response)
+    respond(process, &response)
 }
 
 /// Answers the readiness check. A process is ready if it owns the cell or receives the owner's
 /// heartbeats, and is not stopping.
-fn readiness(node: &Node) -> CallResponse {
-    let has_owner = node.known_owner().is_some() && node.owner_silence().0 < MAX_READY_SILENCE_MS;
-    CallResponse::new(if has_owner && !node.stopping.get() {
+fn readiness(process: &Process) -> CallResponse {
+    let has_owner =
+        process.node.known_owner().is_some() && process.owner_silence().0 < MAX_READY_SILENCE_MS;
+    CallResponse::new(if has_owner && !process.node.stopping.get() {
         200
     } else {
         503
@@ -102,11 +103,11 @@
 
 /// Executes a call at the owner. Retries until the timeout, so that a takeover does not fail the
 /// call.
-async fn execute(node: &Rc<Node>, call: JobCall) -> CallResponse {
+async fn execute(process: &Rc<Process>, call: JobCall) -> CallResponse {
     let started = Instant::now();
     let mut in_doubt = false;
     while started.elapsed() < OWNER_TIMEOUT {
-        match call_owner(node, &call).await {
+        match call_owner(process, &call).await {
             Ok(response) if call.is_settled_by(&response, in_doubt) => return response,
             // The earlier attempt may still be executed.
             Ok(_) => {}
@@ -116,10 +117,14 @@
         tokio::time::sleep(RETRY_DELAY).await;
     }
     let submits = matches!(call.verb, Verb::Submit(_));
-    if node.log_limit.allows("entry", node.clock.now()) {
+    if process
+        .node
+        .log_limit
+        .allows("entry", process.node.clock.now())
+    {
         let job = call.path.rsplit('/').next().unwrap_or_default();
-        let owner = node.known_owner().map_or(0, |owner| owner.fence);
-        let silent_ms = node.owner_silence().0;
+        let owner = process.node.known_owner().map_or(0, |owner| owner.fence);
+        let silent_ms = process.owner_silence().0;
         tracing::warn!(
             job,
             in_doubt,
@@ -135,37 +140,38 @@
     }
 }
 
-async fn call_owner(node: &Rc<Node>, call: &JobCall) -> Result<CallResponse, RequestError> {
-    if let Some(owner) = node.owner_role() {
+async fn call_owner(process: &Rc<Process>, call: &JobCall) -> Result<CallResponse, RequestError> {
+    if let Some(owner) = process.owner_role() {
         return owner.call(call.clone()).await.map_err(|err| match err {
             CallFailure::NotExecuted => RequestError::NotSent,
             CallFailure::InDoubt => RequestError::InDoubt,
         });
     }
-    let known = node
+    let known = process
+        .node
         .known_owner()
-        .filter(|owner| owner.member.node != node.local.node);
+        .filter(|owner| owner.member.node != process.node.local.node);
     let Some(owner) = known else {
         return Err(RequestError::NotSent);
     };
-    let is_silent = || node.owner_silence() >= MIN_SILENCE;
+    let is_silent = || process.owner_silence() >= MIN_SILENCE;
     forward::call_owner(
-        &node.peers,
+        &process.node.peers,
         &owner.member,
-        node.other_members(),
+        process.node.other_members(),
         call,
         is_silent,
     )
     .await
 }
 
-fn respond(node: &Node, response: &CallResponse) -> Response {
+fn respond(process: &Process, response: &CallResponse) -> Response {
     let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = Response::build(status);
     if let Some(seconds) = response.retry_after_s {
         builder.header("Retry-After", seconds.to_string());
     }
-    if node.stopping.get() {
+    if process.node.stopping.get() {
         builder.force_close();
     }
     builder.content_type("application/json");
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,6 +22,7 @@
 mod owner;
 mod peers;
 mod precedence;
+mod process;
 mod program;
 mod settings;
 mod store;
--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -1,4 +1,5 @@
-//! A process of the cell: its members, the known owner, and requests of other processes.
+//! State of a process that is independent of the owner's role: the cell's members, the known owner,
+//! and connections to other processes and services.
 
 mod claims;
 mod heartbeats;
@@ -9,26 +10,24 @@
     time::Duration,
 };
 
-use kspan_model::{Millis, Name};
+use kspan_model::Name;
 use ntex::client::Client;
 
 use crate::{
     clock::Clock,
     election::{Election, KnownOwner},
-    forward,
     in_flight::InFlight,
     log_limit::LogLimit,
-    message::{CallFailure, JobCall, Member, PeerReply, PeerRequest},
-    owner::Owner,
-    peers::{Peers, RequestError},
+    message::Member,
+    peers::Peers,
     settings::Settings,
     store::StoreClient,
 };
 
-pub(crate) use claims::{ClaimRecord, HEARTBEAT_KEY};
+pub(crate) use claims::{CLAIM_KEY, ClaimRecord, HEARTBEAT_KEY};
 
 /// Timeout of short requests between processes.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum number of connections to the service that approves runners.
 const MAX_APPROVAL_CONNECTIONS: usize = 8;
@@ -36,7 +35,7 @@
 /// Timeout of a request to the service that approves runners, longer than a call should take.
 const APPROVAL_TIMEOUT: Duration = Duration::from_millis(4_000);
 
-/// State of the process that is independent of the owner's role.
+/// State of a process that is independent of the owner's role.
 pub(crate) struct Node {
     pub(crate) cfg: Settings,
     pub(crate) clock: Clock,
@@ -47,15 +46,12 @@
     pub(crate) stopping: Cell<bool>,
     pub(crate) in_flight: InFlight,
     approvals: Client,
-    election: RefCell<Election>,
+    pub(crate) election: RefCell<Election>,
     members: RefCell<Vec<Member>>,
-    owner: RefCell<Option<Rc<Owner>>>,
-    /// Fence of the owner that requested a planned takeover.
-    planned_takeover: Cell<Option<u64>>,
 }
 
 impl Node {
-    /// Creates the process's state.
+    /// Creates the state of a process.
     pub(crate) async fn new(cfg: Settings) -> Rc<Self> {
         let clock = Clock::new();
         let local = Member {
@@ -87,33 +83,15 @@
             stopping: Cell::new(false),
             in_flight: InFlight::default(),
             approvals: kspan_adapter::http::client(MAX_APPROVAL_CONNECTIONS).await,
-            owner: RefCell::default(),
-            planned_takeover: Cell::new(None),
             cfg,
         })
     }
 
-    /// Returns the active owner's role if this process has it.
-    pub(crate) fn owner_role(&self) -> Option<Rc<Owner>> {
-        self.owner
-            .borrow()
-            .clone()
-            .filter(|owner| owner.is_active())
-    }
-
     /// Returns the newest owner known to this process.
     pub(crate) fn known_owner(&self) -> Option<KnownOwner> {
         self.election.borrow().owner().cloned()
     }
 
-    /// Returns the time since the owner's last heartbeat; zero if this process is the owner.
-    pub(crate) fn owner_silence(&self) -> Millis {
-        if self.owner_role().is_some() {
-            return Millis::ZERO;
-        }
-        self.election.borrow().silence(self.clock.now())
-    }
-
     /// Returns the members of the cell.
     pub(crate) fn members(&self) -> Vec<Member> {
         self.members.borrow().clone()
@@ -132,60 +110,6 @@
         self.store.set_members(self.other_members());
     }
 
-    /// Handles a request of another process.
-    pub(crate) async fn handle_request(self: &Rc<Self>, req: PeerRequest) -> PeerReply {
-        match req {
-            PeerRequest::Call(call) => self.handle_call(call).await,
-            PeerRequest::RequestApprovals { step, runners } => {
-                PeerReply::Approvals(self.request_approvals(step, &runners).await)
-            }
-            PeerRequest::RelayToStore(req) => {
-                let response = self.store.send_for_peer(&req).await;
-                PeerReply::StoreResponse(
-                    response.map(|response| (response.status, response.body.to_vec())),
-                )
-            }
-            PeerRequest::MemberHeartbeat(member) => {
-                if let Some(owner) = self.owner_role() {
-                    owner.record_member_heartbeat(member);
-                    return PeerReply::Accepted;
-                }
-                PeerReply::NotOwner
-            }
-            PeerRequest::OwnerStatus => PeerReply::OwnerStatus {
-                fence: self.known_owner().map_or(0, |owner| owner.fence),
-                silent_ms: self.owner_silence().0,
-            },
-            PeerRequest::TakeOver(_) if self.stopping.get() => PeerReply::NotOwner,
-            PeerRequest::TakeOver(fence) => {
-                self.planned_takeover.set(Some(fence));
-                PeerReply::Accepted
-            }
-        }
-    }
-
-    async fn handle_call(self: &Rc<Self>, mut call: JobCall) -> PeerReply {
-        if let Some(owner) = self.owner_role() {
-            return match owner.call(call).await {
-                Ok(response) => PeerReply::Call(response),
-                Err(CallFailure::NotExecuted) => PeerReply::NotOwner,
-                Err(CallFailure::InDoubt) => PeerReply::InDoubt,
-            };
-        }
-        let known = self
-            .known_owner()
-            .filter(|owner| owner.member.node != self.local.node);
-        let (Some(owner), true) = (known, call.hops_left > 0) else {
-            return PeerReply::NotOwner;
-        };
-        call.hops_left -= 1;
-        match forward::forward(&self.peers, &owner.member, call).await {
-            Ok(response) => PeerReply::Call(response),
-            Err(RequestError::NotSent) => PeerReply::NotOwner,
-            Err(RequestError::InDoubt) => PeerReply::InDoubt,
-        }
-    }
-
     /// Requests approvals from this host. Returns `None` if the service gives no valid response.
     pub(crate) async fn request_approvals(
         &self,
--- a/crates/cell/src/node/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -90,9 +90,9 @@
     listener.local_addr().expect("a bound port")
 }
 
-async fn create_node(name: &str, store: SocketAddr) -> Rc<Node> {
+async fn create_process(name: &str, store: SocketAddr) -> Rc<Process> {
     let unused = "127.0.0.1:0".to_owned();
-    Node::new(Settings {
+    Process::new(Settings {
         node: Name::new(name),
         address: Ipv4Addr::LOCALHOST,
         data_centre: Name::new("a"),
@@ -113,7 +113,7 @@
 }
 
 /// Creates two processes that have both accepted to take over from the owner with the fence 1.
-async fn create_successors() -> (Rc<ClaimsTopic>, [Rc<Node>; 2]) {
+async fn create_successors() -> (Rc<ClaimsTopic>, [Rc<Process>; 2]) {
     let owner = Member {
         node: Name::new("owner"),
         address: Ipv4Addr::LOCALHOST,
@@ -123,12 +123,15 @@
         power_milli: 500,
     };
     let (topic, store) = ClaimsTopic::start(owner).await;
-    let nodes = [create_node("b", store).await, create_node("c", store).await];
-    for node in &nodes {
-        let reply = node.handle_request(PeerRequest::TakeOver(1)).await;
+    let processes = [
+        create_process("b", store).await,
+        create_process("c", store).await,
+    ];
+    for process in &processes {
+        let reply = process.handle_request(PeerRequest::TakeOver(1)).await;
         assert_eq!(reply, PeerReply::Accepted);
     }
-    (topic, nodes)
+    (topic, processes)
 }
 
 /// Guards against two owners after a shutdown that requested several successors at once.
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -24,8 +24,8 @@
     attempts::{Attempts, Progress},
     entry, logging,
     message::Member,
-    node::Node,
     peers, precedence,
+    process::Process,
     settings::Settings,
     telemetry,
 };
@@ -121,23 +121,23 @@
     let internal = SocketAddr::from((cfg.address, cfg.internal_port));
     let mut signals = spawn_signal_thread()?;
     let metrics = telemetry::install().map_err(io::Error::other)?;
-    let node = Node::new(cfg).await;
+    let process = Process::new(cfg).await;
     let listener = TcpListener::bind(internal).await?;
     let socket = Rc::new(UdpSocket::bind(internal).await?);
-    entry::serve(Rc::clone(&node), callers).await?;
+    entry::serve(Rc::clone(&process), callers).await?;
     if ready != callers {
-        entry::serve(Rc::clone(&node), ready).await?;
+        entry::serve(Rc::clone(&process), ready).await?;
     }
-    admin::serve(Rc::clone(&node), admin_addr, metrics).await?;
-    let handler = Rc::clone(&node);
+    admin::serve(Rc::clone(&process), admin_addr, metrics).await?;
+    let handler = Rc::clone(&process);
     ntex::rt::spawn(peers::serve(listener, move |req| {
-        let node = Rc::clone(&handler);
-        async move { node.handle_request(req).await }
+        let process = Rc::clone(&handler);
+        async move { process.handle_request(req).await }
     }));
-    ntex::rt::spawn(Rc::clone(&node).receive_heartbeats(socket));
-    ntex::rt::spawn(Rc::clone(&node).monitor_owner());
-    ntex::rt::spawn(Rc::clone(&node).send_member_heartbeats());
-    tracing::info!(node = %node.local.node, life = node.local.life, data_centre = %node.local.data_centre, "started");
+    ntex::rt::spawn(Rc::clone(&process).receive_heartbeats(socket));
+    ntex::rt::spawn(Rc::clone(&process).monitor_owner());
+    ntex::rt::spawn(Rc::clone(&process).send_member_heartbeats());
+    tracing::info!(node = %process.node.local.node, life = process.node.local.life, data_centre = %process.node.local.data_centre, "started");
     loop {
         match signals.recv().await {
             Some(SIGTERM) | None => break,
@@ -147,28 +147,28 @@
             ),
         }
     }
-    shut_down(&node).await;
+    shut_down(&process).await;
     Ok(())
 }
 
 /// Shuts down gracefully: closes connections after their next response and waits for requests in
 /// flight. An owner keeps its role until another process has claimed the cell or the grace period
 /// is over, because no process can claim while the store is unavailable.
-async fn shut_down(node: &Rc<Node>) {
+async fn shut_down(process: &Rc<Process>) {
     tracing::info!("graceful shutdown started");
-    node.stopping.set(true);
+    process.node.stopping.set(true);
     let started_at = Instant::now();
-    let grace = Duration::from_secs_f64(node.cfg.grace_s).saturating_sub(GRACE_MARGIN);
-    let handover = ntex::rt::spawn(hand_over(Rc::clone(node)));
+    let grace = Duration::from_secs_f64(process.node.cfg.grace_s).saturating_sub(GRACE_MARGIN);
+    let handover = ntex::rt::spawn(hand_over(Rc::clone(process)));
     while started_at.elapsed() < grace {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        let idle = node.in_flight.is_empty() && node.owner_role().is_none();
+        let idle = process.node.in_flight.is_empty() && process.owner_role().is_none();
         if started_at.elapsed() >= MIN_DRAIN && idle {
             break;
         }
     }
     drop(handover);
-    if let Some(owner) = node.owner_role() {
+    if let Some(owner) = process.owner_role() {
         owner.step_down("graceful shutdown");
     }
     tracing::info!(
@@ -178,14 +178,15 @@
 }
 
 /// Requests the other processes to claim the cell until one has.
-async fn hand_over(node: Rc<Node>) {
+async fn hand_over(process: Rc<Process>) {
     loop {
-        let fence = node.owner_role().map_or(0, |owner| owner.fence());
-        let successors = precedence::successors(&node.local.node, fence, &node.members());
-        let is_owner = || node.owner_role().is_some();
+        let fence = process.owner_role().map_or(0, |owner| owner.fence());
+        let successors =
+            precedence::successors(&process.node.local.node, fence, &process.node.members());
+        let is_owner = || process.owner_role().is_some();
         request_takeovers(successors, is_owner, |member| {
-            let node = Rc::clone(&node);
-            async move { node.request_takeover(&member, fence).await }
+            let process = Rc::clone(&process);
+            async move { process.node.request_takeover(&member, fence).await }
         })
         .await;
         if !is_owner() {
