--- a/crates/fold/src/lib.rs
+++ b/crates/fold/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod apply;
 pub mod history;
 mod objects;
+mod parts;
 pub mod record;
 pub mod search;
 pub mod snapshot;
--- a/crates/fold/src/state.rs
+++ b/crates/fold/src/state.rs
@@ -10,7 +10,7 @@
 
 use kspan_model::{JobEnd, JobId, Name, Submission, UnixMillis, View, document::Document};
 
-use crate::{history::History, record::RecordId};
+use crate::{history::History, parts::PartAssembler, record::RecordId};
 
 /// Outcome of applying one log entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -121,7 +121,7 @@
     pub(crate) ended_jobs: Arc<VecDeque<(UnixMillis, JobId)>>,
     /// Log time of the newest end that was dropped from `ends`.
     pub(crate) newest_dropped_end: Option<UnixMillis>,
-    pub(crate) snapshot_parts: Arc<crate::snapshot::PartAssembler>,
+    pub(crate) snapshot_parts: Arc<PartAssembler>,
 }
 
 impl State {
--- a/crates/lab/src/standin/worker.rs
+++ b/crates/lab/src/standin/worker.rs
@@ -21,8 +21,8 @@
     standin::runner,
 };
 
-pub use self::state::{Behaviour, RunTimeModel};
 use self::state::{Effect, State};
+pub use self::{entry::RunTimeModel, state::Behaviour};
 
 /// Interval at which a worker advances its tasks' states.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/lab/src/standin/worker/entry.rs
+++ b/crates/lab/src/standin/worker/entry.rs
@@ -1,11 +1,10 @@
 //! A task on a worker: its timing, state and actual resource usage.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use kspan_contract::protocol::worker::{Size, Start, Task, TaskState};
 use kspan_model::Resources;
 
-use super::state::RunTimeModel;
 use crate::{clock::Micros, http::ServerHandle, standin::runner::Runner, token::mix};
 
 /// Minimum time from a task's start until it runs.
@@ -20,6 +19,24 @@
 /// Run time of a task on a worker that fails every task.
 const FAILING_RUN_TIME: Micros = Micros::from_millis(200);
 
+/// Parameters of the tasks' actual run times.
+#[derive(Clone, Copy, Debug)]
+pub struct RunTimeModel {
+    /// Seed of the run times.
+    pub seed: u64,
+    /// Maximum nominal run time of a task, so that tasks end within short experiments.
+    pub max_run_time: Duration,
+}
+
+impl Default for RunTimeModel {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            max_run_time: Duration::from_secs(4),
+        }
+    }
+}
+
 pub(super) struct TaskEntry {
     pub(super) start: Start,
     pub(super) state: TaskState,
--- a/crates/lab/src/standin/worker/state.rs
+++ b/crates/lab/src/standin/worker/state.rs
@@ -1,6 +1,6 @@
 //! State of a worker: the control lease and the tasks.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use kspan_contract::protocol::worker::{
     Command, CommandResult, Exchange, Refusal, Report, Start, TaskState, Token,
@@ -9,7 +9,7 @@
 
 use super::{
     WorkerSpec,
-    entry::{self, Stop, TaskEntry, resources, size},
+    entry::{self, RunTimeModel, Stop, TaskEntry, resources, size},
 };
 use crate::{
     clock::{Micros, unix_ms},
@@ -29,24 +29,6 @@
     pub leaving: bool,
 }
 
-/// Parameters of the tasks' actual run times.
-#[derive(Clone, Copy, Debug)]
-pub struct RunTimeModel {
-    /// Seed of the run times.
-    pub seed: u64,
-    /// Maximum nominal run time of a task, so that tasks end within short experiments.
-    pub max_run_time: Duration,
-}
-
-impl Default for RunTimeModel {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            max_run_time: Duration::from_secs(4),
-        }
-    }
-}
-
 /// An action to perform after the lock on the state has been released.
 pub(super) enum Effect {
     /// Open the runner's listener.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -19,7 +19,9 @@
 use tokio::time::sleep;
 
 use crate::{
-    append, bootstrap,
+    append,
+    appender::AppendRequest,
+    bootstrap,
     inner::{Inner, Phase},
     ring::Receiver,
     snapshot_writer::SnapshotWriter,
@@ -48,7 +50,7 @@
 /// Runs the thread until the process ends.
 pub(crate) fn run(
     inner: Arc<Inner>,
-    requests: Receiver<append::AppendRequest>,
+    requests: Receiver<AppendRequest>,
     relayed: Receiver<Vec<relay::Entry>>,
 ) {
     let system = System::new("kspan-log", DefaultRuntime);
--- a/crates/node/src/inner.rs
+++ b/crates/node/src/inner.rs
@@ -19,7 +19,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    append::Appender,
+    appender::Appender,
     event::SendOutcome,
     event_sender::{CurrentState, EventSender},
     link_faults::LinkFaults,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod append;
+mod appender;
 mod bootstrap;
 mod event;
 mod event_sender;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     admin,
-    append::Appender,
+    appender::Appender,
     event::Event,
     event_sender::EventSender,
     follow,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -78,6 +78,7 @@
 mod probation;
 mod queries;
 mod queue;
+mod reservation;
 mod reserve;
 pub mod shards;
 mod spec;
--- a/crates/placement/src/openings.rs
+++ b/crates/placement/src/openings.rs
@@ -7,7 +7,8 @@
 use crate::{
     TaskState,
     job::JobNo,
-    reserve::{MAX_LIFETIME, MIN_LIFETIME, PlannedTask, Reservation},
+    reservation::{PlannedTask, Reservation},
+    reserve::{MAX_LIFETIME, MIN_LIFETIME},
     spec::JobKind,
     state::Inner,
     worker::{RackNo, Worker, WorkerNo},
--- a/crates/placement/src/reserve.rs
+++ b/crates/placement/src/reserve.rs
@@ -1,4 +1,4 @@
-//! Reservations: capacity held for tasks that did not fit.
+//! Makes, serves and drops reservations.
 //!
 //! A reservation names the workers on which its tasks will start, because the tasks running there
 //! end earliest or are being preempted. It expires, and a job whose reservation expired makes no
@@ -8,7 +8,9 @@
 use kspan_model::{Millis, Resources};
 use rustc_hash::FxHashMap;
 
-use crate::{TaskState, job::JobNo, spec::Decision, state::Inner, worker::WorkerNo};
+use crate::{
+    TaskState, job::JobNo, reservation::Reservation, spec::Decision, state::Inner, worker::WorkerNo,
+};
 
 /// Lower bound on the lifetime of a reservation.
 pub(crate) const MIN_LIFETIME: Millis = Millis::from_secs(30);
@@ -19,26 +21,6 @@
 /// Interval at which placement of a gang with a reservation is attempted on all workers.
 const GANG_RETRY_INTERVAL: Millis = Millis(250);
 
-/// A task with the worker on which it will start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PlannedTask {
-    pub(crate) index: u32,
-    pub(crate) worker: WorkerNo,
-}
-
-/// Capacity held for tasks of one job that start together.
-#[derive(Clone, Debug)]
-pub(crate) struct Reservation {
-    pub(crate) job: JobNo,
-    pub(crate) size: Resources,
-    pub(crate) tasks: Vec<PlannedTask>,
-    pub(crate) created: Millis,
-    /// When the last of the capacity is expected to be free.
-    pub(crate) ready_at: Millis,
-    pub(crate) until: Millis,
-    pub(crate) last_tried_at: Millis,
-}
-
 impl Inner {
     /// Adds a reservation. Its tasks must already be removed from `pending`.
     pub(crate) fn reserve(&mut self, reservation: Reservation) {
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -14,7 +14,7 @@
     health::FailureRate,
     job::{Job, JobNo, Jobs, NO_WORKER},
     queue::Queue,
-    reserve::Reservation,
+    reservation::Reservation,
     spec::{Effect, InventoryEntry, JobDone, PlacedTask, Start},
     stats::Stats,
     team::Teams,
