Keep the texts of refusal reasons in one place

The router repeated the texts of RefusalReason, which the type's Display also holds, because a response needs a static text. RefusalReason::text now returns them, and Display uses it. Behaviour is unchanged.

cargo test -p kspan-routing -p kspan-router: all passed.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -16,7 +16,7 @@
 use kspan_routing::{
     engine::{
         Arrival, ClaimStatus,
-        effect::{Dispatch, DispatchOutcome, RefusalReason},
+        effect::{Dispatch, DispatchOutcome},
     },
     key::{CLAIM_TIMEOUT, MAX_KEPT_ANSWER_BYTES},
 };
@@ -257,7 +257,7 @@
             (_, Some(reason)) => return RunResult::Lost(reason),
             (Some(Admission::Refuse(refusal)), None) => {
                 return RunResult::NotDispatched {
-                    reason: reason_text(refusal.reason),
+                    reason: refusal.reason.text(),
                     retry_after: Some(refusal.retry_after),
                     status: StatusCode::SERVICE_UNAVAILABLE,
                 };
@@ -425,13 +425,3 @@
     let bytes = (req.outgoing.body.len() + answer_len) as u64;
     app.stats.borrow_mut().add_remote_bytes(bytes);
 }
-
-const fn reason_text(reason: RefusalReason) -> &'static str {
-    match reason {
-        RefusalReason::NoService => "service is not declared",
-        RefusalReason::NoRunner => "no runner of the service accepts requests",
-        RefusalReason::QueueFull => "queue of the service is full",
-        RefusalReason::DeadlineUnreachable => "deadline can't be met",
-        RefusalReason::Expired => "deadline passed while the request was queued",
-    }
-}
--- a/crates/routing/src/engine/effect.rs
+++ b/crates/routing/src/engine/effect.rs
@@ -101,24 +101,33 @@
 
 /// Reason of a refusal.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{}", self.text())]
 pub enum RefusalReason {
     /// The service is not declared.
-    #[display("service is not declared")]
     NoService,
     /// The service has no runner that accepts requests.
-    #[display("no runner of the service accepts requests")]
     NoRunner,
     /// Too many requests are queued.
-    #[display("queue of the service is full")]
     QueueFull,
     /// The request can't be served within its deadline.
-    #[display("deadline can't be met")]
     DeadlineUnreachable,
     /// The deadline passed while the request was queued.
-    #[display("deadline passed while the request was queued")]
     Expired,
 }
 
+impl RefusalReason {
+    /// Returns the text that the caller receives.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::NoService => "service is not declared",
+            Self::NoRunner => "no runner of the service accepts requests",
+            Self::QueueFull => "queue of the service is full",
+            Self::DeadlineUnreachable => "deadline can't be met",
+            Self::Expired => "deadline passed while the request was queued",
+        }
+    }
+}
+
 /// Outcome of a dispatch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DispatchOutcome {
