Say in kspanctl that a cell has no members, and count errors correctly

kspanctl dump of a cell without members said that no member matched, as if a name had been wrong. It now says that no process is a member of the cell. The exit code is unchanged.

kspanctl validate ended with '1 errors and warnings' for one error, and status with '1 processes are not ready'. The counts now agree with their nouns, and validate counts errors and warnings apart.

--- a/crates/ctl/src/document.rs
+++ b/crates/ctl/src/document.rs
@@ -5,7 +5,7 @@
 use kspan_fold::Body;
 use kspan_model::{
     Name,
-    document::{CheckResult, check},
+    document::{CheckResult, Diagnostic, Diagnostics, Severity, check},
 };
 use kspan_operator::{
     CellClient, Change, MemberStatus, PublishOutcome, diff, parse_base_version, with_base_version,
@@ -17,7 +17,7 @@
 use crate::{
     args::{Diff, Publish, Validate},
     exit::{Exit, fail, unreachable},
-    output::{Format, print},
+    output::{Format, format_count, print},
 };
 
 /// Interval between checks of whether a version is in force at every process.
@@ -37,15 +37,27 @@
     if checked.document.is_some() {
         Exit::Done
     } else {
-        let count = checked.diagnostics.0.len();
         fail(
             Exit::Refused,
-            &format!("{}: {count} errors and warnings", cmd.file),
+            &format!("{}: {}", cmd.file, format_counts(&checked.diagnostics)),
             "fix the errors and try again",
         )
     }
 }
 
+/// Formats the numbers of errors and, if there are any, of warnings.
+fn format_counts(diagnostics: &Diagnostics) -> String {
+    let is_error = |diagnostic: &&Diagnostic| diagnostic.severity == Severity::Error;
+    let errors = diagnostics.0.iter().filter(is_error).count();
+    let warnings = diagnostics.0.len() - errors;
+    let errors = format_count(errors, "error", "errors");
+    if warnings == 0 {
+        return errors;
+    }
+    let warnings = format_count(warnings, "warning", "warnings");
+    format!("{errors} and {warnings}")
+}
+
 pub(crate) fn show(cell: &CellClient) -> Exit {
     let state = cell.state();
     if state.document.is_none() {
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -1,5 +1,8 @@
 //! Output of results in the requested format.
 
+#[cfg(test)]
+mod tests;
+
 use std::{fmt::Write as _, str::FromStr};
 
 use serde::Serialize;
@@ -40,6 +43,12 @@
     println!("{}", text.trim_end());
 }
 
+/// Formats a number of things, such as `1 error` or `2 errors`.
+pub(crate) fn format_count(count: usize, singular: &str, plural: &str) -> String {
+    let noun = if count == 1 { singular } else { plural };
+    format!("{count} {noun}")
+}
+
 /// Formats rows as aligned columns under a heading.
 pub(crate) fn format_columns(heading: &[&str], rows: &[Vec<String>]) -> String {
     let mut widths: Vec<usize> = heading.iter().map(|cell| cell.chars().count()).collect();
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -2,7 +2,7 @@
 
 use kspan_fold::Body;
 use kspan_model::Name;
-use kspan_operator::{CellClient, MemberStatus, PublishOutcome, ReportedValue};
+use kspan_operator::{CellClient, Error, MemberStatus, PublishOutcome, ReportedValue};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -10,7 +10,7 @@
     args::{Drain, Dump},
     document::report_unpublished,
     exit::{Exit, fail, unreachable},
-    output::{Format, format_columns, print},
+    output::{Format, format_columns, format_count, print},
 };
 
 #[derive(Serialize)]
@@ -31,7 +31,7 @@
         0 => Exit::Done,
         count => fail(
             Exit::Unresolved,
-            &format!("{count} processes are not ready"),
+            &format_count(count, "process is not ready", "processes are not ready"),
             "see their logs, or run `kspanctl dump --process NAME`",
         ),
     }
@@ -110,6 +110,11 @@
             .is_none_or(|selected| name.as_str() == selected)
     };
     let statuses = cell.fetch_member_statuses().await;
+    if statuses.is_empty() {
+        let message = Error::NoMember("process").to_string();
+        let next = "start the cell's processes, or wait until they have joined";
+        return fail(Exit::Refused, &message, next);
+    }
     let dumps: serde_json::Map<String, Value> = statuses
         .into_iter()
         .filter(|status| is_selected(&status.member.node.name))
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -54,6 +54,32 @@
     }
 }
 
+/// Guards against a count that does not agree with its noun.
+#[test]
+fn validate_counts_errors() {
+    let faulty = write("one-error.yaml", &EXAMPLE.replacen("32GiB", "32GB", 1));
+    let output = kspanctl(&["validate", faulty.to_str().expect("a path is text")]);
+    let stderr = text(&output.stderr);
+    assert!(stderr.contains("one-error.yaml: 1 error\n"), "{stderr}");
+}
+
+/// Guards against a hint that sends the operator to look for a name when the cell has no members.
+#[test]
+fn dump_of_a_cell_without_members_says_so() {
+    let log = Log::new();
+    let pool = ThreadPool::new(1);
+    let address = "127.0.0.1:0".parse().expect("a valid address");
+    let serving = log.serve(&pool, address).expect("failed to start the log");
+    let log_address = serving.address.to_string();
+    for args in [&["dump"][..], &["dump", "--process", "router-1"]] {
+        let output = kspanctl(&[&["--log", log_address.as_str()], args].concat());
+        let stderr = text(&output.stderr);
+        assert_eq!(output.status.code(), EXIT_REFUSED, "{args:?}: {stderr}");
+        let message = "no process is a member of the cell";
+        assert!(stderr.contains(message), "{args:?}: {stderr}");
+    }
+}
+
 #[test]
 fn publish_accepts_a_change_to_the_current_version_and_refuses_a_stale_one() {
     let log = Log::new();
