Keep the base version when a text is published without a name

The page that rejects a text published without a name submitted it with base version 0. The next check then compared it with an empty document instead of the version from which it was edited. The page now keeps that version.

--- a/crates/console/src/handler.rs
+++ b/crates/console/src/handler.rs
@@ -1,5 +1,8 @@
 //! HTTP handlers of the console's pages.
 
+#[cfg(test)]
+mod tests;
+
 use askama::Template;
 use kspan_model::{
     Name,
@@ -149,6 +152,7 @@
         "publish" if author.is_empty() => rejection_page(
             "Not published",
             "Enter your name. It is shown to other operators with the change.",
+            base,
             text,
         ),
         "publish" => publish_text(&cell, base, author, text).await,
@@ -182,7 +186,7 @@
         message: String::new(),
         text: text.clone(),
         author: author.to_owned(),
-        newest,
+        base: newest,
         ours: Vec::new(),
         theirs: Vec::new(),
         conflict: false,
@@ -291,13 +295,13 @@
         .body(text.to_owned())
 }
 
-fn rejection_page(title: &str, message: &str, text: String) -> HttpResponse {
+fn rejection_page(title: &str, message: &str, base: u64, text: String) -> HttpResponse {
     ok_page(&ResultPage {
         title: title.to_owned(),
         message: message.to_owned(),
         text,
         author: String::new(),
-        newest: 0,
+        base,
         ours: Vec::new(),
         theirs: Vec::new(),
         conflict: false,
--- a/crates/console/src/page.rs
+++ b/crates/console/src/page.rs
@@ -109,8 +109,8 @@
     pub(crate) message: String,
     pub(crate) text: String,
     pub(crate) author: String,
-    /// Version currently in force.
-    pub(crate) newest: u64,
+    /// Version on which the text is checked next: after an attempt to publish it, the one in force.
+    pub(crate) base: u64,
     /// Changes of this operator.
     pub(crate) ours: Vec<Change>,
     /// Changes of other operators since the base version.
