--- a/crates/model/tests/document.rs
+++ b/crates/model/tests/document.rs
@@ -1,6 +1,8 @@
 //! Checks document texts against the errors and warnings that they must produce.
 
-use kspan_model::document::{Diagnostics, MAX_DOCUMENT_BYTES, Preset, Severity, check, parse};
+use kspan_model::document::{
+    Diagnostics, MAX_DOCUMENT_BYTES, Preset, SCHEMA, Severity, check, parse,
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const HAUGLAND: &str = include_str!("../../../examples/haugland.yaml");
@@ -56,6 +58,28 @@
     );
 }
 
+/// Guards against a field that the console shows without help, and for which an error says only
+/// where the reference is.
+#[test]
+fn every_field_of_the_schema_has_a_description() {
+    let schema: serde_json::Value = serde_json::from_str(SCHEMA).expect("the schema is JSON");
+    let definitions = schema["definitions"].as_object().expect("definitions");
+    let types = definitions
+        .iter()
+        .map(|(name, value)| (name.as_str(), value));
+    for (type_name, value) in types.chain([("document", &schema)]) {
+        let fields = value["properties"].as_object().into_iter().flatten();
+        for (field, property) in fields {
+            let reference = property["$ref"].as_str();
+            let target = reference.and_then(|path| schema.pointer(path.trim_start_matches('#')));
+            let description = property["description"]
+                .as_str()
+                .or_else(|| target?["description"].as_str());
+            assert!(description.is_some(), "{type_name}.{field}");
+        }
+    }
+}
+
 /// Text to replace, its replacement, and the expected diagnostic: path, line, severity.
 const CASES: [(&str, &str, &str, usize, Severity); 17] = [
     (
