--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -14,11 +14,11 @@
 #[argh(example = "kspanctl validate examples/haugland.yaml")]
 #[argh(example = "kspanctl --log 10.0.0.5:7001 status --output table")]
 pub(crate) struct Args {
-    /// address of the platform's log, such as 10.0.0.5:7001; KSPAN_LOG where absent
+    /// address of the platform's log, such as 10.0.0.5:7001; defaults to KSPAN_LOG
     #[argh(option)]
     pub(crate) log: Option<SocketAddr>,
 
-    /// name under which changes are published; KSPAN_OPERATOR or USER where absent
+    /// name under which changes are published; defaults to KSPAN_OPERATOR, then USER
     #[argh(option)]
     pub(crate) author: Option<String>,
 
@@ -85,8 +85,8 @@
     #[argh(positional)]
     pub(crate) file: String,
 
-    /// version from which the file was edited; read from the comment that `show` writes where
-    /// absent
+    /// version from which the file was edited; defaults to the one in the comment that `show`
+    /// writes
     #[argh(option)]
     pub(crate) base: Option<u64>,
 
