Print that the console's browser test was skipped

Without a browser driver the test passed and its message was hidden, because the test harness shows the output of failing tests only. The message now goes to standard error directly, with the reason. The test still does not fail without a driver.

Not run in a browser.

--- a/tests/console.rs
+++ b/tests/console.rs
@@ -7,6 +7,7 @@
 
 use std::{
     fs,
+    io::{self, Write as _},
     net::{Ipv4Addr, SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -255,7 +256,12 @@
 #[test]
 fn the_console_publishes_documents_and_shows_conflicts_in_a_browser() {
     if !Path::new(CHROMEDRIVER).exists() {
-        println!("skipped: {CHROMEDRIVER} is not installed");
+        // The test harness hides what a passing test prints, but not what it writes to the stream.
+        let message = "the_console_publishes_documents_and_shows_conflicts_in_a_browser: skipped";
+        let _ = writeln!(
+            io::stderr(),
+            "{message}, because {CHROMEDRIVER} is not installed"
+        );
         return;
     }
     let environment = start_environment();
