Remove adopted tasks from the queue in one function

The adoption of a task found on a worker, and the end of one found in an inventory, repeated how a task that a previous owner started is removed from the queue. One function now does it. Behaviour is unchanged.

--- a/crates/placement/src/commands.rs
+++ b/crates/placement/src/commands.rs
@@ -203,17 +203,22 @@
             return self.record_orphan(orphan, AdoptOutcome::Superseded);
         };
         slot.attempt = task.attempt;
+        self.remove_adopted_from_queue(number, task);
+        let since = found.started;
+        self.assign_worker(number, task.index, worker, found.size, found.state, since);
+        AdoptOutcome::Adopted
+    }
+
+    /// Removes a task that a previous owner of the shard started from the queue.
+    pub(crate) fn remove_adopted_from_queue(&mut self, number: JobNo, task: TaskId) {
+        let job = self.jobs.get_mut(number);
         if job.is_gang() {
             self.adopted_gangs.insert(task.job);
         }
-        let job = self.jobs.get_mut(number);
         job.pending.retain(|index| *index != task.index);
         if job.pending.is_empty() {
             self.dequeue(number);
         }
-        let since = found.started;
-        self.assign_worker(number, task.index, worker, found.size, found.state, since);
-        AdoptOutcome::Adopted
     }
 
     /// Updates the state of a task already recorded on the worker from its inventory.
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -200,14 +200,7 @@
         slot.attempt = task.attempt;
         slot.transition_to(TaskState::Ended);
         job.started = true;
-        if job.is_gang() {
-            self.adopted_gangs.insert(task.job);
-        }
-        let job = self.jobs.get_mut(number);
-        job.pending.retain(|index| *index != task.index);
-        if job.pending.is_empty() {
-            self.dequeue(number);
-        }
+        self.remove_adopted_from_queue(number, task);
         Some(number)
     }
 
