Parse task ids in the type that displays them

The scheduler and the lab's worker each parsed the text of a task id, whose form TaskId's Display determines. TaskId::parse now serves both, with an example that parses what Display writes and refuses other forms. Behaviour is unchanged.

--- a/crates/lab/src/standin/worker/state.rs
+++ b/crates/lab/src/standin/worker/state.rs
@@ -5,7 +5,7 @@
 use kspan_contract::protocol::worker::{
     Command, CommandResult, Exchange, Refusal, Report, Start, TaskState, Token,
 };
-use kspan_model::{JobId, Name, Resources, TaskId};
+use kspan_model::{Name, Resources, TaskId};
 
 use super::{
     WorkerSpec,
@@ -157,7 +157,7 @@
         if unix_ms() > start.sent_unix_ms.saturating_add(start.not_after_ms) {
             return Err(Refusal::TooLate);
         }
-        let task = parse_task(&start.task).ok_or(Refusal::NoSuchTask)?;
+        let task = TaskId::parse(&start.task).ok_or(Refusal::NoSuchTask)?;
         let size = resources(start.size);
         if !self.committed().saturating_add(size).fits_in(self.capacity) {
             self.recorder.records().refused_starts += 1;
@@ -400,14 +400,3 @@
 fn owner_name(owner: &str) -> &str {
     owner.split('#').next().unwrap_or(owner)
 }
-
-fn parse_task(text: &str) -> Option<TaskId> {
-    let mut parts = text.split('.');
-    let job: JobId = parts.next()?.parse().ok()?;
-    let index = parts.next()?.parse().ok()?;
-    let attempt = parts.next()?.parse().ok()?;
-    parts
-        .next()
-        .is_none()
-        .then_some(TaskId::new(job, index, attempt))
-}
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -140,4 +140,27 @@
             attempt,
         }
     }
+
+    /// Parses a task id of the form `job.index.attempt`; returns `None` if the text has another
+    /// form.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use kspan_model::{JobId, TaskId};
+    ///
+    /// let task = TaskId::new(JobId(0xa1), 2, 3);
+    /// assert_eq!(TaskId::parse(&task.to_string()), Some(task));
+    /// for text in ["", "a1", "a1.2", "a1.2.3.4", "a1.2.", "x.2.3", "a1.-2.3"] {
+    ///     assert_eq!(TaskId::parse(text), None, "{text}");
+    /// }
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('.');
+        let job = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        let attempt = parts.next()?.parse().ok()?;
+        let is_complete = parts.next().is_none();
+        is_complete.then_some(Self::new(job, index, attempt))
+    }
 }
--- a/crates/scheduler/src/conversion.rs
+++ b/crates/scheduler/src/conversion.rs
@@ -1,7 +1,7 @@
 //! Conversions between domain types and the bodies of worker exchanges.
 
 use kspan_contract::protocol::worker::{self as protocol, Refusal, Size, Token};
-use kspan_model::{Fence, JobId, Resources, TaskId};
+use kspan_model::{Fence, Resources};
 use kspan_placement::{End, StartRefusal, TaskState};
 
 /// Converts resources to their exchange format.
@@ -31,18 +31,6 @@
     Fence::new(token.view, token.rank)
 }
 
-/// Parses a task id of the form `job.index.attempt`; returns `None` if the text has another form.
-pub fn parse_task_id(text: &str) -> Option<TaskId> {
-    let mut parts = text.split('.');
-    let job: JobId = parts.next()?.parse().ok()?;
-    let index = parts.next()?.parse().ok()?;
-    let attempt = parts.next()?.parse().ok()?;
-    parts
-        .next()
-        .is_none()
-        .then_some(TaskId::new(job, index, attempt))
-}
-
 /// Returns the state of a task that occupies its worker, or `None` if it has ended.
 pub const fn active_state(state: protocol::TaskState) -> Option<TaskState> {
     match state {
--- a/crates/scheduler/src/shard/report.rs
+++ b/crates/scheduler/src/shard/report.rs
@@ -167,7 +167,7 @@
         now: Millis,
         events: &mut Vec<PlacementEvent>,
     ) {
-        let Some(task) = conversion::parse_task_id(&row.task) else {
+        let Some(task) = TaskId::parse(&row.task) else {
             log::warn!(
                 "scheduler: worker {} reports {:?}, which is not a task id; ignoring it",
                 worker.address.name,
@@ -311,7 +311,7 @@
 ) {
     let rows = report.tasks.iter();
     let mut listed = started;
-    listed.extend(rows.filter_map(|row| conversion::parse_task_id(&row.task)));
+    listed.extend(rows.filter_map(|row| TaskId::parse(&row.task)));
     let queue = &worker.queue;
     worker.active_tasks.retain(|task, _| {
         let stays = listed.contains(task) || queue.has_pending_start(*task);
