--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -1,5 +1,8 @@
 //! Messages between the processes of a cell.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::Ipv4Addr;
 
 use derive_more::Debug;
@@ -84,9 +87,14 @@
         !matches!(self.verb, Verb::Show)
     }
 
-    /// Returns whether the response says that the call would change a job and was not executed. That
-    /// must not be said while another attempt at the call may still be executed.
-    pub(crate) fn is_refused_by(&self, response: &CallResponse) -> bool {
+    /// Returns whether the caller may receive the response. While another attempt at the call may
+    /// still be executed, the caller must not be told that its call was not executed.
+    pub(crate) fn is_settled_by(&self, response: &CallResponse, is_in_doubt: bool) -> bool {
+        !(is_in_doubt && self.is_refused_by(response))
+    }
+
+    /// Returns whether the response says that the call would change a job and was not executed.
+    fn is_refused_by(&self, response: &CallResponse) -> bool {
         match self.verb {
             Verb::Submit(_) => !matches!(response.status, 200 | 504),
             // No attempt at a cancellation makes a job unknown, which 410 says.
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -1,5 +1,6 @@
 use std::net::Ipv4Addr;
 
+use kspan_adapter::store::{self, Topic};
 use kspan_jobs::config::{CellConfig, Queue};
 use kspan_model::Name;
 use tokio::{
@@ -50,6 +51,25 @@
     addr.to_string()
 }
 
+/// Returns whether a request to the store with this target appends records.
+pub(crate) fn is_append(target: &str) -> bool {
+    let append = store::fence_request(Topic::Jobs, 0);
+    target.split('?').next() == append.target().split('?').next()
+}
+
+/// Returns whether a request to the store with this target reads records from an offset on.
+pub(crate) fn is_read(target: &str) -> bool {
+    let read = store::read_request(Topic::Jobs, 0, Duration::ZERO);
+    target.split('?').next() == read.target().split('?').next()
+}
+
+/// Returns whether a request to the store with this target is about the topic of the jobs.
+pub(crate) fn is_of_jobs(target: &str) -> bool {
+    let newest = store::newest_request(Topic::Jobs, None);
+    let topic = newest.target().split(['?', '&']).nth(1);
+    topic.is_some_and(|topic| target.contains(topic))
+}
+
 /// Creates a process whose store listens on `store`.
 pub(crate) async fn node(store: &str) -> Rc<Node> {
     Node::new(ProcessSettings {
@@ -201,7 +221,7 @@
 async fn owner_fenced_off_by_the_store_accepts_nothing() {
     use kspan_jobs::spec::{JobSpec, StepSpec};
 
-    let store = start_store(|target| match target.contains("keyed.jobs") {
+    let store = start_store(|target| match is_of_jobs(target) {
         true => (409, br#"{"Reason":"fenced"}"#.to_vec()),
         false => (200, br#"{"Offset":1}"#.to_vec()),
     });
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell as Shared;
 
 use super::*;
-use crate::owner::tests::{owner, start_store};
+use crate::owner::tests::{is_append, is_of_jobs, is_read, owner, start_store};
 
 /// Body of a read without records, from a store at which the topic ends at `end`.
 fn empty_read(end: u64) -> Vec<u8> {
@@ -23,7 +23,7 @@
 async fn snapshot_older_than_what_was_read_before_is_not_used() {
     let end = Rc::new(Shared::new(20));
     let current_end = Rc::clone(&end);
-    let store = start_store(move |target| match target.starts_with("/api/log-read") {
+    let store = start_store(move |target| match is_read(target) {
         true => (410, Vec::new()),
         false => (200, page(*current_end.borrow(), &["i-1"])),
     });
@@ -58,9 +58,10 @@
         let owner = owner(&store).await;
         let mut from = 50;
         let changes = owner.read_changes(Topic::Operators, &mut from, Duration::ZERO);
-        let Some(Changes::Records { is_complete, .. }) = changes.await else {
+        let Some(Changes::Records { coverage, .. }) = changes.await else {
             panic!("expected records");
         };
+        let is_complete = coverage == Coverage::Complete;
         assert_eq!((is_complete, from), (expected, 50), "{status} {end}");
     }
 }
@@ -72,10 +73,10 @@
     let reads = Rc::new(Shared::new(0));
     let counter = Rc::clone(&reads);
     let store = start_store(move |target| {
-        if target.starts_with("/api/log-append") {
+        if is_append(target) {
             return (200, br#"{"Offset":40,"EndOffset":40}"#.to_vec());
         }
-        if target.contains("keyed.jobs") {
+        if is_of_jobs(target) {
             *counter.borrow_mut() += 1;
             let end = if *counter.borrow() < 3 { 39 } else { 40 };
             return (200, page(end, &[]));
@@ -101,3 +102,35 @@
         assert_eq!(owner.config_version(), expected);
     }
 }
+
+/// Guards against a busy loop of reads while the store answers at once without new records.
+#[test]
+fn reads_pause_only_after_an_answer_that_yields_nothing() {
+    let at_once = Duration::from_millis(1);
+    let rest = MIN_READ_INTERVAL - at_once;
+    let table = [
+        ("no change", (7, 7, 7), Coverage::Complete, Duration::ZERO),
+        ("all records", (7, 9, 9), Coverage::Complete, Duration::ZERO),
+        (
+            "part of them",
+            (7, 9, 12),
+            Coverage::Partial,
+            Duration::ZERO,
+        ),
+        ("none of them", (7, 7, 12), Coverage::Nothing, rest),
+        ("outdated", (7, 7, 3), Coverage::Nothing, rest),
+        ("no topic", (7, 7, 0), Coverage::Nothing, rest),
+    ];
+    for (case, (from, next, end), expected, pause) in table {
+        let coverage = Coverage::new(from, next, end);
+        assert_eq!(coverage, expected, "{case}");
+        assert_eq!(coverage.pause(at_once), pause, "{case}");
+    }
+}
+
+/// Guards against a configuration that becomes needlessly old because a read that waited is
+/// followed by a pause.
+#[test]
+fn read_that_waited_is_repeated_without_a_pause() {
+    assert_eq!(Coverage::Nothing.pause(CONFIG_WAIT), Duration::ZERO);
+}
--- a/crates/cell/src/node/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests/queries.rs
@@ -1,3 +1,5 @@
+//! Tests of the queries before a claim, and of claims during a shutdown.
+
 use std::{
     cell::RefCell as Shared,
     net::{Ipv4Addr, SocketAddr},
@@ -61,13 +63,13 @@
         (&[Some(100)], 6, false),
     ];
     for (others, fence, expected) in table {
-        let node = tests::node("127.0.0.1:1").await;
-        let mut members = vec![node.local.clone()];
+        let process = Process::with_node(tests::node("127.0.0.1:1").await);
+        let mut members = vec![process.node.local.clone()];
         for (number, silent_ms) in others.iter().enumerate() {
             members.push(start_process(&format!("b-{number}"), *silent_ms).await);
         }
-        node.set_members(members);
-        let hear = node.others_receive_heartbeats(fence).await;
+        process.node.set_members(members);
+        let hear = process.others_receive_heartbeats(fence).await;
         assert_eq!(hear, expected, "{others:?} {fence}");
     }
 }
@@ -80,13 +82,13 @@
         let appends = Rc::new(Shared::new(0));
         let counter = Rc::clone(&appends);
         let store = tests::start_store(move |target| {
-            *counter.borrow_mut() += usize::from(target.starts_with("/api/log-append"));
+            *counter.borrow_mut() += usize::from(tests::is_append(target));
             (412, br#"{"EndOffset":9}"#.to_vec())
         });
-        let node = tests::node(&store.await).await;
-        node.stopping.set(stopping);
-        node.claim(4, "test").await;
+        let process = Process::with_node(tests::node(&store.await).await);
+        process.node.stopping.set(stopping);
+        process.claim(4, "test").await;
         assert_eq!(*appends.borrow(), expected, "{stopping}");
-        assert!(node.owner_role().is_none());
+        assert!(process.owner_role().is_none());
     }
 }
--- a/crates/cell/src/node/tests.rs
+++ b/crates/cell/src/process/tests.rs
@@ -4,13 +4,14 @@
 };
 
 use kspan_jobs::spec::JobSpec;
+use kspan_model::Name;
 use kspan_wire::stream::{read_frame, write_frame};
 use tokio::net::TcpListener;
 
 use super::*;
 use crate::{
     entry,
-    message::{CallResponse, Frame, Verb},
+    message::{CallResponse, Frame, Member, Verb},
     owner::tests,
     peers::{decode, encode},
 };
@@ -21,7 +22,7 @@
 
 /// Creates a process that knows an owner with the given replies. Returns it with the number of
 /// calls that reach the owner.
-async fn node_with_owner(replies: Replies) -> (Rc<Node>, Rc<Cell<usize>>) {
+async fn process_with_owner(replies: Replies) -> (Rc<Process>, Rc<Cell<usize>>) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
     let SocketAddr::V4(addr) = listener.local_addr().expect("a bound port") else {
@@ -57,7 +58,7 @@
     };
     let now = node.clock.now();
     node.election.borrow_mut().record_heartbeat(now, 1, &owner);
-    (node, calls)
+    (Process::with_node(node), calls)
 }
 
 /// Guards against a caller that is told that its call was not executed, while an attempt whose reply
@@ -78,9 +79,9 @@
         (Verb::Show, &[None], 503),
     ];
     for (verb, replies, expected) in table {
-        let (node, _) = node_with_owner(replies).await;
+        let (process, _) = process_with_owner(replies).await;
         let call = tests::call(verb);
-        let response = entry::execute(&node, call.clone()).await;
+        let response = entry::execute(&process, call.clone()).await;
         assert_eq!(response.status, expected, "{call:?} {replies:?}");
     }
 }
@@ -96,9 +97,9 @@
                 410 => &[Some(410)],
                 _ => &[Some(503)],
             };
-            let (node, calls) = node_with_owner(replies).await;
+            let (process, calls) = process_with_owner(replies).await;
             let call = tests::call(verb.clone());
-            let response = entry::execute(&node, call).await;
+            let response = entry::execute(&process, call).await;
             assert_eq!((response.status, calls.get()), (status, 1), "{verb:?}");
         }
     }
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -1,6 +1,12 @@
 //! Entry point of the program: arguments, settings, start and graceful shutdown.
 
-use std::{env, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+#[cfg(test)]
+mod tests;
+
+use std::{
+    env, future::Future, io, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc,
+    time::Duration,
+};
 
 use argh::FromArgs;
 use signal_hook::{
@@ -13,7 +19,16 @@
     time::Instant,
 };
 
-use crate::{admin, entry, logging, node::Node, peers, precedence, settings::Settings, telemetry};
+use crate::{
+    admin,
+    attempts::{Attempts, Progress},
+    entry, logging,
+    message::Member,
+    peers, precedence,
+    process::Process,
+    settings::Settings,
+    telemetry,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -30,6 +45,13 @@
 /// Time that a process needs to claim the cell after it accepted a takeover, if the store answers.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(500);
 
+/// Maximum number of takeover requests in flight.
+const MAX_TAKEOVER_REQUESTS: usize = 3;
+
+/// Time without a reply after which the next successor is requested as well. A reachable process
+/// replies sooner, so that the first one in the order of successors usually takes over.
+const TAKEOVER_HEDGE_DELAY: Duration = Duration::from_millis(60);
+
 /// Runs one process of a cell on the users' platform.
 #[derive(FromArgs, Debug)]
 #[argh(example = "kspan-cell --settings cell.yaml")]
@@ -99,23 +121,23 @@
     let internal = SocketAddr::from((cfg.address, cfg.internal_port));
     let mut signals = spawn_signal_thread()?;
     let metrics = telemetry::install().map_err(io::Error::other)?;
-    let node = Node::new(cfg).await;
+    let process = Process::new(cfg).await;
     let listener = TcpListener::bind(internal).await?;
     let socket = Rc::new(UdpSocket::bind(internal).await?);
-    entry::serve(Rc::clone(&node), callers).await?;
+    entry::serve(Rc::clone(&process), callers).await?;
     if ready != callers {
-        entry::serve(Rc::clone(&node), ready).await?;
+        entry::serve(Rc::clone(&process), ready).await?;
     }
-    admin::serve(Rc::clone(&node), admin_addr, metrics).await?;
-    let handler = Rc::clone(&node);
+    admin::serve(Rc::clone(&process), admin_addr, metrics).await?;
+    let handler = Rc::clone(&process);
     ntex::rt::spawn(peers::serve(listener, move |req| {
-        let node = Rc::clone(&handler);
-        async move { node.handle_request(req).await }
+        let process = Rc::clone(&handler);
+        async move { process.handle_request(req).await }
     }));
-    ntex::rt::spawn(Rc::clone(&node).receive_heartbeats(socket));
-    ntex::rt::spawn(Rc::clone(&node).monitor_owner());
-    ntex::rt::spawn(Rc::clone(&node).send_member_heartbeats());
-    tracing::info!(node = %node.local.node, life = node.local.life, data_centre = %node.local.data_centre, "started");
+    ntex::rt::spawn(Rc::clone(&process).receive_heartbeats(socket));
+    ntex::rt::spawn(Rc::clone(&process).monitor_owner());
+    ntex::rt::spawn(Rc::clone(&process).send_member_heartbeats());
+    tracing::info!(node = %process.node.local.node, life = process.node.local.life, data_centre = %process.node.local.data_centre, "started");
     loop {
         match signals.recv().await {
             Some(SIGTERM) | None => break,
@@ -125,28 +147,28 @@
             ),
         }
     }
-    shut_down(&node).await;
+    shut_down(&process).await;
     Ok(())
 }
 
 /// Shuts down gracefully: closes connections after their next response and waits for requests in
 /// flight. An owner keeps its role until another process has claimed the cell or the grace period
 /// is over, because no process can claim while the store is unavailable.
-async fn shut_down(node: &Rc<Node>) {
+async fn shut_down(process: &Rc<Process>) {
     tracing::info!("graceful shutdown started");
-    node.stopping.set(true);
+    process.node.stopping.set(true);
     let started_at = Instant::now();
-    let grace = Duration::from_secs_f64(node.cfg.grace_s).saturating_sub(GRACE_MARGIN);
-    let handover = ntex::rt::spawn(hand_over(Rc::clone(node)));
+    let grace = Duration::from_secs_f64(process.node.cfg.grace_s).saturating_sub(GRACE_MARGIN);
+    let handover = ntex::rt::spawn(hand_over(Rc::clone(process)));
     while started_at.elapsed() < grace {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        let idle = node.in_flight.is_empty() && node.owner_role().is_none();
+        let idle = process.node.in_flight.is_empty() && process.owner_role().is_none();
         if started_at.elapsed() >= MIN_DRAIN && idle {
             break;
         }
     }
     drop(handover);
-    if let Some(owner) = node.owner_role() {
+    if let Some(owner) = process.owner_role() {
         owner.step_down("graceful shutdown");
     }
     tracing::info!(
@@ -155,22 +177,52 @@
     );
 }
 
-/// Requests the other processes, one after the other, to claim the cell until one has.
-async fn hand_over(node: Rc<Node>) {
+/// Requests the other processes to claim the cell until one has.
+async fn hand_over(process: Rc<Process>) {
     loop {
-        let fence = node.owner_role().map_or(0, |owner| owner.fence());
-        for member in precedence::successors(&node.local.node, fence, &node.members()) {
-            if node.owner_role().is_none() {
-                return;
-            }
-            if node.request_takeover(&member, fence).await {
-                tokio::time::sleep(TAKEOVER_WAIT).await;
-            }
+        let fence = process.owner_role().map_or(0, |owner| owner.fence());
+        let successors =
+            precedence::successors(&process.node.local.node, fence, &process.node.members());
+        let is_owner = || process.owner_role().is_some();
+        request_takeovers(successors, is_owner, |member| {
+            let process = Rc::clone(&process);
+            async move { process.node.request_takeover(&member, fence).await }
+        })
+        .await;
+        if !is_owner() {
+            return;
         }
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
 }
 
+/// Sends a takeover request to each successor in turn while `is_owner` holds. A successor that does
+/// not reply does not hold up the next ones; one that accepts has time to claim. Several may accept:
+/// all are requested for the same fence, so that at most one claims.
+async fn request_takeovers<R>(
+    successors: Vec<Member>,
+    is_owner: impl Fn() -> bool,
+    request: impl Fn(Member) -> R,
+) where
+    R: Future<Output = bool> + 'static,
+{
+    let mut successors = successors.into_iter();
+    let mut requests = Attempts::new();
+    while is_owner() {
+        if requests.count() < MAX_TAKEOVER_REQUESTS
+            && let Some(member) = successors.next()
+        {
+            requests.start(request(member));
+        }
+        let until = Instant::now() + TAKEOVER_HEDGE_DELAY;
+        match requests.wait(until).await {
+            Progress::Ended(true) => tokio::time::sleep(TAKEOVER_WAIT).await,
+            Progress::Ended(false) | Progress::Slow => {}
+            Progress::NoneInFlight => return,
+        }
+    }
+}
+
 /// Spawns the thread that forwards signals to the returned channel.
 fn spawn_signal_thread() -> io::Result<mpsc::UnboundedReceiver<i32>> {
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
--- a/crates/lab/src/standin/worker/state.rs
+++ b/crates/lab/src/standin/worker/state.rs
@@ -1,15 +1,15 @@
 //! State of a worker: the control lease and the tasks.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use kspan_contract::protocol::worker::{
     Command, CommandResult, Exchange, Refusal, Report, Start, TaskState, Token,
 };
-use kspan_model::{JobId, Name, Resources, TaskId};
+use kspan_model::{Name, Resources, TaskId};
 
 use super::{
     WorkerSpec,
-    entry::{self, Stop, TaskEntry, resources, size},
+    entry::{self, RunTimeModel, Stop, TaskEntry, resources, size},
 };
 use crate::{
     clock::{Micros, unix_ms},
@@ -29,24 +29,6 @@
     pub leaving: bool,
 }
 
-/// Parameters of the tasks' actual run times.
-#[derive(Clone, Copy, Debug)]
-pub struct RunTimeModel {
-    /// Seed of the run times.
-    pub seed: u64,
-    /// Maximum nominal run time of a task, so that tasks end within short experiments.
-    pub max_run_time: Duration,
-}
-
-impl Default for RunTimeModel {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            max_run_time: Duration::from_secs(4),
-        }
-    }
-}
-
 /// An action to perform after the lock on the state has been released.
 pub(super) enum Effect {
     /// Open the runner's listener.
@@ -175,7 +157,7 @@
         if unix_ms() > start.sent_unix_ms.saturating_add(start.not_after_ms) {
             return Err(Refusal::TooLate);
         }
-        let task = parse_task(&start.task).ok_or(Refusal::NoSuchTask)?;
+        let task = TaskId::parse(&start.task).ok_or(Refusal::NoSuchTask)?;
         let size = resources(start.size);
         if !self.committed().saturating_add(size).fits_in(self.capacity) {
             self.recorder.records().refused_starts += 1;
@@ -418,14 +400,3 @@
 fn owner_name(owner: &str) -> &str {
     owner.split('#').next().unwrap_or(owner)
 }
-
-fn parse_task(text: &str) -> Option<TaskId> {
-    let mut parts = text.split('.');
-    let job: JobId = parts.next()?.parse().ok()?;
-    let index = parts.next()?.parse().ok()?;
-    let attempt = parts.next()?.parse().ok()?;
-    parts
-        .next()
-        .is_none()
-        .then_some(TaskId::new(job, index, attempt))
-}
