Test that a pause restarts the timeout of a suspected member

Taking back the restart of the timeouts after a pause turned no test red: the test at hand suspects nobody before the pause. The new test does, and fails without the restart; it passes on the code as it is.

--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{member, view};
+use common::{member, router, view};
 use kspan_membership::{
     Liveness,
     detector::{Action, Detector, HEARTBEAT_INTERVAL},
@@ -259,6 +259,34 @@
     );
 }
 
+/// Guards against a timeout that was running when the process was paused: the member would be silent
+/// at the first heartbeat after the pause, before any answer could arrive.
+#[test]
+fn member_suspected_before_a_pause_is_given_the_full_time_after_it() {
+    let members = vec![router("a", 1), router("b", 1)];
+    let (local, other) = (members[0].node.clone(), members[1].node.clone());
+    let mut detector = Detector::new(local);
+    let mut now = Millis(10_000);
+    detector.set_view(now, &view(1, members));
+    while detector.liveness(&other) != Liveness::Suspect {
+        now += HEARTBEAT_INTERVAL;
+        detector.tick(now, 0, |_| true);
+        assert!(
+            now < Millis(13_000),
+            "an unanswered ping leads to suspicion"
+        );
+    }
+    now += Millis::from_secs(20);
+    detector.tick(now, 0, |_| true);
+    assert!(!detector.liveness(&other).is_silent());
+    // Without an answer, the member becomes silent later all the same.
+    for _ in 0..12 {
+        now += HEARTBEAT_INTERVAL;
+        detector.tick(now, 0, |_| true);
+    }
+    assert!(detector.liveness(&other).is_silent());
+}
+
 #[test]
 fn partitioned_region_is_kept_and_alive_again_after_the_partition() {
     let mut cell = Cell::new();
