--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -102,8 +102,11 @@
     }
 }
 
+/// A name, and how an owner loses the permission to send orders.
+type Loss = (&'static str, fn(&Owner));
+
 /// Ways in which an owner may lose the permission to send orders while one waits for a slot.
-fn losses() -> [(&'static str, fn(&Owner)); 3] {
+fn losses() -> [Loss; 3] {
     [
         ("stepped down", |owner| owner.step_down("test")),
         ("unconfirmed", |owner| {
