Keep inventory calls short while responses are lost, within a rate that the owner bears

Where runners leave calls unanswered, the ends of runs were seen only when the lost call was given up, 0.75 s after it was sent. While responses are being lost, a runner holds a call for 200 ms and the owner gives it up 150 ms later; a large cell is polled at most 2,000 times a second, because more calls would make its owner too slow to answer.

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -15,6 +15,10 @@
 /// Timeout of an inventory call, in addition to its wait time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same while responses are being lost, if the runner answered the call before. Ends of runs are not
+/// seen until a lost call is given up.
+const SHORT_CALL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The same after [`MISSES_BEFORE_SLOW_TIMEOUT`] calls in a row without an answer. A runner that
 /// answers slowly must be heard before its lease ends.
 const SLOW_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -67,10 +71,10 @@
             ack: next_call.ack,
             wait,
         };
-        let timeout = if missed < MISSES_BEFORE_SLOW_TIMEOUT {
-            CALL_TIMEOUT
-        } else {
-            SLOW_CALL_TIMEOUT
+        let timeout = match missed {
+            0 if next_call.expects_loss => SHORT_CALL_TIMEOUT,
+            0..MISSES_BEFORE_SLOW_TIMEOUT => CALL_TIMEOUT,
+            _ => SLOW_CALL_TIMEOUT,
         };
         let response = runner::request_inventory(&connection.client, call, timeout + wait).await;
         if !self.is_active.get() {
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -6,6 +6,7 @@
 use super::{
     Engine, Event, RunnerIx,
     job::{MAX_RUN, TaskState},
+    reserve::ServiceRunners,
     runner::{PlacedRun, UnackedEnd},
     stall::Progress,
 };
@@ -21,7 +22,11 @@
 
 /// The same while responses are being lost: ends in a lost response are seen only with the next
 /// one.
-const MAX_POLL_WAIT_ON_LOSS: Millis = Millis(350);
+const MAX_POLL_WAIT_ON_LOSS: Millis = Millis(200);
+
+/// Maximum number of calls per second to all runners while responses are being lost. A large cell is
+/// polled less often, because calls beyond it would make the owner itself too slow to answer.
+const MAX_POLLS_PER_SECOND_ON_LOSS: u64 = 2_000;
 
 /// The same while a run may be stalled, which is detected only by comparing inventories.
 const MAX_POLL_WAIT_ON_SUSPICION: Millis = Millis(400);
@@ -40,6 +45,8 @@
     pub ack: u64,
     /// How long the runner may wait for the end of a run before it answers.
     pub wait: Millis,
+    /// Whether responses are being lost, so that a late one should be given up soon.
+    pub expects_loss: bool,
 }
 
 impl Engine {
@@ -50,9 +57,10 @@
         let lost_at = self.last_lost_response;
         let has_recent_loss =
             lost_at.is_some_and(|lost_at| now.saturating_sub(lost_at) < LOSS_WINDOW);
+        let wait_on_loss = self.max_poll_wait_on_loss();
         let runner = &mut self.runners[runner_ix.0];
         let wait = match (has_recent_loss, runner.has_suspected_stalls) {
-            (true, _) => MAX_POLL_WAIT_ON_LOSS,
+            (true, _) => wait_on_loss,
             (false, true) => MAX_POLL_WAIT_ON_SUSPICION,
             (false, false) => MAX_POLL_WAIT,
         };
@@ -76,9 +84,17 @@
             } else {
                 wait
             },
+            expects_loss: has_recent_loss,
         }
     }
 
+    /// Returns how long a runner may hold a call open while responses are being lost.
+    fn max_poll_wait_on_loss(&self) -> Millis {
+        let runners: usize = self.services.values().map(ServiceRunners::count).sum();
+        let wait = Millis(runners as u64 * 1_000 / MAX_POLLS_PER_SECOND_ON_LOSS);
+        wait.clamp(MAX_POLL_WAIT_ON_LOSS, MAX_POLL_WAIT)
+    }
+
     /// Records the outcome of the inventory call with the given sequence number.
     pub fn record_inventory(
         &mut self,
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -35,6 +35,13 @@
     count: usize,
 }
 
+impl ServiceRunners {
+    /// Returns the number of runners.
+    pub(super) fn count(&self) -> usize {
+        self.count
+    }
+}
+
 /// Resources of a runner that are kept for waiting tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Reservation {
--- a/crates/jobs/tests/load_patterns.rs
+++ b/crates/jobs/tests/load_patterns.rs
@@ -5,7 +5,7 @@
 
 use kspan_jobs::{
     engine::{Order, RunnerIx},
-    runner::{EndKind, EndedTask, RunningTask, StartOutcome},
+    runner::{EndKind, EndedTask, InventoryOutcome, RunningTask, StartOutcome},
     spec::{StepSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
@@ -256,3 +256,25 @@
         assert_eq!(started, [with_room]);
     }
 }
+
+/// Load pattern: runners leave some calls unanswered. The ends of runs in such a call are seen only with
+/// the next one, so calls are short while that lasts; a large cell is not polled beyond what its owner
+/// can handle.
+#[test]
+fn calls_are_short_while_responses_are_lost_but_not_too_many() {
+    let table = [(4, 200), (350, 200), (3_000, 1_500), (10_000, 1_700)];
+    for (runners, expected) in table {
+        let ids: Vec<String> = (0..runners).map(|number| format!("w{number}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        let mut cell = Cell::new(&ids);
+        (0..2).for_each(|runner_ix| cell.report_ends(runner_ix, Vec::new()));
+        let now = Millis(cell.now);
+        let before = cell.engine.next_inventory_call(RunnerIx(0), now);
+        assert!(!before.expects_loss);
+        assert!(before.wait >= Millis(1_000), "{runners}: {:?}", before.wait);
+        cell.complete_inventory_call(1, &InventoryOutcome::NoResponse);
+        let during = cell.engine.next_inventory_call(RunnerIx(0), now);
+        assert_eq!(during.wait, Millis(expected), "{runners} runners");
+        assert!(during.expects_loss);
+    }
+}
