Keep the platform's formats out of the cell's unit tests

The new tests spelled out paths and bodies of the store and of runners, which tests/names.rs rejects: the platform's names occur in platform/ only. The stand-in's folder holds the answers now. The names test failed before and passes now; the 28 unit tests of kspan-cell pass.

--- a/crates/cell/src/node/claims/tests.rs
+++ b/crates/cell/src/node/claims/tests.rs
@@ -7,7 +7,10 @@
 use tokio::net::TcpListener;
 
 use super::*;
-use crate::{message::Frame, owner::tests};
+use crate::{
+    message::Frame,
+    owner::tests::{self, answers, answers::StoreCallKind},
+};
 
 /// Starts a process that reports the given silence of the owner with fence 5, or does not reply.
 async fn start_process(node: &str, silent_ms: Option<u64>) -> Member {
@@ -79,9 +82,9 @@
     for (stopping, expected) in [(false, 1), (true, 0)] {
         let appends = Rc::new(Shared::new(0));
         let counter = Rc::clone(&appends);
-        let store = tests::start_store(move |target| {
-            *counter.borrow_mut() += usize::from(target.starts_with("/api/log-append"));
-            (412, br#"{"EndOffset":9}"#.to_vec())
+        let store = tests::start_store(move |call| {
+            *counter.borrow_mut() += usize::from(call.kind == StoreCallKind::Append);
+            answers::moved()
         });
         let node = tests::node(&store.await).await;
         node.stopping.set(stopping);
--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -12,6 +12,7 @@
 };
 
 use super::*;
+use crate::owner::tests::answers::{LATE, STARTED, UNUSABLE};
 
 /// A runner that counts its requests and gives each the next response; the last one is repeated.
 struct FakeRunner {
@@ -68,10 +69,6 @@
     }
 }
 
-const STARTED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"ClockMs\":1.0}";
-const UNUSABLE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
-const LATE: &str = "HTTP/1.1 409 Conflict\r\nContent-Length: 17\r\n\r\n{\"Reason\":\"late\"}";
-
 fn task() -> TaskId {
     let step = StepId {
         job: JobId(1),
--- a/crates/cell/src/owner/runners/tests.rs
+++ b/crates/cell/src/owner/runners/tests.rs
@@ -9,6 +9,7 @@
 };
 
 use super::*;
+use crate::owner::tests::answers::EMPTY_INVENTORY;
 
 /// Starts a runner that answers each inventory call after `delay`.
 async fn start_runner(delay: Duration) -> RunnerEntry {
@@ -24,10 +25,7 @@
                         continue;
                     }
                     tokio::time::sleep(delay).await;
-                    let body = r#"{"ClockMs":1000}"#;
-                    let length = body.len();
-                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-                    if stream.write_all((head + body).as_bytes()).await.is_err() {
+                    if stream.write_all(EMPTY_INVENTORY.as_bytes()).await.is_err() {
                         return;
                     }
                 }
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -1,3 +1,6 @@
+#[path = "../../../../platform/standin/answers.rs"]
+pub(crate) mod answers;
+
 use std::net::Ipv4Addr;
 
 use kspan_jobs::config::{CellConfig, Queue};
@@ -7,17 +10,17 @@
     net::TcpListener,
 };
 
+use self::answers::{Answer, StoreCall};
 use super::*;
 use crate::{
     message::{JobCall, Verb},
     settings::Settings as ProcessSettings,
 };
 
-/// Starts a store that answers each request by `answer`, which gets the request's target and returns
-/// the status and the body. Returns the store's address.
+/// Starts a store that answers each request by `answer`. Returns the store's address.
 pub(crate) async fn start_store<F>(answer: F) -> String
 where
-    F: Fn(&str) -> (u16, Vec<u8>) + Clone + 'static,
+    F: Fn(StoreCall) -> Answer + Clone + 'static,
 {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
@@ -30,11 +33,10 @@
                 // The bodies of requests arrive in a read of their own or with the head.
                 while let Ok(length @ 1..) = stream.read(&mut buf).await {
                     let head = String::from_utf8_lossy(&buf[..length]).into_owned();
-                    let Some(target) = head.split(' ').nth(1).filter(|_| head.contains("/api/"))
-                    else {
+                    let Some(call) = StoreCall::parse(&head) else {
                         continue;
                     };
-                    let (status, body) = answer(target);
+                    let (status, body) = answer(call);
                     let head = format!(
                         "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n\r\n",
                         body.len()
@@ -199,9 +201,12 @@
 async fn owner_fenced_off_by_the_store_accepts_nothing() {
     use kspan_jobs::spec::{JobSpec, StepSpec};
 
-    let store = start_store(|target| match target.contains("keyed.jobs") {
-        true => (409, br#"{"Reason":"fenced"}"#.to_vec()),
-        false => (200, br#"{"Offset":1}"#.to_vec()),
+    let store = start_store(|call| {
+        if call.is_of_jobs {
+            answers::fenced()
+        } else {
+            answers::appended(1)
+        }
     });
     let owner = owner(&store.await).await;
     owner.config_read.set(Some(owner.node.clock.reading()));
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -1,21 +1,10 @@
 use std::cell::RefCell as Shared;
 
 use super::*;
-use crate::owner::tests::{owner, start_store};
-
-/// Body of a read without records, from a store at which the topic ends at `end`.
-fn empty_read(end: u64) -> Vec<u8> {
-    [end.to_be_bytes(), [0; 8]].concat()
-}
-
-/// Page of newest records of a store at which the topic ends at `end`.
-fn page(end: u64, keys: &[&str]) -> Vec<u8> {
-    let items: Vec<String> = keys
-        .iter()
-        .map(|key| format!(r#"{{"Key":"{key}","Value":"AAAA","Offset":1}}"#))
-        .collect();
-    format!(r#"{{"items":[{}],"EndOffset":{end}}}"#, items.join(",")).into_bytes()
-}
+use crate::owner::tests::{
+    answers::{self, StoreCallKind, appended, empty_read, page},
+    owner, start_store,
+};
 
 /// Guards against an answer of a store that is behind: a runner that has left would be in use again,
 /// and a configuration older than the one in force count as the newest.
@@ -23,9 +12,9 @@
 async fn snapshot_older_than_what_was_read_before_is_not_used() {
     let end = Rc::new(Shared::new(20));
     let current_end = Rc::clone(&end);
-    let store = start_store(move |target| match target.starts_with("/api/log-read") {
-        true => (410, Vec::new()),
-        false => (200, page(*current_end.borrow(), &["i-1"])),
+    let store = start_store(move |call| match call.kind {
+        StoreCallKind::Read => answers::truncated(),
+        _ => page(*current_end.borrow(), &["i-1"]),
     });
     let owner = owner(&store.await).await;
     let mut from = 20;
@@ -54,7 +43,7 @@
         (200, 60, false),
         (404, 0, false),
     ] {
-        let store = start_store(move |_| (status, empty_read(end))).await;
+        let store = start_store(move |_| empty_read(status, end)).await;
         let owner = owner(&store).await;
         let mut from = 50;
         let changes = owner.read_changes(Topic::Operators, &mut from, Duration::ZERO);
@@ -71,16 +60,15 @@
 async fn recovery_waits_for_the_records_that_precede_its_fence() {
     let reads = Rc::new(Shared::new(0));
     let counter = Rc::clone(&reads);
-    let store = start_store(move |target| {
-        if target.starts_with("/api/log-append") {
-            return (200, br#"{"Offset":40,"EndOffset":40}"#.to_vec());
+    let store = start_store(move |call| {
+        if call.kind == StoreCallKind::Append {
+            return appended(40);
         }
-        if target.contains("keyed.jobs") {
+        if call.is_of_jobs {
             *counter.borrow_mut() += 1;
-            let end = if *counter.borrow() < 3 { 39 } else { 40 };
-            return (200, page(end, &[]));
+            return page(if *counter.borrow() < 3 { 39 } else { 40 }, &[]);
         }
-        (200, page(7, &[]))
+        page(7, &[])
     });
     let owner = owner(&store.await).await;
     let offsets = owner.recover().await.expect("a recovery");
@@ -93,7 +81,7 @@
     let owner = owner("127.0.0.1:1").await;
     let record = |version: u64| KeyedRecord {
         key: store::CONFIG_KEY.to_owned(),
-        value: Some(format!(r#"{{"Version":{version},"Routes":[]}}"#).into_bytes()),
+        value: Some(answers::config(version)),
         offset: 1,
     };
     for (version, expected) in [(5, 5), (4, 5), (6, 6), (1, 6)] {
