Decide by prediction whether a task waits for its rack

Callers saw tasks with data in a rack wait for a fixed time, run time x (slowdown - 1), whether or not the rack was about to have room, and gangs split across racks whenever no rack had room at once. The cause: the rule knew nothing of when the rack would have room.

engine/locality.rs now compares the predicted end in the rack with that elsewhere; engine/rack_forecast.rs predicts when a rack has room, once a pass and size, from the progress of its runs, reservations and the work ahead; engine/overrun.rs learns how much longer than expected runs take. Waits are logged, counted and explained. Steps without a rack are placed as before.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -20,6 +20,13 @@
 fn record_metrics(event: &Event) {
     match event {
         Event::StartOrdered { waited, .. } => telemetry::record_start_order(*waited),
+        Event::RackWaitBegan { .. } => telemetry::record_rack_wait(),
+        Event::RackWaitEnded {
+            how,
+            predicted,
+            waited,
+            ..
+        } => telemetry::record_rack_wait_end(how, *predicted, *waited),
         Event::StartFailed { why, .. } => telemetry::record_not_started(why),
         Event::RunEnded { how, .. } => {
             telemetry::record_run_end(how.map_or("vanished", end_kind_name))
@@ -47,6 +54,8 @@
 fn event_kind(event: &Event) -> &'static str {
     match event {
         Event::StartOrdered { .. } => "ordered",
+        Event::RackWaitBegan { .. } => "rack wait",
+        Event::RackWaitEnded { .. } => "rack wait over",
         Event::StartFailed { .. } => "not started",
         Event::RunEnded { .. } => "run over",
         Event::RunAdopted { .. } => "adopted",
@@ -69,6 +78,23 @@
         } => {
             tracing::info!(%task, run, runner = %runner, waited_ms = waited.0, left_milli, "start ordered");
         }
+        Event::RackWaitBegan {
+            task,
+            rack,
+            predicted,
+            limit,
+        } => {
+            tracing::info!(%task, rack = %rack, predicted_ms = predicted.0, limit_ms = limit.0, "wait for the rack began");
+        }
+        Event::RackWaitEnded {
+            task,
+            rack,
+            how,
+            predicted,
+            waited,
+        } => {
+            tracing::info!(%task, rack = %rack, how, predicted_ms = predicted.0, waited_ms = waited.0, "wait for the rack ended");
+        }
         Event::StartFailed {
             task,
             run,
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -34,6 +34,18 @@
     histogram!("kspan_cell_start_wait_seconds").record(seconds(waited));
 }
 
+/// Records the begin of a wait for a rack.
+pub(crate) fn record_rack_wait() {
+    counter!("kspan_cell_rack_waits_total").increment(1);
+}
+
+/// Records the end of a wait for a rack, with its predicted and its actual duration.
+pub(crate) fn record_rack_wait_end(how: &'static str, predicted: Millis, waited: Millis) {
+    counter!("kspan_cell_rack_waits_ended_total", "how" => how).increment(1);
+    histogram!("kspan_cell_rack_wait_predicted_seconds", "how" => how).record(seconds(predicted));
+    histogram!("kspan_cell_rack_wait_seconds", "how" => how).record(seconds(waited));
+}
+
 /// Records a start order that did not start its task.
 pub(crate) fn record_not_started(why: &'static str) {
     counter!("kspan_cell_not_started_total", "why" => why).increment(1);
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -250,6 +250,60 @@
     );
 }
 
+/// Measures one scheduling pass over `waiting` jobs whose tasks prefer one of the racks, all of which
+/// are full, while runners without a rack have room.
+fn measure_locality(runners: usize, waiting: u64) {
+    let mut now = Millis(10_000);
+    let mut engine = Engine::new(settings());
+    engine.configure(config());
+    list_runners(&mut engine, runners, now);
+    (0..runners).for_each(|runner_ix| report_ends(&mut engine, runner_ix, now, Vec::new()));
+    let submit = |engine: &mut Engine, id: u64, spec: JobSpec| {
+        let path = format!("/q/{}", JobId(id));
+        let req = Submission {
+            host: HOST,
+            path: &path,
+            spec,
+        };
+        engine.submit(now, now.0, req).expect("the job is valid");
+    };
+    for id in 0..runners as u64 {
+        submit(&mut engine, id, spec_of_cores(1, RUNNER_CORES));
+    }
+    commit(&mut engine);
+    schedule_and_start(&mut engine, now, &mut Vec::new());
+    let spare = RunnerEntry {
+        labels: vec![Name::new("a"), Name::new("spare")],
+        ..engine.runner(RunnerIx(0)).clone()
+    };
+    let spare = RunnerEntry {
+        id: Name::new("spare"),
+        ..spare
+    };
+    engine.upsert_runner(now, spare);
+    engine.confirm_ownership(now);
+    report_ends(&mut engine, runners, now, Vec::new());
+    for number in 0..waiting {
+        let mut spec = spec_of_cores(4, 2);
+        let rack = number % (runners as u64 / 8);
+        spec.steps[0].preferred_rack = Some(Name::new(&format!("r{rack}")));
+        submit(&mut engine, runners as u64 + number, spec);
+    }
+    commit(&mut engine);
+    engine.schedule(now);
+    let began = Instant::now();
+    for _ in 0..PASSES {
+        now += Millis(1);
+        engine.confirm_ownership(now);
+        engine.schedule(now);
+    }
+    let each = began.elapsed() / PASSES;
+    println!(
+        "one scheduling pass, {runners} full runners and an empty one, {waiting} jobs waiting for \
+         their racks: {each:?}"
+    );
+}
+
 fn commit(engine: &mut Engine) {
     while let Some(batch) = engine.take_batch() {
         engine.mark_durable(batch.number);
@@ -292,4 +346,7 @@
         measure_scheduling_pass(runners, 300, 1, 2);
         measure_scheduling_pass(runners, 300, 1, 9);
     }
+    for runners in [350, 3_000] {
+        measure_locality(runners, 300);
+    }
 }
--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -69,6 +69,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ApprovalCandidate {
     reason: Reason,
+    /// Whether the runner is outside the rack that the step's tasks prefer.
+    is_remote: bool,
     is_suspect: bool,
     /// Room that a task of the step would take from large tasks.
     loss: u64,
@@ -330,6 +332,7 @@
             .min(MAX_TASKS_PER_RUNNER);
         (tasks > 0).then(|| ApprovalCandidate {
             reason,
+            is_remote: self.is_outside_settled_rack(runner_ix, step, spec),
             is_suspect: runner.health.is_suspect(),
             loss: self.placement_loss(runner, spec),
             tasks: Reverse(tasks),
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -8,6 +8,8 @@
 use super::{
     Engine, Event, RunnerIx,
     job::{Task, TaskState},
+    overrun::Ratio,
+    runner::PlacedRun,
 };
 use crate::{
     id::{JobId, TaskId},
@@ -27,7 +29,9 @@
         now: Millis,
         unix_ms: u64,
     ) {
-        self.runners[runner_ix.0].remove_run(end.task, end.run);
+        let runner = &mut self.runners[runner_ix.0];
+        let placed = runner.runs.get(&(end.task, end.run)).copied();
+        runner.remove_run(end.task, end.run);
         self.emit_run_ended(runner_ix, end.task, end.run, Some(end.how), now);
         self.update_health(runner_ix, end.how, now);
         let index = end.task.index as usize;
@@ -60,11 +64,21 @@
                 .image
                 .clone()
                 .filter(|_| current && run_time >= MIN_MEASURED_RUN);
+            if let Some(placed) = placed.filter(|_| current && run_time >= MIN_MEASURED_RUN) {
+                self.record_overrun(runner_ix, &placed, now);
+            }
             if active {
                 self.complete_task(end.task, gang, now, unix_ms);
             }
             if let Some(image) = image {
-                self.run_times.record(&image, run_time);
+                let is_remote = placed.is_some_and(|placed| placed.is_remote);
+                let slowdown = if is_remote {
+                    self.cfg.cross_rack_slowdown
+                } else {
+                    1
+                };
+                let local_run_time = Millis(run_time.0 / u64::from(slowdown.max(1)));
+                self.run_times.record(&image, local_run_time);
             }
             return;
         }
@@ -89,6 +103,17 @@
         }
     }
 
+    /// Records how much longer than expected a completed run took.
+    fn record_overrun(&mut self, runner_ix: RunnerIx, placed: &PlacedRun, now: Millis) {
+        let Some(expected) = placed.expected_run_time() else {
+            return;
+        };
+        let actual = now.saturating_sub(placed.ordered_at);
+        let rack = self.rack_of(runner_ix);
+        self.overruns
+            .record(rack.as_ref(), Ratio::new(actual, expected));
+    }
+
     /// Removes a run that neither exists on its runner nor can start there.
     pub(super) fn remove_lost_run(
         &mut self,
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -170,6 +170,9 @@
         if !can_place {
             return self.lacking_room(spec, policy, now);
         }
+        if let Some(why) = rack_wait_reason(step, now) {
+            return why;
+        }
         let why = if step.approvals.pending.is_some() {
             "an approval request is in flight"
         } else if policy.approval.is_some() {
@@ -203,3 +206,16 @@
         )
     }
 }
+
+/// Describes the wait of a step's tasks for their rack, by the one that gives it up first.
+fn rack_wait_reason(step: &Step, now: Millis) -> Option<String> {
+    let waits = || step.tasks.iter().filter_map(|task| task.wait.as_ref());
+    let first = waits().min_by_key(|wait| wait.until)?;
+    let (count, rack) = (waits().count(), &first.rack);
+    let left = first.until.saturating_sub(now).0;
+    let predicted = first.predicted.saturating_sub(now).0;
+    Some(format!(
+        "{count} wait for room in rack {rack}, predicted in {predicted} ms, and start elsewhere in \
+         {left} ms at the latest"
+    ))
+}
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -273,12 +273,17 @@
     fn charge_reported_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32, now: Millis) {
         let job = self.jobs.get(&task.step.job);
         let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
+        let is_remote = spec.is_some_and(|spec| self.is_outside_preferred_rack(runner_ix, spec));
         let placed = PlacedRun {
             size: spec.map(StepSpec::charged_resources),
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             settled_sequence: Some(self.last_sequence),
             stop_sent_at: None,
-            expected_end: spec.and_then(|spec| self.run_times.expected_end(spec, now)),
+            expected_end: spec
+                .filter(|spec| !spec.long_running)
+                .map(|spec| now + self.expected_run_time(spec, is_remote)),
+            ordered_at: now,
+            is_remote,
             progress: Progress::default(),
         };
         self.runners[runner_ix.0].add_run(task, run, placed);
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -3,7 +3,7 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 
-use super::{approvals::Approvals, runner::RunnerIx};
+use super::{approvals::Approvals, locality::Wait, runner::RunnerIx};
 use crate::{
     id::{JobId, StepId},
     record::{FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
@@ -53,6 +53,8 @@
     pub(super) skip_runs: u32,
     /// Whether a run ordered by a previous owner may exist on a runner that has not answered.
     pub(super) unverified: bool,
+    /// The task's wait for its rack, or that of its gang if the task is the first member.
+    pub(super) wait: Option<Wait>,
 }
 
 impl Task {
@@ -67,6 +69,7 @@
             stall_count: 0,
             skip_runs: 0,
             unverified: false,
+            wait: None,
         }
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -14,9 +14,12 @@
 mod host_list;
 mod inventory;
 mod job;
+mod locality;
 mod orders;
+mod overrun;
 mod place;
 mod queries;
+mod rack_forecast;
 mod reserve;
 mod runner;
 mod servable;
@@ -35,6 +38,8 @@
     durable::Batches,
     estimate::RunTimes,
     job::Job,
+    overrun::Overruns,
+    rack_forecast::RackForecast,
     reserve::{Reservation, ServiceRunners},
     runner::Runner,
 };
@@ -48,6 +53,7 @@
     durable::Batch,
     explain::{Explanation, StepExplanation},
     inventory::InventoryCall,
+    locality::LocalityRule,
     queries::{JobState, Totals},
     runner::RunnerIx,
     submit::{CancelOutcome, Submission, SubmitError, Submitted},
@@ -139,6 +145,30 @@
         /// Processor capacity left free on the runner, in thousandths of a core.
         left_milli: u64,
     },
+    /// A task or gang began to wait for room in its rack, although it could start in another one.
+    RackWaitBegan {
+        /// Task id; the first member of a gang.
+        task: TaskId,
+        /// Name of the rack.
+        rack: Name,
+        /// Predicted time until the start in the rack.
+        predicted: Millis,
+        /// Time after which the task gives up the rack.
+        limit: Millis,
+    },
+    /// A task or gang that waited for its rack starts.
+    RackWaitEnded {
+        /// Task id; the first member of a gang.
+        task: TaskId,
+        /// Name of the rack.
+        rack: Name,
+        /// Reason for the end: `local`, `gave up` or `prediction worsened`.
+        how: &'static str,
+        /// Time until the start in the rack that was predicted when the wait began.
+        predicted: Millis,
+        /// Duration of the wait.
+        waited: Millis,
+    },
     /// A start was refused, or its outcome is in doubt.
     StartFailed {
         /// Task id.
@@ -233,6 +263,7 @@
     approval_hosts: ApprovalHosts,
     approval_rates: ApprovalRates,
     run_times: RunTimes,
+    overruns: Overruns,
     demand: Demand,
     /// Runners of each service.
     services: FxHashMap<Name, ServiceRunners>,
@@ -240,6 +271,10 @@
     open_runners: Vec<RunnerIx>,
     /// Runners reserved during the current scheduling pass.
     reserved: FxHashMap<RunnerIx, Reservation>,
+    /// How tasks wait for their rack.
+    locality_rule: LocalityRule,
+    /// Forecast of the current scheduling pass.
+    forecast: RackForecast,
     batches: Batches,
     /// Latest sequence number, which orders calls and outcomes.
     last_sequence: u64,
@@ -274,10 +309,13 @@
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
             run_times: RunTimes::default(),
+            overruns: Overruns::default(),
             demand: Demand::default(),
             services: FxHashMap::default(),
             open_runners: Vec::new(),
             reserved: FxHashMap::default(),
+            locality_rule: LocalityRule::default(),
+            forecast: RackForecast::default(),
             batches: Batches::default(),
             last_sequence: 0,
             unverified_until: None,
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -3,21 +3,23 @@
 //! Placement is best-fit: a task goes to the runner where it takes the least room from the large
 //! tasks in demand and then leaves the least resources over, so that large tasks and gangs find
 //! empty runners when dissimilar tasks share runners of different sizes.
-//! Tasks of a long-running step are spread over runners. Tasks with a preferred rack stay there
-//! unless waiting for it takes longer than running elsewhere.
+//! Tasks of a long-running step are spread over runners. Tasks with a preferred or shared rack are
+//! placed there, wait for it or are placed elsewhere; see `locality`.
 
-use kspan_model::{Millis, Resources};
+use kspan_model::{Millis, Name, Resources};
 
 use super::{
     Engine, Event, Order, RunnerIx, StartOrder,
-    job::{Step, Task, TaskState},
+    job::{Job, Step, Task, TaskState},
+    locality::{Decision, Wait, decide},
+    rack_forecast::RackForecast,
     runner::{PlacedRun, Runner},
     stall::Progress,
     urgency::Urgency,
 };
 use crate::{
     config::Policy,
-    id::{JobId, StepId, TaskId},
+    id::{JobId, StepId},
     record::Phase,
     spec::StepSpec,
 };
@@ -56,6 +58,8 @@
     is_durable: bool,
     /// Whether runners are reserved for the step while its tasks wait.
     is_reservable: bool,
+    /// Whether the run time of the tasks depends on their rack.
+    has_locality: bool,
 }
 
 /// The ready steps of a scheduling pass.
@@ -63,12 +67,29 @@
 struct ReadySteps {
     /// The steps, the most urgent first.
     steps: Vec<ReadyStep>,
+    /// Steps without room on any runner, the most urgent first.
+    without_room: Vec<ReadyStep>,
     /// A job that can no longer meet its objective and was not reported yet.
     late_job: Option<JobId>,
 }
 
-/// Index of a task, and the runner chosen for it.
-type Choice = (u32, RunnerIx);
+/// The runner chosen for a task.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    /// Index of the task.
+    index: u32,
+    runner_ix: RunnerIx,
+    /// Whether the run takes longer because it is not in its rack.
+    is_remote: bool,
+}
+
+/// Decisions for the waiting tasks of a step.
+#[derive(Debug, Default)]
+struct Placement {
+    choices: Vec<Choice>,
+    /// Indexes of the tasks that wait for their rack, and their waits.
+    waits: Vec<(u32, Wait)>,
+}
 
 impl Engine {
     /// Starts waiting tasks where resources allow, in order of urgency.
@@ -80,13 +101,26 @@
         self.reserved.clear();
         let ReadySteps {
             steps: ready_steps,
+            without_room,
             late_job,
         } = self.ranked_ready_steps(now);
         self.open_runners = self.runners_with_room(&ready_steps, now);
+        if ready_steps.iter().any(|ready| ready.has_locality) {
+            self.forecast = self.new_forecast();
+        }
+        let mut without_room = without_room.into_iter().peekable();
         for ready in ready_steps {
+            if self.forecast.is_active() {
+                while let Some(ahead) = without_room.next_if(|ahead| *ahead < ready) {
+                    self.claim_for_waiting(ahead.step);
+                }
+            }
             if ready.is_durable {
                 self.place_step(ready.step, all_verified, now);
             }
+            if self.forecast.is_active() && !ready.has_locality {
+                self.claim_for_waiting(ready.step);
+            }
             if ready.urgency.is_overdue() {
                 self.reserve_for_overdue(ready.step, now);
             } else if ready.is_reservable {
@@ -95,6 +129,7 @@
             self.request_approvals(ready.step, now);
         }
         self.reserved.clear();
+        self.forecast = RackForecast::default();
         self.report_late_job(late_job, now);
     }
 
@@ -103,6 +138,7 @@
     fn ranked_ready_steps(&mut self, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let mut ready = Vec::new();
+        let mut without_room = Vec::new();
         let mut late_job = None;
         let mut exhausted = Vec::new();
         for id in &self.schedulable {
@@ -122,26 +158,37 @@
                 late_job = Some(*id);
             }
             let policy = &job.record.policy;
-            let fitting = steps.filter_map(|id| {
-                let (step, spec) = job.step(id)?;
+            for id in steps {
+                let Some((step, spec)) = job.step(id) else {
+                    continue;
+                };
                 let is_overdue = self.is_overdue(step, spec, now);
                 let is_reservable = self.is_reservable(spec, policy);
                 let fits = spec.charged_resources().fits_in(max_free);
-                (fits || is_overdue || is_reservable).then_some(ReadyStep {
+                let steps = if fits || is_overdue || is_reservable {
+                    &mut ready
+                } else {
+                    &mut without_room
+                };
+                steps.push(ReadyStep {
                     urgency: urgency.with_overdue(is_overdue),
                     step: id,
                     is_durable,
                     is_reservable,
-                })
-            });
-            ready.extend(fitting);
+                    has_locality: self.has_locality(spec),
+                });
+            }
         }
         for id in exhausted {
             self.schedulable.remove(&id);
         }
         ready.sort_unstable();
+        if ready.iter().any(|ready| ready.has_locality) {
+            without_room.sort_unstable();
+        }
         ReadySteps {
             steps: ready,
+            without_room,
             late_job,
         }
     }
@@ -213,94 +260,223 @@
     }
 
     fn place_step(&mut self, id: StepId, all_verified: bool, now: Millis) {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let Some((step, spec)) = job.step(id) else {
+        let mut forecast = std::mem::take(&mut self.forecast);
+        let placement = self.placement(id, all_verified, &mut forecast, now);
+        self.forecast = forecast;
+        let Some(Placement { choices, waits }) = placement else {
             return;
         };
-        let policy = &job.record.policy;
-        let choices = if spec.gang {
-            self.choose_gang(id, step, spec, policy, all_verified, now)
-        } else {
-            self.choose_runners(id, step, spec, policy, all_verified, now)
-        };
+        self.record_waits(id, waits, now);
         if choices.is_empty() {
             return;
         }
+        let Some((step, spec)) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+            return;
+        };
         let run = choices
             .iter()
-            .map(|(index, _)| next_run(&step.tasks[*index as usize]))
+            .map(|choice| next_run(&step.tasks[choice.index as usize]))
             .max();
         let gang_run = run.filter(|_| spec.gang);
-        for (index, runner_ix) in choices {
-            self.start_task(id.task(index), runner_ix, gang_run, now);
+        for choice in choices {
+            self.start_task(id, choice, gang_run, now);
+        }
+    }
+
+    /// Decides for the waiting tasks of a step.
+    fn placement(
+        &self,
+        id: StepId,
+        all_verified: bool,
+        forecast: &mut RackForecast,
+        now: Millis,
+    ) -> Option<Placement> {
+        let job = self.jobs.get(&id.job)?;
+        let (_, spec) = job.step(id)?;
+        if spec.gang {
+            self.place_gang(id, job, all_verified, forecast, now)
+        } else {
+            self.place_tasks(id, job, all_verified, forecast, now)
         }
     }
 
     /// Chooses a runner for each waiting task that can be placed.
-    fn choose_runners(
+    fn place_tasks(
         &self,
         id: StepId,
-        step: &Step,
-        spec: &StepSpec,
-        policy: &Policy,
+        job: &Job,
         all_verified: bool,
+        forecast: &mut RackForecast,
         now: Millis,
-    ) -> Vec<Choice> {
+    ) -> Option<Placement> {
+        let (step, spec) = job.step(id)?;
         let size = spec.charged_resources();
-        let mut candidates = self.candidates(id, step, spec, policy, now);
-        let mut choices = Vec::new();
+        let mut candidates = self.candidates(id, step, spec, &job.record.policy, now);
+        let may_start = |task: &Task| task.may_start(all_verified);
+        let waiting = step.tasks.iter().filter(|task| may_start(task)).count();
+        let mut near = self.near(id, job, waiting, forecast, now);
+        if let Some(near) = &near {
+            self.add_candidates_in_rack(&mut candidates, &near.rack, id, job, forecast, now);
+        }
+        let mut placement = Placement::default();
+        let mut is_rack_full = false;
+        let mut decided = 0;
         for (index, task) in (0..).zip(&step.tasks) {
             if candidates.is_empty() {
                 break;
             }
-            if !task.may_start(all_verified) {
+            if !may_start(task) {
                 continue;
             }
-            let Some(at) = self.best_candidate(&candidates, step, spec, Some(task), now) else {
+            decided += 1;
+            let mut at = None;
+            if let Some(near) = near.as_mut() {
+                if near.prefers_rack(self.locality_rule) {
+                    if !is_rack_full {
+                        let place = Place::Inside(&near.rack);
+                        at = self.best_candidate(&candidates, spec, task, place);
+                        is_rack_full = at.is_none();
+                    }
+                    if at.is_none()
+                        && let Decision::WaitUntil(until) =
+                            self.decide_for_task(index, id, job, near, forecast)
+                    {
+                        placement.waits.push((index, near.wait(until)));
+                        continue;
+                    }
+                } else {
+                    let place = Place::Outside(&near.rack);
+                    at = self.best_candidate(&candidates, spec, task, place);
+                }
+            }
+            let at = at.or_else(|| self.best_candidate(&candidates, spec, task, Place::Any));
+            let Some(at) = at else {
                 continue;
             };
-            choices.push((index, candidates[at].runner_ix));
+            let runner_ix = candidates[at].runner_ix;
+            let runner = &self.runners[runner_ix.0];
+            placement.choices.push(Choice {
+                index,
+                runner_ix,
+                is_remote: near
+                    .as_ref()
+                    .is_some_and(|near| !runner.has_label(&near.rack)),
+            });
             if !candidates[at].reserve(size) {
                 candidates.swap_remove(at);
             }
         }
-        choices
+        if let Some(near) = &near {
+            forecast.claim_near(near, spec, waiting - decided);
+            if !placement.waits.is_empty() {
+                forecast.await_rack(id, &near.rack);
+            }
+        }
+        Some(placement)
     }
 
     /// Chooses runners for all members of a gang, or for none.
-    fn choose_gang(
+    fn place_gang(
         &self,
         id: StepId,
-        step: &Step,
-        spec: &StepSpec,
-        policy: &Policy,
+        job: &Job,
         all_verified: bool,
+        forecast: &mut RackForecast,
         now: Millis,
-    ) -> Vec<Choice> {
+    ) -> Option<Placement> {
+        let (step, spec) = job.step(id)?;
         if !step.tasks.iter().all(|task| task.may_start(all_verified)) {
-            return Vec::new();
+            return None;
         }
-        let all = self.candidates(id, step, spec, policy, now);
-        if spec.same_rack {
-            let mut racks: Vec<_> = all
-                .iter()
-                .map(|candidate| self.rack_of(candidate.runner_ix))
-                .collect();
-            racks.sort_unstable();
-            racks.dedup();
-            for rack in racks {
-                let in_rack = all
-                    .iter()
-                    .filter(|candidate| self.rack_of(candidate.runner_ix) == rack);
-                let choices = self.fill_gang(in_rack.cloned().collect(), step, spec, now);
-                if !choices.is_empty() {
-                    return choices;
-                }
+        let mut all = self.candidates(id, step, spec, &job.record.policy, now);
+        let has_locality = self.has_locality(spec);
+        if !has_locality && !spec.same_rack {
+            return Some(Placement {
+                choices: self.fill_gang(all, step, spec, false),
+                waits: Vec::new(),
+            });
+        }
+        let mut racks: Vec<_> = match &spec.preferred_rack {
+            Some(rack) => {
+                self.add_candidates_in_rack(&mut all, rack, id, job, forecast, now);
+                vec![rack.clone()]
             }
+            None => all
+                .iter()
+                .filter_map(|candidate| self.rack_of(candidate.runner_ix))
+                .collect(),
+        };
+        racks.sort_unstable();
+        racks.dedup();
+        let has_label = |candidate: &&Candidate, rack: &Name| {
+            self.runners[candidate.runner_ix.0].has_label(rack)
+        };
+        let in_racks = racks.iter().map(|rack| {
+            let in_rack = all.iter().filter(|candidate| has_label(candidate, rack));
+            self.fill_gang(in_rack.cloned().collect(), step, spec, false)
+        });
+        let mut in_racks = in_racks.filter(|choices| !choices.is_empty());
+        if let Some(choices) = in_racks.next() {
+            return Some(Placement {
+                choices,
+                waits: Vec::new(),
+            });
+        }
+        let across = self.fill_gang(all, step, spec, has_locality);
+        if !has_locality {
+            return Some(Placement {
+                choices: across,
+                waits: Vec::new(),
+            });
+        }
+        Some(self.wait_or_split(id, job, across, forecast, now))
+    }
+
+    /// Decides whether a gang that fits in no rack now waits for one or starts as `across` says,
+    /// which is empty if it cannot start.
+    fn wait_or_split(
+        &self,
+        id: StepId,
+        job: &Job,
+        across: Vec<Choice>,
+        forecast: &mut RackForecast,
+        now: Millis,
+    ) -> Placement {
+        let split = |choices| Placement {
+            choices,
+            waits: Vec::new(),
+        };
+        let Some((step, spec)) = job.step(id) else {
+            return Placement::default();
+        };
+        let best = self.best_gang_rack(id, job, forecast, now);
+        let Some((start, rack)) = best else {
+            return split(across);
+        };
+        let Some(mut situation) = self.situation(id, &rack, job, forecast, now) else {
+            return split(across);
+        };
+        let first = &step.tasks[0];
+        situation.local_start = Some(start);
+        situation.waiting_since = first.state_since;
+        let decision = decide(self.gang_rule(spec), &situation, first.wait.as_ref());
+        let Decision::WaitUntil(until) = decision else {
+            return split(across);
+        };
+        forecast.claim_for_gang(id, spec, &rack, situation.local_run_time);
+        if across.is_empty() {
+            return Placement::default();
+        }
+        let wait = Wait {
+            rack,
+            began: now,
+            predicted: start,
+            until,
+        };
+        Placement {
+            choices: Vec::new(),
+            waits: vec![(0, wait)],
         }
-        self.fill_gang(all, step, spec, now)
     }
 
     fn fill_gang(
@@ -308,15 +484,19 @@
         mut candidates: Vec<Candidate>,
         step: &Step,
         spec: &StepSpec,
-        now: Millis,
+        is_remote: bool,
     ) -> Vec<Choice> {
         let mut choices = Vec::new();
         for index in 0..spec.count {
             let task = &step.tasks[index as usize];
-            let Some(at) = self.best_candidate(&candidates, step, spec, Some(task), now) else {
+            let Some(at) = self.best_candidate(&candidates, spec, task, Place::Any) else {
                 return Vec::new();
             };
-            choices.push((index, candidates[at].runner_ix));
+            choices.push(Choice {
+                index,
+                runner_ix: candidates[at].runner_ix,
+                is_remote,
+            });
             if !candidates[at].reserve(spec.charged_resources()) {
                 candidates.swap_remove(at);
             }
@@ -376,19 +556,39 @@
         })
     }
 
+    /// Adds the runners of a rack that are not among the candidates, because the step examines only
+    /// a part of the runners.
+    fn add_candidates_in_rack(
+        &self,
+        candidates: &mut Vec<Candidate>,
+        rack: &Name,
+        id: StepId,
+        job: &Job,
+        forecast: &RackForecast,
+        now: Millis,
+    ) {
+        let policy = &job.record.policy;
+        let Some((step, spec)) = job.step(id) else {
+            return;
+        };
+        if policy.approval.is_some() || self.open_runners.len() <= MAX_EXAMINED {
+            return;
+        }
+        for runner_ix in forecast.runners_in(rack) {
+            if candidates.iter().all(|known| known.runner_ix != *runner_ix) {
+                candidates.extend(self.candidate(*runner_ix, id, step, spec, policy, now));
+            }
+        }
+    }
+
     /// Returns the index of the best candidate for a task.
     fn best_candidate(
         &self,
         candidates: &[Candidate],
-        step: &Step,
         spec: &StepSpec,
-        task: Option<&Task>,
-        now: Millis,
+        task: &Task,
+        place: Place,
     ) -> Option<usize> {
-        let waited = task.map_or(Millis::ZERO, |task| now.saturating_sub(task.state_since));
-        let locality_wait =
-            Millis(self.run_times.expected(spec).0 * u64::from(self.cfg.cross_rack_slowdown - 1));
-        let current_rack = self.rack_in_use(step, spec);
         let service = candidates.first().map(|candidate| {
             let runner = &self.runners[candidate.runner_ix.0];
             &runner.entry.service
@@ -396,9 +596,7 @@
         let shapes = service.and_then(|service| self.demand.shapes(service));
         let scored = candidates.iter().enumerate().filter_map(|(at, candidate)| {
             let runner = &self.runners[candidate.runner_ix.0];
-            let target_rack = spec.preferred_rack.as_ref().or(current_rack.as_ref());
-            let off_rack = target_rack.is_some_and(|rack| !runner.has_label(rack));
-            if off_rack && waited < locality_wait {
+            if !place.includes(runner) {
                 return None;
             }
             let left = candidate.left();
@@ -407,7 +605,7 @@
             if runner.health.is_suspect() {
                 score += SUSPECT_PENALTY;
             }
-            if task.is_some_and(|task| task.last_failed_on == Some(candidate.runner_ix)) {
+            if task.last_failed_on == Some(candidate.runner_ix) {
                 score += FAILED_RUNNER_PENALTY;
             }
             if spec.long_running {
@@ -418,31 +616,40 @@
         scored.min().map(|(_, at)| at)
     }
 
-    /// Returns the rack in use by a step whose tasks should share one.
-    fn rack_in_use(&self, step: &Step, spec: &StepSpec) -> Option<kspan_model::Name> {
-        if !spec.same_rack || spec.gang {
-            return None;
-        }
-        let used = step.tasks_by_runner.iter().filter(|(_, count)| **count > 0);
-        let first = used.map(|(runner_ix, _)| *runner_ix).min()?;
-        self.rack_of(first)
-    }
-
     /// Returns the runner's rack, which is its last label.
-    fn rack_of(&self, runner_ix: RunnerIx) -> Option<kspan_model::Name> {
+    pub(super) fn rack_of(&self, runner_ix: RunnerIx) -> Option<Name> {
         self.runners[runner_ix.0].entry.labels.last().cloned()
     }
 
-    fn start_task(
-        &mut self,
-        task: TaskId,
-        runner_ix: RunnerIx,
-        gang_run: Option<u32>,
-        now: Millis,
-    ) {
+    /// Records the waits of tasks for their rack, and reports those that begin.
+    fn record_waits(&mut self, id: StepId, waits: Vec<(u32, Wait)>, now: Millis) {
+        let step = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id));
+        let Some((step, _)) = step else {
+            return;
+        };
+        for (index, mut wait) in waits {
+            let task = &mut step.tasks[index as usize];
+            if let Some(known) = &task.wait {
+                wait.began = known.began;
+                wait.predicted = known.predicted;
+            } else {
+                self.events.push(Event::RackWaitBegan {
+                    task: id.task(index),
+                    rack: wait.rack.clone(),
+                    predicted: wait.predicted.saturating_sub(now),
+                    limit: wait.until.saturating_sub(now),
+                });
+            }
+            task.wait = Some(wait);
+        }
+    }
+
+    fn start_task(&mut self, id: StepId, choice: Choice, gang_run: Option<u32>, now: Millis) {
+        let (task, runner_ix) = (id.task(choice.index), choice.runner_ix);
         let Some(deadline) = self.runners[runner_ix.0].extend_lease(&self.cfg, now) else {
             return;
         };
+        let slowdown = self.cfg.cross_rack_slowdown;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -452,7 +659,10 @@
         };
         let index = task.index as usize;
         let (size, sharing) = (spec.charged_resources(), spec.sharing());
-        let expected_end = self.run_times.expected_end(spec, now);
+        let expected_end = self.run_times.expected_end(spec, now).map(|end| {
+            let slowdown = if choice.is_remote { slowdown } else { 1 };
+            now + Millis(end.saturating_sub(now).0 * u64::from(slowdown))
+        });
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
         let ticket = step.approvals.ticket(runner_ix, now).cloned();
@@ -462,6 +672,15 @@
         known.run = run;
         known.skip_runs = 0;
         known.unverified = false;
+        if let Some(wait) = known.wait.take() {
+            self.events.push(Event::RackWaitEnded {
+                task,
+                how: wait.end_kind(choice.is_remote, now),
+                predicted: wait.predicted.saturating_sub(wait.began),
+                waited: now.saturating_sub(wait.began),
+                rack: wait.rack,
+            });
+        }
         step.set_state(index, TaskState::Starting(runner_ix), now);
         let runner = &mut self.runners[runner_ix.0];
         runner.add_run(
@@ -473,6 +692,8 @@
                 settled_sequence: None,
                 stop_sent_at: None,
                 expected_end,
+                ordered_at: now,
+                is_remote: choice.is_remote,
                 progress: Progress::default(),
             },
         );
@@ -495,6 +716,27 @@
     }
 }
 
+/// Runners among which a task is placed.
+#[derive(Clone, Copy, Debug)]
+enum Place<'a> {
+    /// All runners.
+    Any,
+    /// Those in the rack.
+    Inside(&'a Name),
+    /// Those outside the rack.
+    Outside(&'a Name),
+}
+
+impl Place<'_> {
+    fn includes(self, runner: &Runner) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Inside(rack) => runner.has_label(rack),
+            Self::Outside(rack) => !runner.has_label(rack),
+        }
+    }
+}
+
 /// A runner that can take tasks of a step, with the resources left during the assignment.
 #[derive(Clone, Debug)]
 struct Candidate {
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -46,6 +46,15 @@
     size: Resources,
 }
 
+/// A reservation of a runner, as seen by other steps.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OtherReservation {
+    /// Capacity that is not reserved.
+    pub(super) unreserved: Resources,
+    /// Expected end of the tasks that the rest is reserved for.
+    pub(super) ends_at: Millis,
+}
+
 /// An expected place for one task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Slot {
@@ -81,6 +90,13 @@
             .map_or(Resources::ZERO, |runners| runners.largest)
     }
 
+    /// Returns the number of a service's runners that are not known to have ended.
+    pub(super) fn runner_count(&self, service: &Name) -> usize {
+        self.services
+            .get(service)
+            .map_or(0, |runners| runners.count)
+    }
+
     /// Includes the capacity of a runner in the largest of its service.
     pub(super) fn include_in_largest(&mut self, runner_ix: RunnerIx) {
         let entry = &self.runners[runner_ix.0].entry;
@@ -111,10 +127,7 @@
     /// Returns whether so many runners of a service are reserved that no further step may reserve
     /// any.
     pub(super) fn is_reservation_limit_reached(&self, service: &Name) -> bool {
-        let count = self
-            .services
-            .get(service)
-            .map_or(0, |runners| runners.count);
+        let count = self.runner_count(service);
         let of_service = self
             .reserved
             .keys()
@@ -194,6 +207,9 @@
         let (needed, is_gang) = (step.waiting, spec.gang);
         let size = spec.charged_resources();
         let mut slots = self.expected_slots(id, now);
+        if let Some(rack) = self.awaited_rack(id) {
+            slots.retain(|slot| self.runners[slot.runner_ix.0].has_label(rack));
+        }
         slots.sort_unstable();
         slots.truncate(needed);
         if is_gang && slots.len() < needed {
@@ -289,6 +305,25 @@
         of_step.map(|reservation| reservation.starts_at).max()
     }
 
+    /// Returns what a reservation for another step means for a runner.
+    pub(super) fn reservation_of_other(
+        &self,
+        runner_ix: RunnerIx,
+        id: Option<StepId>,
+    ) -> Option<OtherReservation> {
+        let reservation = self.reserved.get(&runner_ix)?;
+        if Some(reservation.step) == id {
+            return None;
+        }
+        let job = self.jobs.get(&reservation.step.job)?;
+        let (_, spec) = job.step(reservation.step)?;
+        let capacity = self.runners[runner_ix.0].entry.capacity;
+        Some(OtherReservation {
+            unreserved: capacity.saturating_sub(reservation.size),
+            ends_at: reservation.starts_at + self.run_times.expected(spec),
+        })
+    }
+
     /// Returns whether the runner is reserved.
     pub(super) fn is_reserved(&self, runner_ix: RunnerIx) -> bool {
         self.reserved.contains_key(&runner_ix)
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -6,7 +6,7 @@
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 
-use super::{Settings, health::Health, stall::Progress};
+use super::{Settings, health::Health, overrun::Ratio, stall::Progress};
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 /// Index of a runner incarnation; never reused for another one.
@@ -35,9 +35,20 @@
     pub(super) stop_sent_at: Option<Millis>,
     /// Time at which the run is expected to end; `None` if it runs until it is stopped.
     pub(super) expected_end: Option<Millis>,
+    /// Time at which the run was ordered or found.
+    pub(super) ordered_at: Millis,
+    /// Whether the run takes longer because it is not in its rack.
+    pub(super) is_remote: bool,
     pub(super) progress: Progress,
 }
 
+impl PlacedRun {
+    /// Returns how long the run was expected to take when it started.
+    pub(super) fn expected_run_time(&self) -> Option<Millis> {
+        Some(self.expected_end?.saturating_sub(self.ordered_at))
+    }
+}
+
 /// Returns the time at which a run is expected to end, as seen `now`. A run that has exceeded its
 /// expected run time is assumed to exceed it by as much again.
 fn remaining_end(expected_end: Millis, now: Millis) -> Millis {
@@ -149,10 +160,37 @@
     /// one, two and more tasks of a size, up to `max` tasks. Tasks that could start immediately
     /// have the time `now`.
     pub(super) fn slot_times(&self, size: Resources, max: u32, now: Millis) -> Vec<Millis> {
+        self.slot_times_by(|run| run.expected_end, size, max, now)
+    }
+
+    /// Returns the same from the measured progress of the runs. Runs without measured progress take
+    /// the given multiple of their expected run times.
+    pub(super) fn measured_slot_times(
+        &self,
+        ratio: Ratio,
+        size: Resources,
+        max: u32,
+        now: Millis,
+    ) -> Vec<Millis> {
+        let end = |run: &PlacedRun| {
+            let expected = run.expected_run_time()?;
+            let end = run.ordered_at + ratio.scale(expected);
+            Some(run.progress.measured_end().unwrap_or(end))
+        };
+        self.slot_times_by(end, size, max, now)
+    }
+
+    fn slot_times_by(
+        &self,
+        end: impl Fn(&PlacedRun) -> Option<Millis>,
+        size: Resources,
+        max: u32,
+        now: Millis,
+    ) -> Vec<Millis> {
         let mut ends: Vec<(Millis, Resources)> = self
             .runs
             .values()
-            .filter_map(|run| Some((remaining_end(run.expected_end?, now), run.size?)))
+            .filter_map(|run| Some((remaining_end(end(run)?, now), run.size?)))
             .collect();
         ends.sort_unstable();
         let mut times = Vec::new();
@@ -171,6 +209,14 @@
         }
     }
 
+    /// Returns by how much the runs take longer than expected, for those with measured progress.
+    pub(super) fn measured_ratios(&self) -> impl Iterator<Item = Ratio> {
+        self.runs.values().filter_map(|run| {
+            let measured = run.progress.measured_end()?.saturating_sub(run.ordered_at);
+            Some(Ratio::new(measured, run.expected_run_time()?))
+        })
+    }
+
     /// Returns whether the runner has been missing from the host list for longer than the grace
     /// period. It may still answer.
     pub(super) fn is_missing(&self, now: Millis) -> bool {
--- a/crates/jobs/src/engine/stall.rs
+++ b/crates/jobs/src/engine/stall.rs
@@ -27,6 +27,9 @@
 /// A percent of progress may take this many times as long as the average so far.
 const MAX_SLOWDOWN_FACTOR: u64 = 4;
 
+/// Minimum progress from which the end of a run is extrapolated, in percent.
+const MIN_EXTRAPOLATED_PERCENT: u64 = 5;
+
 /// Progress in percent, at a time on the runner's clock.
 #[derive(Clone, Copy, Debug)]
 struct ProgressReading {
@@ -40,6 +43,11 @@
     first: Option<ProgressReading>,
     /// First reading with the latest percentage.
     newest: Option<ProgressReading>,
+    /// Readings that begin the intervals from which the present speed is measured.
+    older: Option<ProgressReading>,
+    recent: Option<ProgressReading>,
+    /// Time at which the run ends if it goes on at that speed, on the owner's clock.
+    measured_end: Option<Millis>,
 }
 
 impl Progress {
@@ -54,6 +62,31 @@
         at.saturating_sub(newest.at)
     }
 
+    /// Extrapolates the end of the run from a reading that was recorded `now`.
+    fn extrapolate(&mut self, now: Millis) {
+        let (Some(first), Some(newest)) = (self.first, self.newest) else {
+            return;
+        };
+        let progress_since =
+            |reading: ProgressReading| u64::from(newest.percent.saturating_sub(reading.percent));
+        let recent = *self.recent.get_or_insert(first);
+        let older = *self.older.get_or_insert(first);
+        let done = progress_since(older);
+        if done >= MIN_EXTRAPOLATED_PERCENT {
+            let left = u64::from(100u32.saturating_sub(newest.percent));
+            let took = newest.at.saturating_sub(older.at).0;
+            self.measured_end = Some(now + Millis(took * left / done));
+        }
+        if progress_since(recent) >= MIN_EXTRAPOLATED_PERCENT {
+            self.older = self.recent.replace(newest);
+        }
+    }
+
+    /// Returns the extrapolated end of the run; `None` if too little progress was observed.
+    pub(super) fn measured_end(&self) -> Option<Millis> {
+        self.measured_end
+    }
+
     /// Returns the average time per percent so far; zero if no progress was observed.
     fn time_per_percent(&self) -> Millis {
         let (Some(first), Some(newest)) = (self.first, self.newest) else {
@@ -83,6 +116,9 @@
             return;
         };
         let unchanged = placed.progress.record(row.percent, clock);
+        if unchanged == Millis::ZERO {
+            placed.progress.extrapolate(now);
+        }
         let timeout = timeout.max(Millis(
             placed.progress.time_per_percent().0 * MAX_SLOWDOWN_FACTOR,
         ));
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -53,10 +53,7 @@
     pub(super) fn urgency(&self, job: &Job, now: Millis) -> Urgency {
         let policy = &job.record.policy;
         let total = self.critical_path(job, None);
-        let remaining = job
-            .occurrences
-            .first()
-            .map_or(total, |occ| self.critical_path(job, Some(occ)));
+        let remaining = self.remaining_path(job);
         let objective = stretched(total, policy.stretch) + policy.slack;
         let began = job.oldest_occurrence_began();
         let due = began + objective;
@@ -70,6 +67,18 @@
         }
     }
 
+    /// Returns by how much the job's remaining steps may be delayed without missing its objective.
+    pub(super) fn slack(&self, job: &Job, now: Millis) -> Millis {
+        let expected_end = now + self.remaining_path(job);
+        self.urgency(job, now).due.saturating_sub(expected_end)
+    }
+
+    /// Returns the expected duration of the critical path through the steps of the oldest occurrence
+    /// that are not completed.
+    fn remaining_path(&self, job: &Job) -> Millis {
+        self.critical_path(job, job.occurrences.first())
+    }
+
     /// Returns the expected duration of the critical path through the steps that are not completed;
     /// through all steps if `occurrence` is `None`.
     fn critical_path(&self, job: &Job, occurrence: Option<&Occurrence>) -> Millis {
