Saturate the arithmetic of waits for a rack

A caller's estimate is not bounded, and the cost to others multiplies it by up to 18, so that an absurd estimate would wrap around or abort a debug build.

--- a/crates/jobs/src/engine/locality.rs
+++ b/crates/jobs/src/engine/locality.rs
@@ -106,9 +106,10 @@
         let additional = self.additional_run_time();
         // Other tasks get the capacity in the meantime and are spared the longer run.
         let weight = (self.pressure_percent * BACKLOG_WEIGHT).min(MAX_COST_PERCENT);
-        let mut latest = from + additional + Millis(additional.0 * weight / 100);
+        let for_others = Millis(additional.0.saturating_mul(weight) / 100);
+        let mut latest = from.saturating_add(additional).saturating_add(for_others);
         let latest_in_time = self.latest_end.saturating_sub(self.local_run_time);
-        if self.now + self.remote_run_time > self.latest_end {
+        if self.now.saturating_add(self.remote_run_time) > self.latest_end {
             latest = latest.max(latest_in_time);
         }
         // A start in another rack does not make the group end sooner than its running tasks.
@@ -123,7 +124,8 @@
     /// goes on waiting while the rest of its wait pays off, until it has lost as much as a run in
     /// another rack would have cost.
     fn end_of_wait(&self, began: Millis, local_start: Millis) -> Millis {
-        self.latest_paying_start(began, local_start) + self.additional_run_time()
+        self.latest_paying_start(began, local_start)
+            .saturating_add(self.additional_run_time())
     }
 
     fn decide_by_prediction(&self, wait: Option<&Wait>) -> Decision {
@@ -139,8 +141,14 @@
             }
             None => {
                 let longest = latest.saturating_sub(self.now);
-                let limit = Millis(longest.0 * MAX_INITIAL_PERCENT / 100);
-                (self.now + limit, self.end_of_wait(self.now, local_start))
+                let limit = Millis(
+                    longest.0 / 100 * MAX_INITIAL_PERCENT
+                        + longest.0 % 100 * MAX_INITIAL_PERCENT / 100,
+                );
+                (
+                    self.now.saturating_add(limit),
+                    self.end_of_wait(self.now, local_start),
+                )
             }
         };
         if local_start < limit {
@@ -160,7 +168,7 @@
     if situation.has_local_room {
         return Decision::Local;
     }
-    let fixed_end = situation.waiting_since + additional;
+    let fixed_end = situation.waiting_since.saturating_add(additional);
     match rule {
         LocalityRule::Predicted => situation.decide_by_prediction(wait),
         LocalityRule::Always => Decision::WaitUntil(Millis::MAX),
--- a/crates/jobs/src/engine/rack_forecast.rs
+++ b/crates/jobs/src/engine/rack_forecast.rs
@@ -114,7 +114,8 @@
     fn last_start(&self, count: usize, run_time: Millis) -> Option<Millis> {
         let last = count.checked_sub(1)?;
         let turns = last.checked_div(self.times.len())?;
-        Some(self.times[last % self.times.len()] + Millis(run_time.0 * turns as u64))
+        let turns = Millis(run_time.0.saturating_mul(turns as u64));
+        Some(self.times[last % self.times.len()].saturating_add(turns))
     }
 
     /// Returns when `count` tasks can start at the same time; `None` if the rack cannot hold them.
@@ -145,7 +146,7 @@
         while self.partial >= WHOLE_CLAIM && self.claimed < most {
             self.partial -= WHOLE_CLAIM;
             self.claimed += 1;
-            let free_again = self.times.remove(0) + claim.run_time;
+            let free_again = self.times.remove(0).saturating_add(claim.run_time);
             let at = self.times.partition_point(|time| *time <= free_again);
             self.times.insert(at, free_again);
         }
@@ -325,7 +326,11 @@
     pub(super) fn expected_run_time(&self, spec: &StepSpec, is_remote: bool) -> Millis {
         let local = self.run_times.expected(spec);
         if is_remote {
-            Millis(local.0 * u64::from(self.cfg.cross_rack_slowdown))
+            Millis(
+                local
+                    .0
+                    .saturating_mul(u64::from(self.cfg.cross_rack_slowdown)),
+            )
         } else {
             local
         }
@@ -443,7 +448,7 @@
             remote_run_time: self.overruns.overall().scale(remote_run_time),
             has_local_room: false,
             local_start: None,
-            latest_end: now + run_time + self.slack(job, now),
+            latest_end: (now + run_time).saturating_add(self.slack(job, now)),
             group_end: running.max().filter(|_| !spec.long_running),
             pressure_percent: self.pressure(&job.record.policy.service, forecast, now),
         })
