Merge the waits for a near rack by prediction

Tasks with data in a rack waited for it while the wait was under the additional run time elsewhere, whatever the rack's queue. The wait is now decided by the predicted start in the rack.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -77,6 +77,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ApprovalCandidate {
     reason: Reason,
+    /// Whether the runner is outside the rack that the step's tasks prefer.
+    is_remote: bool,
     is_suspect: bool,
     /// Room that a task of the step would take from large tasks.
     loss: u64,
@@ -358,6 +360,7 @@
             .min(MAX_TASKS_PER_RUNNER);
         (tasks > 0).then(|| ApprovalCandidate {
             reason,
+            is_remote: self.is_outside_settled_rack(runner_ix, step, spec),
             is_suspect: runner.health.is_suspect(),
             loss: self.placement_loss(runner, spec),
             tasks: Reverse(tasks),
--- a/crates/jobs/src/engine/contention.rs
+++ b/crates/jobs/src/engine/contention.rs
@@ -35,6 +35,8 @@
 /// A runner that a request may name, in the order in which runners are named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RankedRunner {
+    /// Whether the runner is outside the rack that the step's tasks prefer.
+    is_remote: bool,
     is_unknown: bool,
     is_suspect: bool,
     room_at: Millis,
@@ -118,6 +120,7 @@
                 && !self.is_reserved_for_other(runner_ix, id)
                 && self.could_accept_when_empty(runner, spec, policy, now);
             is_open.then(|| RankedRunner {
+                is_remote: self.is_outside_settled_rack(runner_ix, step, spec),
                 is_unknown: !step.approvals.was_approved(runner_ix),
                 is_suspect: runner.health.is_suspect(),
                 room_at: runner.room_at(size, now),
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -70,13 +70,8 @@
     /// Returns the rank of a job, regardless of the state of its steps.
     pub(super) fn urgency(&self, job: &Job, share_unit: ShareUnit, now: Millis) -> Urgency {
         let policy = &job.record.policy;
-        let total = self.critical_path(job, None);
-        let remaining = job
-            .occurrences
-            .first()
-            .map_or(total, |occ| self.critical_path(job, Some(occ)));
-        let objective = stretched(total, policy.stretch) + policy.slack;
-        let began = job.oldest_occurrence_began();
+        let remaining = self.remaining_path(job);
+        let (objective, began) = self.objective(job);
         let due = began + objective;
         let latest_useful = began + objective.saturating_mul(USEFUL_OBJECTIVES);
         Urgency {
@@ -93,6 +88,27 @@
         }
     }
 
+    /// Returns a job's objective for its completion time, and the time from which it counts.
+    fn objective(&self, job: &Job) -> (Millis, Millis) {
+        let policy = &job.record.policy;
+        let total = self.critical_path(job, None);
+        let objective = stretched(total, policy.stretch) + policy.slack;
+        (objective, job.oldest_occurrence_began())
+    }
+
+    /// Returns by how much the job's remaining steps may be delayed without missing its objective.
+    pub(super) fn slack(&self, job: &Job, now: Millis) -> Millis {
+        let expected_end = now + self.remaining_path(job);
+        let (objective, began) = self.objective(job);
+        (began + objective).saturating_sub(expected_end)
+    }
+
+    /// Returns the expected duration of the critical path through the steps of the oldest occurrence
+    /// that are not completed.
+    fn remaining_path(&self, job: &Job) -> Millis {
+        self.critical_path(job, job.occurrences.first())
+    }
+
     /// Returns the expected duration of the critical path through the steps that are not completed;
     /// through all steps if `occurrence` is `None`.
     fn critical_path(&self, job: &Job, occurrence: Option<&Occurrence>) -> Millis {
