Fix what the review of the change found

- The cap of a team could be exceeded after a takeover: jobs that had ended were compacted although their runs on a silent runner were not known yet, so that these were never charged.
No job is compacted until all runs are verified.
- An answer of a lagging replica that followed a partial one counted as proof that the configuration is current.
An answer that ends before an earlier one proves nothing.
- Reports of a reached cap changed with the room in the cell, and a step that its cap blocks began waits for a rack and claimed places.
- Before the first configuration is read, caps are unknown: nothing starts.
- Runs found after a takeover no longer bias the ratios of run times; the product of an estimate and the slowdown saturates; a run keeps its reservation if it is added twice; a handover for overload keeps its back-off after the first request.

--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -143,7 +143,7 @@
         match approvals.await {
             Ok(approved) => Some(approved),
             Err(err) => {
-                if self.log_limit.allows("approval", self.clock.now()) {
+                if self.log_limit.allows("approval failed", self.clock.now()) {
                     tracing::warn!(%step, runners = runners.len(), %err, "approval request failed");
                 }
                 None
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -29,8 +29,8 @@
 /// Time after which a caller that was not served should retry, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
-/// Time after which a caller should retry a job that the cell's runners cannot run, in seconds. New
-/// runners take at least as long to be added.
+/// Time after which a caller should retry a job that no runner, or not its team's cap, can hold, in
+/// seconds. Adding runners or raising the cap takes at least as long.
 const UNSERVABLE_RETRY_AFTER_S: u32 = 30;
 
 /// Maximum `Retry-After` during an outage of the store, in seconds.
--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -1,6 +1,9 @@
 //! Logs and metrics of the engine's events.
 
-use kspan_jobs::{engine::Event, runner::EndKind};
+use kspan_jobs::{
+    engine::{Event, WaitEnd},
+    runner::EndKind,
+};
 
 use super::Owner;
 use crate::telemetry;
@@ -26,7 +29,7 @@
             predicted,
             waited,
             ..
-        } => telemetry::record_rack_wait_end(how, *predicted, *waited),
+        } => telemetry::record_rack_wait_end(wait_end_name(*how), *predicted, *waited),
         Event::StartFailed { why, .. } => telemetry::record_not_started(why),
         Event::RunEnded { how, .. } => {
             telemetry::record_run_end(how.map_or("vanished", end_kind_name))
@@ -52,6 +55,14 @@
     }
 }
 
+fn wait_end_name(how: WaitEnd) -> &'static str {
+    match how {
+        WaitEnd::Local => "local",
+        WaitEnd::LimitReached => "gave up",
+        WaitEnd::PredictionWorsened => "prediction worsened",
+    }
+}
+
 fn event_kind(event: &Event) -> &'static str {
     match event {
         Event::StartOrdered { .. } => "ordered",
@@ -95,6 +106,7 @@
             predicted,
             waited,
         } => {
+            let how = wait_end_name(*how);
             tracing::info!(%task, rack = %rack, how, predicted_ms = predicted.0, waited_ms = waited.0, "wait for the rack ended");
         }
         Event::StartFailed {
--- a/crates/cell/src/owner/hand_over.rs
+++ b/crates/cell/src/owner/hand_over.rs
@@ -34,15 +34,18 @@
     pub(super) async fn hand_over_overloaded(self: Rc<Self>, timer_delay: Millis) {
         let local = &self.node.local;
         let successor = self.find_successor(|member| member.power_milli >= local.power_milli);
-        tracing::warn!(
-            fence = self.fence,
-            timer_delay_ms = timer_delay.0,
-            successor = successor.as_ref().map(|member| member.node.to_string()),
-            "timers are late; requesting another host to take over"
-        );
-        if let Some(successor) = successor {
-            self.node.request_takeover(&successor, self.fence).await;
-        }
+        let (fence, timer_delay_ms) = (self.fence, timer_delay.0);
+        let Some(successor) = successor else {
+            tracing::warn!(
+                fence,
+                timer_delay_ms,
+                "timers are late; no other host can take over"
+            );
+            return;
+        };
+        let to = &successor.node;
+        tracing::warn!(fence, timer_delay_ms, %to, "timers are late; requesting another host to take over");
+        self.node.request_takeover(&successor, self.fence).await;
     }
 
     /// Returns the first stable member, in the order of successors, whose host is much stronger.
--- a/crates/cell/src/owner/lag.rs
+++ b/crates/cell/src/owner/lag.rs
@@ -1,8 +1,8 @@
 //! Detection of an owner that has too little processor time, for example on a slow host.
 //!
-//! An overloaded process wakes late from its timers. An owner that does so for a while asks another
-//! host to take over. The load itself may be the cause, and a takeover interrupts scheduling, so an
-//! owner has to have worked for a multiple of the time that its own takeover took.
+//! An owner whose timers are late several times in a row requests a takeover, but only after it has
+//! owned the cell for a multiple of the time that its own takeover took: the load may be the cause, and
+//! a takeover interrupts scheduling.
 
 use kspan_model::Millis;
 
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Counts from `now` on again, after a takeover was requested.
+    pub(super) fn restart(&mut self, now: Millis) {
+        self.since = now;
+        self.delayed_timers = 0;
+    }
+
     /// Records that the state of all runners is known.
     pub(super) fn record_settled(&mut self, now: Millis) {
         let after = now.saturating_sub(self.since);
--- a/crates/cell/src/owner/lag/tests.rs
+++ b/crates/cell/src/owner/lag/tests.rs
@@ -60,3 +60,19 @@
 fn unsettled_owner_does_not_hand_over() {
     assert_eq!(handover_at(u64::MAX, |_| 120), None);
 }
+
+/// Guards against an overloaded cell that hands over again and again: the time that the takeover took
+/// counts after a request, too.
+#[test]
+fn second_request_waits_as_long_as_the_first() {
+    let mut monitor = LagMonitor::new(Millis(0));
+    monitor.record_settled(Millis(2_000));
+    let mut requests = Vec::new();
+    for now in (0..60_000).step_by(200) {
+        if monitor.record_timer(Millis(120), Millis(now)) {
+            monitor.restart(Millis(now));
+            requests.push(now);
+        }
+    }
+    assert_eq!(requests, [16_000, 32_000, 48_000]);
+}
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -174,7 +174,7 @@
         ntex::rt::spawn(Rc::clone(self).follow_runners(offsets.runners_end));
         ntex::rt::spawn(Rc::clone(self).hand_over_to_stronger());
         ntex::rt::spawn(Rc::clone(self).run_scheduler());
-        ntex::rt::spawn(Rc::clone(self).run_timer());
+        ntex::rt::spawn(Rc::clone(self).run_timer(started));
     }
 
     /// Ends the role and wakes all waiting tasks. Does nothing if it has already ended.
@@ -266,20 +266,20 @@
         }
     }
 
-    async fn run_timer(self: Rc<Self>) {
-        let mut lag = LagMonitor::new(self.now());
+    async fn run_timer(self: Rc<Self>, claimed_at: Millis) {
+        let mut lag = LagMonitor::new(claimed_at);
         while self.is_active.get() {
             let due = Instant::now() + TICK_INTERVAL;
             tokio::time::sleep_until(due).await;
+            let delay = Millis(due.elapsed().as_millis().try_into().unwrap_or(u64::MAX));
             let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
             self.engine.borrow_mut().tick(now, unix_ms);
             self.state_changed.notify_one();
             if !self.engine.borrow().has_unverified_runs() {
                 lag.record_settled(now);
             }
-            let delay = Millis(due.elapsed().as_millis().try_into().unwrap_or(u64::MAX));
             if lag.record_timer(delay, now) {
-                lag = LagMonitor::new(now);
+                lag.restart(now);
                 ntex::rt::spawn(Rc::clone(&self).hand_over_overloaded(delay));
             }
         }
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -103,9 +103,13 @@
             .ok()?;
         match store::parse_read(&response, *from).ok()? {
             ReadOutcome::Records { records, next, end } => {
-                let coverage = Coverage::new(*from, next, end);
+                let is_newest = self.node.record_end(topic, next.max(end));
+                let coverage = if is_newest {
+                    Coverage::new(*from, next, end)
+                } else {
+                    Coverage::Nothing
+                };
                 *from = next;
-                self.node.record_end(topic, next.max(end));
                 Some(Changes::Records { records, coverage })
             }
             ReadOutcome::Truncated => {
@@ -207,7 +211,7 @@
         };
         let Some(entry) = runner_entry::decode(&id, value) else {
             telemetry::record_malformed("runner entry");
-            if self.node.log_limit.allows("entry", self.now()) {
+            if self.node.log_limit.allows("runner entry", self.now()) {
                 tracing::warn!(id = %id, offset = record.offset, "malformed runner entry skipped");
             }
             return;
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -134,3 +134,26 @@
 fn read_that_waited_is_repeated_without_a_pause() {
     assert_eq!(Coverage::Nothing.pause(CONFIG_WAIT), Duration::ZERO);
 }
+
+/// Guards against an answer of a lagging replica that follows a partial one and would count as proof
+/// that the configuration is current.
+#[ntex::test]
+async fn answer_that_ends_before_an_earlier_one_proves_nothing() {
+    let end = Rc::new(Shared::new(60));
+    let current_end = Rc::clone(&end);
+    let store = start_store(move |_| (200, empty_read(*current_end.borrow())));
+    let owner = owner(&store.await).await;
+    let mut from = 50;
+    for (new_end, expected) in [
+        (60, Coverage::Nothing),
+        (50, Coverage::Nothing),
+        (60, Coverage::Nothing),
+    ] {
+        *end.borrow_mut() = new_end;
+        let changes = owner.read_changes(Topic::Operators, &mut from, Duration::ZERO);
+        let Some(Changes::Records { coverage, .. }) = changes.await else {
+            panic!("expected records");
+        };
+        assert_eq!(coverage, expected, "{new_end}");
+    }
+}
--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -28,7 +28,7 @@
     spec::StepSpec,
 };
 
-/// Maximum number of runners in one request.
+/// Maximum number of runners in a request of a step that does not compete for room.
 const MAX_RUNNERS_PER_REQUEST: usize = 40;
 
 /// Minimum number of runners in one request, if as many are available.
@@ -382,7 +382,8 @@
 /// and a second call would delay the step by more than a few further runners do.
 fn min_runners(approval: ApprovalPolicy) -> usize {
     if is_short(approval.call_time(MIN_RUNNERS_PER_REQUEST)) {
-        affordable_runners(approval) / 2
+        let affordable = affordable_runners(approval) / 2;
+        affordable.clamp(MIN_RUNNERS_PER_REQUEST, MAX_RUNNERS_PER_REQUEST)
     } else {
         MIN_RUNNERS_PER_REQUEST
     }
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -111,13 +111,6 @@
         room_at.max(answered_at + call_time)
     }
 
-    /// Returns whether any runner has a valid ticket.
-    pub(super) fn has_valid_ticket(&self, now: Millis) -> bool {
-        self.by_runner
-            .keys()
-            .any(|runner_ix| self.ticket(*runner_ix, now).is_some())
-    }
-
     /// Returns whether any request was answered.
     pub(super) fn has_responses(&self) -> bool {
         !self.by_runner.is_empty()
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -13,7 +13,8 @@
 };
 
 /// Time after the end of a job at which its records are replaced by a short one. Runs that were being
-/// stopped at its end are gone by then, so that the size of no run is unknown after a takeover.
+/// stopped at its end are usually gone by then. While runs of a previous owner may exist, no job is
+/// compacted, because the sizes of its runs would be unknown.
 const COMPACTION_DELAY: Millis = Millis(3_000);
 
 /// Records that are written together.
@@ -227,9 +228,12 @@
         true
     }
 
-    /// Drops all but the end of jobs that ended some time ago and have no runs left. The records of
-    /// all jobs have to be read in a takeover, before anything can start.
+    /// Replaces the records of jobs that ended some time ago, and have no runs left, by their ends. A
+    /// takeover reads all records before it starts tasks, so fewer make it faster.
     pub(super) fn compact_ended_jobs(&mut self, now: Millis) {
+        if self.unverified_until.is_some() {
+            return;
+        }
         let durable = self.batches.durable();
         for job in self.jobs.values_mut() {
             let is_due = job
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -107,10 +107,10 @@
 
     /// Records how much longer than expected a completed run took.
     fn record_overrun(&mut self, runner_ix: RunnerIx, placed: &PlacedRun, now: Millis) {
-        let Some(expected) = placed.expected_run_time() else {
+        let Some((ordered_at, expected)) = placed.ordered_at.zip(placed.expected_run_time()) else {
             return;
         };
-        let actual = now.saturating_sub(placed.ordered_at);
+        let actual = now.saturating_sub(ordered_at);
         let rack = self.rack_of(runner_ix);
         self.overruns
             .record(rack.as_ref(), Ratio::new(actual, expected));
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    job::{Job, Occurrence, Step, TaskState},
+    job::{Job, Occurrence, Step, Task, TaskState},
     servable::lacking_resource,
 };
 use crate::{
@@ -228,7 +228,9 @@
 
 /// Describes the wait of a step's tasks for their rack, by the one that gives it up first.
 fn rack_wait_reason(step: &Step, now: Millis) -> Option<String> {
-    let waits = || step.tasks.iter().filter_map(|task| task.wait.as_ref());
+    let waiting = |task: &&Task| task.state == TaskState::Waiting;
+    let tasks = step.tasks.iter().filter(waiting);
+    let waits = || tasks.clone().filter_map(|task| task.wait.as_ref());
     let first = waits().min_by_key(|wait| wait.until)?;
     let (count, rack) = (waits().count(), &first.rack);
     let left = first.until.saturating_sub(now).0;
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -275,6 +275,7 @@
         }
         task.run = row.run;
         task.unverified = false;
+        task.wait = None;
         if !row.checkpoint.is_empty() {
             let slot = if spec.gang { 0 } else { index };
             step.tasks[slot].checkpoint = row.checkpoint.clone();
@@ -306,10 +307,8 @@
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             settled_sequence: Some(self.last_sequence),
             stop_sent_at: None,
-            expected_end: spec
-                .filter(|spec| !spec.long_running)
-                .map(|spec| now + self.expected_run_time(spec, is_remote)),
-            ordered_at: now,
+            expected_end: spec.and_then(|spec| self.expected_end(spec, is_remote, now)),
+            ordered_at: None,
             is_remote,
             progress: Progress::default(),
         };
--- a/crates/jobs/src/engine/locality.rs
+++ b/crates/jobs/src/engine/locality.rs
@@ -15,9 +15,9 @@
 /// percent. Predictions are uncertain, and a wait that barely pays off gains little.
 const MAX_INITIAL_PERCENT: u64 = 80;
 
-/// Weight of the work beyond a full cell's. A longer run delays not only this work
-/// but also what arrives until the backlog is gone. With a weight of 1, tasks of an overloaded cell
-/// took 15% longer in the replay tests.
+/// Weight of the excess work in the cost of a longer run. The run delays both this work and what arrives
+/// until the backlog is gone; with a weight of 1, tasks of an overloaded cell took 15% longer in the
+/// replay tests.
 const BACKLOG_WEIGHT: u64 = 6;
 
 /// Maximum cost to others that is taken into account, in percent of the additional run time.
@@ -73,13 +73,24 @@
     pub(super) until: Millis,
 }
 
+/// Why a wait ended with a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The rack had room.
+    Local,
+    /// The limit of the wait was reached.
+    LimitReached,
+    /// The rest of the wait no longer paid off.
+    PredictionWorsened,
+}
+
 impl Wait {
-    /// Returns why a start ends the wait, as a metric label.
-    pub(super) fn end_kind(&self, is_remote: bool, now: Millis) -> &'static str {
+    /// Returns why a start ends the wait.
+    pub(super) fn end(&self, is_remote: bool, now: Millis) -> WaitEnd {
         match is_remote {
-            false => "local",
-            true if now >= self.until => "gave up",
-            true => "prediction worsened",
+            false => WaitEnd::Local,
+            true if now >= self.until => WaitEnd::LimitReached,
+            true => WaitEnd::PredictionWorsened,
         }
     }
 }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -59,7 +59,7 @@
     durable::Batch,
     explain::{Explanation, StepExplanation},
     inventory::InventoryCall,
-    locality::LocalityRule,
+    locality::{LocalityRule, WaitEnd},
     queries::{JobState, Totals},
     runner::RunnerIx,
     share::TeamUsage,
@@ -172,7 +172,7 @@
         /// Name of the rack.
         rack: Name,
         /// Reason for the end: `local`, `gave up` or `prediction worsened`.
-        how: &'static str,
+        how: WaitEnd,
         /// Time until the start in the rack that was predicted when the wait began.
         predicted: Millis,
         /// Duration of the wait.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -150,13 +150,15 @@
 
     /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
     /// such steps from the schedulable set. Steps whose tasks may all be running under a previous
-    /// owner are left out, because their approval calls would delay those of others.
+    /// owner, or that the cap of their team blocks, are left out: they would keep runners and approval
+    /// calls from steps that may start.
     fn ranked_ready_steps(&mut self, all_verified: bool, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let share_unit = self.share_unit();
         let mut ready = Vec::new();
         let mut upcoming = Vec::new();
         let mut without_room = Vec::new();
+        let mut blocked = Vec::new();
         let mut late_job = None;
         let mut exhausted = Vec::new();
         for id in &self.schedulable {
@@ -187,6 +189,10 @@
                 if !all_verified && !step.tasks.iter().any(|task| task.may_start(false)) {
                     continue;
                 }
+                if self.is_blocked_by_cap(id) {
+                    blocked.push(id);
+                    continue;
+                }
                 let is_overdue = self.is_overdue(step, spec, now);
                 let is_reservable = self.is_reservable(spec, policy);
                 let fits = spec.charged_resources().fits_in(max_free);
@@ -209,6 +215,9 @@
         for id in exhausted {
             self.schedulable.remove(&id);
         }
+        for id in blocked {
+            self.mark_blocked_by_cap(id);
+        }
         ready.sort_unstable();
         upcoming.sort_unstable();
         if ready.iter().any(|ready| ready.has_locality) {
@@ -289,6 +298,9 @@
     }
 
     fn place_step(&mut self, id: StepId, all_verified: bool, now: Millis) {
+        if self.tasks_within_cap(id) == 0 {
+            return;
+        }
         let mut forecast = std::mem::take(&mut self.forecast);
         let placement = self.placement(id, all_verified, &mut forecast, now);
         self.forecast = forecast;
@@ -344,7 +356,7 @@
         let mut candidates = self.candidates(id, step, spec, &job.record.policy, now);
         let may_start = |task: &Task| task.may_start(all_verified);
         let waiting = step.tasks.iter().filter(|task| may_start(task)).count();
-        let mut near = self.near(id, job, waiting, forecast, now);
+        let mut near = self.rack_preference(id, job, waiting, forecast, now);
         if let Some(near) = &near {
             self.add_candidates_in_rack(&mut candidates, &near.rack, id, job, forecast, now);
         }
@@ -397,7 +409,7 @@
             }
         }
         if let Some(near) = &near {
-            forecast.claim_near(near, spec, waiting - decided);
+            forecast.claim_undecided(near, spec, waiting - decided);
             if !placement.waits.is_empty() {
                 forecast.await_rack(id, &near.rack);
             }
@@ -662,7 +674,10 @@
             let task = &mut step.tasks[index as usize];
             if let Some(known) = &task.wait {
                 wait.began = known.began;
-                wait.predicted = known.predicted;
+                // A group that waits for another rack now has another prediction.
+                if known.rack == wait.rack {
+                    wait.predicted = known.predicted;
+                }
             } else {
                 self.events.push(Event::RackWaitBegan {
                     task: id.task(index),
@@ -680,23 +695,23 @@
         let Some(deadline) = self.runners[runner_ix.0].extend_lease(&self.cfg, now) else {
             return;
         };
-        let slowdown = self.cfg.cross_rack_slowdown;
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let Some((_, spec)) = job.step(task.step) else {
+            return;
+        };
+        let expected_end = self.expected_end(spec, choice.is_remote, now);
+        let charge = Self::charge_of(job, spec);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
         let text = job.record.spec.text.clone();
-        let charge = job
-            .step(task.step)
-            .and_then(|(_, spec)| Self::charge_of(job, spec));
         let Some((step, spec)) = job.step_mut(task.step) else {
             return;
         };
         let index = task.index as usize;
         let (size, sharing) = (spec.charged_resources(), spec.sharing());
-        let expected_end = self.run_times.expected_end(spec, now).map(|end| {
-            let slowdown = if choice.is_remote { slowdown } else { 1 };
-            now + Millis(end.saturating_sub(now).0 * u64::from(slowdown))
-        });
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
         let ticket = step.approvals.valid_ticket(runner_ix, now);
@@ -712,7 +727,7 @@
         if let Some(wait) = known.wait.take() {
             self.events.push(Event::RackWaitEnded {
                 task,
-                how: wait.end_kind(choice.is_remote, now),
+                how: wait.end(choice.is_remote, now),
                 predicted: wait.predicted.saturating_sub(wait.began),
                 waited: now.saturating_sub(wait.began),
                 rack: wait.rack,
@@ -726,7 +741,7 @@
             settled_sequence: None,
             stop_sent_at: None,
             expected_end,
-            ordered_at: now,
+            ordered_at: Some(now),
             is_remote: choice.is_remote,
             progress: Progress::default(),
         };
--- a/crates/jobs/src/engine/prefetch.rs
+++ b/crates/jobs/src/engine/prefetch.rs
@@ -28,7 +28,7 @@
             let Some((step, _)) = job.step(*id) else {
                 return false;
             };
-            if step.approvals.has_valid_ticket(now) {
+            if step.approvals.has_responses() {
                 // One call is enough until the step is ready.
                 return false;
             }
--- a/crates/jobs/src/engine/quota.rs
+++ b/crates/jobs/src/engine/quota.rs
@@ -45,20 +45,30 @@
 }
 
 impl TeamEntry {
-    /// Returns what the team may use in addition to its present runs.
+    /// Returns what the team uses, including what runs that are not known yet may use.
+    fn taken(&self) -> Resources {
+        self.committed.saturating_add(self.unknown)
+    }
+
+    /// Returns what the team may use in addition.
     fn left(&self) -> Resources {
-        let taken = self.committed.saturating_add(self.unknown);
-        self.cap.saturating_sub(taken)
+        self.cap.saturating_sub(self.taken())
     }
 
     fn declare(&mut self, config: &CellConfig) {
         let team = config.team(&self.name);
         self.weight = team.map_or(0.0, |team| team.weight);
-        self.cap = team.map_or(UNLIMITED, |team| team.cap);
+        // Before the first configuration is read, the cap is unknown.
+        let undeclared = if config.version == 0 {
+            Resources::ZERO
+        } else {
+            UNLIMITED
+        };
+        self.cap = team.map_or(undeclared, |team| team.cap);
     }
 }
 
-/// Cap of a team without one.
+/// Cap of a team that is not declared.
 const UNLIMITED: Resources = Resources::new(u64::MAX, u64::MAX, u64::MAX);
 
 /// The teams that have jobs.
@@ -185,7 +195,7 @@
                 self.events.push(Event::CapChanged {
                     team: entry.name.clone(),
                     is_reached: entry.is_blocked,
-                    used: entry.committed,
+                    used: entry.taken(),
                     cap: entry.cap,
                 });
             }
@@ -210,8 +220,7 @@
         }
         let (_, spec) = job.step(id)?;
         let (size, cap) = (charged_to_team(spec), team.cap);
-        let taken = team.committed.saturating_add(team.unknown);
-        let name = &team.name;
+        let (name, taken) = (&team.name, team.taken());
         Some(format!(
             "team {name} has reached its cap: {taken} of {cap} taken, a task needs {size}"
         ))
--- a/crates/jobs/src/engine/rack_forecast.rs
+++ b/crates/jobs/src/engine/rack_forecast.rs
@@ -203,7 +203,7 @@
 }
 
 impl RackForecast {
-    /// Returns whether a step of the pass depends on racks.
+    /// Returns whether the pass has a forecast.
     pub(super) fn is_active(&self) -> bool {
         !self.racks.is_empty()
     }
@@ -227,7 +227,7 @@
     }
 
     /// Claims places in the rack for tasks of a step that no decision was made for.
-    pub(super) fn claim_near(&mut self, near: &Near, spec: &StepSpec, count: usize) {
+    pub(super) fn claim_undecided(&mut self, near: &RackPreference, spec: &StepSpec, count: usize) {
         self.claim(Some(&near.rack), spec, near.situation.local_run_time, count);
     }
 
@@ -269,16 +269,16 @@
     }
 }
 
-/// A step that is placed, and what is common to the decisions for its tasks.
+/// The rack that a step prefers in this pass, and what is common to the decisions for its tasks.
 #[derive(Debug)]
-pub(super) struct Near {
+pub(super) struct RackPreference {
     pub(super) rack: Name,
     pub(super) situation: Situation,
     /// Places on approved runners, for a step that needs approvals.
     approved: Option<Places>,
 }
 
-impl Near {
+impl RackPreference {
     /// Returns whether tasks are placed in the rack if it has room: unless they take longer there than
     /// elsewhere and nobody else needs the capacity elsewhere.
     pub(super) fn prefers_rack(&self, rule: LocalityRule) -> bool {
@@ -330,16 +330,23 @@
     pub(super) fn expected_run_time(&self, spec: &StepSpec, is_remote: bool) -> Millis {
         let local = self.run_times.expected(spec);
         if is_remote {
-            Millis(
-                local
-                    .0
-                    .saturating_mul(u64::from(self.cfg.cross_rack_slowdown)),
-            )
+            local.saturating_mul(u64::from(self.cfg.cross_rack_slowdown))
         } else {
             local
         }
     }
 
+    /// Returns the time at which a task of the step is expected to end if it starts now; `None` if it
+    /// runs until it is stopped.
+    pub(super) fn expected_end(
+        &self,
+        spec: &StepSpec,
+        is_remote: bool,
+        now: Millis,
+    ) -> Option<Millis> {
+        (!spec.long_running).then(|| now + self.expected_run_time(spec, is_remote))
+    }
+
     /// Returns the rack that holds the step's data, or else most of its running tasks.
     pub(super) fn settled_rack(&self, step: &Step, spec: &StepSpec) -> Option<Name> {
         if spec.preferred_rack.is_some() {
@@ -374,8 +381,8 @@
                 .is_some_and(|rack| !self.runners[runner_ix.0].has_label(&rack))
     }
 
-    /// Returns how a gang waits for its rack. The previous rule let it wait only for a rack that
-    /// holds its data.
+    /// Returns how a gang waits for its rack. [`LocalityRule::Fixed`] makes it wait only for a
+    /// rack that holds its data.
     pub(super) fn gang_rule(&self, spec: &StepSpec) -> LocalityRule {
         match self.locality_rule {
             LocalityRule::Fixed if spec.preferred_rack.is_none() => LocalityRule::Never,
@@ -398,21 +405,21 @@
 
     /// Returns what the decisions for the tasks of a step have in common; `None` if the step is
     /// indifferent to racks. `waiting` is the number of tasks that may start.
-    pub(super) fn near(
+    pub(super) fn rack_preference(
         &self,
         id: StepId,
         job: &Job,
         waiting: usize,
         forecast: &mut RackForecast,
         now: Millis,
-    ) -> Option<Near> {
+    ) -> Option<RackPreference> {
         let (step, spec) = job.step(id)?;
         if !self.has_locality(spec) {
             return None;
         }
         let rack = match self.settled_rack(step, spec) {
             Some(rack) => rack,
-            // The previous rule let the first task of a group choose the rack.
+            // With this rule, the first task of a group chooses the rack.
             None if self.locality_rule == LocalityRule::Fixed => return None,
             None => self.best_group_rack(id, job, waiting, forecast, now)?,
         };
@@ -420,7 +427,7 @@
         let approved = policy
             .approval
             .map(|_| self.approved_places(id, &rack, job, forecast, now));
-        Some(Near {
+        Some(RackPreference {
             situation: self.situation(id, &rack, job, forecast, now)?,
             rack,
             approved,
@@ -464,7 +471,7 @@
         index: u32,
         id: StepId,
         job: &Job,
-        near: &mut Near,
+        near: &mut RackPreference,
         forecast: &mut RackForecast,
     ) -> Decision {
         let Some((step, spec)) = job.step(id) else {
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -37,17 +37,17 @@
     pub(super) stop_sent_at: Option<Millis>,
     /// Time at which the run is expected to end; `None` if it runs until it is stopped.
     pub(super) expected_end: Option<Millis>,
-    /// Time at which the run was ordered or found.
-    pub(super) ordered_at: Millis,
+    /// Time at which the run was ordered; `None` for one of a previous owner, whose start is unknown.
+    pub(super) ordered_at: Option<Millis>,
     /// Whether the run takes longer because it is not in its rack.
     pub(super) is_remote: bool,
     pub(super) progress: Progress,
 }
 
 impl PlacedRun {
-    /// Returns how long the run was expected to take when it started.
+    /// Returns how long the run was expected to take when it was ordered.
     pub(super) fn expected_run_time(&self) -> Option<Millis> {
-        Some(self.expected_end?.saturating_sub(self.ordered_at))
+        Some(self.expected_end?.saturating_sub(self.ordered_at?))
     }
 }
 
@@ -175,9 +175,9 @@
         now: Millis,
     ) -> Vec<Millis> {
         let end = |run: &PlacedRun| {
-            let expected = run.expected_run_time()?;
-            let end = run.ordered_at + ratio.scale(expected);
-            Some(run.progress.measured_end().unwrap_or(end))
+            let scaled = run.ordered_at.zip(run.expected_run_time());
+            let scaled = scaled.map(|(at, expected)| at + ratio.scale(expected));
+            run.progress.measured_end().or(scaled).or(run.expected_end)
         };
         self.slot_times_by(end, size, max, now)
     }
@@ -221,7 +221,7 @@
     /// Returns by how much the runs take longer than expected, for those with measured progress.
     pub(super) fn measured_ratios(&self) -> impl Iterator<Item = Ratio> {
         self.runs.values().filter_map(|run| {
-            let measured = run.progress.measured_end()?.saturating_sub(run.ordered_at);
+            let measured = run.progress.measured_end()?.saturating_sub(run.ordered_at?);
             Some(Ratio::new(measured, run.expected_run_time()?))
         })
     }
@@ -276,9 +276,10 @@
 
     /// Adds a run and reserves its resources. Returns whether the run is new.
     pub(super) fn add_run(&mut self, task: TaskId, run: u32, placed: PlacedRun) -> bool {
-        if self.runs.insert((task, run), placed).is_some() {
+        if self.runs.contains_key(&(task, run)) {
             return false;
         }
+        self.runs.insert((task, run), placed);
         match placed.size {
             Some(size) => self.used = self.used.saturating_add(size),
             None => self.unsized_runs += 1,
--- a/crates/jobs/src/engine/stall.rs
+++ b/crates/jobs/src/engine/stall.rs
@@ -43,8 +43,9 @@
     first: Option<ProgressReading>,
     /// First reading with the latest percentage.
     newest: Option<ProgressReading>,
-    /// Readings that begin the intervals from which the present speed is measured.
+    /// Start of the interval from which the present speed is measured.
     older: Option<ProgressReading>,
+    /// Start of the next interval, which replaces `older` after enough progress.
     recent: Option<ProgressReading>,
     /// Time at which the run ends if it goes on at that speed, on the owner's clock.
     measured_end: Option<Millis>,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,8 +2,8 @@
 //!
 //! A job has two keyed records: its specification, written once before the submission is
 //! acknowledged to the caller, and its progress, written before the end of a run is acknowledged to
-//! a runner. Soon after the job's end a short record of the end replaces both. Running tasks are not recorded, because the runners report them in their inventories.
-//! The set of runners is recorded: the host list drops a runner that is unreachable, while its
+//! a runner. Soon after the job's end a short record of the end replaces both. Running tasks are not
+//! recorded, because the runners report them in their inventories. The set of runners is recorded: the host list drops a runner that is unreachable, while its
 //! tasks may continue to run.
 
 use derive_more::Display;
--- a/crates/jobs/src/team.rs
+++ b/crates/jobs/src/team.rs
@@ -6,8 +6,8 @@
 use rustc_hash::FxHashMap;
 use sha2::{Digest, Sha256};
 
-/// Digest of an API key. Only digests are kept and looked up, so that neither a dump nor the time of
-/// a look-up tells anything about a key.
+/// Digest of an API key. Keys are looked up by digest, so that no state dump contains one and the time
+/// of a look-up does not depend on how much of a key is right.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
 
--- a/crates/jobs/tests/locality.rs
+++ b/crates/jobs/tests/locality.rs
@@ -8,7 +8,7 @@
 use kspan_jobs::{
     Engine,
     config::{ApprovalPolicy, CellConfig},
-    engine::{Event, LocalityRule, Order, Settings},
+    engine::{Event, LocalityRule, Order, Settings, WaitEnd},
     id::{JobId, TaskId},
     runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
     spec::StepSpec,
@@ -104,7 +104,7 @@
     /// Time from submission to completion, by job.
     latencies: BTreeMap<u64, u64>,
     /// Reasons for the ends of waits.
-    ended_waits: BTreeMap<&'static str, usize>,
+    ended_waits: Vec<WaitEnd>,
     begun_waits: usize,
     /// Predicted and actual durations of the waits that ended with a local start, in ms.
     predictions: Vec<(u64, u64)>,
@@ -115,8 +115,8 @@
         self.latencies.values().sum::<u64>() / self.latencies.len() as u64
     }
 
-    fn ended(&self, how: &str) -> usize {
-        self.ended_waits.get(how).copied().unwrap_or(0)
+    fn ended(&self, how: WaitEnd) -> usize {
+        self.ended_waits.iter().filter(|end| **end == how).count()
     }
 }
 
@@ -368,8 +368,8 @@
                     waited,
                     ..
                 } => {
-                    *self.outcome.ended_waits.entry(how).or_default() += 1;
-                    if how == "local" {
+                    self.outcome.ended_waits.push(how);
+                    if how == WaitEnd::Local {
                         self.outcome.predictions.push((predicted.0, waited.0));
                     }
                 }
@@ -624,8 +624,8 @@
         .collect()
 }
 
-/// A rule that waits by a fixed time is worse than never waiting where the rack stays full, and
-/// worse than always waiting where the cell is full.
+/// Guards against a rule that loses to never waiting where the rack stays full, or to always waiting
+/// where the cell is full.
 #[test]
 fn prediction_is_no_worse_than_the_best_other_rule() {
     let worse = worse_than_best(&[
@@ -694,7 +694,11 @@
         assert_eq!(racks.is_empty(), waits, "{busy_ms} ms: {racks:?}");
         let outcome = replay.run();
         assert_eq!(outcome.begun_waits, usize::from(waits), "{busy_ms} ms");
-        assert_eq!(outcome.ended("local"), usize::from(waits), "{busy_ms} ms");
+        assert_eq!(
+            outcome.ended(WaitEnd::Local),
+            usize::from(waits),
+            "{busy_ms} ms"
+        );
         for (predicted, waited) in outcome.predictions {
             assert!(predicted.abs_diff(waited) <= 200, "{predicted}, {waited}");
         }
@@ -712,7 +716,7 @@
     assert!(why.contains(" ms at the latest"), "{why}");
 }
 
-/// Tasks that wait for a rack must not be held back by one that no longer answers.
+/// Guards against tasks that wait for a rack that no longer answers.
 #[test]
 fn wait_ends_when_the_rack_is_lost() {
     let mut replay = behind_busy_rack(1_000, near(0, step(1, HALF, 1_000)));
@@ -721,7 +725,7 @@
     replay.pass();
     replay.pass();
     assert_eq!(running_in(&replay, 1), [1]);
-    assert_eq!(replay.outcome.ended("prediction worsened"), 1);
+    assert_eq!(replay.outcome.ended(WaitEnd::PredictionWorsened), 1);
 }
 
 /// A gang larger than every rack must not wait for one.
@@ -750,7 +754,7 @@
         assert_eq!(started, if waits { 0 } else { 3 }, "{busy_ms} ms");
         assert_eq!(replay.outcome.begun_waits, usize::from(waits));
         let outcome = replay.run();
-        assert_eq!(outcome.ended("local"), usize::from(waits));
+        assert_eq!(outcome.ended(WaitEnd::Local), usize::from(waits));
     }
 }
 
--- a/crates/jobs/tests/teams.rs
+++ b/crates/jobs/tests/teams.rs
@@ -6,7 +6,7 @@
 
 use kspan_jobs::{
     config::CellConfig,
-    engine::{JobState, Order, RunnerIx, SubmitError},
+    engine::{Event, JobState, Order, RunnerIx, SubmitError},
     id::TaskId,
     record::{self, JobRecord},
     runner::{EndKind, EndedTask, Inventory, InventoryOutcome, RunningTask, StartOutcome},
@@ -53,6 +53,7 @@
     format!("/q/{number:016x}")
 }
 
+/// Guards against access with a key that the configuration in force does not contain.
 #[test]
 fn key_opens_only_what_the_configuration_in_force_allows() {
     let mut config = config_with(vec![team("one", 1.0, UNLIMITED)]);
@@ -78,17 +79,28 @@
     assert_eq!(config.access(public, Some("one-key")), granted("one"));
 }
 
+/// Guards against a withdrawn key that still grants access, also if no team has a key any more.
 #[test]
-fn withdrawn_key_opens_nothing_and_no_teams_need_no_key() {
-    let mut withdrawn = config_with(vec![Team {
+fn withdrawn_key_opens_nothing() {
+    let without_key = Team {
         keys: Vec::new(),
         ..team("one", 1.0, UNLIMITED)
-    }]);
-    let queue = withdrawn.queues[0].clone();
-    let key = Some("one-key");
-    assert_eq!(withdrawn.access(&queue, key), Access::UnknownKey);
-    withdrawn.teams = None;
-    assert_eq!(withdrawn.access(&queue, key), Access::Granted(None));
+    };
+    for teams in [vec![without_key], Vec::new()] {
+        let config = config_with(teams);
+        let access = config.access(&config.queues[0], Some("one-key"));
+        assert_eq!(access, Access::UnknownKey);
+    }
+}
+
+/// Guards against required keys where the configuration declares no teams.
+#[test]
+fn no_key_is_needed_without_declared_teams() {
+    let config = config();
+    for key in [None, Some("one-key")] {
+        let access = config.access(&config.queues[0], key);
+        assert_eq!(access, Access::Granted(None), "{key:?}");
+    }
 }
 
 /// Guards against keys in logs and state dumps.
@@ -99,6 +111,7 @@
     assert!(!text.contains("one-key"), "{text}");
 }
 
+/// Guards against jobs that are stored and can never start.
 #[test]
 fn job_larger_than_the_cap_is_rejected_and_not_stored() {
     let cap = Resources::new(2_500, u64::MAX, u64::MAX);
@@ -214,6 +227,90 @@
     assert!(why.contains("team one has reached its cap"), "{why}");
 }
 
+/// Guards against a cap that is exceeded after a takeover: the runs of a cancelled job were not counted
+/// on a runner that had not answered, once only the end of the job was kept.
+#[test]
+fn runs_of_a_cancelled_job_on_a_silent_runner_count_until_it_answers() {
+    let cap = Resources::new(4_000, u64::MAX, u64::MAX);
+    let config = config_with(vec![team("one", 1.0, cap)]);
+    let mut cell = Cell::with_runners(config.clone(), ["w0", "w1"].map(entry));
+    cell.report_ends(0, Vec::new());
+    cell.submit_for_team(&path(1), job(4, 1, false), "one")
+        .expect("accepted");
+    let running = cell.schedule_and_start();
+    assert_eq!(running.len(), 4);
+    cell.engine
+        .cancel(Millis(cell.now), cell.now, HOST, &path(1));
+    cell.commit();
+    cell.recover_with(config);
+    let now = Millis(cell.now);
+    for id in ["w0", "w1"] {
+        cell.engine.upsert_runner(now, entry(id));
+    }
+    cell.engine.confirm_ownership(now);
+    cell.commit();
+    let live: Vec<RunnerIx> = cell.engine.live_runners().collect();
+    let is_silent = |ix: &RunnerIx| &**cell.engine.runner(*ix).id == "w0";
+    let (silent, answering): (Vec<RunnerIx>, Vec<RunnerIx>) = live.into_iter().partition(is_silent);
+    cell.report_ends(answering[0].0, Vec::new());
+    for _ in 0..3 {
+        cell.advance(3_000);
+        cell.commit();
+        cell.report_ends(answering[0].0, Vec::new());
+    }
+    cell.submit_for_team(&path(2), job(1, 1, false), "one")
+        .expect("accepted");
+    assert!(cell.schedule_and_start().is_empty());
+    // The runs are listed and being stopped; they still count.
+    let rows = running.iter().map(|(_, task)| row(*task)).collect();
+    cell.report_inventory(silent[0].0, rows, Vec::new());
+    assert!(cell.schedule_and_start().is_empty());
+    let ends = (1..).zip(&running).map(|(number, (_, task))| EndedTask {
+        task: *task,
+        how: EndKind::Stopped,
+        ..failed_end(number, 1)
+    });
+    let ends = ends.collect();
+    cell.report_inventory(silent[0].0, Vec::new(), ends);
+    assert_eq!(cell.schedule_and_start().len(), 1);
+}
+
+/// Guards against reports of a cap that change with the room in the cell instead of the team's use.
+#[test]
+fn reached_cap_is_reported_once_also_while_the_cell_is_full() {
+    let cap = Resources::new(2_000, u64::MAX, u64::MAX);
+    let teams = vec![team("one", 1.0, cap), team("two", 1.0, UNLIMITED)];
+    let mut cell = Cell::with_runners(config_with(teams), [entry("w0")]);
+    cell.report_ends(0, Vec::new());
+    cell.submit_for_team(&path(1), job(4, 1, false), "one")
+        .expect("accepted");
+    let mut running = cell.schedule_and_start();
+    cell.submit_for_team(&path(2), job(6, 1, false), "two")
+        .expect("accepted");
+    for ended in 1..=3_u64 {
+        running.extend(cell.schedule_and_start());
+        cell.advance(100);
+        // Tasks of the other team end and fill the cell again.
+        let at = running
+            .iter()
+            .position(|(_, task)| task.step.job.0 == 2)
+            .expect("a task of the other team");
+        let (_, task) = running.remove(at);
+        let end = EndedTask {
+            task,
+            how: EndKind::Done,
+            ..failed_end(ended, 1)
+        };
+        let rows = running.iter().map(|(_, task)| row(*task)).collect();
+        cell.report_inventory(0, rows, vec![end]);
+    }
+    let events = cell.engine.take_events();
+    let changes = events
+        .iter()
+        .filter(|event| matches!(event, Event::CapChanged { .. }));
+    assert_eq!(changes.count(), 1);
+}
+
 /// Load pattern: one team submits far more than it is entitled to. The others are served as if it
 /// did not, and its excess uses what they leave.
 #[test]
@@ -288,7 +385,7 @@
     assert_eq!(of_two.count(), 2, "of {}", running.len());
 }
 
-/// Records of versions that knew no teams are still read after an upgrade.
+/// Guards against the loss of jobs that were recorded by a version that knew no teams.
 #[test]
 fn job_record_without_a_team_is_decoded() {
     #[derive(Serialize)]
@@ -352,7 +449,8 @@
     AnswerInventory(usize),
     LowerCap(u64),
     TakeOver,
-    Wait,
+    Cancel(usize),
+    Wait(u64),
 }
 
 fn ops() -> impl Strategy<Value = Vec<Op>> {
@@ -366,7 +464,8 @@
         4 => (0..RUNNERS).prop_map(Op::AnswerInventory),
         1 => (1..6_u64).prop_map(Op::LowerCap),
         1 => Just(Op::TakeOver),
-        2 => Just(Op::Wait),
+        1 => (0..20_usize).prop_map(Op::Cancel),
+        2 => prop_oneof![Just(300), Just(4_000)].prop_map(Op::Wait),
     ];
     prop::collection::vec(op, 1..60)
 }
@@ -507,7 +606,18 @@
                 self.cell.recover_with(config);
                 self.list_runners();
             }
-            Op::Wait => self.cell.advance(300),
+            Op::Cancel(at) => {
+                if let Some(at) = at.checked_rem(self.jobs.len()) {
+                    let path = format!("/q/{:016x}", at + 1);
+                    let now = self.cell.now;
+                    self.cell.engine.cancel(Millis(now), now, HOST, &path);
+                    self.cell.commit();
+                }
+            }
+            Op::Wait(ms) => {
+                self.cell.advance(ms);
+                self.cell.commit();
+            }
         }
     }
 
