Split the placement and rack forecast modules by job

Cause: place.rs (843 lines) held the scheduling pass, the placement of a step and the choice among runners; rack_forecast.rs (800 lines) held lists of places, the forecast and the decisions for steps.

Change: place.rs is split into schedule, place and candidate, and rack_forecast.rs into rack_choice, rack_forecast and rack_places. Code is only moved; visibility follows.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -17,9 +17,9 @@
 use super::{
     ApprovalRequest, Engine, Order, RunnerIx,
     approvals::{PendingRequest, is_short},
+    candidate::examined,
     contention::affordable_runners,
     job::{Job, Step},
-    place::examined,
     runner::Runner,
 };
 use crate::{
--- a/crates/jobs/src/engine/contention.rs
+++ b/crates/jobs/src/engine/contention.rs
@@ -12,8 +12,8 @@
 use super::{
     Engine, RunnerIx,
     approval_requests::{ApprovalCandidate, MAX_RUNNERS_PER_CALL, MIN_RUNNERS_PER_REQUEST},
+    candidate::examined,
     job::{Job, Step},
-    place::examined,
 };
 use crate::{
     config::{ApprovalPolicy, Policy},
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 mod approval_requests;
 mod approvals;
+mod candidate;
 mod contention;
 mod demand;
 mod durable;
@@ -22,9 +23,12 @@
 mod prefetch;
 mod queries;
 mod quota;
+mod rack_choice;
 mod rack_forecast;
+mod rack_places;
 mod reserve;
 mod runner;
+mod schedule;
 mod servable;
 mod share;
 mod stall;
