Remove the locality decision that nothing asks for

Cause: Situation::has_local_room was always false and Decision::Local was never returned: a task is placed in its rack before a decision is asked for.

--- a/crates/jobs/src/engine/locality.rs
+++ b/crates/jobs/src/engine/locality.rs
@@ -1,5 +1,4 @@
-//! Decision between a start in the rack that a task or group prefers, a wait for that rack, and a
-//! start in another rack.
+//! Decision between a wait for the rack that a task or group prefers and a start in another rack.
 //!
 //! Tasks run longer outside their rack, but a rack may have no room for longer than that costs. The
 //! decision compares the predicted end of the task on either way, and is made anew in each pass. A
@@ -15,9 +14,8 @@
 /// percent. Predictions are uncertain, and a wait that barely pays off gains little.
 const MAX_INITIAL_PERCENT: u64 = 80;
 
-/// Weight of the excess work in the cost of a longer run. The run delays both this work and what arrives
-/// until the backlog is gone; with a weight of 1, tasks of an overloaded cell took 15% longer in the
-/// replay tests.
+/// Weight of the excess work in the cost of a longer run. The run delays not only this work but also what
+/// arrives until the backlog is gone.
 const BACKLOG_WEIGHT: u64 = 6;
 
 /// Maximum cost to others that is taken into account, in percent of the additional run time.
@@ -48,8 +46,6 @@
     pub(super) local_run_time: Millis,
     /// Expected run time in another rack.
     pub(super) remote_run_time: Millis,
-    /// Whether the rack has room now.
-    pub(super) has_local_room: bool,
     /// Predicted time at which the rack has room; `None` if none of its runners takes the task.
     pub(super) local_start: Option<Millis>,
     /// Latest end of the task with which its job meets its objective.
@@ -95,11 +91,9 @@
     }
 }
 
-/// A decision for one task or gang.
+/// A decision for one task or gang whose rack has no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Decision {
-    /// Start in the rack now.
-    Local,
     /// Wait for the rack, at most until the given time.
     WaitUntil(Millis),
     /// Start in another rack now.
@@ -173,15 +167,12 @@
     }
 }
 
-/// Decides for a task or gang that may start in another rack now. `wait` is its present wait.
+/// Decides for a task or gang that may start in another rack now, but not in its own. `wait` is its present wait.
 pub(super) fn decide(rule: LocalityRule, situation: &Situation, wait: Option<&Wait>) -> Decision {
     let additional = situation.additional_run_time();
     if additional == Millis::ZERO {
         return Decision::Remote;
     }
-    if situation.has_local_room {
-        return Decision::Local;
-    }
     let fixed_end = situation.waiting_since.saturating_add(additional);
     match rule {
         LocalityRule::Predicted => situation.decide_by_prediction(wait),
--- a/crates/jobs/src/engine/rack_choice.rs
+++ b/crates/jobs/src/engine/rack_choice.rs
@@ -192,7 +192,6 @@
             waiting_since: now,
             local_run_time: self.rack_ratio(rack, forecast).scale(run_time),
             remote_run_time: self.overruns.overall().scale(remote_run_time),
-            has_local_room: false,
             local_start: None,
             latest_end: (now + run_time).saturating_add(self.slack(job, now)),
             group_end: running.max().filter(|_| !spec.long_running),
