Build claims and placements in one place

Cause: a claim was built field by field at two places, and a placement without waits at four.

Change: Claim::new, Places::take and Placement::start serve them; the fields of a claim and Places::apply become private to rack_places.

--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -34,6 +34,16 @@
     waits: Vec<(u32, Wait)>,
 }
 
+impl Placement {
+    /// Starts tasks and lets none wait for its rack.
+    fn start(choices: Vec<Choice>) -> Self {
+        Self {
+            choices,
+            waits: Vec::new(),
+        }
+    }
+}
+
 impl Engine {
     pub(super) fn place_step(&mut self, id: StepId, all_verified: bool, now: Millis) {
         if self.tasks_within_cap(id) == 0 {
@@ -171,10 +181,7 @@
         let mut all = self.candidates(id, step, spec, &job.record.policy, now);
         let has_locality = self.has_locality(spec);
         if !has_locality && !spec.same_rack {
-            return Some(Placement {
-                choices: self.fill_gang(all, step, spec, false),
-                waits: Vec::new(),
-            });
+            return Some(Placement::start(self.fill_gang(all, step, spec, false)));
         }
         let mut racks: Vec<_> = match &spec.preferred_rack {
             Some(rack) => {
@@ -197,17 +204,11 @@
         });
         let mut in_racks = in_racks.filter(|choices| !choices.is_empty());
         if let Some(choices) = in_racks.next() {
-            return Some(Placement {
-                choices,
-                waits: Vec::new(),
-            });
+            return Some(Placement::start(choices));
         }
         let across = self.fill_gang(all, step, spec, has_locality);
         if !has_locality {
-            return Some(Placement {
-                choices: across,
-                waits: Vec::new(),
-            });
+            return Some(Placement::start(across));
         }
         Some(self.wait_or_split(id, job, across, forecast, now))
     }
@@ -222,26 +223,22 @@
         forecast: &mut RackForecast,
         now: Millis,
     ) -> Placement {
-        let split = |choices| Placement {
-            choices,
-            waits: Vec::new(),
-        };
         let Some((step, spec)) = job.step(id) else {
             return Placement::default();
         };
         let best = self.best_gang_rack(id, job, forecast, now);
         let Some((start, rack)) = best else {
-            return split(across);
+            return Placement::start(across);
         };
         let Some(mut situation) = self.situation(id, &rack, job, forecast, now) else {
-            return split(across);
+            return Placement::start(across);
         };
         let first = &step.tasks[0];
         situation.local_start = Some(start);
         situation.waiting_since = first.state_since;
         let decision = decide(self.gang_rule(spec), &situation, first.wait.as_ref());
         let Decision::WaitUntil(until) = decision else {
-            return split(across);
+            return Placement::start(across);
         };
         forecast.claim_for_gang(id, spec, &rack, situation.local_run_time);
         if across.is_empty() {
--- a/crates/jobs/src/engine/rack_choice.rs
+++ b/crates/jobs/src/engine/rack_choice.rs
@@ -8,7 +8,7 @@
     job::{Job, Step},
     locality::{Decision, LocalityRule, Situation, Wait, decide},
     rack_forecast::RackForecast,
-    rack_places::{Claim, Places, WHOLE_CLAIM},
+    rack_places::Places,
 };
 use crate::{id::StepId, spec::StepSpec};
 
@@ -226,12 +226,7 @@
             let run_time = near.situation.local_run_time;
             forecast.claim(Some(&near.rack), spec, run_time, 1);
             if let Some(places) = &mut near.approved {
-                let claim = Claim {
-                    size: spec.charged_resources(),
-                    run_time,
-                    count: 1,
-                };
-                places.apply(claim, claim.size, WHOLE_CLAIM);
+                places.take(spec, run_time);
             }
         }
         decision
--- a/crates/jobs/src/engine/rack_forecast.rs
+++ b/crates/jobs/src/engine/rack_forecast.rs
@@ -106,11 +106,7 @@
         run_time: Millis,
         count: usize,
     ) {
-        let claim = Claim {
-            size: spec.charged_resources(),
-            run_time,
-            count: count as u64,
-        };
+        let claim = Claim::new(spec, run_time, count);
         match rack {
             _ if count == 0 => {}
             Some(rack) => {
--- a/crates/jobs/src/engine/rack_places.rs
+++ b/crates/jobs/src/engine/rack_places.rs
@@ -2,6 +2,8 @@
 
 use kspan_model::{Millis, Resources};
 
+use crate::spec::StepSpec;
+
 /// Maximum number of places that are listed for a rack and size.
 const MAX_PLACES: usize = 512;
 
@@ -15,9 +17,9 @@
 /// Work that is expected to start before that of the steps which are placed later.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Claim {
-    pub(super) size: Resources,
-    pub(super) run_time: Millis,
-    pub(super) count: u64,
+    size: Resources,
+    run_time: Millis,
+    count: u64,
 }
 
 /// Shares of claims that fall on a list of places, in thousandths.
@@ -43,6 +45,16 @@
     claimed: usize,
 }
 
+impl Claim {
+    pub(super) fn new(spec: &StepSpec, run_time: Millis, count: usize) -> Self {
+        Self {
+            size: spec.charged_resources(),
+            run_time,
+            count: count as u64,
+        }
+    }
+}
+
 impl Places {
     pub(super) fn new(mut times: Vec<Millis>) -> Self {
         times.sort_unstable();
@@ -89,9 +101,15 @@
         self.general_claims = general.len();
     }
 
+    /// Takes a place for one task of the step that the list was made for.
+    pub(super) fn take(&mut self, spec: &StepSpec, run_time: Millis) {
+        let claim = Claim::new(spec, run_time, 1);
+        self.apply(claim, claim.size, WHOLE_CLAIM);
+    }
+
     /// Takes the first place until the end of the claim's run, once for each of its tasks. `scale`
     /// is the share of the claim that falls on the list, in thousandths.
-    pub(super) fn apply(&mut self, claim: Claim, size: Resources, scale: u64) {
+    fn apply(&mut self, claim: Claim, size: Resources, scale: u64) {
         let each = places_taken(claim.size, size).saturating_mul(scale) / WHOLE_CLAIM;
         self.partial = self
             .partial
