Take the hint for a cell without members from one place

Cause: `kspanctl dump` repeated the text that `exit::unreachable` suggests for `Error::NoMember`, because it exits with another code than `unreachable`.

Change: `exit::fail_with_error` prints an error and its hint for any exit code; `unreachable` and `dump` call it.

Result: messages and exit codes are unchanged.

--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -40,10 +40,15 @@
 
 /// Reports that the log or a process could not be reached.
 pub(crate) fn unreachable(err: &Error) -> Exit {
+    fail_with_error(Exit::Unreachable, err)
+}
+
+/// Prints an error and what to do next, and returns `exit`.
+pub(crate) fn fail_with_error(exit: Exit, err: &Error) -> Exit {
     let next = match err {
         Error::Log(_) => "check --log or KSPAN_LOG, and that the log service is running",
         Error::Process(..) => "run `kspanctl status` to see which processes respond",
         Error::NoMember(_) => "start the cell's processes, or wait until they have joined",
     };
-    fail(Exit::Unreachable, &err.to_string(), next)
+    fail(exit, &err.to_string(), next)
 }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -9,7 +9,7 @@
 use crate::{
     args::{Drain, Dump},
     document::report_unpublished,
-    exit::{Exit, fail, unreachable},
+    exit::{Exit, fail, fail_with_error, unreachable},
     output::{Format, format_columns, format_count, print},
 };
 
@@ -111,9 +111,7 @@
     };
     let statuses = cell.fetch_member_statuses().await;
     if statuses.is_empty() {
-        let message = Error::NoMember("process").to_string();
-        let next = "start the cell's processes, or wait until they have joined";
-        return fail(Exit::Refused, &message, next);
+        return fail_with_error(Exit::Refused, &Error::NoMember("process"));
     }
     let dumps: serde_json::Map<String, Value> = statuses
         .into_iter()
