Carry the retry delay of a rejection with the rejection

Cause: the router's handler derived `Retry-After` from the status of a rejection, which a further rejection with 503 would have received as well. The delay of one second was written three times, once under a name that told of the document only.

Change: `Rejection` has `retry_after`, which `reject_undeclared` sets, and the handler passes it on. `exchange::RETRY_AFTER` is the delay of all responses to requests that the router cannot dispatch at present.

Result: responses are unchanged.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -30,7 +30,8 @@
 use crate::{
     app::{Admission, App, DecidedClaim},
     exchange::{
-        CompleteAnswer, IdempotencyKey, IncomingRequest, Response, record_answer, replay_answer,
+        CompleteAnswer, IdempotencyKey, IncomingRequest, RETRY_AFTER, Response, record_answer,
+        replay_answer,
     },
     upstream::ExchangeResult,
 };
@@ -223,7 +224,7 @@
         Outcome::Unknown
     };
     let response = Response::without_answer(outcome, StatusCode::SERVICE_UNAVAILABLE, reason);
-    response.with_retry_after(Millis::from_secs(1))
+    response.with_retry_after(RETRY_AFTER)
 }
 
 fn response_for_result(result: RunResult, proven: bool) -> Response {
@@ -294,7 +295,7 @@
 const fn not_dispatched(reason: &'static str) -> RunResult {
     RunResult::NotDispatched {
         reason,
-        retry_after: Some(Millis::from_secs(1)),
+        retry_after: Some(RETRY_AFTER),
         status: StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -24,6 +24,9 @@
     header::UPGRADE,
 ];
 
+/// Delay after which a caller may retry a request that this router can't dispatch at present.
+pub const RETRY_AFTER: Millis = Millis::from_secs(1);
+
 /// A request as it is forwarded to runners.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -16,7 +16,8 @@
     app::App,
     dispatch,
     exchange::{
-        IdempotencyKey, IncomingRequest, OutgoingRequest, Response, header_text, is_forwarded,
+        IdempotencyKey, IncomingRequest, OutgoingRequest, RETRY_AFTER, Response, header_text,
+        is_forwarded,
     },
     stats::CompletedRequest,
 };
@@ -40,18 +41,20 @@
 const DEADLINE_HEADER: &str = "kspan-deadline-ms";
 const REPLAYED_HEADER: &str = "kspan-replayed";
 
-/// Time after which a caller should retry a request that an outdated document may not declare.
-const OUTDATED_RETRY_AFTER: Millis = Millis::from_secs(1);
-
 /// The reason for rejecting a request that is invalid or incomplete.
 struct Rejection {
     status: StatusCode,
     reason: &'static str,
+    retry_after: Option<Millis>,
 }
 
 impl Rejection {
     const fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason }
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
     }
 }
 
@@ -61,8 +64,11 @@
     if app.node.guard().may_act() {
         Rejection::new(StatusCode::NOT_FOUND, reason)
     } else {
-        let reason = "the document on this host may be outdated";
-        Rejection::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+        Rejection {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "the document on this host may be outdated",
+            retry_after: Some(RETRY_AFTER),
+        }
     }
 }
 
@@ -84,11 +90,9 @@
         Ok(incoming) => serve_detached(&app, incoming).await,
         Err(rejection) => {
             let outcome = outcome_of_rejected(&req);
-            let response = Response::without_answer(outcome, rejection.status, rejection.reason);
-            if rejection.status == StatusCode::SERVICE_UNAVAILABLE {
-                response.with_retry_after(OUTDATED_RETRY_AFTER)
-            } else {
-                response
+            Response {
+                retry_after: rejection.retry_after,
+                ..Response::without_answer(outcome, rejection.status, rejection.reason)
             }
         }
     };
