Share the calls of end-to-end tests between cells and other processes

Cause: `tests/undeclared.rs` had its own copies of the harness's HTTP call, of the loop that repeats it until a status is returned, and of their constants, because it needs `Retry-After`, which the harness dropped.

Change: `harness::send` returns status, `Retry-After` and body; `call` and `call_until` are built on it, and `undeclared` uses it and `call_until`. Its loopback addresses come from the harness's module, so that one counter hands them out. Assertions and timeouts are unchanged; its requests now carry the harness's `Host`, on which neither routers nor schedulers decide.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,9 +1,10 @@
-//! Real processes of a cell, for end-to-end tests against a fake of the users' platform.
+//! Real processes of a cell, for end-to-end tests against a fake of the users' platform, and calls to
+//! processes of any kind.
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
 #[path = "../loopback/mod.rs"]
-mod loopback;
+pub(crate) mod loopback;
 #[path = "../../platform/standin/mod.rs"]
 pub(crate) mod standin;
 
@@ -113,21 +114,40 @@
     }
 }
 
-pub(crate) async fn call(
-    method: &str,
-    addr: &str,
-    path: &str,
-    body: &str,
-) -> Option<(u16, String)> {
+/// A complete response of a process.
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    pub(crate) retry_after: Option<String>,
+    pub(crate) body: String,
+}
+
+/// Sends a request once; returns `None` if there is no complete response.
+pub(crate) async fn send(method: &str, addr: &str, path: &str, body: &str) -> Option<Response> {
     let method = method.parse().expect("a method");
     let req = Client::new()
         .await
         .request(method, format!("http://{addr}{path}"));
     let req = req.header("host", HOST).content_type("application/json");
     let response = req.send_body(body.to_owned()).await.ok()?;
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.map(|value| value.to_str().expect("a number").to_owned());
     let body = response.body().await.ok()?;
-    let text = String::from_utf8_lossy(&body).into_owned();
-    Some((response.status().as_u16(), text))
+    Some(Response {
+        status: response.status().as_u16(),
+        retry_after,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+/// Sends a request once; returns the status and the body of the response.
+pub(crate) async fn call(
+    method: &str,
+    addr: &str,
+    path: &str,
+    body: &str,
+) -> Option<(u16, String)> {
+    let response = send(method, addr, path, body).await?;
+    Some((response.status, response.body))
 }
 
 /// Repeats a call until the response has the status `status`; returns its body.
--- a/tests/undeclared.rs
+++ b/tests/undeclared.rs
@@ -1,6 +1,6 @@
 //! Answers of routers and schedulers about what the document does not declare.
 
-mod loopback;
+mod harness;
 
 use std::{
     fs,
@@ -8,30 +8,26 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use harness::{call_until, loopback, send};
 use kspan_contract::protocol::hosts::{Host, HostKind, HostState};
 use kspan_lab::{
     http::ThreadPool,
     standin::{hosts::Hosts, log::Log},
 };
 use kspan_node::settings::{Faults, Listen, Platform, Settings};
-use ntex::client::Client;
 
 const DOCUMENT: &str = include_str!("data/small.yaml");
 
-/// Timeout of every wait for an expected answer.
-const TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Interval at which waits check their condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// A running router or scheduler, killed when dropped.
 struct Process {
     child: Child,
     name: String,
-    listen: Listen,
+    /// Address for requests of callers.
+    http: String,
+    admin: String,
     settings: PathBuf,
 }
 
@@ -66,7 +62,8 @@
         Self {
             child,
             name: name.to_owned(),
-            listen,
+            http: http.to_string(),
+            admin: admin.to_string(),
             settings: path,
         }
     }
@@ -81,34 +78,14 @@
     }
 }
 
-/// Status and `Retry-After` of an answer.
-type Answer = (u16, Option<String>);
-
-async fn answer_to(method: &str, addr: SocketAddr, path: &str, body: &str) -> Option<Answer> {
-    let method = method.parse().expect("a method");
-    let req = Client::new()
-        .await
-        .request(method, format!("http://{addr}{path}"));
-    let req = req.content_type("application/json");
-    let response = req.send_body(body.to_owned()).await.ok()?;
-    let retry_after = response.headers().get("retry-after");
-    let retry_after = retry_after.map(|value| value.to_str().expect("a number").to_owned());
-    Some((response.status().as_u16(), retry_after))
-}
-
-async fn wait_for_status(method: &str, addr: SocketAddr, path: &str, body: &str, status: u16) {
-    let started_at = Instant::now();
-    loop {
-        let answered = answer_to(method, addr, path, body).await;
-        if answered.as_ref().is_some_and(|answer| answer.0 == status) {
-            return;
-        }
-        assert!(
-            started_at.elapsed() < TIMEOUT,
-            "{method} {path}: {answered:?}, not {status}"
-        );
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+async fn status_and_retry_after(
+    method: &str,
+    process: &Process,
+    path: &str,
+    body: &str,
+) -> Option<(u16, Option<String>)> {
+    let response = send(method, &process.http, path, body).await?;
+    Some((response.status, response.retry_after))
 }
 
 fn entry_host(name: &str, address: IpAddr) -> Host {
@@ -176,7 +153,7 @@
             .map(|(name, address)| Process::start(binary, name, address, platform))
             .collect();
         for process in &processes {
-            wait_for_status(method, process.listen.http, path, body, 404).await;
+            call_until(method, &process.http, path, body, 404).await;
         }
 
         let isolated = &processes[0];
@@ -189,14 +166,14 @@
             ..Faults::default()
         };
         let faults = serde_json::to_string(&faults).expect("faults are serialisable");
-        wait_for_status("PUT", isolated.listen.admin, "/faults", &faults, 204).await;
+        call_until("PUT", &isolated.admin, "/faults", &faults, 204).await;
         thread::sleep(Duration::from_secs(5));
-        let answer = answer_to(method, isolated.listen.http, path, body).await;
+        let answer = status_and_retry_after(method, isolated, path, body).await;
         assert!(
             matches!(answer, Some((503, Some(_)))),
             "{method} {path}: {answer:?}"
         );
-        let answer = answer_to(method, processes[1].listen.http, path, body).await;
+        let answer = status_and_retry_after(method, &processes[1], path, body).await;
         assert_eq!(answer, Some((404, None)), "{method} {path}");
     }
 }
