Say what moved pieces do beyond their names

Cause: `remove_adopted_from_queue` also recorded the task's gang as adopted, which neither its name nor its comment said; the header of `appender.rs` repeated the comment on its type; "checked next" in the console's result page and a test of the key registry did not tell what they are about.

Change: the function is `dequeue_adopted` and its comment names both effects; the other comments state the path of an append, the meaning of `base`, and the failure that the test guards against.

Result: no behaviour is changed.

--- a/crates/console/src/page.rs
+++ b/crates/console/src/page.rs
@@ -109,7 +109,8 @@
     pub(crate) message: String,
     pub(crate) text: String,
     pub(crate) author: String,
-    /// Version on which the text is checked next: after an attempt to publish it, the one in force.
+    /// Version against which the form checks the text: after an attempt to publish, the one in force,
+    /// else the one from which the text was edited.
     pub(crate) base: u64,
     /// Changes of this operator.
     pub(crate) ours: Vec<Change>,
--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -1,4 +1,7 @@
-//! Hands appends to the log thread, and the verdicts on their records back.
+//! Requests of other threads to append records.
+//!
+//! The log thread receives a request through a ring, appends the record (`append`), and passes the
+//! verdict back when it applies the record.
 
 use std::{collections::HashMap, sync::Mutex};
 
--- a/crates/placement/src/commands.rs
+++ b/crates/placement/src/commands.rs
@@ -203,14 +203,14 @@
             return self.record_orphan(orphan, AdoptOutcome::Superseded);
         };
         slot.attempt = task.attempt;
-        self.remove_adopted_from_queue(number, task);
+        self.dequeue_adopted(number, task);
         let since = found.started;
         self.assign_worker(number, task.index, worker, found.size, found.state, since);
         AdoptOutcome::Adopted
     }
 
-    /// Removes a task that a previous owner of the shard started from the queue.
-    pub(crate) fn remove_adopted_from_queue(&mut self, number: JobNo, task: TaskId) {
+    /// Dequeues a task that a previous owner of the shard started, and records its gang as adopted.
+    pub(crate) fn dequeue_adopted(&mut self, number: JobNo, task: TaskId) {
         let job = self.jobs.get_mut(number);
         if job.is_gang() {
             self.adopted_gangs.insert(task.job);
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -200,7 +200,7 @@
         slot.attempt = task.attempt;
         slot.transition_to(TaskState::Ended);
         job.started = true;
-        self.remove_adopted_from_queue(number, task);
+        self.dequeue_adopted(number, task);
         Some(number)
     }
 
--- a/crates/routing/tests/engine/keys.rs
+++ b/crates/routing/tests/engine/keys.rs
@@ -456,6 +456,8 @@
     assert_eq!(registry.answer_bytes(), 0);
 }
 
+/// Guards against a registry that grows without bound because the order of its answers keeps keys that
+/// were evicted.
 #[test]
 fn registry_keeps_nothing_of_evicted_keys() {
     let mut registry = KeyRegistry::new(Limits::default());
