Name the time after which an isolated process stops acting

Cause: the test of undeclared names slept for an unexplained 5 s, and blocked its runtime meanwhile.

Change: the constant `ISOLATION_TIME` names the time and its lower bound; the wait is the runtime's. The time itself is unchanged.

--- a/tests/undeclared.rs
+++ b/tests/undeclared.rs
@@ -7,7 +7,6 @@
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    thread,
     time::Duration,
 };
 
@@ -21,6 +20,10 @@
 
 const DOCUMENT: &str = include_str!("data/small.yaml");
 
+/// Time after which an isolated process no longer acts on what it knows. It exceeds the time for which
+/// the guard's evidence is valid, 2 s.
+const ISOLATION_TIME: Duration = Duration::from_secs(5);
+
 /// A running router or scheduler, killed when dropped.
 struct Process {
     child: Child,
@@ -167,7 +170,7 @@
         };
         let faults = serde_json::to_string(&faults).expect("faults are serialisable");
         call_until("PUT", &isolated.admin, "/faults", &faults, 204).await;
-        thread::sleep(Duration::from_secs(5));
+        tokio::time::sleep(ISOLATION_TIME).await;
         let answer = status_and_retry_after(method, isolated, path, body).await;
         assert!(
             matches!(answer, Some((503, Some(_)))),
