--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     forward, http,
-    message::{CallFailure, CallResponse, JobCall, Verb},
+    message::{ApiKey, CallFailure, CallResponse, JobCall, Verb},
     node::Node,
     peers::RequestError,
     telemetry,
@@ -73,7 +73,14 @@
         .split(':')
         .next()
         .unwrap_or_default();
+    let key = req
+        .headers()
+        .get(entry::KEY_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(entry::parse_key)
+        .map(|key| ApiKey(key.to_owned()));
     let call = JobCall {
+        key,
         host: host.to_owned(),
         path: req.path().to_owned(),
         verb,
--- a/crates/cell/src/forward/tests.rs
+++ b/crates/cell/src/forward/tests.rs
@@ -50,6 +50,7 @@
     JobCall {
         host: "queue.example".to_owned(),
         path: "/work/00000000000000a1".to_owned(),
+        key: None,
         verb,
         hops_left: 1,
     }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use derive_more::Debug;
 use kspan_adapter::{approvals::Approved, store};
 use kspan_jobs::{id::StepId, spec::JobSpec};
 use kspan_model::Name;
@@ -57,6 +58,11 @@
     }
 }
 
+/// A caller's API key. Its debug format does not show it, so that it reaches no log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[debug("ApiKey(..)")]
+pub(crate) struct ApiKey(pub(crate) String);
+
 /// A caller's request about a job or queue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobCall {
@@ -64,6 +70,8 @@
     pub(crate) host: String,
     /// Path that the caller addressed.
     pub(crate) path: String,
+    /// Key that the caller sent.
+    pub(crate) key: Option<ApiKey>,
     /// Requested operation.
     pub(crate) verb: Verb,
     /// Number of times that the call may still be forwarded.
@@ -74,7 +82,8 @@
     /// Returns whether the response says that the call submits a job which is not accepted. That must
     /// not be said while another attempt at the call may still be executed.
     pub(crate) fn is_refused_by(&self, response: &CallResponse) -> bool {
-        matches!(self.verb, Verb::Submit(_)) && matches!(response.status, 404 | 429 | 503)
+        matches!(self.verb, Verb::Submit(_))
+            && matches!(response.status, 401 | 403 | 404 | 429 | 503)
     }
 }
 
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -3,8 +3,11 @@
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::entry;
-use kspan_jobs::engine::{CancelOutcome, Submission, SubmitError};
-use kspan_model::Millis;
+use kspan_jobs::{
+    engine::{CancelOutcome, Submission, SubmitError},
+    spec::JobSpec,
+};
+use kspan_model::{Millis, Name};
 
 use super::Owner;
 use crate::message::{CallFailure, CallResponse, JobCall, Verb};
@@ -46,8 +49,12 @@
         if self.engine.borrow().config_version() == 0 {
             return Ok(CallResponse::unavailable(RETRY_AFTER_S));
         }
+        let team = match self.authorize(&call) {
+            Ok(team) => team,
+            Err(response) => return Ok(response),
+        };
         match call.verb {
-            Verb::Submit(spec) => self.submit(&call.host, &call.path, spec).await,
+            Verb::Submit(spec) => self.submit(&call.host, &call.path, spec, team).await,
             Verb::Show => Ok(self.show(&call.host, &call.path)),
             Verb::Cancel => self.cancel(&call.host, &call.path).await,
         }
@@ -57,7 +64,8 @@
         self: &Rc<Self>,
         host: &str,
         path: &str,
-        spec: kspan_jobs::spec::JobSpec,
+        spec: JobSpec,
+        team: Option<Name>,
     ) -> Result<CallResponse> {
         let known = self.engine.borrow().find_queue(host, path);
         let is_new = known
@@ -70,13 +78,18 @@
         if is_new && !self.may_accept_jobs() {
             return Ok(self.refuse_for_outdated_config(path));
         }
-        let req = Submission { host, path, spec };
+        let req = Submission {
+            host,
+            path,
+            spec,
+            team,
+        };
         let unix_ms = self.node.clock.unix_ms();
         let submitted = self.engine.borrow_mut().submit(self.now(), unix_ms, req);
         let submitted = match submitted {
             Ok(submitted) => submitted,
             Err(SubmitError::NoQueue) => return Ok(self.unknown_queue(path)),
-            Err(err @ SubmitError::Unservable(..)) => {
+            Err(err @ (SubmitError::Unservable(..) | SubmitError::BeyondCap(_))) => {
                 self.log_call(path, "refused", &err.to_string());
                 return Ok(CallResponse {
                     body: err.to_string().into_bytes(),
@@ -191,7 +204,7 @@
 
     /// Refuses a call whose answer depends on which queues exist, while a version that has been
     /// accepted may not have been applied here.
-    fn refuse_for_outdated_config(&self, path: &str) -> CallResponse {
+    pub(super) fn refuse_for_outdated_config(&self, path: &str) -> CallResponse {
         self.log_call(path, "refused", "configuration may be outdated");
         CallResponse::unavailable(RETRY_AFTER_S)
     }
--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -29,6 +29,7 @@
         Event::RunAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
+        | Event::CapChanged { .. }
         | Event::RunnerChanged { .. } => {}
     }
 }
@@ -54,6 +55,7 @@
         Event::RunStalled { .. } => "stalled",
         Event::JobEnded { .. } => "job ended",
         Event::JobLate { .. } => "job late",
+        Event::CapChanged { .. } => "cap",
         Event::RunnerChanged { .. } => "runner",
     }
 }
@@ -106,6 +108,14 @@
         } => {
             tracing::warn!(%job, queue, why, after_ms = elapsed.0, "job waits beyond its objective");
         }
+        Event::CapChanged {
+            team,
+            is_reached,
+            used,
+            cap,
+        } => {
+            tracing::info!(%team, is_reached, %used, %cap, "team's cap reached, or left again");
+        }
         Event::RunnerChanged { id, what } => {
             tracing::info!(runner = %id, what, "runner state changed")
         }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -3,6 +3,7 @@
 //! Each [`Owner`] belongs to one fence, that is, to one claim of the cell. When its ownership ends
 //! it stops permanently; a later claim creates a new one.
 
+mod access;
 mod calls;
 mod commit;
 mod event_log;
@@ -307,6 +308,7 @@
     /// Records the totals as metrics. They are computed only when metrics are read.
     pub(crate) fn record_totals(&self) {
         telemetry::set_totals(&self.totals());
+        telemetry::set_teams(&self.engine.borrow().team_usage());
         if let Some(age) = self.config_age() {
             telemetry::set_config_age(age);
         }
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,6 +2,7 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
+use kspan_jobs::engine::TeamUsage;
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -11,6 +12,12 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Maximum number of teams with metrics of their own, which bounds the number of label sets.
+const MAX_TEAM_LABELS: usize = 200;
+
+/// Label of all other teams together.
+const OTHER_TEAMS: &str = "other";
+
 /// Installs the recorder.
 ///
 /// # Errors
@@ -55,6 +62,11 @@
     counter!("kspan_cell_jobs_late_total").increment(1);
 }
 
+/// Records a request that was refused because of its key.
+pub(crate) fn record_refused_key(why: &'static str) {
+    counter!("kspan_cell_keys_refused_total", "why" => why).increment(1);
+}
+
 /// Records the outcome of an inventory call.
 pub(crate) fn record_inventory(outcome: &'static str) {
     counter!("kspan_cell_inventories_total", "outcome" => outcome).increment(1);
@@ -107,6 +119,37 @@
     gauge!("kspan_cell_accelerators_largest_free").set(to_f64(totals.largest_free_accelerators));
 }
 
+/// Records what teams use and are entitled to. Teams beyond a maximum number share one label.
+pub(crate) fn set_teams(teams: &[TeamUsage]) {
+    let (named, others) = teams.split_at(teams.len().min(MAX_TEAM_LABELS));
+    for team in named {
+        set_team(&team.team, team);
+    }
+    if let Some(sum) = others.iter().cloned().reduce(|sum, team| sum.merged(&team)) {
+        set_team(OTHER_TEAMS, &sum);
+    }
+}
+
+fn set_team(label: &str, usage: &TeamUsage) {
+    let set = |name: &'static str, value: f64| {
+        gauge!(name, "team" => label.to_owned()).set(value);
+    };
+    set(
+        "kspan_cell_team_jobs_active",
+        to_f64(usage.active_jobs as u64),
+    );
+    set(
+        "kspan_cell_team_cpu_cores_used",
+        to_f64(usage.used.cpu_milli) / 1_000.0,
+    );
+    set(
+        "kspan_cell_team_accelerators_used",
+        to_f64(usage.used.accelerators),
+    );
+    set("kspan_cell_team_share_used", usage.share_used);
+    set("kspan_cell_team_share_entitled", usage.share_entitled);
+}
+
 fn seconds(span: Millis) -> f64 {
     to_f64(span.0) / 1_000.0
 }
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -45,7 +45,9 @@
                 stretch: 2.0,
                 ..Policy::default()
             },
+            ..Queue::default()
         }],
+        ..CellConfig::default()
     }
 }
 
@@ -121,6 +123,7 @@
                 policy: config().queues[0].policy.clone(),
                 accepted_unix_ms: 1_000,
                 spec: spec(8),
+                ..JobRecord::default()
             };
             (JobId(id), record::encode(&record))
         })
@@ -157,6 +160,7 @@
             host: HOST,
             path: &path,
             spec: spec(1),
+            team: None,
         };
         engine.submit(now, now.0, req).expect("the job is valid");
     };
@@ -213,6 +217,7 @@
             host: HOST,
             path: &path,
             spec,
+            team: None,
         };
         engine.submit(now, now.0, req).expect("the job is valid");
     };
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -3,6 +3,8 @@
 use kspan_model::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::team::{Access, Team, Teams};
+
 /// Cost and validity of approvals, for a queue whose steps may run only on approved runners.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ApprovalPolicy {
@@ -57,6 +59,8 @@
     pub prefix: Name,
     /// Scheduling policy of its jobs.
     pub policy: Policy,
+    /// Whether calls need no key.
+    pub is_public: bool,
 }
 
 /// Queue configuration of one cell, as declared by the operators.
@@ -66,6 +70,8 @@
     pub version: u64,
     /// Configured queues.
     pub queues: Vec<Queue>,
+    /// Declared teams; `None` if callers need no keys.
+    pub teams: Option<Teams>,
 }
 
 impl CellConfig {
@@ -77,4 +83,21 @@
         let queue = matching.max_by_key(|queue| queue.prefix.len())?;
         Some((queue, &path[queue.prefix.len()..]))
     }
+
+    /// Checks the key of a call to a queue.
+    pub fn access(&self, queue: &Queue, key: Option<&str>) -> Access {
+        let Some(teams) = &self.teams else {
+            return Access::Granted(None);
+        };
+        match key.and_then(|key| teams.find_by_key(key)) {
+            Some(team) => Access::Granted(Some(team.name.clone())),
+            None if queue.is_public => Access::Granted(None),
+            None => Access::UnknownKey,
+        }
+    }
+
+    /// Returns a declared team.
+    pub fn team(&self, name: &Name) -> Option<&Team> {
+        self.teams.as_ref()?.get(name)
+    }
 }
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -168,7 +168,11 @@
                 engine.schedulable.insert(id);
                 job.begin_due_occurrences(now, unix_ms, false);
                 job.mark_unverified();
+            } else {
+                let since_end = unix_ms.saturating_sub(job.ended_unix_ms);
+                job.ended_at = Some(now.saturating_sub(Millis(since_end)));
             }
+            engine.assign_team(&mut job);
             engine.jobs.insert(id, job);
         }
         engine.unverified_until = Some(now + cfg.previous_owner_timeout);
@@ -185,7 +189,13 @@
         self.batches.progress.remove(&id);
         self.active.remove(&id);
         self.schedulable.remove(&id);
-        self.jobs.remove(&id);
+        let withdrawn = self.jobs.remove(&id);
+        let team = withdrawn
+            .filter(|job| job.phase == Phase::Active)
+            .and_then(|job| job.team);
+        if let Some(team) = team {
+            self.teams.remove_active_job(team);
+        }
         true
     }
 
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -27,7 +27,7 @@
         now: Millis,
         unix_ms: u64,
     ) {
-        self.runners[runner_ix.0].remove_run(end.task, end.run);
+        self.remove_run(runner_ix, end.task, end.run);
         self.emit_run_ended(runner_ix, end.task, end.run, Some(end.how), now);
         self.update_health(runner_ix, end.how, now);
         let index = end.task.index as usize;
@@ -98,7 +98,7 @@
         now: Millis,
     ) {
         self.emit_run_ended(runner_ix, task, run, None, now);
-        self.runners[runner_ix.0].remove_run(task, run);
+        self.remove_run(runner_ix, task, run);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -1,6 +1,6 @@
 //! Explanations of a job's state, for operators.
 
-use kspan_model::{Millis, Resources};
+use kspan_model::{Millis, Name, Resources};
 use serde::Serialize;
 
 use super::{
@@ -8,7 +8,12 @@
     job::{Job, Occurrence, Step, TaskState},
     servable::lacking_resource,
 };
-use crate::{config::Policy, id::JobId, record::Phase, spec::StepSpec};
+use crate::{
+    config::Policy,
+    id::{JobId, StepId},
+    record::Phase,
+    spec::StepSpec,
+};
 
 /// State of a job and the reasons for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -17,6 +22,10 @@
     pub job: String,
     /// Queue that the job was submitted to.
     pub queue: String,
+    /// Team that submitted the job.
+    pub team: Option<String>,
+    /// Whether the team submitted more than it is entitled to, so that the job ranks after others.
+    pub exceeds_rate: bool,
     /// Phase of the job.
     pub phase: &'static str,
     /// Whether the phase is durable and may be reported to the caller.
@@ -71,6 +80,8 @@
         Some(Explanation {
             job: id.to_string(),
             queue: job.record.queue.to_string(),
+            team: job.record.team.as_ref().map(Name::to_string),
+            exceeds_rate: job.record.exceeds_rate,
             phase,
             durable: job.spec_batch.max(job.phase_batch) <= self.batches.durable(),
             age_ms: now.saturating_sub(job.submitted).0,
@@ -163,6 +174,14 @@
                 .to_owned();
         }
         let policy = &job.record.policy;
+        let id = StepId {
+            job: job.id,
+            occurrence: occurrence.number,
+            step: u32::try_from(number).unwrap_or(u32::MAX),
+        };
+        if let Some(reason) = self.cap_reason(id) {
+            return reason;
+        }
         let can_place = self
             .runners
             .iter()
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -275,12 +275,15 @@
         let spec = job.and_then(|job| job.record.spec.steps.get(task.step.step as usize));
         let placed = PlacedRun {
             size: spec.map(StepSpec::charged_resources),
+            charge: job
+                .zip(spec)
+                .and_then(|(job, spec)| Self::charge_of(job, spec)),
             sharing: spec.map(StepSpec::sharing).unwrap_or_default(),
             settled_sequence: Some(self.last_sequence),
             stop_sent_at: None,
             expected_end: spec.and_then(|spec| self.run_times.expected_end(spec, now)),
             progress: Progress::default(),
         };
-        self.runners[runner_ix.0].add_run(task, run, placed);
+        self.add_run(runner_ix, task, run, placed);
     }
 }
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -3,13 +3,17 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 
-use super::{approvals::Approvals, runner::RunnerIx};
+use super::{approvals::Approvals, quota::TeamIx, runner::RunnerIx};
 use crate::{
     id::{JobId, StepId},
     record::{FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
     spec::{JobSpec, StepSpec},
 };
 
+/// Number of failed runs from which a task counts as failing repeatedly. A single failure says more
+/// about the runner.
+const REPEATED_FAILURES: usize = 2;
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -114,6 +118,15 @@
         self.done == self.tasks.len()
     }
 
+    /// Returns whether all waiting tasks have failed repeatedly.
+    pub(super) fn fails_repeatedly(&self) -> bool {
+        let mut waiting = self
+            .tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Waiting);
+        waiting.all(|task| task.failures.len() >= REPEATED_FAILURES)
+    }
+
     /// Returns how many more tasks of the step may run on the runner.
     pub(super) fn remaining_on(&self, runner_ix: RunnerIx, spec: &StepSpec) -> u32 {
         let there = self.tasks_by_runner.get(&runner_ix).copied().unwrap_or(0);
@@ -185,7 +198,11 @@
     /// Batch that makes the specification durable.
     pub(super) spec_batch: u64,
     pub(super) submitted: Millis,
+    /// Team that the job's runs are charged to.
+    pub(super) team: Option<TeamIx>,
     pub(super) ended_unix_ms: u64,
+    /// Time at which the job ended.
+    pub(super) ended_at: Option<Millis>,
     /// Whether any task has started.
     pub(super) started: bool,
     /// Whether the job was reported as late.
@@ -207,7 +224,9 @@
             phase_batch: 0,
             spec_batch: 0,
             submitted: now,
+            team: None,
             ended_unix_ms: 0,
+            ended_at: None,
             started: false,
             reported_late: false,
             occurrences_done: 0,
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -17,16 +17,18 @@
 mod orders;
 mod place;
 mod queries;
+mod quota;
 mod reserve;
 mod runner;
 mod servable;
+mod share;
 mod stall;
 mod submit;
 mod urgency;
 
 use std::collections::VecDeque;
 
-use kspan_model::{Millis, Name};
+use kspan_model::{Millis, Name, Resources};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use self::{
@@ -35,8 +37,10 @@
     durable::Batches,
     estimate::RunTimes,
     job::Job,
+    quota::TeamTable,
     reserve::{Reservation, ServiceRunners},
-    runner::Runner,
+    runner::{PlacedRun, Runner},
+    share::SubmissionRates,
 };
 use crate::{
     config::CellConfig,
@@ -50,6 +54,7 @@
     inventory::InventoryCall,
     queries::{JobState, Totals},
     runner::RunnerIx,
+    share::TeamUsage,
     submit::{CancelOutcome, Submission, SubmitError, Submitted},
 };
 
@@ -210,6 +215,17 @@
         /// Time since the submission.
         elapsed: Millis,
     },
+    /// A team reached its cap, or has tasks that may start again.
+    CapChanged {
+        /// Name of the team.
+        team: Name,
+        /// Whether the cap keeps tasks from starting.
+        is_reached: bool,
+        /// Resources of the team's runs.
+        used: Resources,
+        /// Cap of the team.
+        cap: Resources,
+    },
     /// The status of a runner changed.
     RunnerChanged {
         /// Id of the runner.
@@ -236,6 +252,9 @@
     demand: Demand,
     /// Runners of each service.
     services: FxHashMap<Name, ServiceRunners>,
+    /// Teams and what their runs use.
+    teams: TeamTable,
+    submission_rates: SubmissionRates,
     /// Runners that had room for one of the waiting tasks when the current scheduling pass began.
     open_runners: Vec<RunnerIx>,
     /// Runners reserved during the current scheduling pass.
@@ -276,6 +295,8 @@
             run_times: RunTimes::default(),
             demand: Demand::default(),
             services: FxHashMap::default(),
+            teams: TeamTable::default(),
+            submission_rates: SubmissionRates::default(),
             open_runners: Vec::new(),
             reserved: FxHashMap::default(),
             batches: Batches::default(),
@@ -296,6 +317,7 @@
         if config.version < self.config.version {
             return false;
         }
+        self.teams.declare(&config);
         self.config = config;
         true
     }
@@ -320,6 +342,22 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Adds a run to a runner and charges it to its team.
+    fn add_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32, placed: PlacedRun) {
+        let is_new = self.runners[runner_ix.0].add_run(task, run, placed);
+        if let Some(charge) = placed.charge.filter(|_| is_new) {
+            self.teams.charge(charge);
+        }
+    }
+
+    /// Removes a run from a runner and releases what it was charged.
+    fn remove_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32) {
+        let removed = self.runners[runner_ix.0].remove_run(task, run);
+        if let Some(charge) = removed.and_then(|placed| placed.charge) {
+            self.teams.release(charge);
+        }
+    }
+
     fn next_sequence(&mut self) -> u64 {
         self.last_sequence += 1;
         self.last_sequence
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -77,6 +77,7 @@
             return;
         }
         let all_verified = self.are_all_runs_verified(now);
+        self.update_unknown_usage(all_verified, now);
         self.reserved.clear();
         let ReadySteps {
             steps: ready_steps,
@@ -87,6 +88,11 @@
             if ready.is_durable {
                 self.place_step(ready.step, all_verified, now);
             }
+            if self.tasks_within_cap(ready.step) == 0 {
+                // Runners and approvals would be kept from steps that may start.
+                self.mark_blocked_by_cap(ready.step);
+                continue;
+            }
             if ready.urgency.is_overdue() {
                 self.reserve_for_overdue(ready.step, now);
             } else if ready.is_reservable {
@@ -95,6 +101,7 @@
             self.request_approvals(ready.step, now);
         }
         self.reserved.clear();
+        self.report_blocked_teams();
         self.report_late_job(late_job, now);
     }
 
@@ -102,6 +109,7 @@
     /// such steps from the schedulable set.
     fn ranked_ready_steps(&mut self, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
+        let share_unit = self.share_unit();
         let mut ready = Vec::new();
         let mut late_job = None;
         let mut exhausted = Vec::new();
@@ -117,7 +125,7 @@
                 continue;
             }
             let is_durable = job.spec_batch <= self.batches.durable();
-            let urgency = self.urgency(job, now);
+            let urgency = self.urgency(job, share_unit, now);
             if urgency.misses_objective() && !job.reported_late {
                 late_job = Some(*id);
             }
@@ -128,7 +136,9 @@
                 let is_reservable = self.is_reservable(spec, policy);
                 let fits = spec.charged_resources().fits_in(max_free);
                 (fits || is_overdue || is_reservable).then_some(ReadyStep {
-                    urgency: urgency.with_overdue(is_overdue),
+                    urgency: urgency
+                        .with_overdue(is_overdue)
+                        .with_repeated_failures(step.fails_repeatedly()),
                     step: id,
                     is_durable,
                     is_reservable,
@@ -220,11 +230,16 @@
             return;
         };
         let policy = &job.record.policy;
-        let choices = if spec.gang {
+        let max_tasks = self.tasks_within_cap(id);
+        if max_tasks == 0 {
+            return;
+        }
+        let mut choices = if spec.gang {
             self.choose_gang(id, step, spec, policy, all_verified, now)
         } else {
             self.choose_runners(id, step, spec, policy, all_verified, now)
         };
+        choices.truncate(max_tasks);
         if choices.is_empty() {
             return;
         }
@@ -447,6 +462,9 @@
             return;
         };
         let text = job.record.spec.text.clone();
+        let charge = job
+            .step(task.step)
+            .and_then(|(_, spec)| Self::charge_of(job, spec));
         let Some((step, spec)) = job.step_mut(task.step) else {
             return;
         };
@@ -463,19 +481,17 @@
         known.skip_runs = 0;
         known.unverified = false;
         step.set_state(index, TaskState::Starting(runner_ix), now);
-        let runner = &mut self.runners[runner_ix.0];
-        runner.add_run(
-            task,
-            run,
-            PlacedRun {
-                size: Some(size),
-                sharing,
-                settled_sequence: None,
-                stop_sent_at: None,
-                expected_end,
-                progress: Progress::default(),
-            },
-        );
+        let placed = PlacedRun {
+            size: Some(size),
+            charge,
+            sharing,
+            settled_sequence: None,
+            stop_sent_at: None,
+            expected_end,
+            progress: Progress::default(),
+        };
+        self.add_run(runner_ix, task, run, placed);
+        let runner = &self.runners[runner_ix.0];
         self.events.push(Event::StartOrdered {
             task,
             run,
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -7,6 +7,7 @@
     id::{JobId, TaskId},
     record::Phase,
     runner::RunnerEntry,
+    team::Access,
 };
 
 /// State of a job as reported to callers.
@@ -65,6 +66,23 @@
         Some((queue.name.clone(), rest.parse().ok()))
     }
 
+    /// Checks the key of a call to a path; `None` if no queue serves the path.
+    pub fn access(&self, host: &str, path: &str, key: Option<&str>) -> Option<Access> {
+        let (queue, _) = self.config.find(host, path)?;
+        Some(self.config.access(queue, key))
+    }
+
+    /// Returns whether calls to the path have to carry a key.
+    pub fn needs_key(&self, host: &str, path: &str) -> bool {
+        let queue = self.config.find(host, path);
+        self.config.teams.is_some() && queue.is_some_and(|(queue, _)| !queue.is_public)
+    }
+
+    /// Returns the team that submitted a job; `None` if the job is unknown or has no team.
+    pub fn team_of(&self, id: JobId) -> Option<&Name> {
+        self.jobs.get(&id)?.record.team.as_ref()
+    }
+
     /// Returns the state of a job. An end is reported only once it is durable.
     pub fn job_state(&self, id: JobId) -> Option<JobState> {
         let job = self.jobs.get(&id)?;
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -6,7 +6,7 @@
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 
-use super::{Settings, health::Health, stall::Progress};
+use super::{Settings, health::Health, quota::Charge, stall::Progress};
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 /// Index of a runner incarnation; never reused for another one.
@@ -27,6 +27,8 @@
 pub(super) struct PlacedRun {
     /// Resources reserved for the run; `None` if unknown.
     pub(super) size: Option<Resources>,
+    /// What the run is charged to its team.
+    pub(super) charge: Option<Charge>,
     pub(super) sharing: Sharing,
     /// Sequence number from which on the order is settled: an inventory requested later either
     /// lists the run, or the run is over.
@@ -219,10 +221,10 @@
         }
     }
 
-    /// Adds a run and reserves its resources.
-    pub(super) fn add_run(&mut self, task: TaskId, run: u32, placed: PlacedRun) {
+    /// Adds a run and reserves its resources. Returns whether the run is new.
+    pub(super) fn add_run(&mut self, task: TaskId, run: u32, placed: PlacedRun) -> bool {
         if self.runs.insert((task, run), placed).is_some() {
-            return;
+            return false;
         }
         match placed.size {
             Some(size) => self.used = self.used.saturating_add(size),
@@ -233,13 +235,12 @@
             Sharing::LatencySensitive => self.latency_sensitive_runs += 1,
             Sharing::BestEffort => self.best_effort_runs += 1,
         }
+        true
     }
 
-    /// Removes a run and releases its resources. Returns whether the run was known.
-    pub(super) fn remove_run(&mut self, task: TaskId, run: u32) -> bool {
-        let Some(placed) = self.runs.remove(&(task, run)) else {
-            return false;
-        };
+    /// Removes a run and releases its resources. Returns the run if it was known.
+    pub(super) fn remove_run(&mut self, task: TaskId, run: u32) -> Option<PlacedRun> {
+        let placed = self.runs.remove(&(task, run))?;
         match placed.size {
             Some(size) => self.used = self.used.checked_sub(size).unwrap_or_default(),
             None => self.unsized_runs -= 1,
@@ -249,7 +250,7 @@
             Sharing::LatencySensitive => self.latency_sensitive_runs -= 1,
             Sharing::BestEffort => self.best_effort_runs -= 1,
         }
-        true
+        Some(placed)
     }
 
     /// Records a response with a reading of the runner's clock.
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -1,6 +1,6 @@
 //! Commands of callers: submission and cancellation of jobs.
 
-use kspan_model::Millis;
+use kspan_model::{Millis, Name};
 use quick_error::quick_error;
 
 use super::{Engine, Event, job::Job};
@@ -29,6 +29,10 @@
         Unservable(step: usize, lacking: &'static str) {
             display("step {step}: the service has no runners {lacking}")
         }
+        /// A task of the step, or its whole gang, is larger than the cap of the team.
+        BeyondCap(step: usize) {
+            display("step {step}: a task, or the whole gang, exceeds the cap of the team")
+        }
         /// The specification is invalid.
         Spec(err: SpecError) {
             from()
@@ -46,6 +50,8 @@
     pub path: &'a str,
     /// Job specification.
     pub spec: JobSpec,
+    /// Team of the caller.
+    pub team: Option<Name>,
 }
 
 /// Result of a successful submission.
@@ -91,13 +97,21 @@
         }
         req.spec.validate()?;
         self.check_servable(&req.spec, &queue.policy, now)?;
+        let team = req.team.as_ref().and_then(|name| self.config.team(name));
+        if let Some(step) = team.and_then(|team| Self::step_beyond_cap(team.cap, &req.spec.steps)) {
+            return Err(SubmitError::BeyondCap(step));
+        }
+        let exceeds_rate = team.is_some_and(|team| self.submission_rates.exceeds_rate(team, now));
         let record = JobRecord {
             queue: queue.name.clone(),
             policy: queue.policy.clone(),
             accepted_unix_ms: unix_ms,
             spec: req.spec,
+            team: req.team,
+            exceeds_rate,
         };
         let mut job = Job::new(id, record, now);
+        self.assign_team(&mut job);
         job.begin_due_occurrences(now, unix_ms, true);
         self.record_demand(&job);
         job.spec_batch = self.batches.add_job(id);
@@ -112,6 +126,18 @@
         })
     }
 
+    /// Sets the team that the runs of an active job are charged to.
+    pub(super) fn assign_team(&mut self, job: &mut Job) {
+        let Some(name) = &job.record.team else {
+            return;
+        };
+        let team = self.teams.index(name, &self.config);
+        job.team = Some(team);
+        if job.phase == Phase::Active {
+            self.teams.add_active_job(team);
+        }
+    }
+
     /// Records the large tasks that a job demands.
     pub(super) fn record_demand(&mut self, job: &Job) {
         let service = &job.record.policy.service;
@@ -144,6 +170,10 @@
         }
         job.phase = phase;
         job.ended_unix_ms = unix_ms;
+        job.ended_at = Some(now);
+        if let Some(team) = job.team {
+            self.teams.remove_active_job(team);
+        }
         job.phase_batch = self.batches.add_progress(id);
         self.active.remove(&id);
         self.schedulable.remove(&id);
--- a/crates/jobs/src/engine/urgency.rs
+++ b/crates/jobs/src/engine/urgency.rs
@@ -11,7 +11,11 @@
 
 use kspan_model::Millis;
 
-use super::{Engine, job::Job, job::Occurrence};
+use super::{
+    Engine,
+    job::{Job, Occurrence},
+    share::ShareUnit,
+};
 
 /// Multiple of its objective within which the result of a job is of use to its caller.
 const USEFUL_OBJECTIVES: u64 = 3;
@@ -21,9 +25,15 @@
 pub(super) struct Urgency {
     /// False if a task of a long-running step is overdue, which ranks it first.
     is_not_overdue: bool,
+    /// Whether the job's team submitted more than it is entitled to.
+    exceeds_rate: bool,
     /// Whether the job would end too late to be of any use.
     is_useless: bool,
     priority: u32,
+    /// Whether the step's waiting tasks have failed repeatedly.
+    fails_repeatedly: bool,
+    /// Whether the job's team uses more than its share of the cell.
+    is_over_share: bool,
     misses_objective: bool,
     due: Millis,
 }
@@ -37,6 +47,14 @@
         }
     }
 
+    /// Returns the rank of a step whose waiting tasks have failed repeatedly, or have not.
+    pub(super) fn with_repeated_failures(self, fails_repeatedly: bool) -> Self {
+        Self {
+            fails_repeatedly,
+            ..self
+        }
+    }
+
     /// Returns whether the job can no longer meet its objective.
     pub(super) fn misses_objective(&self) -> bool {
         self.misses_objective
@@ -49,8 +67,8 @@
 }
 
 impl Engine {
-    /// Returns the rank of a job, regardless of overdue tasks.
-    pub(super) fn urgency(&self, job: &Job, now: Millis) -> Urgency {
+    /// Returns the rank of a job, regardless of the state of its steps.
+    pub(super) fn urgency(&self, job: &Job, share_unit: ShareUnit, now: Millis) -> Urgency {
         let policy = &job.record.policy;
         let total = self.critical_path(job, None);
         let remaining = job
@@ -63,8 +81,13 @@
         let latest_useful = began + Millis(objective.0 * USEFUL_OBJECTIVES);
         Urgency {
             is_not_overdue: true,
+            exceeds_rate: job.record.exceeds_rate,
             is_useless: !job.record.spec.is_long_running() && now + remaining > latest_useful,
             priority: policy.priority,
+            fails_repeatedly: false,
+            is_over_share: job
+                .team
+                .is_some_and(|team| self.is_over_share(team, share_unit)),
             misses_objective: now + remaining > due,
             due,
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod record;
 pub mod runner;
 pub mod spec;
+pub mod team;
 
 pub use engine::Engine;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -99,7 +99,7 @@
 }
 
 /// Durable specification of an accepted job.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct JobRecord {
     /// Queue that the job was submitted to.
     pub queue: Name,
@@ -109,6 +109,43 @@
     pub accepted_unix_ms: u64,
     /// Specification of the job.
     pub spec: JobSpec,
+    /// Team that submitted the job.
+    pub team: Option<Name>,
+    /// Whether the team submitted more than it is entitled to when it submitted the job.
+    pub exceeds_rate: bool,
+}
+
+/// Job record without a team, as written by versions that knew no teams.
+#[derive(Deserialize)]
+struct JobRecordWithoutTeam {
+    queue: Name,
+    policy: Policy,
+    accepted_unix_ms: u64,
+    spec: JobSpec,
+}
+
+impl JobRecord {
+    /// Decodes a record, also one of a version that knew no teams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes do not encode a job record.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let (old, rest) = postcard::take_from_bytes::<JobRecordWithoutTeam>(bytes)?;
+        let (team, exceeds_rate) = if rest.is_empty() {
+            (None, false)
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            queue: old.queue,
+            policy: old.policy,
+            accepted_unix_ms: old.accepted_unix_ms,
+            spec: old.spec,
+            team,
+            exceeds_rate,
+        })
+    }
 }
 
 /// Durable progress of a job.
@@ -179,7 +216,7 @@
     /// Returns an error, and adds nothing, if the key or the value cannot be decoded.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<()> {
         match RecordKey::parse(key)? {
-            RecordKey::Job(id) => self.jobs.push((id, decode(value)?)),
+            RecordKey::Job(id) => self.jobs.push((id, JobRecord::decode(value)?)),
             RecordKey::Progress(id) => drop(self.progress.insert(id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(decode(value)?),
         }
--- a/crates/jobs/tests/large_tasks.rs
+++ b/crates/jobs/tests/large_tasks.rs
@@ -386,6 +386,7 @@
         host: HOST,
         path: &path,
         spec,
+        team: None,
     };
     let submitted = simulation.cell.engine.submit(Millis(now), now, req);
     submitted.err()
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -47,6 +47,7 @@
             stretch: 2.0,
             ..Policy::default()
         },
+        ..Queue::default()
     }
 }
 
@@ -54,6 +55,7 @@
     CellConfig {
         version: 1,
         queues: vec![queue("q")],
+        ..CellConfig::default()
     }
 }
 
@@ -141,6 +143,7 @@
             policy: config().queues[0].policy.clone(),
             accepted_unix_ms: self.now,
             spec,
+            ..JobRecord::default()
         };
         let now = Millis(self.now);
         let state = DurableState {
@@ -225,6 +228,7 @@
             host: HOST,
             path,
             spec,
+            team: None,
         };
         let submitted = self.engine.submit(Millis(self.now), self.now, req);
         assert!(submitted.is_ok());
--- a/crates/jobs/tests/support/callers.rs
+++ b/crates/jobs/tests/support/callers.rs
@@ -29,6 +29,7 @@
             host: HOST,
             path: &path,
             spec,
+            team: None,
         };
         let cell = &mut self.owners[owner];
         let submitted = cell
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -311,7 +311,9 @@
                     slack: Millis(500),
                     ..Policy::default()
                 },
+                ..Queue::default()
             }],
+            ..CellConfig::default()
         }
     }
 
