--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -103,7 +103,7 @@
 
 /// Executes a call at the owner. Retries until the timeout, so that a takeover does not fail the
 /// call.
-async fn execute(node: &Rc<Node>, call: JobCall) -> CallResponse {
+pub(crate) async fn execute(node: &Rc<Node>, call: JobCall) -> CallResponse {
     let started = Instant::now();
     let mut in_doubt = false;
     while started.elapsed() < OWNER_TIMEOUT {
@@ -116,7 +116,6 @@
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    let submits = matches!(call.verb, Verb::Submit(_));
     if node.log_limit.allows("entry", node.clock.now()) {
         let job = call.path.rsplit('/').next().unwrap_or_default();
         let owner = node.known_owner().map_or(0, |owner| owner.fence);
@@ -129,7 +128,7 @@
             "no owner executed the call before the timeout"
         );
     }
-    if in_doubt && submits {
+    if in_doubt && call.changes_state() {
         CallResponse::new(504)
     } else {
         CallResponse::unavailable(RETRY_AFTER_S)
--- a/crates/cell/src/forward/tests.rs
+++ b/crates/cell/src/forward/tests.rs
@@ -79,6 +79,7 @@
     let others = vec![start_process("a-1", "a", Some(refusal)).await];
     let table = [
         (Verb::Submit(JobSpec::default()), Err(RequestError::InDoubt)),
+        (Verb::Cancel, Err(RequestError::InDoubt)),
         (Verb::Show, Ok(CallResponse::unavailable(1))),
     ];
     for (verb, expected) in table {
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -71,10 +71,20 @@
 }
 
 impl JobCall {
-    /// Returns whether the response says that the call submits a job which is not accepted. That must
-    /// not be said while another attempt at the call may still be executed.
+    /// Returns whether the call may change a job.
+    pub(crate) fn changes_state(&self) -> bool {
+        !matches!(self.verb, Verb::Show)
+    }
+
+    /// Returns whether the response says that the call would change a job and was not executed. That
+    /// must not be said while another attempt at the call may still be executed.
     pub(crate) fn is_refused_by(&self, response: &CallResponse) -> bool {
-        matches!(self.verb, Verb::Submit(_)) && matches!(response.status, 404 | 429 | 503)
+        match self.verb {
+            Verb::Submit(_) => !matches!(response.status, 200 | 504),
+            // No attempt at a cancellation makes a job unknown, which 410 says.
+            Verb::Cancel => !matches!(response.status, 200 | 410 | 504),
+            Verb::Show => false,
+        }
     }
 }
 
--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -2,6 +2,8 @@
 
 mod claims;
 mod heartbeats;
+#[cfg(test)]
+mod tests;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -13,7 +13,7 @@
 mod recover;
 mod runners;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod topics;
 
 use std::{
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -10,7 +10,7 @@
 };
 
 /// Creates a process whose store listens on `store`.
-pub(super) async fn node(store: &str) -> Rc<Node> {
+pub(crate) async fn node(store: &str) -> Rc<Node> {
     Node::new(ProcessSettings {
         node: Name::new("a-1"),
         address: Ipv4Addr::LOCALHOST,
@@ -32,7 +32,7 @@
 }
 
 /// Creates an owner that has recovered a cell with one queue and no job.
-pub(super) async fn owner(store: &str) -> Rc<Owner> {
+pub(crate) async fn owner(store: &str) -> Rc<Owner> {
     let owner = Owner::new(node(store).await, 1, 1);
     let queue = Queue {
         name: Name::new("q"),
@@ -48,7 +48,7 @@
     owner
 }
 
-pub(super) fn call(verb: Verb) -> JobCall {
+pub(crate) fn call(verb: Verb) -> JobCall {
     JobCall {
         host: "queue.example".to_owned(),
         path: "/work/00000000000000a1".to_owned(),
