Say why a lost run is over, and log each crash of a runner

Callers saw jobs run for ever while runner after runner crashed. The log said 'vanished' for a run whose runner ended, whose lease expired, that was no longer listed or that was refused, so it could not tell whether crashes go uncounted, counts are lost with an owner, or one order crashes several incarnations.

RunEnd and LossReason carry the evidence; 'run ended' gets a field why, a crash gets a line with the number of runs it took, and both are counted.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -1,7 +1,7 @@
 //! Logs and metrics of the engine's events.
 
 use kspan_jobs::{
-    engine::{Event, WaitEnd},
+    engine::{Event, RunEnd, WaitEnd},
     runner::EndKind,
 };
 
@@ -31,9 +31,8 @@
             ..
         } => telemetry::record_rack_wait_end(wait_end_name(*how), *predicted, *waited),
         Event::StartFailed { why, .. } => telemetry::record_not_started(why),
-        Event::RunEnded { how, .. } => {
-            telemetry::record_run_end(how.map_or("vanished", end_kind_name))
-        }
+        Event::RunEnded { how, .. } => record_run_end(*how),
+        Event::RunnerCrashed { .. } => telemetry::record_runner_crash(),
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
         Event::JobLate { .. } => telemetry::record_late_job(),
         Event::RunAdopted { .. }
@@ -44,6 +43,20 @@
     }
 }
 
+fn record_run_end(how: RunEnd) {
+    telemetry::record_run_end(run_end_name(how));
+    if let RunEnd::Lost(reason) = how {
+        telemetry::record_run_loss(reason);
+    }
+}
+
+fn run_end_name(how: RunEnd) -> &'static str {
+    match how {
+        RunEnd::Reported(how) => end_kind_name(how),
+        RunEnd::Lost(_) => "vanished",
+    }
+}
+
 fn end_kind_name(how: EndKind) -> &'static str {
     match how {
         EndKind::Done => "done",
@@ -70,6 +83,7 @@
         Event::RackWaitEnded { .. } => "rack wait over",
         Event::StartFailed { .. } => "not started",
         Event::RunEnded { .. } => "run over",
+        Event::RunnerCrashed { .. } => "crash",
         Event::RunAdopted { .. } => "adopted",
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
@@ -124,7 +138,15 @@
             how,
             elapsed,
         } => {
-            tracing::info!(%task, run, runner = %runner, how = how.map_or("vanished", end_kind_name), after_ms = elapsed.0, "run ended");
+            let why = match how {
+                RunEnd::Reported(_) => None,
+                RunEnd::Lost(reason) => Some(tracing::field::display(reason)),
+            };
+            tracing::info!(%task, run, runner = %runner, how = run_end_name(*how), why, after_ms = elapsed.0, "run ended");
+        }
+        Event::RunnerCrashed { id, runs, youngest } => {
+            let youngest_ms = youngest.map(|age| age.0);
+            tracing::warn!(runner = %id, runs, youngest_ms, "runner ended without draining, its runs are lost");
         }
         Event::RunAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, "run adopted");
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,7 +2,7 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
-use kspan_jobs::engine::TeamUsage;
+use kspan_jobs::engine::{LossReason, TeamUsage};
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -63,6 +63,16 @@
     counter!("kspan_cell_runs_over_total", "how" => how).increment(1);
 }
 
+/// Records a run without a reported end.
+pub(crate) fn record_run_loss(why: LossReason) {
+    counter!("kspan_cell_runs_lost_total", "why" => why.to_string()).increment(1);
+}
+
+/// Records a runner that ended without having drained.
+pub(crate) fn record_runner_crash() {
+    counter!("kspan_cell_runner_crashes_total").increment(1);
+}
+
 /// Records the end of a job.
 pub(crate) fn record_job_end(how: &'static str, after: Millis) {
     counter!("kspan_cell_jobs_ended_total", "how" => how).increment(1);
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -2,6 +2,7 @@
 
 use std::hash::BuildHasher;
 
+use derive_more::Display;
 use kspan_model::{Millis, Name};
 use rustc_hash::FxBuildHasher;
 
@@ -17,6 +18,32 @@
     runner::{EndKind, EndedTask},
 };
 
+/// How the owner learned that a run is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The runner reported the end.
+    Reported(EndKind),
+    /// The runner reported no end, but the run is certain to be over.
+    Lost(LossReason),
+}
+
+/// Evidence that a run without a reported end is over.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LossReason {
+    /// The runner's incarnation has ended.
+    #[display("runner ended")]
+    RunnerEnded,
+    /// The runner did not answer until its lease had expired.
+    #[display("lease expired")]
+    LeaseExpired,
+    /// The runner answered and did not list the run.
+    #[display("not listed")]
+    NotListed,
+    /// The runner refused the start.
+    #[display("start refused")]
+    StartRefused,
+}
+
 /// Run times below this are not recorded, because they say nothing about the image.
 const MIN_MEASURED_RUN: Millis = Millis(20);
 
@@ -32,7 +59,8 @@
         let key = (end.task, end.run);
         let placed = self.runners[runner_ix.0].runs.get(&key).copied();
         self.remove_run(runner_ix, end.task, end.run);
-        self.emit_run_ended(runner_ix, end.task, end.run, Some(end.how), now);
+        let how = RunEnd::Reported(end.how);
+        self.emit_run_ended(runner_ix, end.task, end.run, how, now);
         self.update_health(runner_ix, end.how, now);
         let index = end.task.index as usize;
         let failed = FailedRun {
@@ -122,9 +150,10 @@
         runner_ix: RunnerIx,
         task: TaskId,
         run: u32,
+        reason: LossReason,
         now: Millis,
     ) {
-        self.emit_run_ended(runner_ix, task, run, None, now);
+        self.emit_run_ended(runner_ix, task, run, RunEnd::Lost(reason), now);
         self.remove_run(runner_ix, task, run);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
@@ -245,7 +274,7 @@
         runner_ix: RunnerIx,
         task: TaskId,
         run: u32,
-        how: Option<EndKind>,
+        how: RunEnd,
         now: Millis,
     ) {
         let job = self.jobs.get(&task.step.job);
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -2,7 +2,7 @@
 
 use kspan_model::{Millis, Name};
 
-use super::{Engine, Event, Runner, RunnerIx, job::TaskState};
+use super::{Engine, Event, LossReason, Runner, RunnerIx, job::TaskState};
 use crate::{id::TaskId, runner::RunnerEntry};
 
 /// Interval between two ticks above which the process is assumed to have been suspended.
@@ -104,16 +104,31 @@
         self.batches.add_runner(id.clone());
         self.events.push(Event::RunnerChanged { id, what: "ended" });
         self.recompute_services();
-        self.remove_all_runs(runner_ix, now);
+        self.report_crash(runner_ix, now);
+        self.remove_all_runs(runner_ix, LossReason::RunnerEnded, now);
+    }
+
+    /// Reports that a runner ended without having drained.
+    fn report_crash(&mut self, runner_ix: RunnerIx, now: Millis) {
+        let runner = &self.runners[runner_ix.0];
+        if runner.entry.draining {
+            return;
+        }
+        let latest = runner.runs.values().filter_map(|run| run.ordered_at).max();
+        self.events.push(Event::RunnerCrashed {
+            id: runner.entry.id.clone(),
+            runs: runner.runs.len(),
+            youngest: latest.map(|at| now.saturating_sub(at)),
+        });
     }
 
     /// Removes all runs of a runner on which nothing can be alive.
-    pub(super) fn remove_all_runs(&mut self, runner_ix: RunnerIx, now: Millis) {
+    fn remove_all_runs(&mut self, runner_ix: RunnerIx, reason: LossReason, now: Millis) {
         let runs_here = &self.runners[runner_ix.0].runs;
         let mut runs: Vec<(TaskId, u32)> = runs_here.keys().copied().collect();
         runs.sort_unstable();
         for (task, run) in runs {
-            self.remove_lost_run(runner_ix, task, run, now);
+            self.remove_lost_run(runner_ix, task, run, reason, now);
         }
     }
 
@@ -184,7 +199,7 @@
             let id = self.runners[runner_ix.0].entry.id.clone();
             self.events
                 .push(Event::RunnerChanged { id, what: "lapsed" });
-            self.remove_all_runs(runner_ix, now);
+            self.remove_all_runs(runner_ix, LossReason::LeaseExpired, now);
         }
         if self.runners[runner_ix.0].missing_since.is_some() {
             self.mark_dead(runner_ix, now);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -4,7 +4,7 @@
 use rustc_hash::FxHashSet;
 
 use super::{
-    Engine, Event, RunnerIx,
+    Engine, Event, LossReason, RunnerIx,
     job::{MAX_RUN, TaskState},
     reserve::ServiceRunners,
     runner::{PlacedRun, UnackedEnd},
@@ -208,7 +208,7 @@
         let mut missing: Vec<(TaskId, u32)> = missing.map(|(key, _)| *key).collect();
         missing.sort_unstable();
         for (task, run) in missing {
-            self.remove_lost_run(runner_ix, task, run, now);
+            self.remove_lost_run(runner_ix, task, run, LossReason::NotListed, now);
         }
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -56,11 +56,11 @@
 use crate::{
     config::CellConfig,
     id::{JobId, StepId, TaskId},
-    runner::EndKind,
 };
 
 pub use self::{
     durable::Batch,
+    ends::{LossReason, RunEnd},
     explain::{Explanation, StepExplanation},
     inventory::InventoryCall,
     locality::{LocalityRule, WaitEnd},
@@ -201,11 +201,20 @@
         run: u32,
         /// Id of the runner.
         runner: Name,
-        /// Reason for the end; `None` if the runner reported no end.
-        how: Option<EndKind>,
+        /// How the owner learned that the run is over, and why.
+        how: RunEnd,
         /// Time since the task entered its last state, which approximates the run time.
         elapsed: Millis,
     },
+    /// A runner ended without having drained, and took its runs with it.
+    RunnerCrashed {
+        /// Id of the runner.
+        id: Name,
+        /// Number of runs that were lost.
+        runs: usize,
+        /// Time since the latest of them was ordered; `None` if this owner ordered none.
+        youngest: Option<Millis>,
+    },
     /// A run that a previous owner ordered was adopted.
     RunAdopted {
         /// Task id.
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -7,7 +7,7 @@
 
 use kspan_model::{Millis, Name};
 
-use super::{Engine, Event, Order, RunnerIx, StopOrder, job::TaskState};
+use super::{Engine, Event, LossReason, Order, RunnerIx, StopOrder, job::TaskState};
 use crate::{
     id::TaskId,
     runner::{Refusal, StartOutcome, StopOutcome},
@@ -212,7 +212,7 @@
             Refusal::InvalidTicket => self.invalidate_ticket(runner_ix, task),
             Refusal::DeadlinePassed => {}
         }
-        self.remove_lost_run(runner_ix, task, run, now);
+        self.remove_lost_run(runner_ix, task, run, LossReason::StartRefused, now);
     }
 
     /// Defers the decision about a run to the next inventory, because it may have started and ended
