--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -35,6 +35,7 @@
         Event::RunnerCrashed { .. } => telemetry::record_runner_crash(),
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
         Event::JobLate { .. } => telemetry::record_late_job(),
+        Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
         Event::RunAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
@@ -84,6 +85,7 @@
         Event::StartFailed { .. } => "not started",
         Event::RunEnded { .. } => "run over",
         Event::RunnerCrashed { .. } => "crash",
+        Event::CrashCounted { .. } => "crash counted",
         Event::RunAdopted { .. } => "adopted",
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
@@ -148,6 +150,17 @@
             let youngest_ms = youngest.map(|age| age.0);
             tracing::warn!(runner = %id, runs, youngest_ms, "runner ended without draining, its runs are lost");
         }
+        Event::CrashCounted {
+            task,
+            run,
+            count,
+            was_alone,
+            age,
+            is_given_up,
+        } => {
+            let age_ms = age.map(|age| age.0);
+            tracing::warn!(%task, run, count, was_alone, age_ms, is_given_up, "crash counted against a task that ran there");
+        }
         Event::RunAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, "run adopted");
         }
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -73,6 +73,14 @@
     counter!("kspan_cell_runner_crashes_total").increment(1);
 }
 
+/// Records a crash that was counted against a task, and whether the task is given up.
+pub(crate) fn record_counted_crash(is_given_up: bool) {
+    counter!("kspan_cell_crashes_counted_total").increment(1);
+    if is_given_up {
+        counter!("kspan_cell_tasks_given_up_total").increment(1);
+    }
+}
+
 /// Records the end of a job.
 pub(crate) fn record_job_end(how: &'static str, after: Millis) {
     counter!("kspan_cell_jobs_ended_total", "how" => how).increment(1);
--- a/crates/jobs/src/engine/candidate.rs
+++ b/crates/jobs/src/engine/candidate.rs
@@ -8,6 +8,7 @@
 
 use super::{
     Engine, RunnerIx,
+    crash::{Isolation, MAX_SUSPECT_AGE},
     job::{Job, Step, Task},
     rack_forecast::RackForecast,
     runner::Runner,
@@ -33,6 +34,16 @@
 /// Penalty for each task of the same long-running step on the runner.
 const SPREAD_PENALTY: u64 = 100_000;
 
+/// Penalty for a runner with a run that may crash it.
+const ISOLATED_RUN_PENALTY: u64 = 2_000_000;
+
+/// Penalty for each run beside a task that may crash the runner.
+const NEIGHBOUR_PENALTY: u64 = 100_000;
+
+/// Penalty, for such a task, for a runner that keeps crashing. Such a runner is empty most often, and
+/// its next crash would be held against the task.
+const CRASHING_RUNNER_PENALTY: u64 = 3_000_000;
+
 /// Maximum number of runners that a step examines in one decision.
 const MAX_EXAMINED: usize = 400;
 
@@ -72,16 +83,55 @@
     /// Number of further tasks of the step that the runner may take.
     remaining: u32,
     size: Resources,
+    /// Whether the runner has a run that is kept from others.
+    has_isolated_run: bool,
+    /// Whether the runner is kept for tasks of the step that start alone.
+    is_kept: bool,
+    /// Number of tasks that were assigned to the runner in this decision.
+    assigned: usize,
 }
 
 impl Candidate {
     /// Reserves resources for one task; returns whether the runner can take another.
-    pub(super) fn reserve(&mut self, size: Resources) -> bool {
+    pub(super) fn reserve(&mut self, size: Resources, isolation: Isolation) -> bool {
         self.free = self.free.saturating_sub(size);
         self.usable = self.usable.saturating_sub(size);
         self.step_tasks += 1;
         self.remaining -= 1;
-        self.remaining > 0 && size.fits_in(self.usable)
+        self.assigned += 1;
+        self.has_isolated_run |= isolation != Isolation::None;
+        self.remaining > 0 && size.fits_in(self.usable) && isolation != Isolation::Alone
+    }
+
+    /// Returns whether a task that is kept from others may run on the runner.
+    fn allows(&self, runner: &Runner, isolation: Isolation, now: Millis) -> bool {
+        match isolation {
+            Isolation::None => !self.is_kept,
+            Isolation::Apart => !self.is_kept && !self.has_isolated_run,
+            Isolation::Alone => {
+                let recently = now.saturating_sub(MAX_SUSPECT_AGE);
+                !self.has_isolated_run && self.assigned == 0 && !runner.has_run_since(recently)
+            }
+        }
+    }
+
+    /// Returns the penalty for what a crash of the runner would cost: the work beside a task that may
+    /// cause one.
+    fn isolation_penalty(&self, runner: &Runner, isolation: Isolation) -> u64 {
+        if isolation == Isolation::None {
+            return if self.has_isolated_run {
+                ISOLATED_RUN_PENALTY
+            } else {
+                0
+            };
+        }
+        let neighbours = runner.runs.len() + self.assigned;
+        let penalty = NEIGHBOUR_PENALTY.saturating_mul(neighbours as u64);
+        if runner.keeps_crashing() {
+            penalty.saturating_add(CRASHING_RUNNER_PENALTY)
+        } else {
+            penalty
+        }
     }
 
     /// Returns the free resources left over after placing one more task.
@@ -158,7 +208,8 @@
         now: Millis,
     ) -> Option<Candidate> {
         let runner = &self.runners[runner_ix.0];
-        if !self.can_place(runner, spec, policy, now) {
+        let is_closed = runner.has_run_alone() || self.is_kept_for_other(runner_ix, id);
+        if is_closed || !self.can_place(runner, spec, policy, now) {
             return None;
         }
         let size = spec.charged_resources();
@@ -171,6 +222,9 @@
             step_tasks: step.tasks_by_runner.get(&runner_ix).copied().unwrap_or(0),
             remaining,
             size,
+            has_isolated_run: runner.has_isolated_run(),
+            is_kept: self.is_kept_for(runner_ix, id),
+            assigned: 0,
         })
     }
 
@@ -206,7 +260,9 @@
         spec: &StepSpec,
         task: &Task,
         place: Place,
+        now: Millis,
     ) -> Option<usize> {
+        let isolation = task.isolation(spec, now);
         let service = candidates.first().map(|candidate| {
             let runner = &self.runners[candidate.runner_ix.0];
             &runner.entry.service
@@ -214,7 +270,7 @@
         let shapes = service.and_then(|service| self.demand.shapes(service));
         let scored = candidates.iter().enumerate().filter_map(|(at, candidate)| {
             let runner = &self.runners[candidate.runner_ix.0];
-            if !place.includes(runner) {
+            if !place.includes(runner) || !candidate.allows(runner, isolation, now) {
                 return None;
             }
             let left = candidate.left();
@@ -226,6 +282,7 @@
             if task.last_failed_on == Some(candidate.runner_ix) {
                 score = score.saturating_add(FAILED_RUNNER_PENALTY);
             }
+            score = score.saturating_add(candidate.isolation_penalty(runner, isolation));
             if spec.long_running {
                 let penalty = SPREAD_PENALTY.saturating_mul(u64::from(candidate.step_tasks));
                 score = score.saturating_add(penalty);
--- /dev/null
+++ b/crates/jobs/src/engine/crash.rs
@@ -0,0 +1,549 @@
+//! Tasks under which runners crash.
+//!
+//! Failure pattern: a task crashes each runner that starts it. No runner reports the end of its runs,
+//! so none counts as failed; without a count of crashes the task goes from runner to runner, and each
+//! crash takes the work of other callers with it.
+//!
+//! A crash does not tell which run caused it, and most of those that it took did not. Whether a task
+//! did is found out by where it runs next: tasks of a crashed runner start apart from each other, on
+//! runners with little other work, and after further crashes alone. A task is given up only after a
+//! crash that no other recent start explains. One that outlives the crashes before it is cleared.
+//!
+//! The evidence is part of a job's durable progress, so that it outlasts the owner. A run that may
+//! have crashed its runner is recorded before that is certain: when the runner stops answering, or at
+//! its start if the task is suspected already. The owner that learns of the crash counts it.
+
+use std::hash::BuildHasher;
+
+use kspan_model::{Millis, Name};
+use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
+
+use super::{
+    Engine, Event, LossReason, Order, RunnerIx, StartOrder,
+    job::{Job, Task},
+    runner::{PlacedRun, Runner},
+};
+use crate::{
+    id::TaskId,
+    record::{CrashRecord, Phase},
+};
+
+/// Age above which a run is no likely cause of its runner's crash, because other runs are younger.
+pub(super) const MAX_SUSPECT_AGE: Millis = Millis(1_000);
+
+/// Weight of a crash as evidence against a task, if a run of it was the only likely cause.
+const ALONE_WEIGHT: u32 = 3;
+
+/// Weight of a crash soon after the start of a run, if other runs are as likely a cause.
+const RECENT_WEIGHT: u32 = 2;
+
+/// Weight of any other crash.
+const OLD_WEIGHT: u32 = 1;
+
+/// Weight from which a task starts apart from other suspected tasks.
+const APART_WEIGHT: u32 = 2;
+
+/// Weight from which a task starts alone.
+const START_ALONE_WEIGHT: u32 = 4;
+
+/// Weight from which a task is the cause of the crashes: that of three without another likely cause.
+const CONCLUSIVE_WEIGHT: u32 = 9;
+
+/// The same for [`MANY_CRASHES`] crashes: that of recent ones.
+const MANY_CRASHES_WEIGHT: u32 = 8;
+
+/// Number of crashes that are unlikely to happen by chance to a task that starts apart from others.
+const MANY_CRASHES: usize = 4;
+
+/// Number of crashes after which a task is given up, whatever their weight.
+const MAX_CRASHES: usize = 5;
+
+/// Number of crashes, certain or possible, from which a task does not start while some are not certain.
+const MAX_UNSETTLED: usize = 4;
+
+/// How long a task waits for a runner without other suspected tasks before it runs beside them.
+const MAX_ISOLATION_WAIT: Millis = Millis(3_000);
+
+/// A run has outlived the crashes before it when it is older than the oldest run that crashed,
+/// multiplied by this, and [`MIN_CLEARING_MARGIN`] more.
+const CLEARING_FACTOR: u64 = 2;
+
+/// See [`CLEARING_FACTOR`].
+const MIN_CLEARING_MARGIN: Millis = Millis(1_000);
+
+/// Age at which a run has outlived any crashes. Tasks that run for weeks see several runners crash.
+const MAX_CLEARING_AGE: Millis = Millis(600_000);
+
+/// How long a crash of a runner counts as recent.
+const CRASH_MEMORY: Millis = Millis(60_000);
+
+/// How long a start may wait for its record.
+const MAX_RECORDING_TIME: Millis = Millis(1_000);
+
+/// Number of calls without a response in a row after which a runner may have crashed.
+const MISSES_BEFORE_RECORDING: u32 = 2;
+
+/// How far a run is kept from others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Isolation {
+    /// It may run beside any other.
+    #[default]
+    None,
+    /// It does not run beside others that are isolated.
+    Apart,
+    /// It starts where nothing has started recently, and nothing starts beside it.
+    Alone,
+}
+
+/// Crashes of the runners of one task, and runs that may turn out to be some.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Crashes(Vec<CrashRecord>);
+
+impl Crashes {
+    /// Returns the records, in the order in which the runs were recorded.
+    pub(super) fn records(&self) -> &[CrashRecord] {
+        &self.0
+    }
+
+    /// Adds a record, in place of one of the same run on the same incarnation.
+    pub(super) fn record(&mut self, record: CrashRecord) {
+        let is_other = |known: &CrashRecord| {
+            known.run != record.run || known.incarnation != record.incarnation
+        };
+        self.0.retain(is_other);
+        self.0.push(record);
+    }
+
+    /// Removes the record of a run that may have crashed its runner and has not. Returns whether
+    /// there was one.
+    pub(super) fn forget(&mut self, run: u32, incarnation: u64) -> bool {
+        let before = self.0.len();
+        let is_of_run = |known: &CrashRecord| known.run == run && known.incarnation == incarnation;
+        self.0.retain(|known| known.is_certain || !is_of_run(known));
+        self.0.len() < before
+    }
+
+    fn certain(&self) -> impl Iterator<Item = &CrashRecord> {
+        self.0.iter().filter(|record| record.is_certain)
+    }
+
+    /// Returns how many crashes count against the task.
+    pub(super) fn count(&self) -> usize {
+        self.certain().count()
+    }
+
+    /// Returns the weight of the evidence, crashes that are not certain yet included.
+    fn weight(&self) -> u32 {
+        self.0.iter().map(weight).sum()
+    }
+
+    /// Returns whether the task is the cause of the crashes.
+    pub(super) fn are_conclusive(&self) -> bool {
+        let weight = self.certain_weight();
+        match self.count() {
+            ..MANY_CRASHES => weight >= CONCLUSIVE_WEIGHT,
+            MANY_CRASHES..MAX_CRASHES => weight >= MANY_CRASHES_WEIGHT,
+            MAX_CRASHES.. => true,
+        }
+    }
+
+    fn certain_weight(&self) -> u32 {
+        self.certain().map(weight).sum()
+    }
+
+    /// Returns whether the task is suspected of crashes.
+    pub(super) fn are_suspicious(&self) -> bool {
+        self.weight() >= APART_WEIGHT
+    }
+
+    /// Returns whether the task is suspected of crashes that are certain.
+    pub(super) fn are_certainly_suspicious(&self) -> bool {
+        self.certain_weight() >= APART_WEIGHT
+    }
+
+    /// Returns how far the next run is kept from others, once the task has waited for a time. The
+    /// members of a gang need their places at the same time, so none of them starts alone.
+    pub(super) fn isolation(&self, waited: Millis, is_gang: bool) -> Isolation {
+        if !self.are_suspicious() {
+            Isolation::None
+        } else if self.weight() >= START_ALONE_WEIGHT && !is_gang {
+            Isolation::Alone
+        } else if waited < MAX_ISOLATION_WAIT {
+            Isolation::Apart
+        } else {
+            Isolation::None
+        }
+    }
+
+    /// Returns whether the task may start. After several crashes, a task first waits until it is known
+    /// what its earlier runs did to their runners, or it would go on while crashes are found out late.
+    pub(super) fn allow_start(&self) -> bool {
+        let is_settled = self.count() == self.0.len();
+        !self.are_conclusive() && (is_settled || self.0.len() < MAX_UNSETTLED)
+    }
+
+    /// Returns whether a run of an age has outlived the crashes, so that the task caused none.
+    fn are_outlived_at(&self, age: Millis) -> bool {
+        let ages = self.certain().map(|record| record.age_ms.map(Millis));
+        let limits = ages.map(|crashed_at| {
+            let limit = crashed_at.map_or(MAX_CLEARING_AGE, |at| {
+                at.saturating_mul(CLEARING_FACTOR) + MIN_CLEARING_MARGIN
+            });
+            limit.min(MAX_CLEARING_AGE)
+        });
+        limits.max().is_some_and(|limit| age > limit)
+    }
+}
+
+/// Runs that may have crashed their runner, by the hash of its incarnation's id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OpenRecords(FxHashMap<u64, FxHashSet<TaskId>>);
+
+impl OpenRecords {
+    fn insert(&mut self, incarnation: u64, task: TaskId) {
+        self.0.entry(incarnation).or_default().insert(task);
+    }
+
+    /// Removes a task. Returns whether it was recorded.
+    fn remove(&mut self, incarnation: u64, task: TaskId) -> bool {
+        let Some(tasks) = self.0.get_mut(&incarnation) else {
+            return false;
+        };
+        let is_recorded = tasks.remove(&task);
+        if tasks.is_empty() {
+            self.0.remove(&incarnation);
+        }
+        is_recorded
+    }
+}
+
+/// Crashes of runners by their address, which outlasts an incarnation.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunnerCrashes(FxHashMap<Name, RunnerCrash>);
+
+/// Latest crash at an address.
+#[derive(Clone, Copy, Debug)]
+struct RunnerCrash {
+    at: Millis,
+    /// Number of crashes, each within [`CRASH_MEMORY`] of the one before.
+    count: u32,
+}
+
+impl RunnerCrashes {
+    /// Returns how many crashes at an address are recent.
+    pub(super) fn recent(&self, addr: &Name, now: Millis) -> u32 {
+        let latest = self.0.get(addr);
+        let recent = latest.filter(|crash| now < crash.at + CRASH_MEMORY);
+        recent.map_or(0, |crash| crash.count)
+    }
+
+    /// Records a crash.
+    pub(super) fn record(&mut self, addr: Name, now: Millis) {
+        let count = self.recent(&addr, now).saturating_add(1);
+        self.0.insert(addr, RunnerCrash { at: now, count });
+    }
+}
+
+/// A start order that waits for its record.
+#[derive(Clone, Debug)]
+pub(super) struct HeldStart {
+    order: StartOrder,
+    /// Batch that makes the record durable.
+    batch: u64,
+    held_since: Millis,
+}
+
+/// Returns the weight of a crash as evidence against the task.
+fn weight(record: &CrashRecord) -> u32 {
+    if record.was_alone {
+        ALONE_WEIGHT
+    } else if record
+        .age_ms
+        .is_none_or(|age| Millis(age) <= MAX_SUSPECT_AGE)
+    {
+        RECENT_WEIGHT
+    } else {
+        OLD_WEIGHT
+    }
+}
+
+/// Returns the hash of an incarnation's id, by which records name it.
+pub(super) fn incarnation_hash(id: &Name) -> u64 {
+    FxBuildHasher.hash_one(&**id)
+}
+
+impl Engine {
+    /// Records the runs of a runner that stopped answering as possible crashes.
+    pub(super) fn record_silence(&mut self, runner_ix: RunnerIx, now: Millis) {
+        let runner = &self.runners[runner_ix.0];
+        if runner.missed_responses != MISSES_BEFORE_RECORDING || runner.entry.draining {
+            return;
+        }
+        for (task, record) in crash_records(runner, false, now) {
+            self.record_possible_crash(task, record);
+        }
+    }
+
+    /// Records the run of a suspected task as a possible crash.
+    pub(super) fn record_start(&mut self, order: &StartOrder, isolation: Isolation) {
+        let record = CrashRecord {
+            run: order.run,
+            incarnation: incarnation_hash(&self.runners[order.runner_ix.0].entry.id),
+            was_alone: isolation == Isolation::Alone,
+            ..CrashRecord::default()
+        };
+        self.record_possible_crash(order.task, record);
+    }
+
+    /// Holds an order until what was recorded for its job is durable.
+    pub(super) fn hold_start(&mut self, order: StartOrder, now: Millis) {
+        self.held_starts.push(HeldStart {
+            batch: self.batches.add_progress(order.task.step.job),
+            held_since: now,
+            order,
+        });
+    }
+
+    /// Issues the held orders whose record is durable, and withdraws those that were held too long.
+    pub(super) fn release_held_starts(&mut self, now: Millis) {
+        let durable = self.batches.durable();
+        let is_due = |held: &mut HeldStart| {
+            held.batch <= durable || now >= held.held_since + MAX_RECORDING_TIME
+        };
+        let due: Vec<HeldStart> = self.held_starts.extract_if(.., is_due).collect();
+        for held in due {
+            let (runner_ix, task, run) = (held.order.runner_ix, held.order.task, held.order.run);
+            if !self.runners[runner_ix.0].runs.contains_key(&(task, run)) {
+                continue;
+            }
+            if held.batch > durable {
+                self.remove_lost_run(runner_ix, task, run, LossReason::StartWithdrawn, now);
+                continue;
+            }
+            self.orders.push_back(Order::Start(held.order));
+        }
+    }
+
+    fn record_possible_crash(&mut self, task: TaskId, record: CrashRecord) {
+        if let Some(known) = self.active_task_mut(task) {
+            known.crashes.record(record);
+            self.open_records.insert(record.incarnation, task);
+            self.batches.add_progress(task.step.job);
+        }
+    }
+
+    /// Removes the record of a run that is over and has not crashed its runner.
+    pub(super) fn forget_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32) {
+        let incarnation = incarnation_hash(&self.runners[runner_ix.0].entry.id);
+        if !self.open_records.remove(incarnation, task) {
+            return;
+        }
+        let known = self.active_task_mut(task);
+        if known.is_some_and(|known| known.crashes.forget(run, incarnation)) {
+            self.batches.add_progress(task.step.job);
+        }
+    }
+
+    /// Removes the records of runs that the runner's inventory shows to be over.
+    pub(super) fn forget_unreported_runs(
+        &mut self,
+        runner_ix: RunnerIx,
+        reported: &FxHashSet<(TaskId, u32)>,
+    ) {
+        let runner = &self.runners[runner_ix.0];
+        let incarnation = incarnation_hash(&runner.entry.id);
+        let Some(tasks) = self.open_records.0.get(&incarnation) else {
+            return;
+        };
+        let is_over = |key: &(TaskId, u32)| {
+            !reported.contains(key) && !self.runners[runner_ix.0].runs.contains_key(key)
+        };
+        let records = tasks.iter().flat_map(|task| {
+            let known = self.active_task(*task);
+            let records = known.map_or(&[][..], |known| known.crashes.records());
+            let here = records
+                .iter()
+                .filter(|record| record.incarnation == incarnation && !record.is_certain);
+            here.map(|record| (*task, record.run))
+        });
+        let over: Vec<(TaskId, u32)> = records.filter(is_over).collect();
+        for (task, run) in over {
+            self.forget_run(runner_ix, task, run);
+        }
+    }
+
+    /// Returns the crash records of the runs that a runner took with it when it ended, and of those
+    /// that were recorded as possible crashes before. A runner that had drained has not crashed.
+    pub(super) fn take_crash_records(
+        &mut self,
+        runner_ix: RunnerIx,
+        now: Millis,
+    ) -> Vec<(TaskId, CrashRecord)> {
+        let runner = &self.runners[runner_ix.0];
+        let incarnation = incarnation_hash(&runner.entry.id);
+        if runner.entry.draining {
+            self.forget_unreported_runs(runner_ix, &FxHashSet::default());
+            return Vec::new();
+        }
+        let mut records = crash_records(runner, true, now);
+        let open = self.open_records.0.remove(&incarnation).unwrap_or_default();
+        let recorded: FxHashSet<TaskId> = records.iter().map(|(task, _)| *task).collect();
+        for task in open.difference(&recorded) {
+            let known = self.active_task(*task);
+            let possible = known.and_then(|known| {
+                let mut records = known.crashes.records().iter();
+                records.find(|record| record.incarnation == incarnation && !record.is_certain)
+            });
+            let certain = possible.map(|record| CrashRecord {
+                is_certain: true,
+                ..*record
+            });
+            records.extend(certain.map(|record| (*task, record)));
+        }
+        records.sort_unstable_by_key(|(task, _)| *task);
+        records
+    }
+
+    /// Counts crashes against their tasks, and gives up those that caused them.
+    pub(super) fn count_crashes(&mut self, records: Vec<(TaskId, CrashRecord)>) {
+        for (task, record) in records {
+            let Some(known) = self.active_task_mut(task) else {
+                continue;
+            };
+            known.crashes.record(record);
+            let (count, is_given_up) = (known.crashes.count(), known.is_given_up());
+            self.batches.add_progress(task.step.job);
+            self.events.push(Event::CrashCounted {
+                task,
+                run: record.run,
+                count,
+                was_alone: record.was_alone,
+                age: record.age_ms.map(Millis),
+                is_given_up,
+            });
+            if is_given_up {
+                self.given_up.push(task.step.job);
+            }
+        }
+    }
+
+    /// Marks the tasks that may have been on a runner that ended between two owners. Their next starts
+    /// are recorded, so that each task loses the evidence of one crash at most.
+    pub(super) fn mark_unaccounted_tasks(&mut self, runner_ix: RunnerIx) {
+        let runner = &self.runners[runner_ix.0];
+        let is_unknown = !runner.has_answered && !runner.entry.draining;
+        if self.unverified_until.is_none() || !is_unknown {
+            return;
+        }
+        for id in &self.active {
+            let job = self.jobs.get_mut(id);
+            if job.is_some_and(Job::mark_unaccounted) {
+                self.batches.add_progress(*id);
+            }
+        }
+    }
+
+    /// Ends the jobs with a task that was given up.
+    pub(super) fn end_given_up_jobs(&mut self, now: Millis, unix_ms: u64) {
+        for id in std::mem::take(&mut self.given_up) {
+            self.end_job(id, Phase::Failed, now, unix_ms);
+        }
+    }
+
+    /// Registers the crash records of a restored job.
+    pub(super) fn register_crash_records(&mut self, job: &Job) {
+        for (task, known) in job.tasks() {
+            for record in known.crashes.records() {
+                if !record.is_certain {
+                    self.open_records.insert(record.incarnation, task);
+                }
+            }
+            if known.is_given_up() {
+                self.given_up.push(job.id);
+            }
+        }
+    }
+
+    /// Clears a task whose present run has outlived the crashes before it.
+    pub(super) fn clear_outlived_crashes(
+        &mut self,
+        runner_ix: RunnerIx,
+        task: TaskId,
+        run: u32,
+        now: Millis,
+    ) {
+        let Some(placed) = self.runners[runner_ix.0].runs.get(&(task, run)) else {
+            return;
+        };
+        let age = now.saturating_sub(placed.known_since);
+        let Some(known) = self.active_task_mut(task) else {
+            return;
+        };
+        if known.crashes.are_outlived_at(age) {
+            known.crashes = Crashes::default();
+            self.batches.add_progress(task.step.job);
+            self.runners[runner_ix.0].end_isolation(task, run);
+        }
+    }
+
+    fn active_task(&self, task: TaskId) -> Option<&Task> {
+        let job = active(self.jobs.get(&task.step.job)?)?;
+        job.step(task.step)?.0.tasks.get(task.index as usize)
+    }
+
+    fn active_task_mut(&mut self, task: TaskId) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        active(job)?;
+        let (step, _) = job.step_mut(task.step)?;
+        step.tasks.get_mut(task.index as usize)
+    }
+}
+
+fn active(job: &Job) -> Option<&Job> {
+    (job.phase == Phase::Active).then_some(job)
+}
+
+/// Returns the records of the runs that a runner had when it stopped answering, each as a certain or
+/// a possible crash.
+fn crash_records(runner: &Runner, is_certain: bool, now: Millis) -> Vec<(TaskId, CrashRecord)> {
+    let silent_since = runner.silent_since.unwrap_or(now);
+    let incarnation = incarnation_hash(&runner.entry.id);
+    // A start that was ordered later can't have reached the runner.
+    let runs = runner
+        .runs
+        .iter()
+        .filter(|(_, placed)| placed.known_since <= silent_since);
+    let youngest = youngest_two(runs.clone().map(|(_, placed)| placed));
+    let records = runs.map(|((task, run), placed)| {
+        let record = CrashRecord {
+            run: *run,
+            incarnation,
+            is_certain,
+            was_alone: is_only_cause(placed, youngest, silent_since),
+            age_ms: Some(silent_since.saturating_sub(placed.known_since).0),
+        };
+        (*task, record)
+    });
+    records.collect()
+}
+
+/// Returns the latest two times from which runs are known.
+fn youngest_two<'a>(runs: impl Iterator<Item = &'a PlacedRun>) -> [Option<Millis>; 2] {
+    runs.fold([None, None], |[first, second], placed| {
+        let since = Some(placed.known_since);
+        if since >= first {
+            [since, first]
+        } else {
+            [first, second.max(since)]
+        }
+    })
+}
+
+/// Returns whether no other run is a likely cause of a crash: each is older than this one, and old
+/// enough not to be suspected.
+fn is_only_cause(placed: &PlacedRun, youngest: [Option<Millis>; 2], silent_since: Millis) -> bool {
+    let [first, second] = youngest;
+    let is_youngest = first == Some(placed.known_since) && second < first;
+    let is_old = |since: Millis| silent_since.saturating_sub(since) > MAX_SUSPECT_AGE;
+    is_youngest && second.is_none_or(is_old)
+}
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -201,6 +201,7 @@
                 let since_end = unix_ms.saturating_sub(job.ended_unix_ms);
                 job.ended_at = Some(now.saturating_sub(Millis(since_end)));
             }
+            engine.register_crash_records(&job);
             engine.assign_team(&mut job);
             engine.jobs.insert(id, job);
         }
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -1,13 +1,11 @@
 //! Processing of the ends of runs: effects on the task, its job and the runner.
 
-use std::hash::BuildHasher;
-
 use derive_more::Display;
 use kspan_model::{Millis, Name};
-use rustc_hash::FxBuildHasher;
 
 use super::{
     Engine, Event, RunnerIx,
+    crash::incarnation_hash,
     job::{MAX_RUN, Task, TaskState},
     overrun::Ratio,
     runner::PlacedRun,
@@ -42,6 +40,19 @@
     /// The runner refused the start.
     #[display("start refused")]
     StartRefused,
+    /// The start was not sent.
+    #[display("start withdrawn")]
+    StartWithdrawn,
+}
+
+impl LossReason {
+    /// Returns whether the run is over although its runner may be alive.
+    fn shows_living_runner(self) -> bool {
+        match self {
+            Self::NotListed | Self::StartRefused | Self::StartWithdrawn => true,
+            Self::RunnerEnded | Self::LeaseExpired => false,
+        }
+    }
 }
 
 /// Run times below this are not recorded, because they say nothing about the image.
@@ -62,10 +73,11 @@
         let how = RunEnd::Reported(end.how);
         self.emit_run_ended(runner_ix, end.task, end.run, how, now);
         self.update_health(runner_ix, end.how, now);
+        self.forget_run(runner_ix, end.task, end.run);
         let index = end.task.index as usize;
         let failed = FailedRun {
             run: end.run,
-            incarnation: FxBuildHasher.hash_one(&*self.runners[runner_ix.0].entry.id),
+            incarnation: incarnation_hash(&self.runners[runner_ix.0].entry.id),
         };
         let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
             return;
@@ -86,6 +98,9 @@
         let task = &step.tasks[index];
         let current = task.run == end.run && task.state.runner() == Some(runner_ix);
         let run_time = now.saturating_sub(task.state_since);
+        if current {
+            step.tasks[index].unaccounted = false;
+        }
         if end.run <= MAX_RUN {
             step.tasks[index].run = step.tasks[index].run.max(end.run);
         }
@@ -155,6 +170,9 @@
     ) {
         self.emit_run_ended(runner_ix, task, run, RunEnd::Lost(reason), now);
         self.remove_run(runner_ix, task, run);
+        if reason.shows_living_runner() {
+            self.forget_run(runner_ix, task, run);
+        }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
+    crash::Isolation,
     job::{Job, Occurrence, Step, Task, TaskState},
     servable::lacking_resource,
 };
@@ -53,6 +54,8 @@
     pub done: usize,
     /// Number of failed runs.
     pub failures: usize,
+    /// Number of crashes of runners that count against tasks of the step.
+    pub crashes: usize,
     /// Reason why tasks wait; empty if none does.
     pub why: String,
     /// Runners with tasks of the step.
@@ -137,6 +140,7 @@
             stopping: count(|state| matches!(state, TaskState::Stopping(_))),
             done: step.done,
             failures: step.tasks.iter().map(|task| task.failures.len()).sum(),
+            crashes: step.tasks.iter().map(|task| task.crashes.count()).sum(),
             why: self.waiting_reason(job, occurrence, number, step, now),
             runners: runners
                 .iter()
@@ -192,6 +196,9 @@
         if let Some(why) = rack_wait_reason(step, now) {
             return why;
         }
+        if let Some(why) = isolation_reason(step, spec, now) {
+            return why;
+        }
         let why = if step.approvals.pending.is_some() {
             "an approval request is in flight"
         } else if policy.approval.is_some() {
@@ -226,6 +233,20 @@
     }
 }
 
+/// Describes why tasks wait under which runners crashed.
+fn isolation_reason(step: &Step, spec: &StepSpec, now: Millis) -> Option<String> {
+    let waiting = |task: &&Task| task.state == TaskState::Waiting;
+    let tasks = step.tasks.iter().filter(waiting);
+    if tasks.clone().any(|task| !task.crashes.allow_start()) {
+        return Some("it is not known yet whether an earlier run crashed its runner".to_owned());
+    }
+    let isolated = tasks.filter(|task| task.isolation(spec, now) != Isolation::None);
+    let count = isolated.count();
+    (count > 0).then(|| {
+        format!("{count} wait for a runner apart from others, because runners crashed under them")
+    })
+}
+
 /// Describes the wait of a step's tasks for their rack, by the one that gives it up first.
 fn rack_wait_reason(step: &Step, now: Millis) -> Option<String> {
     let waiting = |task: &&Task| task.state == TaskState::Waiting;
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -57,7 +57,10 @@
     fn add_runner(&mut self, now: Millis, entry: RunnerEntry, record_batch: u64) -> RunnerIx {
         let runner_ix = RunnerIx(self.runners.len());
         self.by_id.insert(entry.id.clone(), runner_ix);
-        self.runners.push(Runner::new(entry, now, record_batch));
+        let recent_crashes = self.runner_crashes.recent(&entry.addr, now);
+        let mut runner = Runner::new(entry, now, record_batch);
+        runner.recent_crashes = recent_crashes;
+        self.runners.push(runner);
         self.include_in_service(runner_ix);
         runner_ix
     }
@@ -105,7 +108,10 @@
         self.events.push(Event::RunnerChanged { id, what: "ended" });
         self.recompute_services();
         self.report_crash(runner_ix, now);
+        let records = self.take_crash_records(runner_ix, now);
         self.remove_all_runs(runner_ix, LossReason::RunnerEnded, now);
+        self.count_crashes(records);
+        self.mark_unaccounted_tasks(runner_ix);
     }
 
     /// Reports that a runner ended without having drained.
@@ -114,6 +120,7 @@
         if runner.entry.draining {
             return;
         }
+        self.runner_crashes.record(runner.entry.addr.clone(), now);
         let latest = runner.runs.values().filter_map(|run| run.ordered_at).max();
         self.events.push(Event::RunnerCrashed {
             id: runner.entry.id.clone(),
@@ -176,6 +183,7 @@
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
         }
+        self.end_given_up_jobs(now, unix_ms);
         self.resend_stops(now);
         self.compact_ended_jobs(now);
         self.remove_expired_jobs(unix_ms);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Engine, Event, LossReason, RunnerIx,
+    crash::Isolation,
     job::{MAX_RUN, TaskState},
     reserve::ServiceRunners,
     runner::{PlacedRun, UnackedEnd},
@@ -114,8 +115,9 @@
             InventoryOutcome::Fenced => self.fenced = true,
             InventoryOutcome::OtherIncarnation => self.mark_dead(runner_ix, now),
             InventoryOutcome::NoResponse => {
-                self.runners[runner_ix.0].missed_responses += 1;
+                self.runners[runner_ix.0].record_miss(now);
                 self.last_lost_response = Some(now);
+                self.record_silence(runner_ix, now);
             }
         }
     }
@@ -171,6 +173,7 @@
                 .push(UnackedEnd { number, batch });
         }
         self.remove_unreported_runs(runner_ix, sequence, &reported, now);
+        self.forget_unreported_runs(runner_ix, &reported);
         if is_leaving {
             self.move_tasks_away(runner_ix, now);
         }
@@ -247,11 +250,15 @@
         if !row.checkpoint.is_empty() {
             step.tasks[slot].checkpoint = row.checkpoint.clone();
         }
-        let task = &step.tasks[index];
+        let task = &mut step.tasks[index];
+        if task.run == row.run {
+            task.unaccounted = false;
+        }
         if task.run == row.run && task.state == TaskState::Starting(runner_ix) {
             step.set_state(index, TaskState::Running(runner_ix), now);
             job.started = true;
         }
+        self.clear_outlived_crashes(runner_ix, row.task, row.run, now);
     }
 
     /// Adopts a run ordered by a previous owner if its task is still waiting. Returns whether it
@@ -309,6 +316,8 @@
             stop_sent_at: None,
             expected_end: spec.and_then(|spec| self.expected_end(spec, is_remote, now)),
             ordered_at: None,
+            known_since: now,
+            isolation: Isolation::None,
             is_remote,
             progress: Progress::default(),
         };
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -3,11 +3,18 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 
-use super::{approvals::Approvals, locality::Wait, quota::TeamIx, runner::RunnerIx};
+use super::{
+    approvals::Approvals,
+    crash::{Crashes, Isolation},
+    locality::Wait,
+    quota::TeamIx,
+    runner::RunnerIx,
+};
 use crate::{
-    id::{JobId, StepId},
+    id::{JobId, StepId, TaskId},
     record::{
-        EndedRecord, FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskProgress,
+        EndedRecord, FailedRun, JobRecord, OccurrenceProgress, Phase, ProgressRecord, TaskCrash,
+        TaskProgress, TaskRef,
     },
     spec::{JobSpec, MAX_TASKS, StepSpec},
 };
@@ -62,12 +69,16 @@
     pub(super) state_since: Millis,
     /// Runner on which the latest run failed or stalled.
     pub(super) last_failed_on: Option<RunnerIx>,
+    /// Crashes of the runners of its runs.
+    pub(super) crashes: Crashes,
     /// Number of runs stopped as stalled.
     pub(super) stall_count: u32,
     /// Run numbers to skip at the next start, if a runner has seen higher ones.
     pub(super) skip_runs: u32,
     /// Whether a run ordered by a previous owner may exist on a runner that has not answered.
     pub(super) unverified: bool,
+    /// Whether a run ordered by a previous owner may have been on a runner that crashed.
+    pub(super) unaccounted: bool,
     /// The task's wait for its rack, or that of its gang if the task is the first member.
     pub(super) wait: Option<Wait>,
 }
@@ -81,9 +92,11 @@
             checkpoint: Name::default(),
             state_since: now,
             last_failed_on: None,
+            crashes: Crashes::default(),
             stall_count: 0,
             skip_runs: 0,
             unverified: false,
+            unaccounted: false,
             wait: None,
         }
     }
@@ -91,7 +104,25 @@
     /// Returns whether the task is waiting and may start. An unverified run of a previous owner
     /// blocks it until `all_verified`.
     pub(super) fn may_start(&self, all_verified: bool) -> bool {
-        self.state == TaskState::Waiting && (all_verified || !self.unverified)
+        self.state == TaskState::Waiting
+            && (all_verified || !self.unverified)
+            && self.crashes.allow_start()
+    }
+
+    /// Returns whether the task crashes the runners that start it.
+    pub(super) fn is_given_up(&self) -> bool {
+        self.crashes.are_conclusive()
+    }
+
+    /// Returns whether the task's next start is held until it is recorded.
+    pub(super) fn is_held(&self) -> bool {
+        self.unaccounted || self.crashes.are_certainly_suspicious()
+    }
+
+    /// Returns how far the task's next run is kept from others.
+    pub(super) fn isolation(&self, spec: &StepSpec, now: Millis) -> Isolation {
+        let waited = now.saturating_sub(self.state_since);
+        self.crashes.isolation(waited, spec.gang)
     }
 
     /// Sets the state and the time of its change.
@@ -101,7 +132,11 @@
     }
 
     fn has_progress(&self) -> bool {
-        self.state == TaskState::Done || !self.failures.is_empty() || !self.checkpoint.is_empty()
+        self.state == TaskState::Done
+            || !self.failures.is_empty()
+            || self.unaccounted
+            || !self.crashes.records().is_empty()
+            || !self.checkpoint.is_empty()
     }
 }
 
@@ -437,6 +472,21 @@
         })
     }
 
+    /// Returns the tasks of all occurrences that have begun, with their ids.
+    pub(super) fn tasks(&self) -> impl Iterator<Item = (TaskId, &Task)> {
+        self.occurrences.iter().flat_map(move |occ| {
+            (0..).zip(&occ.steps).flat_map(move |(number, step)| {
+                let id = StepId {
+                    job: self.id,
+                    occurrence: occ.number,
+                    step: number,
+                };
+                let tasks = (0..).zip(&step.tasks);
+                tasks.map(move |(index, task)| (id.task(index), task))
+            })
+        })
+    }
+
     /// Returns the progress record of the job.
     pub(super) fn progress(&self) -> ProgressRecord {
         let is_active = matches!(self.phase, Phase::Active);
@@ -450,9 +500,36 @@
             ended_unix_ms: self.ended_unix_ms,
             occurrences_done: self.occurrences_done,
             occurrences: occurrences.collect(),
+            crashes: self.crashes(),
+            unaccounted: self.unaccounted(),
         }
     }
 
+    /// Returns the crash records of unfinished tasks; none once the job has ended.
+    fn crashes(&self) -> Vec<TaskCrash> {
+        let crashes = self.open_tasks().flat_map(|(id, task)| {
+            let records = task.crashes.records().iter();
+            records.map(move |crash| TaskCrash {
+                task: task_ref(id),
+                crash: *crash,
+            })
+        });
+        crashes.collect()
+    }
+
+    /// Returns the unaccounted tasks; none once the job has ended.
+    fn unaccounted(&self) -> Vec<TaskRef> {
+        let unaccounted = self.open_tasks().filter(|(_, task)| task.unaccounted);
+        unaccounted.map(|(id, _)| task_ref(id)).collect()
+    }
+
+    /// Returns the tasks that are not done; none once the job has ended.
+    fn open_tasks(&self) -> impl Iterator<Item = (TaskId, &Task)> {
+        let is_active = self.phase == Phase::Active;
+        self.tasks()
+            .filter(move |(_, task)| is_active && task.state != TaskState::Done)
+    }
+
     /// Restores the job from its progress record. The record does not tell which runs are still
     /// alive.
     pub(super) fn restore(&mut self, progress: &ProgressRecord, now: Millis) {
@@ -468,6 +545,16 @@
             self.next_occurrence = self.next_occurrence.max(saved.number.saturating_add(1));
             self.occurrences.push(occurrence);
         }
+        for known in &progress.crashes {
+            if let Some(task) = self.referenced_task(known.task) {
+                task.crashes.record(known.crash);
+            }
+        }
+        for known in &progress.unaccounted {
+            if let Some(task) = self.referenced_task(*known) {
+                task.unaccounted = true;
+            }
+        }
         if has_timetable {
             // Occurrences may complete out of order: every occurrence that has begun and is not in
             // the record is completed.
@@ -478,6 +565,33 @@
         self.started = !progress.occurrences.is_empty() || self.occurrences_done > 0;
     }
 
+    /// Marks the unverified tasks that may have started as ones that may have been on a runner that
+    /// crashed. Returns whether there were any.
+    pub(super) fn mark_unaccounted(&mut self) -> bool {
+        let ready: Vec<StepId> = self.ready_steps().collect();
+        let mut is_changed = false;
+        for id in ready {
+            let Some((step, _)) = self.step_mut(id) else {
+                continue;
+            };
+            for task in step.tasks.iter_mut().filter(|task| task.unverified) {
+                is_changed |= !task.unaccounted;
+                task.unaccounted = true;
+            }
+        }
+        is_changed
+    }
+
+    fn referenced_task(&mut self, known: TaskRef) -> Option<&mut Task> {
+        let step = StepId {
+            job: self.id,
+            occurrence: known.occurrence,
+            step: known.step,
+        };
+        let (step, _) = self.step_mut(step)?;
+        step.tasks.get_mut(known.index as usize)
+    }
+
     /// Marks every waiting task as possibly still running under a previous owner.
     pub(super) fn mark_unverified(&mut self) {
         self.occurrences
@@ -486,6 +600,14 @@
     }
 }
 
+fn task_ref(id: TaskId) -> TaskRef {
+    TaskRef {
+        occurrence: id.step.occurrence,
+        step: id.step.step,
+        index: id.index,
+    }
+}
+
 fn occurrence_progress(occurrence: &Occurrence) -> OccurrenceProgress {
     let mut tasks = Vec::new();
     for (number, step) in (0..).zip(&occurrence.steps) {
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod approvals;
 mod candidate;
 mod contention;
+mod crash;
 mod demand;
 mod durable;
 mod ends;
@@ -22,6 +23,7 @@
 mod place;
 mod prefetch;
 mod queries;
+mod quiet;
 mod quota;
 mod rack_choice;
 mod rack_forecast;
@@ -42,11 +44,13 @@
 
 use self::{
     approvals::{ApprovalHosts, ApprovalRates},
+    crash::{HeldStart, OpenRecords, RunnerCrashes},
     demand::Demand,
     durable::Batches,
     estimate::RunTimes,
     job::Job,
     overrun::Overruns,
+    quiet::QuietRunner,
     quota::TeamTable,
     rack_forecast::RackForecast,
     reserve::{Reservation, ServiceRunners},
@@ -215,6 +219,21 @@
         /// Time since the latest of them was ordered; `None` if this owner ordered none.
         youngest: Option<Millis>,
     },
+    /// The crash of a runner was counted against a task that ran on it.
+    CrashCounted {
+        /// Task id.
+        task: TaskId,
+        /// Run number.
+        run: u32,
+        /// Number of crashes counted against the task.
+        count: usize,
+        /// Whether no other run on the runner was a likely cause.
+        was_alone: bool,
+        /// Longest time for which the run can have been alive, if known.
+        age: Option<Millis>,
+        /// Whether the task is given up, which ends its job.
+        is_given_up: bool,
+    },
     /// A run that a previous owner ordered was adopted.
     RunAdopted {
         /// Task id.
@@ -312,6 +331,15 @@
     /// Forecast of the current scheduling pass.
     forecast: RackForecast,
     batches: Batches,
+    /// Runs that may have crashed their runner.
+    open_records: OpenRecords,
+    runner_crashes: RunnerCrashes,
+    /// Runners that are kept free of new starts.
+    quiet_runners: Vec<QuietRunner>,
+    /// Start orders that wait for their record.
+    held_starts: Vec<HeldStart>,
+    /// Jobs with a task that was given up, which end with the next tick.
+    given_up: Vec<JobId>,
     /// Latest sequence number, which orders calls and outcomes.
     last_sequence: u64,
     /// Time until which runs of a previous owner may exist on runners that have not answered;
@@ -355,6 +383,11 @@
             locality_rule: LocalityRule::default(),
             forecast: RackForecast::default(),
             batches: Batches::default(),
+            open_records: OpenRecords::default(),
+            runner_crashes: RunnerCrashes::default(),
+            quiet_runners: Vec::new(),
+            held_starts: Vec::new(),
+            given_up: Vec::new(),
             last_sequence: 0,
             unverified_until: None,
             orders: VecDeque::new(),
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -68,8 +68,10 @@
             .map(|choice| next_run(&step.tasks[choice.index as usize]))
             .max();
         let gang_run = run.filter(|_| spec.gang);
+        // The members of a gang start together, so they wait for the records of all.
+        let is_gang_held = spec.gang && step.tasks.iter().any(|task| task.is_held());
         for choice in choices {
-            self.start_task(id, choice, gang_run, now);
+            self.start_task(id, choice, gang_run, is_gang_held, now);
         }
     }
 
@@ -124,7 +126,7 @@
                 if near.prefers_rack(self.locality_rule) {
                     if !is_rack_full {
                         let place = Place::Inside(&near.rack);
-                        at = self.best_candidate(&candidates, spec, task, place);
+                        at = self.best_candidate(&candidates, spec, task, place, now);
                         is_rack_full = at.is_none();
                     }
                     if at.is_none()
@@ -136,10 +138,10 @@
                     }
                 } else {
                     let place = Place::Outside(&near.rack);
-                    at = self.best_candidate(&candidates, spec, task, place);
+                    at = self.best_candidate(&candidates, spec, task, place, now);
                 }
             }
-            let at = at.or_else(|| self.best_candidate(&candidates, spec, task, Place::Any));
+            let at = at.or_else(|| self.best_candidate(&candidates, spec, task, Place::Any, now));
             let Some(at) = at else {
                 continue;
             };
@@ -152,7 +154,7 @@
                     .as_ref()
                     .is_some_and(|near| !runner.has_label(&near.rack)),
             });
-            if !candidates[at].reserve(size) {
+            if !candidates[at].reserve(size, task.isolation(spec, now)) {
                 candidates.swap_remove(at);
             }
         }
@@ -181,7 +183,9 @@
         let mut all = self.candidates(id, step, spec, &job.record.policy, now);
         let has_locality = self.has_locality(spec);
         if !has_locality && !spec.same_rack {
-            return Some(Placement::start(self.fill_gang(all, step, spec, false)));
+            return Some(Placement::start(
+                self.fill_gang(all, step, spec, false, now),
+            ));
         }
         let mut racks: Vec<_> = match &spec.preferred_rack {
             Some(rack) => {
@@ -200,13 +204,13 @@
         };
         let in_racks = racks.iter().map(|rack| {
             let in_rack = all.iter().filter(|candidate| has_label(candidate, rack));
-            self.fill_gang(in_rack.cloned().collect(), step, spec, false)
+            self.fill_gang(in_rack.cloned().collect(), step, spec, false, now)
         });
         let mut in_racks = in_racks.filter(|choices| !choices.is_empty());
         if let Some(choices) = in_racks.next() {
             return Some(Placement::start(choices));
         }
-        let across = self.fill_gang(all, step, spec, has_locality);
+        let across = self.fill_gang(all, step, spec, has_locality, now);
         if !has_locality {
             return Some(Placement::start(across));
         }
@@ -262,11 +266,12 @@
         step: &Step,
         spec: &StepSpec,
         is_remote: bool,
+        now: Millis,
     ) -> Vec<Choice> {
         let mut choices = Vec::new();
         for index in 0..spec.count {
             let task = &step.tasks[index as usize];
-            let Some(at) = self.best_candidate(&candidates, spec, task, Place::Any) else {
+            let Some(at) = self.best_candidate(&candidates, spec, task, Place::Any, now) else {
                 return Vec::new();
             };
             choices.push(Choice {
@@ -274,7 +279,7 @@
                 runner_ix: candidates[at].runner_ix,
                 is_remote,
             });
-            if !candidates[at].reserve(spec.charged_resources()) {
+            if !candidates[at].reserve(spec.charged_resources(), task.isolation(spec, now)) {
                 candidates.swap_remove(at);
             }
         }
@@ -307,7 +312,14 @@
         }
     }
 
-    fn start_task(&mut self, id: StepId, choice: Choice, gang_run: Option<u32>, now: Millis) {
+    fn start_task(
+        &mut self,
+        id: StepId,
+        choice: Choice,
+        gang_run: Option<u32>,
+        is_gang_held: bool,
+        now: Millis,
+    ) {
         let (task, runner_ix) = (id.task(choice.index), choice.runner_ix);
         let Some(deadline) = self.runners[runner_ix.0].extend_lease(&self.cfg, now) else {
             return;
@@ -336,6 +348,9 @@
         let valid_for = ticket_validity.map_or(self.cfg.lease, |left| left.min(self.cfg.lease));
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
         let known = &mut step.tasks[index];
+        let isolation = known.isolation(spec, now);
+        let is_suspected = known.unaccounted || known.crashes.are_suspicious();
+        let is_held = is_gang_held || known.is_held();
         let run = gang_run.unwrap_or_else(|| next_run(known));
         let waited = now.saturating_sub(known.state_since);
         known.run = run;
@@ -359,6 +374,8 @@
             stop_sent_at: None,
             expected_end,
             ordered_at: Some(now),
+            known_since: now,
+            isolation,
             is_remote: choice.is_remote,
             progress: Progress::default(),
         };
@@ -371,7 +388,7 @@
             waited,
             left_milli: runner.free().cpu_milli,
         });
-        self.orders.push_back(Order::Start(StartOrder {
+        let order = StartOrder {
             runner_ix,
             task,
             run,
@@ -380,7 +397,15 @@
             checkpoint,
             ticket,
             valid_for,
-        }));
+        };
+        if is_suspected {
+            self.record_start(&order, isolation);
+        }
+        if is_held {
+            self.hold_start(order, now);
+        } else {
+            self.orders.push_back(Order::Start(order));
+        }
     }
 }
 
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -6,7 +6,9 @@
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 
-use super::{Settings, health::Health, overrun::Ratio, quota::Charge, stall::Progress};
+use super::{
+    Settings, crash::Isolation, health::Health, overrun::Ratio, quota::Charge, stall::Progress,
+};
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 /// Index of a runner incarnation; never reused for another one.
@@ -23,6 +25,9 @@
 /// Minimum remaining time that is assumed for a run that has exceeded its expected run time.
 const MIN_OVERRUN: Millis = Millis(200);
 
+/// Number of recent crashes from which a runner keeps crashing.
+const MIN_RUNNER_CRASHES: u32 = 2;
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlacedRun {
     /// Resources reserved for the run; `None` if unknown.
@@ -39,6 +44,10 @@
     pub(super) expected_end: Option<Millis>,
     /// Time at which the run was ordered; `None` for one of a previous owner, whose start is unknown.
     pub(super) ordered_at: Option<Millis>,
+    /// Time at which the run was ordered or adopted.
+    pub(super) known_since: Millis,
+    /// How far the run is kept from others.
+    pub(super) isolation: Isolation,
     /// Whether the run takes longer because it is not in its rack.
     pub(super) is_remote: bool,
     pub(super) progress: Progress,
@@ -98,7 +107,15 @@
     latency_sensitive_runs: usize,
     /// Number of best-effort runs.
     best_effort_runs: usize,
+    /// Number of recent crashes of earlier incarnations at the runner's address.
+    pub(super) recent_crashes: u32,
     pub(super) missed_responses: u32,
+    /// Time of the first call without a response since the latest response.
+    pub(super) silent_since: Option<Millis>,
+    /// Number of runs that are kept from others.
+    isolated_runs: usize,
+    /// Number of those beside which nothing starts.
+    runs_alone: usize,
     /// Whether the latest inventory had runs that may be stalled.
     pub(super) has_suspected_stalls: bool,
     /// Time at which the lease was first seen to have expired since the latest response.
@@ -127,7 +144,11 @@
             unsized_runs: 0,
             latency_sensitive_runs: 0,
             best_effort_runs: 0,
+            recent_crashes: 0,
             missed_responses: 0,
+            silent_since: None,
+            isolated_runs: 0,
+            runs_alone: 0,
             has_suspected_stalls: false,
             lease_expired_at: None,
             last_end_number: 0,
@@ -289,6 +310,8 @@
             Sharing::LatencySensitive => self.latency_sensitive_runs += 1,
             Sharing::BestEffort => self.best_effort_runs += 1,
         }
+        self.isolated_runs += usize::from(placed.isolation != Isolation::None);
+        self.runs_alone += usize::from(placed.isolation == Isolation::Alone);
         true
     }
 
@@ -304,15 +327,56 @@
             Sharing::LatencySensitive => self.latency_sensitive_runs -= 1,
             Sharing::BestEffort => self.best_effort_runs -= 1,
         }
+        self.release_isolation(placed.isolation);
         Some(placed)
     }
 
+    /// Lets others run beside a run again.
+    pub(super) fn end_isolation(&mut self, task: TaskId, run: u32) {
+        if let Some(placed) = self.runs.get_mut(&(task, run)) {
+            let isolation = std::mem::take(&mut placed.isolation);
+            self.release_isolation(isolation);
+        }
+    }
+
+    fn release_isolation(&mut self, isolation: Isolation) {
+        self.isolated_runs -= usize::from(isolation != Isolation::None);
+        self.runs_alone -= usize::from(isolation == Isolation::Alone);
+    }
+
+    /// Returns whether a run is kept from others.
+    pub(super) fn has_isolated_run(&self) -> bool {
+        self.isolated_runs > 0
+    }
+
+    /// Returns whether nothing may start beside one of the runs.
+    pub(super) fn has_run_alone(&self) -> bool {
+        self.runs_alone > 0
+    }
+
+    /// Returns whether a run was ordered or adopted within a time.
+    pub(super) fn has_run_since(&self, since: Millis) -> bool {
+        self.runs.values().any(|placed| placed.known_since > since)
+    }
+
+    /// Returns whether incarnations at the runner's address keep crashing.
+    pub(super) fn keeps_crashing(&self) -> bool {
+        self.recent_crashes >= MIN_RUNNER_CRASHES
+    }
+
+    /// Records a call without a response.
+    pub(super) fn record_miss(&mut self, now: Millis) {
+        self.missed_responses += 1;
+        self.silent_since.get_or_insert(now);
+    }
+
     /// Records a response with a reading of the runner's clock.
     pub(super) fn record_response(&mut self, clock: Millis, now: Millis) {
         if self.reading.is_none_or(|reading| clock >= reading.clock) {
             self.reading = Some(ClockReading { clock, at: now });
         }
         self.missed_responses = 0;
+        self.silent_since = None;
         self.lease_expired_at = None;
     }
 
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -41,6 +41,8 @@
         if self.fenced || !self.is_confirmed_since_gap() {
             return;
         }
+        self.release_held_starts(now);
+        self.release_quiet_runners(now);
         let all_verified = self.are_all_runs_verified(now);
         self.update_unknown_usage(all_verified, now);
         self.reserved.clear();
@@ -63,6 +65,7 @@
             }
             if ready.is_durable {
                 self.place_step(ready.step, all_verified, now);
+                self.keep_quiet_runner(ready.step, now);
             }
             if self.is_blocked_by_cap(ready.step) {
                 // Runners and approvals would be kept from steps that may start.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -163,7 +163,7 @@
 }
 
 /// Durable progress of a job.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct ProgressRecord {
     /// Phase of the job.
     pub phase: Phase,
@@ -173,6 +173,80 @@
     pub occurrences_done: u32,
     /// Occurrences that have begun and are not completed.
     pub occurrences: Vec<OccurrenceProgress>,
+    /// Crashes of the runners of tasks in these occurrences, and runs that may turn out to be some.
+    pub crashes: Vec<TaskCrash>,
+    /// Tasks that may have been on a runner that crashed while no owner knew what it ran.
+    pub unaccounted: Vec<TaskRef>,
+}
+
+/// Progress record without crashes, as written by versions that did not count them.
+#[derive(Deserialize)]
+struct ProgressRecordWithoutCrashes {
+    phase: Phase,
+    ended_unix_ms: u64,
+    occurrences_done: u32,
+    occurrences: Vec<OccurrenceProgress>,
+}
+
+impl ProgressRecord {
+    /// Decodes a record, also one of a version that did not count crashes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes do not encode a progress record.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let (old, rest) = postcard::take_from_bytes::<ProgressRecordWithoutCrashes>(bytes)?;
+        let (crashes, unaccounted) = if rest.is_empty() {
+            Default::default()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            phase: old.phase,
+            ended_unix_ms: old.ended_unix_ms,
+            occurrences_done: old.occurrences_done,
+            occurrences: old.occurrences,
+            crashes,
+            unaccounted,
+        })
+    }
+}
+
+/// A task within the progress record of its job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRef {
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Index of the step within the job.
+    pub step: u32,
+    /// Index of the task within the step.
+    pub index: u32,
+}
+
+/// A crash of the runner of one task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrash {
+    /// Task.
+    pub task: TaskRef,
+    /// The crash.
+    pub crash: CrashRecord,
+}
+
+/// A run during which its runner crashed, or may have.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// Run number.
+    pub run: u32,
+    /// Hash of the id of the runner's incarnation.
+    pub incarnation: u64,
+    /// Whether the runner is known to have ended. If not, only an owner that learns of its end
+    /// counts the crash.
+    pub is_certain: bool,
+    /// Whether no other run on the runner was a likely cause.
+    pub was_alone: bool,
+    /// Longest time for which the run can have been alive, in milliseconds; `None` if it is not
+    /// known.
+    pub age_ms: Option<u64>,
 }
 
 /// Durable progress of one occurrence.
@@ -252,7 +326,9 @@
                 record.spec.validate_steps()?;
                 self.jobs.push((id, record));
             }
-            RecordKey::Progress(id) => drop(self.progress.insert(id, decode(value)?)),
+            RecordKey::Progress(id) => {
+                self.progress.insert(id, ProgressRecord::decode(value)?);
+            }
             RecordKey::Ended(id) => self.ended.push((id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(decode(value)?),
         }
--- /dev/null
+++ b/crates/jobs/tests/crashes.rs
@@ -0,0 +1,579 @@
+//! Regression tests for tasks that crash the runners that start them, and for the tasks near them.
+
+mod one_cell;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use kspan_jobs::{
+    engine::{JobState, Order, RunnerIx},
+    id::{JobId, TaskId},
+    record::{OccurrenceProgress, Phase, ProgressRecord, TaskProgress},
+    runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
+    spec::{JobSpec, StepSpec},
+};
+use kspan_model::{Millis, Name, Resources};
+use one_cell::*;
+
+/// Number of starts of a crashing task that are allowed in all: two after the third crash.
+const MAX_STARTS: usize = 5;
+
+/// Time for which a crashed runner is away, in milliseconds.
+const RESTART_MS: u64 = 3_000;
+
+/// Period of the inventories and scheduling passes, in milliseconds.
+const STEP_MS: u64 = 100;
+
+/// A run on a simulated runner.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    number: u32,
+    since: u64,
+}
+
+/// A runner that may crash.
+#[derive(Clone, Debug)]
+struct Host {
+    ix: usize,
+    incarnation: u32,
+    back_at: Option<u64>,
+    is_cut_off: bool,
+    runs: BTreeMap<TaskId, Run>,
+    ended: Vec<EndedTask>,
+    next_end: u64,
+}
+
+/// A cell whose runners run what they are told, and crash under some tasks.
+struct Fleet {
+    cell: Cell,
+    hosts: Vec<Host>,
+    /// Run time after which a task crashes its runner.
+    crash_after: BTreeMap<TaskId, u64>,
+    /// Run time of the other tasks.
+    run_time: u64,
+    starts: BTreeMap<TaskId, usize>,
+    /// Numbers of the hosts on which tasks started, in order.
+    places: Vec<(TaskId, usize)>,
+    crashes: usize,
+    next_ix: usize,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let entries = (0..count).map(|number| incarnation_entry(number, 1));
+        let cell = Cell::with_runners(config(), entries);
+        let host = |ix| Host {
+            ix,
+            incarnation: 1,
+            back_at: None,
+            is_cut_off: false,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+        };
+        Self {
+            cell,
+            hosts: (0..count).map(host).collect(),
+            crash_after: BTreeMap::new(),
+            run_time: 1_000,
+            starts: BTreeMap::new(),
+            places: Vec::new(),
+            crashes: 0,
+            next_ix: count,
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.step();
+        }
+    }
+
+    /// Advances by one period, in which each runner is polled once.
+    fn step(&mut self) {
+        self.cell.advance(STEP_MS);
+        for number in 0..self.hosts.len() {
+            self.restart_if_due(number);
+            self.advance_runs(number);
+            self.poll(number);
+        }
+        self.cell.commit();
+        let now = Millis(self.cell.now);
+        self.cell.engine.schedule(now);
+        for order in self.cell.engine.take_orders() {
+            match order {
+                Order::Start(order) => self.start(order.runner_ix, order.task, order.run),
+                Order::Stop(order) => self.stop(order.runner_ix, order.task, order.run),
+                Order::RequestApprovals(_) => unreachable!("no queue needs approvals"),
+            }
+        }
+        self.cell.commit();
+    }
+
+    fn host_of(&self, runner_ix: RunnerIx) -> Option<usize> {
+        self.hosts.iter().position(|host| host.ix == runner_ix.0)
+    }
+
+    fn start(&mut self, runner_ix: RunnerIx, task: TaskId, number: u32) {
+        let now = self.cell.now;
+        *self.starts.entry(task).or_default() += 1;
+        let at = self.host_of(runner_ix).expect("orders name live runners");
+        let host = &mut self.hosts[at];
+        let is_up = host.back_at.is_none() && !host.is_cut_off;
+        let outcome = if is_up {
+            host.runs.insert(task, Run { number, since: now });
+            self.places.push((task, at));
+            StartOutcome::Started(Millis(now))
+        } else {
+            StartOutcome::InDoubt
+        };
+        let engine = &mut self.cell.engine;
+        engine.record_start_outcome(Millis(now), runner_ix, task, number, outcome);
+    }
+
+    fn stop(&mut self, runner_ix: RunnerIx, task: TaskId, number: u32) {
+        let now = Millis(self.cell.now);
+        let Some(at) = self.host_of(runner_ix) else {
+            return;
+        };
+        let host = &mut self.hosts[at];
+        if host.back_at.is_some() || host.is_cut_off {
+            return;
+        }
+        if host.runs.get(&task).is_some_and(|run| run.number == number) {
+            host.end(task, EndKind::Stopped);
+        }
+        let outcome = kspan_jobs::runner::StopOutcome::Done;
+        let engine = &mut self.cell.engine;
+        engine.record_stop_outcome(runner_ix, task, number, outcome, now);
+    }
+
+    fn advance_runs(&mut self, number: usize) {
+        let (now, run_time) = (self.cell.now, self.run_time);
+        let host = &mut self.hosts[number];
+        let is_due = |task: &TaskId, run: &Run| {
+            let crash_after = self.crash_after.get(task);
+            crash_after.is_some_and(|after| now >= run.since + after)
+        };
+        if host.runs.iter().any(|(task, run)| is_due(task, run)) {
+            return self.crash(number);
+        }
+        let done: Vec<TaskId> = host
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                !self.crash_after.contains_key(task) && now >= run.since + run_time
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        for task in done {
+            host.end(task, EndKind::Done);
+        }
+    }
+
+    fn crash(&mut self, number: usize) {
+        self.crashes += 1;
+        let host = &mut self.hosts[number];
+        host.runs.clear();
+        host.ended.clear();
+        host.back_at = Some(self.cell.now + RESTART_MS);
+    }
+
+    fn restart_if_due(&mut self, number: usize) {
+        let now = self.cell.now;
+        if self.hosts[number].back_at.is_none_or(|at| now < at) {
+            return;
+        }
+        let host = &mut self.hosts[number];
+        host.back_at = None;
+        host.incarnation += 1;
+        host.next_end = 1;
+        let entry = incarnation_entry(number, host.incarnation);
+        let old_ix = host.ix;
+        self.complete_call(old_ix, &InventoryOutcome::OtherIncarnation);
+        self.cell.engine.upsert_runner(Millis(now), entry);
+        self.cell.engine.confirm_ownership(Millis(now));
+        self.hosts[number].ix = self.next_ix;
+        self.next_ix += 1;
+        self.cell.commit();
+    }
+
+    fn complete_call(&mut self, ix: usize, outcome: &InventoryOutcome) {
+        if !self.cell.engine.is_dead(RunnerIx(ix)) {
+            self.cell.complete_inventory_call(ix, outcome);
+        }
+    }
+
+    fn poll(&mut self, number: usize) {
+        let host = &self.hosts[number];
+        let ix = host.ix;
+        if host.back_at.is_some() || host.is_cut_off {
+            return self.complete_call(ix, &InventoryOutcome::NoResponse);
+        }
+        let running = host.runs.iter().map(|(task, run)| RunningTask {
+            task: *task,
+            run: run.number,
+            checkpoint: Name::default(),
+            percent: u32::try_from((self.cell.now - run.since) / 100).expect("a run is short"),
+        });
+        let (running, ended) = (running.collect(), host.ended.clone());
+        let is_alive = !self.cell.engine.is_dead(RunnerIx(ix));
+        if is_alive {
+            self.report(ix, host.incarnation, running, ended);
+        }
+    }
+
+    fn report(
+        &mut self,
+        ix: usize,
+        incarnation: u32,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedTask>,
+    ) {
+        let outcome = InventoryOutcome::Inventory(kspan_jobs::runner::Inventory {
+            clock: Millis(self.cell.now),
+            started_unix_ms: u64::from(incarnation),
+            running,
+            ended,
+            skipped_rows: 0,
+        });
+        self.cell.complete_inventory_call(ix, &outcome);
+    }
+
+    /// Replaces the owner by one that knows the durable records only.
+    fn replace_owner(&mut self) {
+        self.cell.recover();
+        let known: Vec<RunnerIx> = self.cell.engine.live_runners().collect();
+        let number_of = |entry: &RunnerEntry| -> usize {
+            entry
+                .addr
+                .parse()
+                .expect("addresses are the hosts' numbers")
+        };
+        for runner_ix in &known {
+            let number = number_of(self.cell.engine.runner(*runner_ix));
+            self.hosts[number].ix = runner_ix.0;
+        }
+        self.next_ix = known.len();
+        let now = Millis(self.cell.now);
+        for number in 0..self.hosts.len() {
+            let host = &self.hosts[number];
+            if host.back_at.is_none() && !host.is_cut_off {
+                let entry = incarnation_entry(number, host.incarnation);
+                self.cell.engine.upsert_runner(now, entry);
+            }
+        }
+    }
+
+    fn state(&self, job: u64) -> Option<JobState> {
+        self.cell.engine.job_state(JobId(job))
+    }
+
+    /// Returns the highest number of starts of any task that crashes its runners.
+    fn most_crashing_starts(&self) -> usize {
+        let starts = self
+            .crash_after
+            .keys()
+            .filter_map(|task| self.starts.get(task));
+        starts.copied().max().unwrap_or(0)
+    }
+}
+
+impl Host {
+    fn end(&mut self, task: TaskId, how: EndKind) {
+        let run = self.runs.remove(&task).expect("the run is present");
+        self.ended.push(EndedTask {
+            number: self.next_end,
+            task,
+            run: run.number,
+            how,
+            checkpoint: Name::default(),
+        });
+        self.next_end += 1;
+    }
+}
+
+fn incarnation_entry(number: usize, incarnation: u32) -> RunnerEntry {
+    RunnerEntry {
+        addr: Name::new(&number.to_string()),
+        capacity: Resources::new(16_000, 64_000, 0),
+        started_unix_ms: u64::from(incarnation),
+        ..entry(&format!("w{number}-{incarnation}"))
+    }
+}
+
+/// Returns a job of one step with `count` tasks that take a sixteenth of a runner each.
+fn job_of(count: u32) -> JobSpec {
+    JobSpec {
+        text: Name::new("run"),
+        steps: vec![StepSpec {
+            count,
+            size: Resources::new(1_000, 1_000, 0),
+            estimate: Millis(1_000),
+            ..StepSpec::default()
+        }],
+        timetable: None,
+    }
+}
+
+fn submit(fleet: &mut Fleet, job: u64, spec: JobSpec) {
+    fleet.cell.submit_spec(&format!("/q/{job:016x}"), spec);
+}
+
+fn task_of(job: u64, index: u32) -> TaskId {
+    let text = format!("{job:016x}.0.0.{index}");
+    text.parse().expect("a valid task id")
+}
+
+/// Changes the first step of a job.
+fn with_step(mut spec: JobSpec, change: StepChange) -> JobSpec {
+    change(&mut spec.steps[0]);
+    spec
+}
+
+#[test]
+fn task_that_crashes_each_runner_is_given_up() {
+    // Tasks that crash a runner at once, after a while, as one of a gang, and without an end.
+    let table: [(&str, u64, JobSpec); 4] = [
+        ("at once", 100, job_of(4)),
+        ("after 2 s", 2_000, job_of(4)),
+        (
+            "in a gang",
+            100,
+            with_step(job_of(4), |step| step.gang = true),
+        ),
+        (
+            "long-running",
+            100,
+            with_step(job_of(4), |step| step.long_running = true),
+        ),
+    ];
+    for (name, crash_after, spec) in table {
+        let mut fleet = Fleet::new(6);
+        if spec.steps[0].gang {
+            // No member ends before all have run for a while.
+            fleet.run_time = u64::MAX / 2;
+        }
+        fleet.crash_after.insert(task_of(1, 0), crash_after);
+        submit(&mut fleet, 1, spec);
+        fleet.run(60_000);
+        let starts = fleet.most_crashing_starts();
+        assert_eq!(fleet.state(1), Some(JobState::Failed), "{name}");
+        assert!(
+            (3..=MAX_STARTS).contains(&starts),
+            "{name}: {starts} starts"
+        );
+    }
+}
+
+#[test]
+fn crashing_task_is_given_up_by_successive_owners() {
+    // Time in milliseconds after each start at which the owner is replaced: before the runner is
+    // found silent, while it is away, and after it is back.
+    for delay in [0, 500, 1_500, 3_400] {
+        let mut fleet = Fleet::new(6);
+        fleet.crash_after.insert(task_of(1, 0), 100);
+        submit(&mut fleet, 1, job_of(4));
+        let mut starts_seen = 0;
+        let mut replace_at = None;
+        while fleet.state(1) != Some(JobState::Failed) && fleet.cell.now < 200_000 {
+            fleet.step();
+            let starts = fleet.most_crashing_starts();
+            if starts > starts_seen {
+                starts_seen = starts;
+                replace_at = Some(fleet.cell.now + delay);
+            }
+            if replace_at.is_some_and(|at| fleet.cell.now >= at) {
+                replace_at = None;
+                fleet.replace_owner();
+            }
+        }
+        assert_eq!(fleet.state(1), Some(JobState::Failed), "{delay}");
+        assert!(starts_seen <= MAX_STARTS, "{delay}: {starts_seen} starts");
+    }
+}
+
+#[test]
+fn harmless_tasks_beside_crashing_ones_complete() {
+    let mut fleet = Fleet::new(12);
+    // Of 40 jobs in 20 s, every eighth has a task that crashes its runners.
+    for job in 1..=40 {
+        if job % 8 == 0 {
+            fleet.crash_after.insert(task_of(job, 0), 100);
+        }
+        submit(&mut fleet, job, job_of(8));
+        fleet.run(500);
+    }
+    fleet.run(60_000);
+    for job in 1..=40 {
+        let expected = if job % 8 == 0 {
+            JobState::Failed
+        } else {
+            JobState::Completed
+        };
+        assert_eq!(fleet.state(job), Some(expected), "job {job}");
+    }
+    assert!(fleet.most_crashing_starts() <= MAX_STARTS);
+}
+
+#[test]
+fn suspected_tasks_do_not_share_a_runner() {
+    let mut fleet = Fleet::new(8);
+    fleet.crash_after.insert(task_of(1, 0), 100);
+    submit(&mut fleet, 1, job_of(4));
+    fleet.run(500);
+    assert_eq!(fleet.crashes, 1);
+    fleet.places.clear();
+    fleet.run(3_500);
+    let places: BTreeSet<usize> = fleet.places.iter().map(|(_, at)| *at).collect();
+    assert_eq!(fleet.places.len(), 4, "all four start again");
+    assert_eq!(places.len(), 4, "each on a runner of its own");
+    assert_eq!(fleet.crashes, 2);
+    fleet.run(4_000);
+    let harmless = (1..4).map(|index| fleet.starts[&task_of(1, index)]);
+    assert!(harmless.into_iter().all(|starts| starts == 2));
+}
+
+#[test]
+fn nothing_starts_beside_a_task_that_starts_alone() {
+    let mut fleet = Fleet::new(3);
+    fleet.crash_after.insert(task_of(1, 0), 300);
+    submit(&mut fleet, 1, job_of(1));
+    let mut lost = 0;
+    for job in 2..=80 {
+        submit(&mut fleet, job, job_of(1));
+        fleet.run(300);
+        let starts = fleet.starts.get(&task_of(1, 0)).copied().unwrap_or(0);
+        let crashing_on = fleet
+            .places
+            .iter()
+            .rposition(|(task, _)| *task == task_of(1, 0));
+        let beside = crashing_on.map(|at| {
+            let (_, host) = fleet.places[at];
+            let is_beside = |other: &&(TaskId, usize)| other.1 == host;
+            fleet.places[at + 1..].iter().filter(is_beside).count()
+        });
+        if starts == 3
+            && fleet
+                .hosts
+                .iter()
+                .any(|host| host.runs.contains_key(&task_of(1, 0)))
+        {
+            lost += beside.unwrap_or(0);
+        }
+    }
+    assert_eq!(lost, 0, "tasks started beside the third start");
+    assert_eq!(fleet.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn restarted_runner_gets_work_at_once() {
+    let mut fleet = Fleet::new(1);
+    fleet.crash_after.insert(task_of(1, 0), 100);
+    submit(&mut fleet, 1, job_of(1));
+    fleet.run(600);
+    assert_eq!(fleet.crashes, 1);
+    submit(&mut fleet, 2, job_of(1));
+    fleet.crash_after.clear();
+    fleet.run(RESTART_MS);
+    assert_eq!(fleet.starts.get(&task_of(2, 0)), Some(&1));
+}
+
+#[test]
+fn crashes_that_a_long_running_task_outlives_are_forgotten() {
+    let mut fleet = Fleet::new(4);
+    fleet.run_time = u64::MAX / 2;
+    submit(
+        &mut fleet,
+        1,
+        with_step(job_of(2), |step| step.long_running = true),
+    );
+    for crash in 0..12 {
+        // Runs last for seconds and for minutes by turns.
+        fleet.run(if crash % 2 == 0 { 20_000 } else { 700_000 });
+        let host = fleet
+            .hosts
+            .iter()
+            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+        fleet.crash(host.expect("the task runs"));
+    }
+    fleet.run(12_000);
+    assert_eq!(fleet.state(1), Some(JobState::Running));
+    assert_eq!(fleet.crashes, 12);
+}
+
+#[test]
+fn tasks_on_a_runner_that_is_cut_off_are_not_suspected() {
+    let mut fleet = Fleet::new(4);
+    fleet.run_time = 30_000;
+    submit(&mut fleet, 1, job_of(2));
+    fleet.run(1_000);
+    for _ in 0..6 {
+        let at = fleet
+            .hosts
+            .iter()
+            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+        let at = at.expect("the task runs");
+        fleet.hosts[at].is_cut_off = true;
+        fleet.run(8_000);
+        // Its lease has expired, and with it all that ran.
+        let expired: Vec<TaskId> = fleet.hosts[at].runs.keys().copied().collect();
+        for task in expired {
+            fleet.hosts[at].end(task, EndKind::LeaseExpired);
+        }
+        fleet.hosts[at].is_cut_off = false;
+        fleet.run(1_000);
+    }
+    fleet.run(40_000);
+    assert_eq!(fleet.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn runners_that_leave_after_draining_have_not_crashed() {
+    let mut fleet = Fleet::new(4);
+    fleet.run_time = 4_000;
+    submit(&mut fleet, 1, job_of(1));
+    fleet.run(500);
+    for _ in 0..8 {
+        let now = Millis(fleet.cell.now);
+        let at = fleet
+            .hosts
+            .iter()
+            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+        let Some(at) = at else { break };
+        let entry = incarnation_entry(at, fleet.hosts[at].incarnation);
+        let draining = RunnerEntry {
+            draining: true,
+            ..entry
+        };
+        fleet.cell.engine.upsert_runner(now, draining);
+        fleet.run(300);
+        fleet.crash(at);
+        fleet.run(RESTART_MS + 500);
+    }
+    fleet.run(10_000);
+    assert_eq!(fleet.state(1), Some(JobState::Completed));
+}
+
+#[test]
+fn progress_of_a_version_that_did_not_count_crashes_is_read() {
+    let progress = ProgressRecord {
+        phase: Phase::Active,
+        ended_unix_ms: 0,
+        occurrences_done: 2,
+        occurrences: vec![OccurrenceProgress {
+            number: 2,
+            tasks: vec![TaskProgress {
+                step: 1,
+                index: 3,
+                run: 7,
+                ..TaskProgress::default()
+            }],
+        }],
+        ..ProgressRecord::default()
+    };
+    let bytes = kspan_jobs::record::encode(&progress);
+    // The lists of crashes and of unaccounted tasks are the last fields, and empty: a byte each.
+    let old = &bytes[..bytes.len() - 2];
+    assert_eq!(ProgressRecord::decode(old), Ok(progress.clone()));
+    assert_eq!(ProgressRecord::decode(&bytes), Ok(progress));
+}
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -5,23 +5,26 @@
 
 use std::thread;
 
-use support::{Mutation, Simulation};
+use support::{Hazard, Mutation, Simulation};
 
 /// Number of schedules without a mutation.
 const SCHEDULES: u64 = 24_000;
 
+/// Number of schedules with each hazard.
+const HAZARDOUS_SCHEDULES: u64 = 6_000;
+
 /// Number of schedules within which each mutation must be caught.
 const MUTATION_SCHEDULES: u64 = 3_000;
 
 const THREADS: usize = 6;
 
 /// Runs schedules in several threads; returns the first violations and the number of starts.
-fn run_schedules(schedules: u64, mutation: Mutation) -> (Vec<String>, u64) {
+fn run_schedules(schedules: u64, mutation: Mutation, hazard: Hazard) -> (Vec<String>, u64) {
     let workers = (0..THREADS).map(|first| {
         thread::spawn(move || {
             let (mut violations, mut starts) = (Vec::new(), 0);
             for seed in (0..schedules).skip(first).step_by(THREADS) {
-                let checks = Simulation::run_schedule(seed, mutation);
+                let checks = Simulation::run_hazardous_schedule(seed, mutation, hazard);
                 starts += checks.starts;
                 violations.extend(checks.violations);
                 if violations.len() >= 20 {
@@ -43,7 +46,7 @@
 
 #[test]
 fn invariants_hold_in_all_random_schedules() {
-    let (violations, starts) = run_schedules(SCHEDULES, Mutation::None);
+    let (violations, starts) = run_schedules(SCHEDULES, Mutation::None, Hazard::None);
     assert!(violations.is_empty(), "{}", violations.join("\n"));
     assert!(
         starts > SCHEDULES * 10,
@@ -51,22 +54,50 @@
     );
 }
 
+#[test]
+fn invariants_hold_while_tasks_crash_their_runners() {
+    let (violations, starts) =
+        run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::CrashingTasks);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(
+        starts > HAZARDOUS_SCHEDULES * 10,
+        "only {starts} starts were observed"
+    );
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
-        (Mutation::LostResponseAsRefusal, "concurrent runs"),
-        (Mutation::CapacityDoubled, "overcommit"),
-        (Mutation::AckBeforeDurable, "rerun after completion"),
-        (Mutation::WritesDropped, "lost job"),
-        (Mutation::StopsDropped, "unfinished"),
-        (Mutation::NoResponseAsDeath, "concurrent runs"),
-        (Mutation::NoTakeoverWait, "concurrent runs"),
-        (Mutation::RunnersNotRestored, "concurrent runs"),
-        (Mutation::DependenciesDropped, "dependency"),
-        (Mutation::ExtraAttempt, "attempt limit"),
+        (
+            Mutation::LostResponseAsRefusal,
+            "concurrent runs",
+            Hazard::None,
+        ),
+        (Mutation::CapacityDoubled, "overcommit", Hazard::None),
+        (
+            Mutation::AckBeforeDurable,
+            "rerun after completion",
+            Hazard::None,
+        ),
+        (Mutation::WritesDropped, "lost job", Hazard::None),
+        (Mutation::StopsDropped, "unfinished", Hazard::None),
+        (Mutation::NoResponseAsDeath, "concurrent runs", Hazard::None),
+        (Mutation::NoTakeoverWait, "concurrent runs", Hazard::None),
+        (
+            Mutation::RunnersNotRestored,
+            "concurrent runs",
+            Hazard::None,
+        ),
+        (Mutation::DependenciesDropped, "dependency", Hazard::None),
+        (Mutation::ExtraAttempt, "attempt limit", Hazard::None),
+        (
+            Mutation::CrashesNotRestored,
+            "crash limit",
+            Hazard::CrashingTasks,
+        ),
     ];
-    for (mutation, expected) in table {
-        let (violations, _) = run_schedules(MUTATION_SCHEDULES, mutation);
+    for (mutation, expected, hazard) in table {
+        let (violations, _) = run_schedules(MUTATION_SCHEDULES, mutation, hazard);
         let caught = violations.iter().any(|text| text.contains(expected));
         assert!(
             caught,
--- a/crates/jobs/tests/support/checks.rs
+++ b/crates/jobs/tests/support/checks.rs
@@ -16,6 +16,18 @@
 /// may still start.
 const MAX_START_AFTER_CANCEL_MS: u64 = 3_000;
 
+/// Time in milliseconds after a change of a runner's capacity for which owners may not know it.
+const MAX_CAPACITY_LAG_MS: u64 = 200;
+
+/// Longest time in milliseconds for which an order is under way.
+const MAX_ORDER_DELAY_MS: u64 = 13_000;
+
+/// Number of crashes after which the starts of a task that crashes its runners are limited.
+const MAX_CRASHES: u32 = 3;
+
+/// Number of such starts from which on there are too many.
+const MAX_STARTS_AFTER_CRASHES: u32 = 3;
+
 /// Incarnation of a runner, and the number of a run that completed there.
 type CompletedRun = (Name, u32);
 
@@ -51,6 +63,8 @@
     restarted_despite: BTreeSet<(TaskId, CompletedRun)>,
     failed_acknowledged: BTreeMap<TaskId, u32>,
     failed: BTreeMap<TaskId, u32>,
+    crashes: BTreeMap<TaskId, u32>,
+    starts_after_crashes: BTreeMap<TaskId, u32>,
 }
 
 impl Checks {
@@ -89,7 +103,14 @@
             .keys()
             .map(|task| self.size_of(*task));
         let used = used.fold(Resources::ZERO, Resources::saturating_add);
-        if !used.fits_in(runners[runner_ix].capacity) {
+        let lag = if late {
+            MAX_ORDER_DELAY_MS
+        } else {
+            MAX_CAPACITY_LAG_MS
+        };
+        let changed_at = runners[runner_ix].capacity_changed_at;
+        let is_capacity_known = changed_at.is_none_or(|at| now > at + lag);
+        if !used.fits_in(runners[runner_ix].capacity) && is_capacity_known {
             self.report(format!(
                 "{now}: overcommit: {task} run {run} on {runner_ix} brings reserved resources to {used}"
             ));
@@ -139,6 +160,7 @@
                 "{now}: attempt limit: {task} run {run} after the limit of failures"
             ));
         }
+        self.check_crash_limit(&observed);
         let cancelled = self.cancelled.get(&task.step.job);
         // The owner cannot prevent the late delivery of an order that it has already sent.
         if !late && cancelled.is_some_and(|&at| now > at + MAX_START_AFTER_CANCEL_MS) {
@@ -148,6 +170,34 @@
         }
     }
 
+    /// Records a crash of a runner by one of its tasks.
+    pub(crate) fn record_crash(&mut self, task: TaskId) {
+        *self.crashes.entry(task).or_default() += 1;
+    }
+
+    /// Checks a start of a task that may have crashed several runners. An owner can't prevent the late
+    /// delivery of an order that it has already sent.
+    fn check_crash_limit(&mut self, observed: &ObservedStart) {
+        let ObservedStart {
+            task,
+            run,
+            now,
+            late,
+            ..
+        } = *observed;
+        let crashes = self.crashes.get(&task).copied().unwrap_or(0);
+        if crashes < MAX_CRASHES || late {
+            return;
+        }
+        let starts = self.starts_after_crashes.entry(task).or_default();
+        *starts += 1;
+        if *starts >= MAX_STARTS_AFTER_CRASHES {
+            self.report(format!(
+                "{now}: crash limit: {task} run {run} after {crashes} crashes"
+            ));
+        }
+    }
+
     /// Records a run that completed or failed.
     pub(crate) fn record_end(&mut self, incarnation: &Name, task: TaskId, run: u32, how: EndKind) {
         match how {
@@ -224,6 +274,10 @@
                     .iter()
                     .filter(|(step, _)| gang(step))
                     .map(|(_, times)| *times);
+                let has_crashed = self.crashes.keys().any(|task| task.step.job == job);
+                if has_crashed {
+                    return;
+                }
                 if max_failures.max(max_gang_failures.max().unwrap_or(0)) < max_attempts {
                     self.report(format!(
                         "wrong state: {job} is reported as failed after {max_failures} failures"
--- /dev/null
+++ b/crates/jobs/tests/support/hazards.rs
@@ -0,0 +1,79 @@
+//! Hazards of a schedule: tasks that crash their runners, and capacities that change.
+
+use kspan_jobs::id::{JobId, TaskId};
+use kspan_model::Resources;
+use rand::Rng;
+
+use super::{Event, Hazard, Simulation};
+
+/// Time after its start at which a task crashes its runner, in milliseconds.
+const CRASH_AFTER_MS: u64 = 30;
+
+/// Largest number of cores of a runner.
+const FULL_CORES: u64 = 9;
+
+/// Every job whose id is divisible by this has a task that crashes its runners.
+const CRASHING_JOB_DIVISOR: u64 = 4;
+
+/// Returns whether a job has such a task: the first of its first step.
+pub(crate) fn is_crashing_job(job: JobId) -> bool {
+    job.0.is_multiple_of(CRASHING_JOB_DIVISOR)
+}
+
+impl Simulation {
+    /// Lets a run crash its runner soon, if its task does that.
+    pub(super) fn plan_crash(&mut self, runner: usize, task: TaskId, run: u32) {
+        let is_crashing = task.step.step == 0 && task.index == 0 && is_crashing_job(task.step.job);
+        if self.hazard != Hazard::CrashingTasks || !is_crashing {
+            return;
+        }
+        let incarnation = self.runners[runner].incarnation;
+        let crash = Event::TaskCrashesRunner {
+            runner,
+            incarnation,
+            task,
+            run,
+        };
+        self.push(CRASH_AFTER_MS, crash);
+    }
+
+    pub(super) fn crash_by_task(
+        &mut self,
+        runner: usize,
+        incarnation: u64,
+        task: TaskId,
+        run: u32,
+    ) {
+        let crashing = &mut self.runners[runner];
+        let known = crashing.running.get(&task);
+        let is_present = known.is_some_and(|known| known.run == run);
+        if !crashing.is_up || crashing.incarnation != incarnation || !is_present {
+            return;
+        }
+        crashing.crash();
+        self.checks.record_crash(task);
+        let away = self.hazard_rng.random_range(1_000..9_000);
+        self.push(away, Event::RunnerRestarts(runner));
+    }
+
+    /// Changes the capacities of the runners several times, and restores them at the end.
+    pub(super) fn plan_capacity_changes(&mut self) {
+        for _ in 0..20 {
+            let at = self.hazard_rng.random_range(500..20_000);
+            let runner = self.hazard_rng.random_range(0..self.runners.len());
+            let cores = self.hazard_rng.random_range(1..=FULL_CORES);
+            self.push(at, Event::CapacityChanges { runner, cores });
+        }
+        for runner in 0..self.runners.len() {
+            let cores = FULL_CORES;
+            self.push(20_000, Event::CapacityChanges { runner, cores });
+        }
+    }
+
+    /// Changes the capacity of a runner. What runs there stays.
+    pub(super) fn change_capacity(&mut self, runner: usize, cores: u64) {
+        let runner = &mut self.runners[runner];
+        runner.capacity = Resources::new(cores * 1_000, 16_000, 0);
+        runner.capacity_changed_at = Some(self.now);
+    }
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 pub(crate) mod checks;
+mod hazards;
 mod network;
 pub(crate) mod runner;
 
@@ -61,6 +62,18 @@
     DependenciesDropped,
     /// The engine's configuration allows one failure too many.
     ExtraAttempt,
+    /// A takeover does not restore the recorded crashes.
+    CrashesNotRestored,
+}
+
+/// A hazard of a schedule, beside the faults that all schedules have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hazard {
+    None,
+    /// The first tasks of some jobs crash each runner that starts them.
+    CrashingTasks,
+    /// The capacity of runners shrinks and grows while they run.
+    ChangingCapacity,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -110,6 +123,16 @@
     RunnerRestarts(usize),
     PartitionHealed(usize),
     Resume(usize),
+    TaskCrashesRunner {
+        runner: usize,
+        incarnation: u64,
+        task: TaskId,
+        run: u32,
+    },
+    CapacityChanges {
+        runner: usize,
+        cores: u64,
+    },
     TaskEnds {
         runner: usize,
         incarnation: u64,
@@ -143,7 +166,10 @@
     now: u64,
     seed: u64,
     mutation: Mutation,
+    hazard: Hazard,
     rng: ChaCha8Rng,
+    /// Draws of the hazard, which leave those of the schedule as they are without it.
+    hazard_rng: ChaCha8Rng,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     pushed: u64,
     runners: Vec<FakeRunner>,
@@ -159,12 +185,17 @@
 impl Simulation {
     /// Runs one schedule and returns its checks.
     pub(crate) fn run_schedule(seed: u64, mutation: Mutation) -> Checks {
-        let mut simulation = Self::new(seed, mutation);
+        Self::run_hazardous_schedule(seed, mutation, Hazard::None)
+    }
+
+    /// Runs one schedule with a hazard and returns its checks.
+    pub(crate) fn run_hazardous_schedule(seed: u64, mutation: Mutation, hazard: Hazard) -> Checks {
+        let mut simulation = Self::new(seed, mutation, hazard);
         simulation.run();
         simulation.checks
     }
 
-    fn new(seed: u64, mutation: Mutation) -> Self {
+    fn new(seed: u64, mutation: Mutation, hazard: Hazard) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(2..=5);
         let runners = (0..count)
@@ -175,7 +206,9 @@
             now: 1_000,
             seed,
             mutation,
+            hazard,
             rng,
+            hazard_rng: ChaCha8Rng::seed_from_u64(!seed),
             events: BinaryHeap::new(),
             pushed: 0,
             runners,
@@ -200,11 +233,18 @@
             let at = simulation.rng.random_range(500..14_000);
             simulation.push(at, Event::Fault);
         }
+        if hazard == Hazard::ChangingCapacity {
+            simulation.plan_capacity_changes();
+        }
         simulation
     }
 
     fn run(&mut self) {
-        let end = 75_000;
+        let end = match self.hazard {
+            // Tasks take down one runner after the other, long after the last fault.
+            Hazard::CrashingTasks => 200_000,
+            Hazard::None | Hazard::ChangingCapacity => 75_000,
+        };
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 break;
@@ -235,6 +275,13 @@
             Event::Cancel => self.cancel(),
             Event::Fault => self.inject_fault(),
             Event::Takeover => self.take_over(),
+            Event::TaskCrashesRunner {
+                runner,
+                incarnation,
+                task,
+                run,
+            } => self.crash_by_task(runner, incarnation, task, run),
+            Event::CapacityChanges { runner, cores } => self.change_capacity(runner, cores),
             Event::RunnerRestarts(number) => self.runners[number].restart(self.now),
             Event::PartitionHealed(number) => self.runners[number].is_partitioned = false,
             Event::Resume(owner) => {
@@ -338,6 +385,10 @@
         if self.mutation == Mutation::RunnersNotRestored {
             state.runners.clear();
         }
+        if self.mutation == Mutation::CrashesNotRestored {
+            let progress = state.progress.values_mut();
+            progress.for_each(|progress| progress.crashes.clear());
+        }
         let mut engine = Engine::recover(cfg, Millis(self.now), self.now, state);
         engine.configure(self.config());
         let known = engine.live_runners();
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -148,6 +148,7 @@
                 };
                 self.checks.record_start(observed, &self.runners);
                 let (task, run) = (order.task, order.run);
+                self.plan_crash(number, task, run);
                 self.push(
                     after,
                     Event::TaskEnds {
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -35,6 +35,8 @@
     pub(crate) is_up: bool,
     pub(crate) is_partitioned: bool,
     pub(crate) capacity: Resources,
+    /// Time of the latest change of the capacity; `None` if it has not changed.
+    pub(crate) capacity_changed_at: Option<u64>,
     /// Number of the current incarnation.
     pub(crate) incarnation: u64,
     pub(crate) running: BTreeMap<TaskId, Run>,
@@ -57,6 +59,7 @@
             is_up: true,
             is_partitioned: false,
             capacity: Resources::new(rng.random_range(4..=9) * 1_000, 16_000, 0),
+            capacity_changed_at: None,
             incarnation: 1,
             running: BTreeMap::new(),
             number,
