--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -31,29 +31,24 @@
 /// Age above which a run is no likely cause of its runner's crash, because other runs are younger.
 pub(super) const MAX_SUSPECT_AGE: Millis = Millis(1_000);
 
-/// Weight of a crash as evidence against a task, if a run of it was the only likely cause.
-const ALONE_WEIGHT: u32 = 3;
-
-/// Weight of a crash soon after the start of a run, if other runs are as likely a cause.
+/// Weight, as evidence against a task, of a crash soon after the start of its run.
 const RECENT_WEIGHT: u32 = 2;
 
 /// Weight of any other crash.
 const OLD_WEIGHT: u32 = 1;
 
+/// Additional weight of a crash of which no other run was a likely cause.
+const ALONE_WEIGHT: u32 = 1;
+
 /// Weight from which a task starts apart from other suspected tasks.
 const APART_WEIGHT: u32 = 2;
 
 /// Weight from which a task starts alone.
 const START_ALONE_WEIGHT: u32 = 4;
 
-/// Weight from which a task is the cause of the crashes: that of three without another likely cause.
-const CONCLUSIVE_WEIGHT: u32 = 9;
-
-/// The same for [`MANY_CRASHES`] crashes: that of recent ones.
-const MANY_CRASHES_WEIGHT: u32 = 8;
-
-/// Number of crashes that are unlikely to happen by chance to a task that starts apart from others.
-const MANY_CRASHES: usize = 4;
+/// Weight from which a task is the cause of the crashes: that of a recent one and of two more without
+/// another likely cause.
+const CONCLUSIVE_WEIGHT: u32 = 8;
 
 /// Number of crashes after which a task is given up, whatever their weight.
 const MAX_CRASHES: usize = 5;
@@ -139,12 +134,7 @@
 
     /// Returns whether the task is the cause of the crashes.
     pub(super) fn are_conclusive(&self) -> bool {
-        let weight = self.certain_weight();
-        match self.count() {
-            ..MANY_CRASHES => weight >= CONCLUSIVE_WEIGHT,
-            MANY_CRASHES..MAX_CRASHES => weight >= MANY_CRASHES_WEIGHT,
-            MAX_CRASHES.. => true,
-        }
+        self.count() >= MAX_CRASHES || self.certain_weight() >= CONCLUSIVE_WEIGHT
     }
 
     fn certain_weight(&self) -> u32 {
@@ -255,16 +245,11 @@
 
 /// Returns the weight of a crash as evidence against the task.
 fn weight(record: &CrashRecord) -> u32 {
-    if record.was_alone {
-        ALONE_WEIGHT
-    } else if record
-        .age_ms
-        .is_none_or(|age| Millis(age) <= MAX_SUSPECT_AGE)
-    {
-        RECENT_WEIGHT
-    } else {
-        OLD_WEIGHT
-    }
+    let age = record.age_ms.map(Millis);
+    let is_recent = age.is_none_or(|age| age <= MAX_SUSPECT_AGE);
+    let by_age = if is_recent { RECENT_WEIGHT } else { OLD_WEIGHT };
+    let by_company = if record.was_alone { ALONE_WEIGHT } else { 0 };
+    by_age + by_company
 }
 
 /// Returns the hash of an incarnation's id, by which records name it.
