Record a runner's capacity when it changes

A new owner could start tasks beyond the capacity of a runner that had shrunk (LIMIT): a takeover restores runners from their records, which were written when a runner was listed or began to drain, and may place before it has read the host list. A capacity that shrank in between was forgotten.

Class: recorded state that isn't written when it changes. The record is now written again with another capacity, so a new owner knows what the last one knew. Test: nothing_starts_beyond_a_capacity_that_shrank, whose case with a replaced owner failed before; the case without one held already.

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -74,7 +74,7 @@
         self.open_number
     }
 
-    /// Adds a runner that is new, is draining or has ended; returns the batch that includes it.
+    /// Adds a runner that is new, is draining, has another capacity or has ended; returns the batch that includes it.
     pub(super) fn add_runner(&mut self, id: Name) -> u64 {
         self.runners.insert(id);
         self.open_number
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -24,6 +24,7 @@
                 && entry.started_unix_ms != known.entry.started_unix_ms;
             if !restarted && !known.dead {
                 let began_draining = entry.draining && !known.entry.draining;
+                let has_other_capacity = entry.capacity != known.entry.capacity;
                 let started_unix_ms = known.entry.started_unix_ms;
                 known.entry = entry;
                 if known.entry.started_unix_ms == 0 {
@@ -31,9 +32,11 @@
                 }
                 known.missing_since = None;
                 self.include_in_largest(runner_ix);
-                if began_draining {
+                if began_draining || has_other_capacity {
                     let id = self.runners[runner_ix.0].entry.id.clone();
                     self.batches.add_runner(id);
+                }
+                if began_draining {
                     self.move_tasks_away(runner_ix, now);
                 }
                 return None;
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -6,8 +6,8 @@
     config::ApprovalPolicy,
     engine::{JobState, Order, RunnerIx},
     id::StepId,
-    runner::{EndKind, EndedTask, InventoryOutcome, RunningTask, StartOutcome},
-    spec::Timetable,
+    runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
+    spec::{JobSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
 use one_cell::*;
@@ -358,3 +358,33 @@
         assert_eq!(start.valid_for, Millis(expected));
     }
 }
+
+/// Returns a job with one task of a number of cores.
+fn job_of_cores(cores: u64) -> JobSpec {
+    let mut spec = spec();
+    spec.steps[0].size = Resources::new(cores * 1_000, 1_000, 0);
+    spec
+}
+
+#[test]
+fn nothing_starts_beyond_a_capacity_that_shrank() {
+    // Whether the owner is replaced after the change, by one that has not read the host list yet.
+    for is_replaced in [false, true] {
+        let mut cell = Cell::new(&["w0"]);
+        cell.report_ends(0, Vec::new());
+        let shrunk = RunnerEntry {
+            capacity: Resources::new(2_000, 4_000, 0),
+            ..entry("w0")
+        };
+        cell.engine.upsert_runner(Millis(cell.now), shrunk);
+        cell.commit();
+        cell.submit_spec(PATH, job_of_cores(3));
+        if is_replaced {
+            cell.recover();
+            cell.report_ends(0, Vec::new());
+        }
+        assert!(cell.schedule().is_empty(), "replaced: {is_replaced}");
+        cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
+        assert_eq!(cell.schedule(), [0], "replaced: {is_replaced}");
+    }
+}
