Accept jobs that fit their runners when these have not shrunk

Callers got 503 ('none with enough processors') for jobs that a runner takes as soon as it has grown again. The check of what a service can ever run took the present capacities; a runner that had just ended counted, one that had shrunk didn't. The largest runner of a service, by which large tasks are told, and the room that a team may have in use on silent runners were taken from the present capacities as well: the latter could let a team pass its cap after a takeover.

The largest capacity that a runner has had counts now. A mutation that lists runners with their full capacity is caught.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -26,6 +26,7 @@
                 let began_draining = entry.draining && !known.entry.draining;
                 let has_other_capacity = entry.capacity != known.entry.capacity;
                 let started_unix_ms = known.entry.started_unix_ms;
+                known.largest_capacity = known.largest_capacity.component_max(entry.capacity);
                 known.entry = entry;
                 if known.entry.started_unix_ms == 0 {
                     known.entry.started_unix_ms = started_unix_ms;
--- a/crates/jobs/src/engine/quota.rs
+++ b/crates/jobs/src/engine/quota.rs
@@ -240,7 +240,7 @@
             .iter()
             .filter(|runner| !runner.has_answered && !runner.dead && !runner.has_left(now));
         let room = silent
-            .map(|runner| runner.entry.capacity)
+            .map(|runner| runner.largest_capacity)
             .fold(Resources::ZERO, Resources::saturating_add);
         for job in self.jobs.values() {
             let Some(team) = job.team else {
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -106,9 +106,10 @@
 
     /// Includes the capacity of a runner in the largest of its service.
     pub(super) fn include_in_largest(&mut self, runner_ix: RunnerIx) {
-        let entry = &self.runners[runner_ix.0].entry;
-        let runners = self.services.entry(entry.service.clone()).or_default();
-        runners.largest = runners.largest.component_max(entry.capacity);
+        let runner = &self.runners[runner_ix.0];
+        let service = runner.entry.service.clone();
+        let runners = self.services.entry(service).or_default();
+        runners.largest = runners.largest.component_max(runner.largest_capacity);
     }
 
     /// Includes a runner that was added in those of its service.
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -87,6 +87,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct Runner {
     pub(super) entry: RunnerEntry,
+    /// Component-wise maximum of the capacities that the runner has had. One that has shrunk may grow
+    /// again.
+    pub(super) largest_capacity: Resources,
     /// Time at which the host list dropped the runner.
     pub(super) missing_since: Option<Millis>,
     /// Time at which this incarnation was first seen.
@@ -132,6 +135,7 @@
     /// Creates a runner that has not answered yet.
     pub(super) fn new(entry: RunnerEntry, now: Millis, record_batch: u64) -> Self {
         Self {
+            largest_capacity: entry.capacity,
             entry,
             missing_since: None,
             first_seen: now,
--- a/crates/jobs/src/engine/servable.rs
+++ b/crates/jobs/src/engine/servable.rs
@@ -5,7 +5,7 @@
 //! when they are submitted, before anything is stored.
 //!
 //! The check is lenient where the cell may still change: runners that ended recently count, because
-//! they may come back, and nothing is rejected until the service's runners have been known for a
+//! they may come back, runners that have shrunk count in full, because they may grow again, and nothing is rejected until the service's runners have been known for a
 //! while. Approvals are not considered, because only the approval service knows them.
 
 use kspan_model::{Millis, Resources};
@@ -69,7 +69,7 @@
         return Some("with the required label");
     }
     let size = spec.charged_resources();
-    let capacities = labelled.iter().map(|runner| runner.entry.capacity);
+    let capacities = labelled.iter().map(|runner| runner.largest_capacity);
     let largest = capacities
         .clone()
         .fold(Resources::ZERO, Resources::component_max);
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -388,3 +388,20 @@
         assert_eq!(cell.schedule(), [0], "replaced: {is_replaced}");
     }
 }
+
+#[test]
+fn job_is_accepted_while_the_runners_that_fit_it_have_shrunk() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.advance(6_000);
+    let shrunk = RunnerEntry {
+        capacity: Resources::new(1_000, 4_000, 0),
+        ..entry("w0")
+    };
+    cell.engine.upsert_runner(Millis(cell.now), shrunk);
+    cell.advance(6_000);
+    cell.submit_spec(PATH, job_of_cores(3));
+    cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
+    cell.report_ends(0, Vec::new());
+    assert_eq!(cell.schedule(), [0]);
+}
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -65,6 +65,20 @@
     );
 }
 
+#[test]
+fn invariants_hold_while_capacities_change() {
+    let (violations, starts) = run_schedules(
+        HAZARDOUS_SCHEDULES,
+        Mutation::None,
+        Hazard::ChangingCapacity,
+    );
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(
+        starts > HAZARDOUS_SCHEDULES * 10,
+        "only {starts} starts were observed"
+    );
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
@@ -95,6 +109,11 @@
             "crash limit",
             Hazard::CrashingTasks,
         ),
+        (
+            Mutation::CapacityNotUpdated,
+            "overcommit",
+            Hazard::ChangingCapacity,
+        ),
     ];
     for (mutation, expected, hazard) in table {
         let (violations, _) = run_schedules(MUTATION_SCHEDULES, mutation, hazard);
--- a/crates/jobs/tests/support/hazards.rs
+++ b/crates/jobs/tests/support/hazards.rs
@@ -15,6 +15,11 @@
 /// Every job whose id is divisible by this has a task that crashes its runners.
 const CRASHING_JOB_DIVISOR: u64 = 4;
 
+/// Returns the capacity of a runner that has not shrunk.
+pub(super) fn full_capacity() -> Resources {
+    Resources::new(FULL_CORES * 1_000, 16_000, 0)
+}
+
 /// Returns whether a job has such a task: the first of its first step.
 pub(crate) fn is_crashing_job(job: JobId) -> bool {
     job.0.is_multiple_of(CRASHING_JOB_DIVISOR)
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -64,6 +64,8 @@
     ExtraAttempt,
     /// A takeover does not restore the recorded crashes.
     CrashesNotRestored,
+    /// Runners are listed with their full capacity, whatever is left of it.
+    CapacityNotUpdated,
 }
 
 /// A hazard of a schedule, beside the faults that all schedules have.
@@ -433,6 +435,9 @@
                 continue;
             }
             let mut capacity = runner.capacity;
+            if self.mutation == Mutation::CapacityNotUpdated {
+                capacity = hazards::full_capacity();
+            }
             if doubled {
                 capacity = capacity.saturating_add(capacity);
             }
