Start nothing on a runner whose runs exceed a capacity that shrank

A best-effort task could start on a runner that was already over a capacity that had shrunk (LIMIT): what is free was worked out for each resource by itself, so too much processor in use left the whole memory free. For the same reason room was expected there as soon as one run ended, although what remained still exceeded the capacity, and tasks waited for it with a reservation.

Free is now nothing of any kind while more of one resource is used than there is, and expected room counts what is used, not what is free.

--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -3,6 +3,9 @@
 //! A run's resources stay reserved from the order to start it until its end is reported or it is
 //! proven that the run neither exists on the runner nor can start there.
 
+#[cfg(test)]
+mod tests;
+
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::FxHashMap;
 
@@ -60,6 +63,11 @@
     }
 }
 
+/// Returns what is left of a capacity; nothing of any kind if more of one is used.
+fn free_beside(used: Resources, capacity: Resources) -> Resources {
+    capacity.checked_sub(used).unwrap_or_default()
+}
+
 /// Returns the time at which a run is expected to end, as seen `now`. A run that has exceeded its
 /// expected run time is assumed to exceed it by as much again.
 fn remaining_end(expected_end: Millis, now: Millis) -> Millis {
@@ -163,14 +171,10 @@
         }
     }
 
-    /// Returns the resources that are not reserved.
+    /// Returns the resources that are not reserved; none of any kind if more of one is used than a
+    /// capacity that has shrunk.
     pub(super) fn free(&self) -> Resources {
-        let capacity = self.entry.capacity;
-        Resources {
-            cpu_milli: capacity.cpu_milli.saturating_sub(self.used.cpu_milli),
-            memory_mib: capacity.memory_mib.saturating_sub(self.used.memory_mib),
-            accelerators: capacity.accelerators.saturating_sub(self.used.accelerators),
-        }
+        free_beside(self.used, self.entry.capacity)
     }
 
     /// Returns the resources that are expected to be free at a later time if nothing else starts.
@@ -180,7 +184,8 @@
             .values()
             .filter(|run| run.expected_end.is_some_and(|end| end <= at));
         let sizes = ending.filter_map(|run| run.size);
-        sizes.fold(self.free(), Resources::saturating_add)
+        let used = sizes.fold(self.used, Resources::saturating_sub);
+        free_beside(used, self.entry.capacity)
     }
 
     /// Returns the expected times, in ascending order, at which the runner has free resources for
@@ -221,17 +226,22 @@
             .collect();
         ends.sort_unstable();
         let mut times = Vec::new();
-        let (mut free, mut at) = (self.free(), now);
+        // What is used may exceed a capacity that has shrunk.
+        let (mut used, mut at) = (self.used, now);
         let mut ends = ends.into_iter();
         loop {
-            while times.len() < max as usize && size.fits_in(free) {
-                free = free.saturating_sub(size);
+            while times.len() < max as usize {
+                let with_one_more = used.saturating_add(size);
+                if !with_one_more.fits_in(self.entry.capacity) {
+                    break;
+                }
+                used = with_one_more;
                 times.push(at);
             }
             let Some((end, freed)) = ends.next().filter(|_| times.len() < max as usize) else {
                 return times;
             };
-            free = free.saturating_add(freed);
+            used = used.saturating_sub(freed);
             at = end;
         }
     }
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -405,3 +405,23 @@
     cell.report_ends(0, Vec::new());
     assert_eq!(cell.schedule(), [0]);
 }
+
+#[test]
+fn nothing_starts_beside_runs_that_exceed_a_shrunk_capacity() {
+    // A best-effort task reserves no processor, but adds to what the runner runs.
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_start().len(), 1);
+    let shrunk = RunnerEntry {
+        capacity: Resources::new(2_000, 4_000, 0),
+        ..entry("w0")
+    };
+    cell.engine.upsert_runner(Millis(cell.now), shrunk);
+    let mut best_effort = job_of_cores(1);
+    best_effort.steps[0].best_effort = true;
+    cell.submit_spec("/q/0000000000000001", best_effort);
+    assert!(cell.schedule().is_empty());
+    cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
+    assert_eq!(cell.schedule(), [0]);
+}
