Use a runner again that was cut off for longer than its lease

A runner that reached neither the store nor the owner until its lease had expired counted as ended, and when it was listed again it got no work from this owner any more: its entry was taken for a late one of an incarnation that has ended. Callers had so much less room until the next takeover.

Class: a presumption kept as a fact. An end without proof is now only presumed; if the incarnation is listed again, it is called and gets work, and the crashes that were counted for it are forgotten. One that another incarnation replaced stays ignored.

--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -118,6 +118,13 @@
         self.0.len() < before
     }
 
+    /// Removes the records of an incarnation. Returns whether there were any.
+    pub(super) fn forget_incarnation(&mut self, incarnation: u64) -> bool {
+        let before = self.0.len();
+        self.0.retain(|known| known.incarnation != incarnation);
+        self.0.len() < before
+    }
+
     fn certain(&self) -> impl Iterator<Item = &CrashRecord> {
         self.0.iter().filter(|record| record.is_certain)
     }
@@ -357,6 +364,17 @@
         }
     }
 
+    /// Removes the crashes of a runner that was presumed to have ended and has not.
+    pub(super) fn forget_incarnation(&mut self, runner_ix: RunnerIx) {
+        let incarnation = incarnation_hash(&self.runners[runner_ix.0].entry.id);
+        for id in &self.active {
+            let job = self.jobs.get_mut(id);
+            if job.is_some_and(|job| job.forget_crashes_of(incarnation)) {
+                self.batches.add_progress(*id);
+            }
+        }
+    }
+
     /// Returns the crash records of the runs that a runner took with it when it ended, and of those
     /// that were recorded as possible crashes before. A runner that had drained has not crashed.
     pub(super) fn take_crash_records(
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -45,11 +45,15 @@
             if restarted && entry.started_unix_ms < known.entry.started_unix_ms {
                 return None;
             }
-            if !restarted {
+            if !restarted && !self.runners[runner_ix.0].presumed_dead {
                 // A late entry of an incarnation that has ended.
                 return None;
             }
-            self.mark_dead(runner_ix, now);
+            if restarted {
+                self.mark_dead(runner_ix, now);
+            } else {
+                self.forget_incarnation(runner_ix);
+            }
         }
         let id = entry.id.clone();
         let record_batch = self.batches.add_runner(id.clone());
@@ -215,6 +219,7 @@
         }
         if self.runners[runner_ix.0].missing_since.is_some() {
             self.mark_dead(runner_ix, now);
+            self.runners[runner_ix.0].presumed_dead = true;
         }
     }
 }
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -582,6 +582,15 @@
         is_changed
     }
 
+    /// Removes the crash records of an incarnation. Returns whether there were any.
+    pub(super) fn forget_crashes_of(&mut self, incarnation: u64) -> bool {
+        let steps = self.occurrences.iter_mut().flat_map(|occ| &mut occ.steps);
+        let tasks = steps.flat_map(|step| &mut step.tasks);
+        tasks.fold(false, |is_changed, task| {
+            task.crashes.forget_incarnation(incarnation) || is_changed
+        })
+    }
+
     fn referenced_task(&mut self, known: TaskRef) -> Option<&mut Task> {
         let step = StepId {
             job: self.id,
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -106,6 +106,9 @@
     pub(super) record_batch: u64,
     /// Whether this incarnation is known to have ended.
     pub(super) dead: bool,
+    /// Whether that is only presumed, because its lease expired while the host list did not contain
+    /// it. It may have been cut off, and be listed again.
+    pub(super) presumed_dead: bool,
     /// Time at which this incarnation was found to have ended.
     pub(super) ended_at: Option<Millis>,
     /// Whether the runner has answered under the current fencing token.
@@ -149,6 +152,7 @@
             first_seen: now,
             record_batch,
             dead: false,
+            presumed_dead: false,
             ended_at: None,
             has_answered: false,
             runs: FxHashMap::default(),
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -425,3 +425,42 @@
     cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
     assert_eq!(cell.schedule(), [0]);
 }
+
+#[test]
+fn runner_that_was_cut_off_for_long_gets_work_when_it_is_listed_again() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_start().len(), 1);
+    // It reaches neither the store nor the owner until its lease has expired.
+    cell.engine.unlist_runner(Millis(cell.now), &entry("w0").id);
+    for _ in 0..20 {
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.advance(500);
+    }
+    assert!(cell.engine.is_dead(RunnerIx(0)));
+    // The same incarnation is back; all that ran there has ended with its lease.
+    let now = Millis(cell.now);
+    let listed = cell.engine.upsert_runner(now, entry("w0"));
+    assert_eq!(listed, Some(RunnerIx(1)));
+    cell.engine.confirm_ownership(now);
+    cell.commit();
+    let expired = EndedTask {
+        how: EndKind::LeaseExpired,
+        ..failed_end(1, 1)
+    };
+    cell.report_ends(1, vec![expired]);
+    cell.commit();
+    assert_eq!(cell.schedule(), [1]);
+    let explanation = cell.engine.explain(JOB, now).expect("the job is known");
+    assert_eq!(explanation.steps[0].crashes, 0);
+}
+
+#[test]
+fn entry_of_a_runner_that_is_certain_to_have_ended_is_ignored() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.complete_inventory_call(0, &InventoryOutcome::OtherIncarnation);
+    let late = cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
+    assert_eq!(late, None);
+}
