--- a/crates/jobs/src/engine/candidate.rs
+++ b/crates/jobs/src/engine/candidate.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Engine, RunnerIx,
-    crash::{Isolation, MAX_SUSPECT_AGE},
+    evidence::{Isolation, MAX_SUSPECT_AGE},
     job::{Job, Step, Task},
     rack_forecast::RackForecast,
     runner::Runner,
--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -6,8 +6,8 @@
 //!
 //! A crash does not tell which run caused it, and most of those that it took did not. Whether a task
 //! did is found out by where it runs next: tasks of a crashed runner start apart from each other, on
-//! runners with little other work, and after further crashes alone. A task is given up only after a
-//! crash that no other recent start explains. One that outlives the crashes before it is cleared.
+//! runners with little other work, and after further crashes alone. `evidence` weighs the crashes and
+//! decides when a task is given up. One that outlives the crashes before it is cleared.
 //!
 //! The evidence is part of a job's durable progress, so that it outlasts the owner. A run that may
 //! have crashed its runner is recorded before that is certain: when the runner stops answering, or at
@@ -20,6 +20,7 @@
 
 use super::{
     Engine, Event, LossReason, Order, RunnerIx, StartOrder,
+    evidence::{Crashes, Isolation, MAX_SUSPECT_AGE},
     job::{Job, Task},
     runner::{PlacedRun, Runner},
 };
@@ -28,47 +29,6 @@
     record::{CrashRecord, Phase},
 };
 
-/// Age above which a run is no likely cause of its runner's crash, because other runs are younger.
-pub(super) const MAX_SUSPECT_AGE: Millis = Millis(1_000);
-
-/// Weight, as evidence against a task, of a crash soon after the start of its run.
-const RECENT_WEIGHT: u32 = 2;
-
-/// Weight of any other crash.
-const OLD_WEIGHT: u32 = 1;
-
-/// Additional weight of a crash of which no other run was a likely cause.
-const ALONE_WEIGHT: u32 = 1;
-
-/// Weight from which a task starts apart from other suspected tasks.
-const APART_WEIGHT: u32 = 2;
-
-/// Weight from which a task starts alone.
-const START_ALONE_WEIGHT: u32 = 4;
-
-/// Weight from which a task is the cause of the crashes: that of a recent one and of two more without
-/// another likely cause.
-const CONCLUSIVE_WEIGHT: u32 = 8;
-
-/// Number of crashes after which a task is given up, whatever their weight.
-const MAX_CRASHES: usize = 5;
-
-/// Number of crashes, certain or possible, from which a task does not start while some are not certain.
-const MAX_UNSETTLED: usize = 4;
-
-/// How long a task waits for a runner without other suspected tasks before it runs beside them.
-const MAX_ISOLATION_WAIT: Millis = Millis(3_000);
-
-/// A run has outlived the crashes before it when it is older than the oldest run that crashed,
-/// multiplied by this, and [`MIN_CLEARING_MARGIN`] more.
-const CLEARING_FACTOR: u64 = 2;
-
-/// See [`CLEARING_FACTOR`].
-const MIN_CLEARING_MARGIN: Millis = Millis(1_000);
-
-/// Age at which a run has outlived any crashes. Tasks that run for weeks see several runners crash.
-const MAX_CLEARING_AGE: Millis = Millis(600_000);
-
 /// How long a crash of a runner counts as recent.
 const CRASH_MEMORY: Millis = Millis(60_000);
 
@@ -78,120 +38,6 @@
 /// Number of calls without a response in a row after which a runner may have crashed.
 const MISSES_BEFORE_RECORDING: u32 = 2;
 
-/// How far a run is kept from others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Isolation {
-    /// It may run beside any other.
-    #[default]
-    None,
-    /// It does not run beside others that are isolated.
-    Apart,
-    /// It starts where nothing has started recently, and nothing starts beside it.
-    Alone,
-}
-
-/// Crashes of the runners of one task, and runs that may turn out to be some.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Crashes(Vec<CrashRecord>);
-
-impl Crashes {
-    /// Returns the records, in the order in which the runs were recorded.
-    pub(super) fn records(&self) -> &[CrashRecord] {
-        &self.0
-    }
-
-    /// Adds a record, in place of one of the same run on the same incarnation.
-    pub(super) fn record(&mut self, record: CrashRecord) {
-        let is_other = |known: &CrashRecord| {
-            known.run != record.run || known.incarnation != record.incarnation
-        };
-        self.0.retain(is_other);
-        self.0.push(record);
-    }
-
-    /// Removes the record of a run that may have crashed its runner and has not. Returns whether
-    /// there was one.
-    pub(super) fn forget(&mut self, run: u32, incarnation: u64) -> bool {
-        let before = self.0.len();
-        let is_of_run = |known: &CrashRecord| known.run == run && known.incarnation == incarnation;
-        self.0.retain(|known| known.is_certain || !is_of_run(known));
-        self.0.len() < before
-    }
-
-    /// Removes the records of an incarnation. Returns whether there were any.
-    pub(super) fn forget_incarnation(&mut self, incarnation: u64) -> bool {
-        let before = self.0.len();
-        self.0.retain(|known| known.incarnation != incarnation);
-        self.0.len() < before
-    }
-
-    fn certain(&self) -> impl Iterator<Item = &CrashRecord> {
-        self.0.iter().filter(|record| record.is_certain)
-    }
-
-    /// Returns how many crashes count against the task.
-    pub(super) fn count(&self) -> usize {
-        self.certain().count()
-    }
-
-    /// Returns the weight of the evidence, crashes that are not certain yet included.
-    fn weight(&self) -> u32 {
-        self.0.iter().map(weight).sum()
-    }
-
-    /// Returns whether the task is the cause of the crashes.
-    pub(super) fn are_conclusive(&self) -> bool {
-        self.count() >= MAX_CRASHES || self.certain_weight() >= CONCLUSIVE_WEIGHT
-    }
-
-    fn certain_weight(&self) -> u32 {
-        self.certain().map(weight).sum()
-    }
-
-    /// Returns whether the task is suspected of crashes.
-    pub(super) fn are_suspicious(&self) -> bool {
-        self.weight() >= APART_WEIGHT
-    }
-
-    /// Returns whether the task is suspected of crashes that are certain.
-    pub(super) fn are_certainly_suspicious(&self) -> bool {
-        self.certain_weight() >= APART_WEIGHT
-    }
-
-    /// Returns how far the next run is kept from others, once the task has waited for a time. The
-    /// members of a gang need their places at the same time, so none of them starts alone.
-    pub(super) fn isolation(&self, waited: Millis, is_gang: bool) -> Isolation {
-        if !self.are_suspicious() {
-            Isolation::None
-        } else if self.weight() >= START_ALONE_WEIGHT && !is_gang {
-            Isolation::Alone
-        } else if waited < MAX_ISOLATION_WAIT {
-            Isolation::Apart
-        } else {
-            Isolation::None
-        }
-    }
-
-    /// Returns whether the task may start. After several crashes, a task first waits until it is known
-    /// what its earlier runs did to their runners, or it would go on while crashes are found out late.
-    pub(super) fn allow_start(&self) -> bool {
-        let is_settled = self.count() == self.0.len();
-        !self.are_conclusive() && (is_settled || self.0.len() < MAX_UNSETTLED)
-    }
-
-    /// Returns whether a run of an age has outlived the crashes, so that the task caused none.
-    fn are_outlived_at(&self, age: Millis) -> bool {
-        let ages = self.certain().map(|record| record.age_ms.map(Millis));
-        let limits = ages.map(|crashed_at| {
-            let limit = crashed_at.map_or(MAX_CLEARING_AGE, |at| {
-                at.saturating_mul(CLEARING_FACTOR) + MIN_CLEARING_MARGIN
-            });
-            limit.min(MAX_CLEARING_AGE)
-        });
-        limits.max().is_some_and(|limit| age > limit)
-    }
-}
-
 /// Runs that may have crashed their runner, by the hash of its incarnation's id.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OpenRecords(FxHashMap<u64, FxHashSet<TaskId>>);
@@ -250,15 +96,6 @@
     held_since: Millis,
 }
 
-/// Returns the weight of a crash as evidence against the task.
-fn weight(record: &CrashRecord) -> u32 {
-    let age = record.age_ms.map(Millis);
-    let is_recent = age.is_none_or(|age| age <= MAX_SUSPECT_AGE);
-    let by_age = if is_recent { RECENT_WEIGHT } else { OLD_WEIGHT };
-    let by_company = if record.was_alone { ALONE_WEIGHT } else { 0 };
-    by_age + by_company
-}
-
 /// Returns the hash of an incarnation's id, by which records name it.
 pub(super) fn incarnation_hash(id: &Name) -> u64 {
     FxBuildHasher.hash_one(&**id)
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    crash::Isolation,
+    evidence::Isolation,
     job::{Job, Occurrence, Step, Task, TaskState},
     servable::lacking_resource,
 };
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Engine, Event, LossReason, RunnerIx,
-    crash::Isolation,
+    evidence::Isolation,
     job::{MAX_RUN, TaskState},
     reserve::ServiceRunners,
     runner::{PlacedRun, UnackedEnd},
--- a/crates/jobs/src/engine/quiet.rs
+++ b/crates/jobs/src/engine/quiet.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Engine, RunnerIx,
-    crash::Isolation,
+    evidence::Isolation,
     job::{Task, TaskState},
 };
 use crate::id::StepId;
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashMap;
 
 use super::{
-    Settings, crash::Isolation, health::Health, overrun::Ratio, quota::Charge, stall::Progress,
+    Settings, evidence::Isolation, health::Health, overrun::Ratio, quota::Charge, stall::Progress,
 };
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
