Start a gang of one member alone after crashes, like any other task

Callers whose gang has one member could be told that it crashes runners, though its neighbours did. Members of gangs start apart from other suspected tasks but not alone, because all need their places at one time; a gang of one needs one.

Isolation looks at the number of members now.

--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -130,10 +130,10 @@
 
     /// Returns how far the next run is kept from others, once the task has waited for a time. The
     /// members of a gang need their places at the same time, so none of them starts alone.
-    pub(super) fn isolation(&self, waited: Millis, is_gang: bool) -> Isolation {
+    pub(super) fn isolation(&self, waited: Millis, has_other_members: bool) -> Isolation {
         if !self.are_suspicious() {
             Isolation::None
-        } else if self.weight() >= START_ALONE_WEIGHT && !is_gang {
+        } else if self.weight() >= START_ALONE_WEIGHT && !has_other_members {
             Isolation::Alone
         } else if waited < MAX_ISOLATION_WAIT {
             Isolation::Apart
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -119,7 +119,8 @@
     /// Returns how far the task's next run is kept from others.
     pub(super) fn isolation(&self, spec: &StepSpec, now: Millis) -> Isolation {
         let waited = now.saturating_sub(self.state_since);
-        self.crashes.isolation(waited, spec.gang)
+        let has_other_members = spec.gang && spec.count > 1;
+        self.crashes.isolation(waited, has_other_members)
     }
 
     /// Sets the state and the time of its change.
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -130,15 +130,28 @@
     let table = [
         (
             5_181,
+            Hazard::None,
             "a run of a job cancelled before a takeover was counted without its resources",
         ),
         (
             22_562,
+            Hazard::None,
             "a newly started runner accepted orders of a superseded owner that resumed after a pause",
         ),
+        (
+            20_760,
+            Hazard::CrashingTasks,
+            "a gang of one member never started alone, and was given up for the crashes of others",
+        ),
+        (
+            29_666,
+            Hazard::CrashingTasks,
+            "as above, by successive owners",
+        ),
     ];
-    for (seed, cause) in table {
-        let violations = Simulation::run_schedule(seed, Mutation::None).violations;
+    for (seed, hazard, cause) in table {
+        let checks = Simulation::run_hazardous_schedule(seed, Mutation::None, hazard);
+        let violations = checks.violations;
         assert!(
             violations.is_empty(),
             "seed {seed}, which failed because {cause}: {violations:?}"
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -185,11 +185,6 @@
 }
 
 impl Simulation {
-    /// Runs one schedule and returns its checks.
-    pub(crate) fn run_schedule(seed: u64, mutation: Mutation) -> Checks {
-        Self::run_hazardous_schedule(seed, mutation, Hazard::None)
-    }
-
     /// Runs one schedule with a hazard and returns its checks.
     pub(crate) fn run_hazardous_schedule(seed: u64, mutation: Mutation, hazard: Hazard) -> Checks {
         let mut simulation = Self::new(seed, mutation, hazard);
