Show that the product's own scheduler doesn't count lost attempts either

The placement engine retries a lost attempt at once and counts only failed ones; the test sees 12 of 12 starts.

--- a/crates/placement/tests/lifecycle.rs
+++ b/crates/placement/tests/lifecycle.rs
@@ -221,3 +221,22 @@
         assert!(from != to);
     }
 }
+
+#[test]
+fn task_that_takes_each_worker_down_is_given_up() {
+    // Two starts are allowed after three workers were lost with the task.
+    let mut cell = cell(12, cores(4));
+    cell.submit(batch(1, 1, cores(4)));
+    let mut done = None;
+    let mut count = 0;
+    while done.is_none() && count < 12 {
+        count += 1;
+        let now = count * 100_000;
+        let task = starts(&plan(&mut cell, now))[0].task;
+        done = cell.record_end(task, End::Lost, Millis(now + 10)).done;
+    }
+    assert!(
+        done.is_some() && count <= 5,
+        "started {count} times, done: {done:?}"
+    );
+}
