Drop crash records of runs that did not crash their runner

Two ways in which a caller's harmless task was suspected too long, found in the last read of the change. A suspected task's start waits for its record; if the runner crashed meanwhile, the crash counted although the start had not been sent. And the record of a run on a runner that drained and left stayed open: with three crashes before it, the task would never have started again.

Class: a state that is set before the act and isn't taken back on every way out. Starts that were not sent are left out, and what is still open when a runner has ended is dropped. A task waits for open records for 30 s at most, as a runner can be cut off from the owner alone for any time. Tests: crash_of_a_runner_does_not_count_against_a_task_whose_start_was_not_sent and suspected_task_on_a_draining_runner_is_not_held_back; both failed before.

--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -108,7 +108,7 @@
         if runner.missed_responses != MISSES_BEFORE_RECORDING || runner.entry.draining {
             return;
         }
-        for (task, record) in crash_records(runner, false, now) {
+        for (task, record) in self.crash_records(runner, false, now) {
             self.record_possible_crash(task, record);
         }
     }
@@ -201,6 +201,19 @@
         }
     }
 
+    /// Removes the records of runs on a runner that has ended, if it has not crashed or they were not
+    /// sent.
+    pub(super) fn forget_uncounted_runs(&mut self, runner_ix: RunnerIx) {
+        let incarnation = incarnation_hash(&self.runners[runner_ix.0].entry.id);
+        self.open_records.0.remove(&incarnation);
+        for id in &self.active {
+            let job = self.jobs.get_mut(id);
+            if job.is_some_and(|job| job.forget_possible_crashes_of(incarnation)) {
+                self.batches.add_progress(*id);
+            }
+        }
+    }
+
     /// Removes the crashes of a runner that was presumed to have ended and has not.
     pub(super) fn forget_incarnation(&mut self, runner_ix: RunnerIx) {
         let incarnation = incarnation_hash(&self.runners[runner_ix.0].entry.id);
@@ -222,11 +235,15 @@
         let runner = &self.runners[runner_ix.0];
         let incarnation = incarnation_hash(&runner.entry.id);
         if runner.entry.draining {
-            self.forget_unreported_runs(runner_ix, &FxHashSet::default());
             return Vec::new();
         }
-        let mut records = crash_records(runner, true, now);
-        let open = self.open_records.0.remove(&incarnation).unwrap_or_default();
+        let mut records = self.crash_records(runner, true, now);
+        let mut open = self.open_records.0.remove(&incarnation).unwrap_or_default();
+        for held in &self.held_starts {
+            if held.order.runner_ix == runner_ix {
+                open.remove(&held.order.task);
+            }
+        }
         let recorded: FxHashSet<TaskId> = records.iter().map(|(task, _)| *task).collect();
         for task in open.difference(&recorded) {
             let known = self.active_task(*task);
@@ -326,6 +343,38 @@
         }
     }
 
+    /// Returns the records of the runs that a runner had when it stopped answering, each as a certain
+    /// or a possible crash. Starts that were ordered later, or were not sent yet, can't have reached
+    /// it.
+    fn crash_records(
+        &self,
+        runner: &Runner,
+        is_certain: bool,
+        now: Millis,
+    ) -> Vec<(TaskId, CrashRecord)> {
+        let silent_since = runner.silent_since.unwrap_or(now);
+        let incarnation = incarnation_hash(&runner.entry.id);
+        let is_held = |task: TaskId, run: u32| {
+            let mut held = self.held_starts.iter().map(|held| &held.order);
+            held.any(|order| order.task == task && order.run == run)
+        };
+        let runs = runner.runs.iter().filter(|((task, run), placed)| {
+            placed.known_since <= silent_since && !is_held(*task, *run)
+        });
+        let youngest = youngest_two(runs.clone().map(|(_, placed)| placed));
+        let records = runs.map(|((task, run), placed)| {
+            let record = CrashRecord {
+                run: *run,
+                incarnation,
+                is_certain,
+                was_alone: is_only_cause(placed, youngest, silent_since),
+                age_ms: Some(silent_since.saturating_sub(placed.known_since).0),
+            };
+            (*task, record)
+        });
+        records.collect()
+    }
+
     fn active_task(&self, task: TaskId) -> Option<&Task> {
         let job = active(self.jobs.get(&task.step.job)?)?;
         job.step(task.step)?.0.tasks.get(task.index as usize)
@@ -343,30 +392,6 @@
     (job.phase == Phase::Active).then_some(job)
 }
 
-/// Returns the records of the runs that a runner had when it stopped answering, each as a certain or
-/// a possible crash.
-fn crash_records(runner: &Runner, is_certain: bool, now: Millis) -> Vec<(TaskId, CrashRecord)> {
-    let silent_since = runner.silent_since.unwrap_or(now);
-    let incarnation = incarnation_hash(&runner.entry.id);
-    // A start that was ordered later can't have reached the runner.
-    let runs = runner
-        .runs
-        .iter()
-        .filter(|(_, placed)| placed.known_since <= silent_since);
-    let youngest = youngest_two(runs.clone().map(|(_, placed)| placed));
-    let records = runs.map(|((task, run), placed)| {
-        let record = CrashRecord {
-            run: *run,
-            incarnation,
-            is_certain,
-            was_alone: is_only_cause(placed, youngest, silent_since),
-            age_ms: Some(silent_since.saturating_sub(placed.known_since).0),
-        };
-        (*task, record)
-    });
-    records.collect()
-}
-
 /// Returns the latest two times from which runs are known.
 fn youngest_two<'a>(runs: impl Iterator<Item = &'a PlacedRun>) -> [Option<Millis>; 2] {
     runs.fold([None, None], |[first, second], placed| {
--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -35,6 +35,9 @@
 /// Number of crashes, certain or possible, from which a task does not start while some are not certain.
 const MAX_UNSETTLED: usize = 4;
 
+/// How long a task waits for that. A runner may be cut off from the owner alone for any time.
+const MAX_SETTLING_TIME: Millis = Millis(30_000);
+
 /// How long a task waits for a runner without other suspected tasks before it runs beside them.
 const MAX_ISOLATION_WAIT: Millis = Millis(3_000);
 
@@ -82,16 +85,15 @@
     /// Removes the record of a run that may have crashed its runner and has not. Returns whether
     /// there was one.
     pub(super) fn forget(&mut self, run: u32, incarnation: u64) -> bool {
-        let before = self.0.len();
-        let is_of_run = |known: &CrashRecord| known.run == run && known.incarnation == incarnation;
-        self.0.retain(|known| known.is_certain || !is_of_run(known));
-        self.0.len() < before
+        self.remove(|known| {
+            !known.is_certain && known.run == run && known.incarnation == incarnation
+        })
     }
 
-    /// Removes the records of an incarnation. Returns whether there were any.
-    pub(super) fn forget_incarnation(&mut self, incarnation: u64) -> bool {
+    /// Removes the records that match. Returns whether there were any.
+    pub(super) fn remove(&mut self, matches: impl Fn(&CrashRecord) -> bool) -> bool {
         let before = self.0.len();
-        self.0.retain(|known| known.incarnation != incarnation);
+        self.0.retain(|known| !matches(known));
         self.0.len() < before
     }
 
@@ -144,8 +146,8 @@
 
     /// Returns whether the task may start. After several crashes, a task first waits until it is known
     /// what its earlier runs did to their runners, or it would go on while crashes are found out late.
-    pub(super) fn allow_start(&self) -> bool {
-        let is_settled = self.count() == self.0.len();
+    pub(super) fn allow_start(&self, waited: Millis) -> bool {
+        let is_settled = self.count() == self.0.len() || waited >= MAX_SETTLING_TIME;
         !self.are_conclusive() && (is_settled || self.0.len() < MAX_UNSETTLED)
     }
 
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -237,7 +237,7 @@
 fn isolation_reason(step: &Step, spec: &StepSpec, now: Millis) -> Option<String> {
     let waiting = |task: &&Task| task.state == TaskState::Waiting;
     let tasks = step.tasks.iter().filter(waiting);
-    if tasks.clone().any(|task| !task.crashes.allow_start()) {
+    if tasks.clone().any(|task| !task.crashes_allow_start(now)) {
         return Some("it is not known yet whether an earlier run crashed its runner".to_owned());
     }
     let isolated = tasks.filter(|task| task.isolation(spec, now) != Isolation::None);
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -119,6 +119,7 @@
         let records = self.take_crash_records(runner_ix, now);
         self.remove_all_runs(runner_ix, LossReason::RunnerEnded, now);
         self.count_crashes(records);
+        self.forget_uncounted_runs(runner_ix);
         self.mark_unaccounted_tasks(runner_ix);
     }
 
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     id::{JobId, StepId, TaskId},
-    record::{EndedRecord, FailedRun, JobRecord, Phase},
+    record::{CrashRecord, EndedRecord, FailedRun, JobRecord, Phase},
     spec::{JobSpec, MAX_TASKS, StepSpec},
 };
 
@@ -100,10 +100,16 @@
 
     /// Returns whether the task is waiting and may start. An unverified run of a previous owner
     /// blocks it until `all_verified`.
-    pub(super) fn may_start(&self, all_verified: bool) -> bool {
+    pub(super) fn may_start(&self, all_verified: bool, now: Millis) -> bool {
         self.state == TaskState::Waiting
             && (all_verified || !self.unverified)
-            && self.crashes.allow_start()
+            && self.crashes_allow_start(now)
+    }
+
+    /// Returns whether the task may start as far as crashes are concerned.
+    pub(super) fn crashes_allow_start(&self, now: Millis) -> bool {
+        let waited = now.saturating_sub(self.state_since);
+        self.crashes.allow_start(waited)
     }
 
     /// Returns whether the task crashes the runners that start it.
@@ -504,10 +510,19 @@
 
     /// Removes the crash records of an incarnation. Returns whether there were any.
     pub(super) fn forget_crashes_of(&mut self, incarnation: u64) -> bool {
+        self.remove_crash_records(|record| record.incarnation == incarnation)
+    }
+
+    /// Removes those that are not certain. Returns whether there were any.
+    pub(super) fn forget_possible_crashes_of(&mut self, incarnation: u64) -> bool {
+        self.remove_crash_records(|record| record.incarnation == incarnation && !record.is_certain)
+    }
+
+    fn remove_crash_records(&mut self, matches: impl Fn(&CrashRecord) -> bool) -> bool {
         let steps = self.occurrences.iter_mut().flat_map(|occ| &mut occ.steps);
         let mut is_changed = false;
         for task in steps.flat_map(|step| &mut step.tasks) {
-            is_changed |= task.crashes.forget_incarnation(incarnation);
+            is_changed |= task.crashes.remove(&matches);
         }
         is_changed
     }
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -104,7 +104,7 @@
         let (step, spec) = job.step(id)?;
         let size = spec.charged_resources();
         let mut candidates = self.candidates(id, step, spec, &job.record.policy, now);
-        let may_start = |task: &Task| task.may_start(all_verified);
+        let may_start = |task: &Task| task.may_start(all_verified, now);
         let waiting = step.tasks.iter().filter(|task| may_start(task)).count();
         let mut near = self.rack_preference(id, job, waiting, forecast, now);
         if let Some(near) = &near {
@@ -177,7 +177,11 @@
         now: Millis,
     ) -> Option<Placement> {
         let (step, spec) = job.step(id)?;
-        if !step.tasks.iter().all(|task| task.may_start(all_verified)) {
+        if !step
+            .tasks
+            .iter()
+            .all(|task| task.may_start(all_verified, now))
+        {
             return None;
         }
         let mut all = self.candidates(id, step, spec, &job.record.policy, now);
--- a/crates/jobs/src/engine/quiet.rs
+++ b/crates/jobs/src/engine/quiet.rs
@@ -77,7 +77,7 @@
         };
         let is_waiting_alone = |task: &&Task| {
             task.state == TaskState::Waiting
-                && task.crashes.allow_start()
+                && task.crashes_allow_start(now)
                 && task.isolation(spec, now) == Isolation::Alone
         };
         step.tasks.iter().filter(is_waiting_alone).count()
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -79,7 +79,7 @@
         let mut waiting = step
             .tasks
             .iter()
-            .filter(|task| task.may_start(all_verified));
+            .filter(|task| task.may_start(all_verified, now));
         waiting.any(|task| now.saturating_sub(task.state_since) >= OVERDUE_AFTER)
     }
 
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -131,7 +131,7 @@
                 let Some((step, spec)) = job.step(id) else {
                     continue;
                 };
-                if !all_verified && !step.tasks.iter().any(|task| task.may_start(false)) {
+                if !all_verified && !step.tasks.iter().any(|task| task.may_start(false, now)) {
                     continue;
                 }
                 if self.is_blocked_by_cap(id) {
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -55,6 +55,7 @@
     places: Vec<(TaskId, usize)>,
     crashes: usize,
     next_ix: usize,
+    is_store_down: bool,
 }
 
 impl Fleet {
@@ -79,6 +80,7 @@
             places: Vec::new(),
             crashes: 0,
             next_ix: count,
+            is_store_down: false,
         }
     }
 
@@ -96,7 +98,7 @@
             self.advance_runs(number);
             self.poll(number);
         }
-        self.cell.commit();
+        self.commit();
         let now = Millis(self.cell.now);
         self.cell.engine.schedule(now);
         for order in self.cell.engine.take_orders() {
@@ -106,7 +108,13 @@
                 Order::RequestApprovals(_) => unreachable!("no queue needs approvals"),
             }
         }
-        self.cell.commit();
+        self.commit();
+    }
+
+    fn commit(&mut self) {
+        if !self.is_store_down {
+            self.cell.commit();
+        }
     }
 
     fn host_of(&self, runner_ix: RunnerIx) -> Option<usize> {
@@ -577,3 +585,65 @@
     assert_eq!(ProgressRecord::decode(old), Ok(progress.clone()));
     assert_eq!(ProgressRecord::decode(&bytes), Ok(progress));
 }
+
+#[test]
+fn suspected_task_on_a_draining_runner_is_not_held_back() {
+    // Its record must not stay open once the runner has left.
+    let mut fleet = Fleet::new(4);
+    fleet.run_time = 60_000;
+    submit(&mut fleet, 1, job_of(1));
+    for crash in 0..4 {
+        fleet.run(6_000);
+        let at = fleet
+            .hosts
+            .iter()
+            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+        let at = at.expect("the task runs");
+        if crash < 3 {
+            fleet.crash(at);
+            continue;
+        }
+        let entry = incarnation_entry(at, fleet.hosts[at].incarnation);
+        let draining = RunnerEntry {
+            draining: true,
+            ..entry
+        };
+        let now = Millis(fleet.cell.now);
+        fleet.cell.engine.upsert_runner(now, draining);
+        fleet.crash(at);
+    }
+    fleet.run(RESTART_MS + 2_000);
+    let runs = fleet
+        .hosts
+        .iter()
+        .any(|host| host.runs.contains_key(&task_of(1, 0)));
+    assert!(runs, "the task runs again");
+}
+
+#[test]
+fn crash_of_a_runner_does_not_count_against_a_task_whose_start_was_not_sent() {
+    let mut fleet = Fleet::new(3);
+    submit(&mut fleet, 1, job_of(1));
+    fleet.run(300);
+    let host_of_task = |fleet: &Fleet| {
+        let explanation = fleet.cell.engine.explain(JobId(1), Millis(fleet.cell.now));
+        let step = explanation.expect("the job is known").steps.remove(0);
+        let runner = step.runners.first().cloned();
+        let at = runner.and_then(|id| id[1..].split('-').next().and_then(|at| at.parse().ok()));
+        (at, step.crashes)
+    };
+    let (first, _) = host_of_task(&fleet);
+    fleet.crash(first.expect("the task runs"));
+    fleet.run(RESTART_MS - 100);
+    // The next start waits for its record, which the store does not take.
+    fleet.is_store_down = true;
+    fleet.run(300);
+    let (second, crashes) = host_of_task(&fleet);
+    assert_eq!((crashes, fleet.starts[&task_of(1, 0)]), (1, 1));
+    fleet.crash(second.expect("the task has a runner"));
+    fleet.hosts[second.expect("as before")].back_at = Some(fleet.cell.now + 200);
+    fleet.run(400);
+    fleet.is_store_down = false;
+    fleet.run(300);
+    assert_eq!(host_of_task(&fleet).1, 1);
+}
