--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,8 +10,8 @@
 mod exit;
 mod job;
 mod output;
+mod processes;
 mod run;
-mod show;
 mod top;
 
 use std::process::ExitCode;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -10,7 +10,7 @@
     args::{Args, Command},
     cancel, document,
     exit::{Exit, fail, unreachable},
-    job, show, top,
+    job, processes, top,
 };
 
 const LOG_VARIABLE: &str = "KSPAN_LOG";
@@ -62,12 +62,12 @@
         Command::Show(_) => document::show(&cell),
         Command::Diff(cmd) => document::diff_in_force(format, cmd, &cell),
         Command::Publish(cmd) => document::publish(format, cmd, &mut cell, &author).await,
-        Command::Status(_) => show::status(format, &cell).await,
+        Command::Status(_) => processes::status(format, &cell).await,
         Command::Submit(cmd) => job::submit(format, cmd, &cell).await,
         Command::Explain(cmd) => job::explain(format, cmd, &cell).await,
         Command::Cancel(cmd) => cancel::cancel(format, cmd, &cell).await,
-        Command::Drain(cmd) => show::drain(format, cmd, &mut cell, &author).await,
-        Command::Dump(cmd) => show::dump(format, cmd, &cell).await,
+        Command::Drain(cmd) => processes::drain(format, cmd, &mut cell, &author).await,
+        Command::Dump(cmd) => processes::dump(format, cmd, &cell).await,
         Command::Top(cmd) => top::top(cmd, &mut cell).await,
     }
 }
--- a/crates/ctl/src/top.rs
+++ b/crates/ctl/src/top.rs
@@ -8,7 +8,7 @@
     args::Top,
     exit::{Exit, unreachable},
     output::{Format, format_columns},
-    show,
+    processes,
 };
 
 /// Escape sequences that clear the terminal and move the cursor to its upper left corner.
@@ -21,7 +21,7 @@
             return unreachable(&err);
         }
         print!("{CLEAR_SCREEN}");
-        let _ = show::status(Format::Table, cell).await;
+        let _ = processes::status(Format::Table, cell).await;
         match cell.fetch_report().await {
             Ok(report) => println!("\n{}", format_jobs(&report)),
             Err(err) => println!("\n{err}"),
