--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -166,15 +166,15 @@
             .iter()
             .rposition(|(task, _)| *task == task_of(1, 0));
         let beside = crashing_on.map(|at| {
-            let (_, host) = fleet.places[at];
-            let is_beside = |other: &&(TaskId, usize)| other.1 == host;
+            let (_, runner) = fleet.places[at];
+            let is_beside = |other: &&(TaskId, usize)| other.1 == runner;
             fleet.places[at + 1..].iter().filter(is_beside).count()
         });
         if starts == 3
             && fleet
-                .hosts
+                .runners
                 .iter()
-                .any(|host| host.runs.contains_key(&task_of(1, 0)))
+                .any(|runner| runner.runs.contains_key(&task_of(1, 0)))
         {
             lost += beside.unwrap_or(0);
         }
@@ -208,11 +208,11 @@
     for crash in 0..12 {
         // Runs last for seconds and for minutes by turns.
         fleet.run(if crash % 2 == 0 { 20_000 } else { 700_000 });
-        let host = fleet
-            .hosts
+        let runner = fleet
+            .runners
             .iter()
-            .position(|host| host.runs.contains_key(&task_of(1, 0)));
-        fleet.crash(host.expect("the task runs"));
+            .position(|runner| runner.runs.contains_key(&task_of(1, 0)));
+        fleet.crash(runner.expect("the task runs"));
     }
     fleet.run(12_000);
     assert_eq!(fleet.state(1), Some(JobState::Running));
@@ -227,18 +227,18 @@
     fleet.run(1_000);
     for _ in 0..6 {
         let at = fleet
-            .hosts
+            .runners
             .iter()
-            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+            .position(|runner| runner.runs.contains_key(&task_of(1, 0)));
         let at = at.expect("the task runs");
-        fleet.hosts[at].is_cut_off = true;
+        fleet.runners[at].is_cut_off = true;
         fleet.run(8_000);
         // Its lease has expired, and with it all that ran.
-        let expired: Vec<TaskId> = fleet.hosts[at].runs.keys().copied().collect();
+        let expired: Vec<TaskId> = fleet.runners[at].runs.keys().copied().collect();
         for task in expired {
-            fleet.hosts[at].end(task, EndKind::LeaseExpired);
+            fleet.runners[at].end(task, EndKind::LeaseExpired);
         }
-        fleet.hosts[at].is_cut_off = false;
+        fleet.runners[at].is_cut_off = false;
         fleet.run(1_000);
     }
     fleet.run(40_000);
@@ -254,11 +254,11 @@
     for _ in 0..8 {
         let now = Millis(fleet.cell.now);
         let at = fleet
-            .hosts
+            .runners
             .iter()
-            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+            .position(|runner| runner.runs.contains_key(&task_of(1, 0)));
         let Some(at) = at else { break };
-        let entry = incarnation_entry(at, fleet.hosts[at].incarnation);
+        let entry = incarnation_entry(at, fleet.runners[at].incarnation);
         let draining = RunnerEntry {
             draining: true,
             ..entry
@@ -305,15 +305,15 @@
     for crash in 0..4 {
         fleet.run(6_000);
         let at = fleet
-            .hosts
+            .runners
             .iter()
-            .position(|host| host.runs.contains_key(&task_of(1, 0)));
+            .position(|runner| runner.runs.contains_key(&task_of(1, 0)));
         let at = at.expect("the task runs");
         if crash < 3 {
             fleet.crash(at);
             continue;
         }
-        let entry = incarnation_entry(at, fleet.hosts[at].incarnation);
+        let entry = incarnation_entry(at, fleet.runners[at].incarnation);
         let draining = RunnerEntry {
             draining: true,
             ..entry
@@ -324,9 +324,9 @@
     }
     fleet.run(RESTART_MS + 2_000);
     let runs = fleet
-        .hosts
+        .runners
         .iter()
-        .any(|host| host.runs.contains_key(&task_of(1, 0)));
+        .any(|runner| runner.runs.contains_key(&task_of(1, 0)));
     assert!(runs, "the task runs again");
 }
 
@@ -335,25 +335,25 @@
     let mut fleet = Fleet::new(3);
     submit(&mut fleet, 1, job_of(1));
     fleet.run(300);
-    let host_of_task = |fleet: &Fleet| {
+    let runner_of_task = |fleet: &Fleet| {
         let explanation = fleet.cell.engine.explain(JobId(1), Millis(fleet.cell.now));
         let step = explanation.expect("the job is known").steps.remove(0);
         let runner = step.runners.first().cloned();
         let at = runner.and_then(|id| id[1..].split('-').next().and_then(|at| at.parse().ok()));
         (at, step.crashes)
     };
-    let (first, _) = host_of_task(&fleet);
+    let (first, _) = runner_of_task(&fleet);
     fleet.crash(first.expect("the task runs"));
     fleet.run(RESTART_MS - 100);
     // The next start waits for its record, which the store does not take.
     fleet.is_store_down = true;
     fleet.run(300);
-    let (second, crashes) = host_of_task(&fleet);
+    let (second, crashes) = runner_of_task(&fleet);
     assert_eq!((crashes, fleet.starts[&task_of(1, 0)]), (1, 1));
     fleet.crash(second.expect("the task has a runner"));
-    fleet.hosts[second.expect("as before")].back_at = Some(fleet.cell.now + 200);
+    fleet.runners[second.expect("as before")].back_at = Some(fleet.cell.now + 200);
     fleet.run(400);
     fleet.is_store_down = false;
     fleet.run(300);
-    assert_eq!(host_of_task(&fleet).1, 1);
+    assert_eq!(runner_of_task(&fleet).1, 1);
 }
--- a/crates/jobs/tests/fleet/mod.rs
+++ b/crates/jobs/tests/fleet/mod.rs
@@ -29,7 +29,7 @@
 
 /// A runner that may crash.
 #[derive(Clone, Debug)]
-pub(crate) struct Host {
+pub(crate) struct FleetRunner {
     pub(crate) ix: usize,
     pub(crate) incarnation: u32,
     pub(crate) back_at: Option<u64>,
@@ -42,13 +42,13 @@
 /// A cell whose runners run what they are told, and crash under some tasks.
 pub(crate) struct Fleet {
     pub(crate) cell: Cell,
-    pub(crate) hosts: Vec<Host>,
+    pub(crate) runners: Vec<FleetRunner>,
     /// Run time after which a task crashes its runner.
     pub(crate) crash_after: BTreeMap<TaskId, u64>,
     /// Run time of the other tasks.
     pub(crate) run_time: u64,
     pub(crate) starts: BTreeMap<TaskId, usize>,
-    /// Numbers of the hosts on which tasks started, in order.
+    /// Numbers of the runners on which tasks started, in order.
     pub(crate) places: Vec<(TaskId, usize)>,
     pub(crate) crashes: usize,
     pub(crate) next_ix: usize,
@@ -59,7 +59,7 @@
     pub(crate) fn new(count: usize) -> Self {
         let entries = (0..count).map(|number| incarnation_entry(number, 1));
         let cell = Cell::with_runners(config(), entries);
-        let host = |ix| Host {
+        let runner = |ix| FleetRunner {
             ix,
             incarnation: 1,
             back_at: None,
@@ -70,7 +70,7 @@
         };
         Self {
             cell,
-            hosts: (0..count).map(host).collect(),
+            runners: (0..count).map(runner).collect(),
             crash_after: BTreeMap::new(),
             run_time: 1_000,
             starts: BTreeMap::new(),
@@ -90,7 +90,7 @@
     /// Advances by one period, in which each runner is polled once.
     pub(crate) fn step(&mut self) {
         self.cell.advance(STEP_MS);
-        for number in 0..self.hosts.len() {
+        for number in 0..self.runners.len() {
             self.restart_if_due(number);
             self.advance_runs(number);
             self.poll(number);
@@ -114,18 +114,20 @@
         }
     }
 
-    pub(crate) fn host_of(&self, runner_ix: RunnerIx) -> Option<usize> {
-        self.hosts.iter().position(|host| host.ix == runner_ix.0)
+    pub(crate) fn number_of(&self, runner_ix: RunnerIx) -> Option<usize> {
+        self.runners
+            .iter()
+            .position(|runner| runner.ix == runner_ix.0)
     }
 
     pub(crate) fn start(&mut self, runner_ix: RunnerIx, task: TaskId, number: u32) {
         let now = self.cell.now;
         *self.starts.entry(task).or_default() += 1;
-        let at = self.host_of(runner_ix).expect("orders name live runners");
-        let host = &mut self.hosts[at];
-        let is_up = host.back_at.is_none() && !host.is_cut_off;
+        let at = self.number_of(runner_ix).expect("orders name live runners");
+        let runner = &mut self.runners[at];
+        let is_up = runner.back_at.is_none() && !runner.is_cut_off;
         let outcome = if is_up {
-            host.runs.insert(task, Run { number, since: now });
+            runner.runs.insert(task, Run { number, since: now });
             self.places.push((task, at));
             StartOutcome::Started(Millis(now))
         } else {
@@ -137,15 +139,19 @@
 
     pub(crate) fn stop(&mut self, runner_ix: RunnerIx, task: TaskId, number: u32) {
         let now = Millis(self.cell.now);
-        let Some(at) = self.host_of(runner_ix) else {
+        let Some(at) = self.number_of(runner_ix) else {
             return;
         };
-        let host = &mut self.hosts[at];
-        if host.back_at.is_some() || host.is_cut_off {
+        let runner = &mut self.runners[at];
+        if runner.back_at.is_some() || runner.is_cut_off {
             return;
         }
-        if host.runs.get(&task).is_some_and(|run| run.number == number) {
-            host.end(task, EndKind::Stopped);
+        if runner
+            .runs
+            .get(&task)
+            .is_some_and(|run| run.number == number)
+        {
+            runner.end(task, EndKind::Stopped);
         }
         let outcome = StopOutcome::Done;
         let engine = &mut self.cell.engine;
@@ -154,15 +160,15 @@
 
     pub(crate) fn advance_runs(&mut self, number: usize) {
         let (now, run_time) = (self.cell.now, self.run_time);
-        let host = &mut self.hosts[number];
+        let runner = &mut self.runners[number];
         let is_due = |task: &TaskId, run: &Run| {
             let crash_after = self.crash_after.get(task);
             crash_after.is_some_and(|after| now >= run.since + after)
         };
-        if host.runs.iter().any(|(task, run)| is_due(task, run)) {
+        if runner.runs.iter().any(|(task, run)| is_due(task, run)) {
             return self.crash(number);
         }
-        let done: Vec<TaskId> = host
+        let done: Vec<TaskId> = runner
             .runs
             .iter()
             .filter(|(task, run)| {
@@ -171,33 +177,33 @@
             .map(|(task, _)| *task)
             .collect();
         for task in done {
-            host.end(task, EndKind::Done);
+            runner.end(task, EndKind::Done);
         }
     }
 
     pub(crate) fn crash(&mut self, number: usize) {
         self.crashes += 1;
-        let host = &mut self.hosts[number];
-        host.runs.clear();
-        host.ended.clear();
-        host.back_at = Some(self.cell.now + RESTART_MS);
+        let runner = &mut self.runners[number];
+        runner.runs.clear();
+        runner.ended.clear();
+        runner.back_at = Some(self.cell.now + RESTART_MS);
     }
 
     pub(crate) fn restart_if_due(&mut self, number: usize) {
         let now = self.cell.now;
-        if self.hosts[number].back_at.is_none_or(|at| now < at) {
+        if self.runners[number].back_at.is_none_or(|at| now < at) {
             return;
         }
-        let host = &mut self.hosts[number];
-        host.back_at = None;
-        host.incarnation += 1;
-        host.next_end = 1;
-        let entry = incarnation_entry(number, host.incarnation);
-        let old_ix = host.ix;
+        let runner = &mut self.runners[number];
+        runner.back_at = None;
+        runner.incarnation += 1;
+        runner.next_end = 1;
+        let entry = incarnation_entry(number, runner.incarnation);
+        let old_ix = runner.ix;
         self.complete_call(old_ix, &InventoryOutcome::OtherIncarnation);
         self.cell.engine.upsert_runner(Millis(now), entry);
         self.cell.engine.confirm_ownership(Millis(now));
-        self.hosts[number].ix = self.next_ix;
+        self.runners[number].ix = self.next_ix;
         self.next_ix += 1;
         self.cell.commit();
     }
@@ -209,21 +215,21 @@
     }
 
     pub(crate) fn poll(&mut self, number: usize) {
-        let host = &self.hosts[number];
-        let ix = host.ix;
-        if host.back_at.is_some() || host.is_cut_off {
+        let runner = &self.runners[number];
+        let ix = runner.ix;
+        if runner.back_at.is_some() || runner.is_cut_off {
             return self.complete_call(ix, &InventoryOutcome::NoResponse);
         }
-        let running = host.runs.iter().map(|(task, run)| RunningTask {
+        let running = runner.runs.iter().map(|(task, run)| RunningTask {
             task: *task,
             run: run.number,
             checkpoint: Name::default(),
             percent: u32::try_from((self.cell.now - run.since) / 100).expect("a run is short"),
         });
-        let (running, ended) = (running.collect(), host.ended.clone());
+        let (running, ended) = (running.collect(), runner.ended.clone());
         let is_alive = !self.cell.engine.is_dead(RunnerIx(ix));
         if is_alive {
-            self.report(ix, host.incarnation, running, ended);
+            self.report(ix, runner.incarnation, running, ended);
         }
     }
 
@@ -252,18 +258,18 @@
             entry
                 .addr
                 .parse()
-                .expect("addresses are the hosts' numbers")
+                .expect("addresses are the runners' numbers")
         };
         for runner_ix in &known {
             let number = number_of(self.cell.engine.runner(*runner_ix));
-            self.hosts[number].ix = runner_ix.0;
+            self.runners[number].ix = runner_ix.0;
         }
         self.next_ix = known.len();
         let now = Millis(self.cell.now);
-        for number in 0..self.hosts.len() {
-            let host = &self.hosts[number];
-            if host.back_at.is_none() && !host.is_cut_off {
-                let entry = incarnation_entry(number, host.incarnation);
+        for number in 0..self.runners.len() {
+            let runner = &self.runners[number];
+            if runner.back_at.is_none() && !runner.is_cut_off {
+                let entry = incarnation_entry(number, runner.incarnation);
                 self.cell.engine.upsert_runner(now, entry);
             }
         }
@@ -283,7 +289,7 @@
     }
 }
 
-impl Host {
+impl FleetRunner {
     pub(crate) fn end(&mut self, task: TaskId, how: EndKind) {
         let run = self.runs.remove(&task).expect("the run is present");
         self.ended.push(EndedTask {
