Let suspected members of a gang start alone for a while

Callers saw: a harmless gang of two failed, or a crashing one went on beyond the limit, because its members only started apart from each other and never alone, so that each crash left it unclear who had caused it. Cause: no member of a gang of several was ever isolated, since all need their places at once. Usually only one member is suspected; that one now waits up to 6 s for a runner of its own, the others take ordinary places.

--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -41,6 +41,9 @@
 /// How long a task waits for a runner without other suspected tasks before it runs beside them.
 const MAX_ISOLATION_WAIT: Millis = Millis(3_000);
 
+/// How long a member of a gang waits for a runner where it can start alone.
+const MAX_GANG_ALONE_WAIT: Millis = Millis(6_000);
+
 /// A run has outlived the crashes before it when it is older than the oldest run that crashed,
 /// multiplied by this, and [`MIN_CLEARING_MARGIN`] more.
 const CLEARING_FACTOR: u64 = 2;
@@ -131,11 +134,12 @@
     }
 
     /// Returns how far the next run is kept from others, once the task has waited for a time. The
-    /// members of a gang need their places at the same time, so none of them starts alone.
+    /// members of a gang need their places at the same time, so none of them waits long to start alone.
     pub(super) fn isolation(&self, waited: Millis, has_other_members: bool) -> Isolation {
+        let may_wait_alone = !has_other_members || waited < MAX_GANG_ALONE_WAIT;
         if !self.are_suspicious() {
             Isolation::None
-        } else if self.weight() >= START_ALONE_WEIGHT && !has_other_members {
+        } else if self.weight() >= START_ALONE_WEIGHT && may_wait_alone {
             Isolation::Alone
         } else if waited < MAX_ISOLATION_WAIT {
             Isolation::Apart
