Withdraw a held start if its runner has changed meanwhile

Callers saw: a start that waited for its record went to a runner whose capacity had shrunk since the decision, and could go to one that drains, is silent, or whose run was ordered to stop. Cause: a held order was released without looking at the runner again.

--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -133,7 +133,8 @@
         });
     }
 
-    /// Issues the held orders whose record is durable, and withdraws those that were held too long.
+    /// Issues the held orders whose record is durable, and withdraws those that were held too long or
+    /// whose runner has changed meanwhile.
     pub(super) fn release_held_starts(&mut self, now: Millis) {
         let durable = self.batches.durable();
         let is_due = |held: &mut HeldStart| {
@@ -145,7 +146,7 @@
             if !self.runners[runner_ix.0].runs.contains_key(&(task, run)) {
                 continue;
             }
-            if held.batch > durable {
+            if held.batch > durable || !self.may_release(&held.order) {
                 self.remove_lost_run(runner_ix, task, run, LossReason::StartWithdrawn, now);
                 continue;
             }
@@ -153,6 +154,17 @@
         }
     }
 
+    /// Returns whether a held order may still be sent: its run was not stopped, and its runner accepts
+    /// work and has room for all its runs.
+    fn may_release(&self, order: &StartOrder) -> bool {
+        let runner = &self.runners[order.runner_ix.0];
+        let placed = runner.runs.get(&(order.task, order.run));
+        placed.is_some_and(|placed| placed.stop_sent_at.is_none())
+            && !runner.entry.draining
+            && runner.missed_responses == 0
+            && runner.used.fits_in(runner.entry.capacity)
+    }
+
     fn record_possible_crash(&mut self, task: TaskId, record: CrashRecord) {
         if let Some(known) = self.active_task_mut(task) {
             known.crashes.record(record);
