Record which tasks may be on a runner that stops answering

Cause: a runner lost shortly before the takeover never answers the new owner, which cannot know what it had and waits until no order of a previous owner can run there. Change: the owner writes the list of tasks with the runner's record after two calls without an answer; the runner gets no work until the list is withdrawn. After a takeover only listed tasks wait for it. A new command shortens the wait once no previous owner gives orders any more.

--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -301,9 +301,13 @@
     pub(super) fn mark_unaccounted_tasks(&mut self, runner_ix: RunnerIx) {
         let runner = &self.runners[runner_ix.0];
         let is_unknown = !runner.has_answered && !runner.entry.draining;
-        if self.unverified_until.is_none() || !is_unknown {
-            return;
+        if self.unverified_until.is_some() && is_unknown {
+            self.mark_unverified_tasks_unaccounted();
         }
+    }
+
+    /// Marks the unverified tasks as ones that may have been on a runner that crashed.
+    pub(super) fn mark_unverified_tasks_unaccounted(&mut self) {
         for id in &self.active {
             let job = self.jobs.get_mut(id);
             if job.is_some_and(Job::mark_unaccounted) {
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -6,7 +6,7 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashSet;
 
-use super::{Engine, Settings, job::Job};
+use super::{Engine, Settings, job::Job, runner::longest_remaining_lease};
 use crate::{
     id::JobId,
     record::{self, DurableState, Phase, Record, RecordKey},
@@ -118,15 +118,9 @@
         self.batches.has_unrecorded_end = false;
         let mut records = Vec::new();
         for id in std::mem::take(&mut self.batches.runners) {
-            let runner = self
-                .by_id
-                .get(&id)
-                .map(|runner_ix| &self.runners[runner_ix.0]);
-            let alive = runner.filter(|runner| !runner.dead);
-            records.push(Record {
-                key: RecordKey::Runner(id),
-                value: alive.map(|runner| record::encode(&runner.entry)),
-            });
+            let value = self.runner_record(&id).map(|record| record.encode());
+            let key = RecordKey::Runner(id);
+            records.push(Record { key, value });
         }
         for id in std::mem::take(&mut self.batches.jobs) {
             let job = self.jobs.get(&id);
@@ -176,8 +170,8 @@
     /// every run as an orphan of unknown size.
     pub fn recover(cfg: Settings, now: Millis, unix_ms: u64, state: DurableState) -> Self {
         let mut engine = Self::new(cfg);
-        for entry in state.runners {
-            engine.recover_runner(now, entry);
+        for record in state.runners {
+            engine.recover_runner(now, record);
         }
         for (id, end) in state.ended {
             engine.jobs.insert(id, Job::ended(id, end, now));
@@ -260,19 +254,30 @@
         }
     }
 
+    /// Records that no previous owner gives orders any more. What runs on runners that this owner does
+    /// not reach ends with the longest lease that was granted before.
+    pub fn record_previous_owners_ended(&mut self, now: Millis) {
+        let end = now + longest_remaining_lease(&self.cfg);
+        if self.unverified_until.is_some_and(|until| end < until) {
+            self.unverified_until = Some(end);
+            self.is_wait_shortened = true;
+        }
+    }
+
     /// Returns whether no unverified run of a previous owner can be alive.
     pub(super) fn are_all_runs_verified(&mut self, now: Millis) -> bool {
         let Some(until) = self.unverified_until else {
             return true;
         };
-        let all_answered = self
-            .runners
-            .iter()
-            .all(|runner| runner.has_answered || runner.dead || runner.has_left(now));
-        if now < until && !all_answered {
+        let is_any_unaccounted = self.runners.iter().any(|runner| runner.is_unaccounted(now));
+        if now < until && is_any_unaccounted {
             return false;
         }
         self.unverified_until = None;
+        if is_any_unaccounted && self.is_wait_shortened {
+            // The crash of such a runner may show only after the tasks have started elsewhere.
+            self.mark_unverified_tasks_unaccounted();
+        }
         true
     }
 }
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -2,8 +2,8 @@
 
 use kspan_model::{Millis, Name};
 
-use super::{Engine, Event, LossReason, Runner, RunnerIx, job::TaskState};
-use crate::{id::TaskId, runner::RunnerEntry};
+use super::{Engine, Event, LossReason, Runner, RunnerIx, job::TaskState, silence::TaskList};
+use crate::{id::TaskId, record::RunnerRecord, runner::RunnerEntry};
 
 /// Interval between two ticks above which the process is assumed to have been suspended.
 const MAX_TICK_GAP: Millis = Millis(500);
@@ -74,9 +74,11 @@
     }
 
     /// Adds a runner from the records of a previous owner.
-    pub(super) fn recover_runner(&mut self, now: Millis, entry: RunnerEntry) {
-        let runner_ix = self.add_runner(now, entry, self.batches.durable());
-        self.runners[runner_ix.0].missing_since = Some(now);
+    pub(super) fn recover_runner(&mut self, now: Millis, record: RunnerRecord) {
+        let runner_ix = self.add_runner(now, record.entry, self.batches.durable());
+        let runner = &mut self.runners[runner_ix.0];
+        runner.missing_since = Some(now);
+        runner.task_list = record.tasks.map_or(TaskList::None, TaskList::Restored);
     }
 
     /// Records that the host list no longer contains a runner. Its tasks may still be running.
@@ -189,6 +191,7 @@
                 self.schedulable.insert(*id);
             }
         }
+        self.verify_unlisted_tasks(now);
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
         }
@@ -217,6 +220,7 @@
             self.events
                 .push(Event::RunnerChanged { id, what: "lapsed" });
             self.remove_all_runs(runner_ix, LossReason::LeaseExpired, now);
+            self.rewrite_task_list(runner_ix);
         }
         if self.runners[runner_ix.0].missing_since.is_some() {
             self.mark_dead(runner_ix, now);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -118,6 +118,7 @@
                 self.runners[runner_ix.0].record_miss(now);
                 self.last_lost_response = Some(now);
                 self.record_silence(runner_ix, now);
+                self.record_task_list(runner_ix);
             }
         }
     }
@@ -147,6 +148,8 @@
         runner.record_response(inventory.clock, now);
         runner.has_answered = true;
         runner.has_suspected_stalls = false;
+        self.withdraw_task_list(runner_ix);
+        let runner = &self.runners[runner_ix.0];
         let is_leaving = is_first && runner.entry.draining;
         self.begin_reported_occurrences(inventory, now);
         let mut reported: FxHashSet<(TaskId, u32)> = FxHashSet::default();
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -491,6 +491,23 @@
         })
     }
 
+    /// Marks the tasks as verified for which `is_verified` holds.
+    pub(super) fn verify_tasks(&mut self, is_verified: impl Fn(TaskId) -> bool) {
+        let job = self.id;
+        for occ in &mut self.occurrences {
+            for (number, step) in (0..).zip(&mut occ.steps) {
+                let id = StepId {
+                    job,
+                    occurrence: occ.number,
+                    step: number,
+                };
+                for (index, task) in (0..).zip(&mut step.tasks) {
+                    task.unverified = task.unverified && !is_verified(id.task(index));
+                }
+            }
+        }
+    }
+
     /// Marks the unverified tasks that may have started as ones that may have been on a runner that
     /// crashed. Returns whether there were any.
     pub(super) fn mark_unaccounted(&mut self) -> bool {
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -35,6 +35,7 @@
 mod schedule;
 mod servable;
 mod share;
+mod silence;
 mod stall;
 mod submit;
 mod urgency;
@@ -347,6 +348,8 @@
     /// Time until which runs of a previous owner may exist on runners that have not answered;
     /// `None` once every known runner has answered.
     unverified_until: Option<Millis>,
+    /// Whether that time ends sooner because no previous owner gives orders any more.
+    is_wait_shortened: bool,
     orders: VecDeque<Order>,
     events: Vec<Event>,
     /// Time of the latest proof that no newer owner has taken over.
@@ -392,6 +395,7 @@
             given_up: Vec::new(),
             last_sequence: 0,
             unverified_until: None,
+            is_wait_shortened: false,
             orders: VecDeque::new(),
             events: Vec::new(),
             confirmed_at: Millis::ZERO,
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -47,6 +47,7 @@
                 if let Some(placed) = runner.runs.get_mut(&(task, run)) {
                     placed.settled_sequence = Some(sequence);
                 }
+                self.withdraw_task_list(runner_ix);
                 self.mark_running(runner_ix, task, run, now);
             }
             StartOutcome::Refused(why) => self.handle_refusal(runner_ix, task, run, why, now),
--- a/crates/jobs/src/engine/quota.rs
+++ b/crates/jobs/src/engine/quota.rs
@@ -238,7 +238,7 @@
         let silent = self
             .runners
             .iter()
-            .filter(|runner| !runner.has_answered && !runner.dead && !runner.has_left(now));
+            .filter(|runner| runner.is_unaccounted(now));
         let room = silent
             .map(|runner| runner.largest_capacity)
             .fold(Resources::ZERO, Resources::saturating_add);
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -10,7 +10,8 @@
 use rustc_hash::FxHashMap;
 
 use super::{
-    Settings, evidence::Isolation, health::Health, overrun::Ratio, quota::Charge, stall::Progress,
+    Settings, evidence::Isolation, health::Health, overrun::Ratio, quota::Charge,
+    silence::TaskList, stall::Progress,
 };
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
@@ -63,6 +64,18 @@
     }
 }
 
+/// Returns for how long a lease that is granted now can last at most, even if the runner's clock is
+/// slow.
+pub(super) fn longest_remaining_lease(cfg: &Settings) -> Millis {
+    let lease = cfg.lease + cfg.lease_margin;
+    Millis(
+        lease
+            .saturating_mul(1_000)
+            .0
+            .div_ceil(MIN_CLOCK_RATE_PERMILLE),
+    )
+}
+
 /// Returns what is left of a capacity; nothing of any kind if more of one is used.
 fn free_beside(used: Resources, capacity: Resources) -> Resources {
     capacity.checked_sub(used).unwrap_or_default()
@@ -104,6 +117,8 @@
     pub(super) first_seen: Millis,
     /// Batch that makes the runner known to later owners.
     pub(super) record_batch: u64,
+    /// What the record says about the runner's tasks.
+    pub(super) task_list: TaskList,
     /// Whether this incarnation is known to have ended.
     pub(super) dead: bool,
     /// Whether that is only presumed, because its lease expired while the host list did not contain
@@ -151,6 +166,7 @@
             missing_since: None,
             first_seen: now,
             record_batch,
+            task_list: TaskList::default(),
             dead: false,
             presumed_dead: false,
             ended_at: None,
@@ -279,6 +295,19 @@
         self.entry.draining && self.is_missing(now)
     }
 
+    /// Returns whether the runner may have runs of a previous owner that are not known.
+    pub(super) fn is_unaccounted(&self, now: Millis) -> bool {
+        !self.has_answered && !self.dead && !self.has_left(now)
+    }
+
+    /// Returns the tasks that may be on the runner, in order.
+    pub(super) fn tasks(&self) -> Vec<TaskId> {
+        let mut tasks: Vec<TaskId> = self.runs.keys().map(|(task, _)| *task).collect();
+        tasks.sort_unstable();
+        tasks.dedup();
+        tasks
+    }
+
     /// Returns whether an owner that was last confirmed at `confirmed_at` may send new work, where
     /// all batches up to `durable` are durable.
     ///
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     config::Policy,
-    id::JobId,
+    id::{JobId, TaskId},
     runner::RunnerEntry,
     spec::{JobSpec, SpecError},
 };
@@ -212,6 +212,42 @@
     }
 }
 
+/// Durable record of a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerRecord {
+    /// Latest entry of the runner in the host list.
+    pub entry: RunnerEntry,
+    /// Tasks that may be on the runner; `None` if it may have any. Written while the runner does not
+    /// answer.
+    pub tasks: Option<Vec<TaskId>>,
+}
+
+impl RunnerRecord {
+    /// Decodes a record, also one of a version that wrote no tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes do not encode a record of a runner.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let (entry, rest) = postcard::take_from_bytes(bytes)?;
+        let tasks = if rest.is_empty() {
+            None
+        } else {
+            Some(postcard::from_bytes(rest)?)
+        };
+        Ok(Self { entry, tasks })
+    }
+
+    /// Encodes the record. Versions that know no tasks ignore them.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = encode(&self.entry);
+        if let Some(tasks) = &self.tasks {
+            bytes.extend(encode(tasks));
+        }
+        bytes
+    }
+}
+
 /// A task within the progress record of its job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRef {
@@ -309,7 +345,7 @@
     /// Ends of jobs without a specification.
     pub ended: Vec<(JobId, EndedRecord)>,
     /// Runners that may have tasks, including those missing from the host list.
-    pub runners: Vec<RunnerEntry>,
+    pub runners: Vec<RunnerRecord>,
 }
 
 impl DurableState {
@@ -330,7 +366,7 @@
                 self.progress.insert(id, ProgressRecord::decode(value)?);
             }
             RecordKey::Ended(id) => self.ended.push((id, decode(value)?)),
-            RecordKey::Runner(_) => self.runners.push(decode(value)?),
+            RecordKey::Runner(_) => self.runners.push(RunnerRecord::decode(value)?),
         }
         Ok(())
     }
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -102,6 +102,7 @@
             "concurrent runs",
             Hazard::None,
         ),
+        (Mutation::TaskListKept, "concurrent runs", Hazard::None),
         (Mutation::DependenciesDropped, "dependency", Hazard::None),
         (Mutation::ExtraAttempt, "attempt limit", Hazard::None),
         (
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -20,7 +20,7 @@
     config::{CellConfig, Policy, Queue},
     engine::{Batch, InventoryCall, Order, Settings, StartOrder, StopOrder},
     id::{JobId, TaskId},
-    record::DurableState,
+    record::{DurableState, RunnerRecord},
     runner::{InventoryOutcome, RunnerEntry, StartOutcome},
 };
 use kspan_model::{Millis, Name};
@@ -66,6 +66,8 @@
     CrashesNotRestored,
     /// Runners are listed with their full capacity, whatever is left of it.
     CapacityNotUpdated,
+    /// The recorded tasks of a runner are not withdrawn when it answers again.
+    TaskListKept,
 }
 
 /// A hazard of a schedule, beside the faults that all schedules have.
@@ -460,7 +462,11 @@
         self.list_runners(owner);
         self.check_ownership(owner);
         let now = Millis(self.now);
+        let have_previous_ended = !self.owners[..owner].iter().any(|previous| previous.alive);
         let cell = &mut self.owners[owner];
+        if have_previous_ended {
+            cell.engine.record_previous_owners_ended(now);
+        }
         if cell.engine.is_fenced() {
             cell.alive = false;
             return;
@@ -528,7 +534,11 @@
         if self.mutation != Mutation::WritesDropped {
             for record in &writing.records {
                 let key = record.key.to_string();
+                let kept = self.mutation == Mutation::TaskListKept
+                    && key.starts_with('r')
+                    && self.store.get(&key).is_some_and(|old| has_task_list(old));
                 match &record.value {
+                    Some(value) if kept && !has_task_list(value) => None,
                     Some(value) => self.store.insert(key, value.clone()),
                     None => self.store.remove(&key),
                 };
@@ -618,6 +628,11 @@
     }
 }
 
+/// Returns whether a stored record is that of a runner whose tasks are recorded.
+fn has_task_list(value: &[u8]) -> bool {
+    RunnerRecord::decode(value).is_ok_and(|record| record.tasks.is_some())
+}
+
 /// Returns the number of the simulated runner with the given address.
 fn number_of(addr: &Name) -> usize {
     let number = addr.strip_prefix("runner-");
