Shorten what a takeover waits for

Cause: a successor read all jobs after its claim, one page after the other, and confirmed its claim a second time before it answered; and it never asked whether a previous owner is left. Change: a planned successor reads the jobs before it claims, while the owner goes on, and afterwards only what was appended since; the second confirmation no longer holds up callers (the engine starts nothing on a runner before it). The new owner asks all members that may have owned the cell; once each knows the new fence, only a lease is waited for. A member stays in the list for longer than a previous owner gives orders, so that none is overlooked.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -78,6 +78,8 @@
 pub(crate) struct Claims {
     /// Owner by the newest claim.
     pub(crate) owner: Option<KnownOwner>,
+    /// Members that the owner knew.
+    pub(crate) members: Vec<Member>,
     /// End offset of the topic.
     pub(crate) end: u64,
 }
--- a/crates/cell/src/election/tests.rs
+++ b/crates/cell/src/election/tests.rs
@@ -33,6 +33,7 @@
             fence: FENCE,
             member: member("host-1"),
         }),
+        members: Vec::new(),
         end,
     }
 }
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::Node;
+use super::{Node, PEER_TIMEOUT};
 use crate::{
     election::{Claims, KnownOwner},
     message::{Member, PeerReply, PeerRequest},
@@ -33,6 +33,16 @@
     pub(crate) members: Vec<Member>,
 }
 
+/// What a process knows of the owner.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwnerStatus {
+    /// Fence of the newest known owner, or 0 if none is known. The process itself gives no orders
+    /// with a lower fence.
+    pub(crate) fence: u64,
+    /// Time since the owner's last heartbeat, in milliseconds.
+    pub(crate) silent_ms: u64,
+}
+
 impl Node {
     /// Reads the topic of claims.
     ///
@@ -57,8 +67,9 @@
         let claim = record(CLAIM_KEY);
         let known = record(HEARTBEAT_KEY).or_else(|| claim.clone());
         let is_only_member = self.members.borrow().len() <= 1;
-        if let Some((_, known)) = known.filter(|_| is_only_member) {
-            let mut members = known.members;
+        let recorded_members = known.map_or_else(Vec::new, |(_, known)| known.members);
+        if is_only_member && !recorded_members.is_empty() {
+            let mut members = recorded_members.clone();
             members.retain(|member| member.node != self.local.node);
             members.push(self.local.clone());
             self.set_members(members);
@@ -68,10 +79,25 @@
                 fence: offset.saturating_add(1),
                 member: claim.owner,
             }),
+            members: recorded_members,
             end: page.end,
         }
     }
 
+    /// Returns what another process knows of the owner; `None` if it does not reply.
+    pub(crate) async fn owner_status(&self, member: &Member) -> Option<OwnerStatus> {
+        let reply = self
+            .peers
+            .request(member, PeerRequest::OwnerStatus, PEER_TIMEOUT)
+            .await;
+        match reply {
+            Ok(PeerReply::OwnerStatus { fence, silent_ms }) => {
+                Some(OwnerStatus { fence, silent_ms })
+            }
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     /// Requests another process to claim the cell from the owner with this fence. Returns whether
     /// it accepted.
     pub(crate) async fn request_takeover(&self, member: &Member, fence: u64) -> bool {
--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod claims;
 mod heartbeats;
+mod topics;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/cell/src/owner/members.rs
+++ b/crates/cell/src/owner/members.rs
@@ -5,8 +5,9 @@
 use super::Owner;
 use crate::message::{Heartbeat, Member};
 
-/// Time without a heartbeat after which a member is removed.
-const MEMBER_TIMEOUT: Millis = Millis(6_000);
+/// Time without a heartbeat after which a member is removed. Longer than a previous owner gives orders
+/// without a confirmation, so that none that is not a member does.
+const MEMBER_TIMEOUT: Millis = Millis(8_500);
 
 /// Time without a heartbeat after which a member no longer relays requests for approvals.
 const APPROVAL_HOST_TIMEOUT: Millis = Millis(2_500);
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod lag;
 mod members;
 mod orders;
+mod predecessors;
 mod recover;
 mod runners;
 #[cfg(test)]
@@ -24,7 +25,7 @@
     time::Duration,
 };
 
-use kspan_adapter::runner::RunnerClient;
+use kspan_adapter::{runner::RunnerClient, store::Page};
 use kspan_jobs::{
     engine::{Engine, Explanation, RunnerIx, Settings, Totals},
     id::JobId,
@@ -37,7 +38,7 @@
     time::Instant,
 };
 
-use crate::{clock::ClockReading, node::Node, telemetry};
+use crate::{clock::ClockReading, election::Claims, message::Member, node::Node, telemetry};
 use lag::LagMonitor;
 use members::MemberLiveness;
 
@@ -103,6 +104,30 @@
     runner_connections: RefCell<FxHashMap<RunnerIx, Rc<RunnerConnection>>>,
 }
 
+/// What a process knows of the cell when it becomes its owner.
+#[derive(Debug)]
+pub(crate) struct Takeover {
+    /// Members that may have owned the cell before.
+    predecessors: Vec<Member>,
+    /// Topic of the jobs as read before the claim, if it was.
+    read_ahead: Option<Page>,
+}
+
+impl Takeover {
+    /// Creates the knowledge from the claims before this one.
+    pub(crate) fn new(claims: &Claims, read_ahead: Option<Page>) -> Self {
+        let mut predecessors = claims.members.clone();
+        let previous = claims.owner.as_ref().map(|owner| &owner.member);
+        if let Some(previous) = previous.filter(|previous| !predecessors.contains(previous)) {
+            predecessors.push(previous.clone());
+        }
+        Self {
+            predecessors,
+            read_ahead,
+        }
+    }
+}
+
 /// Connections to a runner.
 struct RunnerConnection {
     client: RunnerClient,
@@ -150,11 +175,11 @@
     }
 
     /// Recovers the state of previous owners, then starts the role's tasks.
-    pub(crate) async fn start(self: &Rc<Self>) {
+    pub(crate) async fn start(self: &Rc<Self>, takeover: Takeover) {
         // Heartbeats announce the new owner while it recovers.
         ntex::rt::spawn(Rc::clone(self).send_heartbeats());
         let started = self.now();
-        let Some(offsets) = self.recover().await else {
+        let Some(offsets) = self.recover(takeover.read_ahead).await else {
             return self.step_down("recovery failed");
         };
         let totals = self.engine.borrow().totals();
@@ -169,7 +194,8 @@
             config = self.engine.borrow().config_version(),
             "takeover complete"
         );
-        ntex::rt::spawn(Rc::clone(self).write_batches());
+        ntex::rt::spawn(Rc::clone(self).confirm_and_write_batches());
+        ntex::rt::spawn(Rc::clone(self).await_predecessors(takeover.predecessors));
         ntex::rt::spawn(Rc::clone(self).follow_config(offsets.config_end));
         ntex::rt::spawn(Rc::clone(self).follow_runners(offsets.runners_end));
         ntex::rt::spawn(Rc::clone(self).hand_over_to_stronger());
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -24,11 +24,15 @@
 
 impl Owner {
     /// Fences off previous owners and recovers their state. Returns `None` if that fails.
-    pub(super) async fn recover(self: &Rc<Self>) -> Option<RecoveredOffsets> {
+    /// `read_ahead` holds the jobs' topic as read before the claim.
+    pub(super) async fn recover(
+        self: &Rc<Self>,
+        read_ahead: Option<store::Page>,
+    ) -> Option<RecoveredOffsets> {
         self.fence_previous_owners().await?;
         let reading = self.node.clock.reading();
         let (jobs, config, runners) = tokio::join!(
-            self.read_all_with_retries(Topic::Jobs),
+            self.read_jobs(read_ahead),
             self.read_all_with_retries(Topic::Operators),
             self.read_all_with_retries(Topic::Runners),
         );
@@ -37,15 +41,31 @@
         self.apply_operator_records(&config.records);
         self.config_read.set(Some(reading));
         self.replace_runners(&runners.records).await;
-        // The engine sends a runner tasks only after the ownership was confirmed later than the
-        // runner became known.
-        self.fence_previous_owners().await?;
         Some(RecoveredOffsets {
             config_end: config.end,
             runners_end: runners.end,
         })
     }
 
+    /// Confirms the ownership once more, then writes batches until the role ends. The engine sends a
+    /// runner tasks only after the ownership was confirmed later than the runner became known.
+    pub(super) async fn confirm_and_write_batches(self: Rc<Self>) {
+        if self.fence_previous_owners().await.is_some() {
+            self.state_changed.notify_one();
+        }
+        // Appends confirm the ownership too, and end the role if a newer owner has fenced it off.
+        self.write_batches().await;
+    }
+
+    async fn read_jobs(&self, read_ahead: Option<store::Page>) -> Option<store::Page> {
+        if let Some(before) = read_ahead
+            && let Some(jobs) = self.node.read_since(Topic::Jobs, before).await
+        {
+            return Some(jobs);
+        }
+        self.read_all_with_retries(Topic::Jobs).await
+    }
+
     async fn fence_previous_owners(&self) -> Option<()> {
         let req = store::fence_request(Topic::Jobs, self.fence);
         for _ in 0..MAX_ATTEMPTS {
@@ -75,7 +95,7 @@
             if !self.is_active.get() {
                 return None;
             }
-            if let Some(page) = self.read_all(topic).await {
+            if let Some(page) = self.node.read_all(topic).await {
                 return Some(page);
             }
             tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -113,45 +113,13 @@
                 Some(Changes::Records { records, coverage })
             }
             ReadOutcome::Truncated => {
-                let page = self.read_all(topic).await?;
+                let page = self.node.read_all(topic).await?;
                 *from = page.end;
                 Some(Changes::Snapshot(page))
             }
         }
     }
 
-    /// Reads the newest record of every key. Returns `None` if the store gave no valid response or an
-    /// outdated one, which would bring back what has been replaced since.
-    pub(super) async fn read_all(&self, topic: Topic) -> Option<Page> {
-        let mut all = Page::default();
-        let mut after: Option<String> = None;
-        loop {
-            let req = store::newest_request(topic, after.as_deref());
-            let response = self.node.store.send(&req).await.ok()?;
-            let page = store::parse_newest(&response).ok()?;
-            // Records appended while the pages are read come after the first page's end offset,
-            // from which the topic is followed.
-            if after.is_none() {
-                all.end = page.end;
-            }
-            if !self.node.record_end(topic, page.end) {
-                if self.node.log_limit.allows("outdated", self.now()) {
-                    tracing::warn!(
-                        ?topic,
-                        end = page.end,
-                        "outdated answer of the store ignored"
-                    );
-                }
-                return None;
-            }
-            all.records.extend(page.records);
-            match page.next {
-                Some(next) => after = Some(next),
-                None => return Some(all),
-            }
-        }
-    }
-
     /// Applies the configurations among the operators' records.
     pub(super) fn apply_operator_records(&self, records: &[KeyedRecord]) {
         for record in records
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -40,8 +40,8 @@
     // What one role has read binds the next one in the same process.
     *end.borrow_mut() = 20;
     let next = Owner::new(Rc::clone(&owner.node), 2, 2);
-    assert!(next.read_all(Topic::Runners).await.is_none());
-    assert!(next.read_all(Topic::Operators).await.is_some());
+    assert!(next.node.read_all(Topic::Runners).await.is_none());
+    assert!(next.node.read_all(Topic::Operators).await.is_some());
 }
 
 /// Guards against an empty answer of a store that is behind, or that has lost the topic, which would
@@ -84,7 +84,7 @@
         (200, page(7, &[]))
     });
     let owner = owner(&store.await).await;
-    let offsets = owner.recover().await.expect("a recovery");
+    let offsets = owner.recover(None).await.expect("a recovery");
     assert_eq!((*reads.borrow(), offsets.runners_end), (3, 7));
 }
 
@@ -157,3 +157,54 @@
         assert_eq!(coverage, expected, "{new_end}");
     }
 }
+
+/// Guards against a takeover that starts from the jobs as they were before its claim.
+#[ntex::test]
+async fn records_read_ahead_are_brought_up_to_date() {
+    let record = |key: &str, value: Option<&[u8]>| {
+        let mut content = vec![u8::try_from(key.len()).expect("a short key")];
+        content.extend(key.as_bytes());
+        content.extend(value.unwrap_or_default());
+        let length = u32::try_from(content.len()).expect("a short record");
+        [&length.to_be_bytes()[..], &content].concat()
+    };
+    let changes = [
+        record("b", Some(b"2")),
+        record("a", None),
+        record("c", Some(b"3")),
+    ];
+    let read = move |end: u64| [&end.to_be_bytes()[..], &[0; 8], &changes.concat()].concat();
+    // Status and end offset that the store answers, and the keys then known.
+    let table = [
+        (200, 13, Some(vec!["b", "c", "d"])),
+        // The answer lacks records that precede the claim.
+        (200, 14, None),
+        (410, 0, None),
+    ];
+    for (status, end, expected) in table {
+        let read = read.clone();
+        let store = start_store(move |target| match target.contains("From=10&") {
+            true => (status, read(end)),
+            false => (200, empty_read(13)),
+        });
+        let owner = owner(&store.await).await;
+        let known = |key: &str| KeyedRecord {
+            key: key.to_owned(),
+            value: Some(b"1".to_vec()),
+            offset: 1,
+        };
+        let before = Page {
+            records: vec![known("a"), known("b"), known("d")],
+            next: None,
+            end: 10,
+        };
+        let page = owner.node.read_since(Topic::Jobs, before).await;
+        let keys = page.map(|page| {
+            let mut keys: Vec<String> = page.records.into_iter().map(|known| known.key).collect();
+            keys.sort_unstable();
+            keys
+        });
+        let expected = expected.map(|keys| keys.into_iter().map(str::to_owned).collect());
+        assert_eq!(keys, expected, "{status} {end}");
+    }
+}
--- a/crates/cell/src/process/claims.rs
+++ b/crates/cell/src/process/claims.rs
@@ -5,18 +5,18 @@
 
 use std::{rc::Rc, time::Duration};
 
-use kspan_adapter::store::{self, AppendOutcome, Topic};
+use kspan_adapter::store::{self, AppendOutcome, Page, Topic};
 use rand::seq::SliceRandom as _;
 use tokio::time::Instant;
 
 use super::Process;
 use crate::{
     attempts::{Attempts, Progress},
-    election::{Step, Suspicion},
-    message::{Member, PeerReply, PeerRequest},
-    node::{CLAIM_KEY, ClaimRecord, PEER_TIMEOUT},
-    owner::Owner,
-    peers::{self, Peers},
+    election::{Claims, Step, Suspicion},
+    message::Member,
+    node::{CLAIM_KEY, ClaimRecord, Node},
+    owner::{Owner, Takeover},
+    peers,
 };
 
 /// Interval at which a process checks whether the owner is alive.
@@ -65,6 +65,12 @@
         if suspicion == Suspicion::None && planned.is_none() {
             return;
         }
+        // The owner that requested the takeover goes on meanwhile, so that the cell is without an owner
+        // for less time.
+        let read_ahead = match planned {
+            Some(_) => self.node.read_all(Topic::Jobs).await,
+            None => None,
+        };
         let claims = match self.node.read_claims().await {
             Ok(claims) => claims,
             Err(err) => {
@@ -81,14 +87,17 @@
             suspicion,
         );
         match step {
-            Step::AlreadyOwner(fence) => self.become_owner(fence, claims.end).await,
-            Step::Claim => self.claim(claims.end, "first").await,
+            Step::AlreadyOwner(fence) => {
+                let takeover = Takeover::new(&claims, read_ahead);
+                self.become_owner(fence, claims.end, takeover).await;
+            }
+            Step::Claim => self.claim(&claims, read_ahead, "first").await,
             // Several processes may have been requested to take over from the same owner. The newest
             // claim is no longer that owner's after one of them has claimed, and the store accepts
             // only one of their claims if they read the same end of the topic.
-            _ if planned == Some(newest) => self.claim(claims.end, "planned").await,
+            _ if planned == Some(newest) => self.claim(&claims, read_ahead, "planned").await,
             Step::QueryOthers if !self.others_receive_heartbeats(newest).await => {
-                self.claim(claims.end, "owner silent").await;
+                self.claim(&claims, read_ahead, "owner silent").await;
             }
             Step::QueryOthers | Step::Wait => {}
         }
@@ -103,9 +112,9 @@
         let (queried, _) = others.partial_shuffle(&mut rand::rng(), MAX_QUERIED_MEMBERS);
         let mut queries = Attempts::new();
         for member in queried.iter().cloned() {
-            let peers = Rc::clone(&self.node.peers);
+            let node = Rc::clone(&self.node);
             queries.start(async move {
-                let receives = receives_heartbeats(&peers, &member, fence).await;
+                let receives = receives_heartbeats(&node, &member, fence).await;
                 (receives, member.node)
             });
         }
@@ -125,7 +134,7 @@
         false
     }
 
-    async fn claim(self: &Rc<Self>, end: u64, why: &str) {
+    async fn claim(self: &Rc<Self>, claims: &Claims, read_ahead: Option<Page>, why: &str) {
         // The shutdown may have begun while the claims were read or other processes queried.
         if self.node.stopping.get() {
             return;
@@ -136,7 +145,7 @@
         };
         let req = store::conditional_append_request(
             Topic::Claims,
-            end,
+            claims.end,
             CLAIM_KEY,
             &peers::encode(&record),
         );
@@ -145,7 +154,8 @@
             Ok(AppendOutcome::Done { offset }) => {
                 let fence = offset.saturating_add(1);
                 tracing::info!(fence, why, "claimed the cell");
-                self.become_owner(fence, fence).await;
+                let takeover = Takeover::new(claims, read_ahead);
+                self.become_owner(fence, fence, takeover).await;
             }
             Ok(outcome) => tracing::info!(?outcome, why, "claim refused by the store"),
             // The next read of the claims shows whether the append took effect.
@@ -153,7 +163,7 @@
         }
     }
 
-    async fn become_owner(self: &Rc<Self>, fence: u64, end: u64) {
+    async fn become_owner(self: &Rc<Self>, fence: u64, end: u64, takeover: Takeover) {
         let owner = Owner::new(Rc::clone(&self.node), fence, end);
         self.node.election.borrow_mut().record_heartbeat(
             self.node.clock.now(),
@@ -161,22 +171,13 @@
             &self.node.local,
         );
         *self.owner.borrow_mut() = Some(Rc::clone(&owner));
-        owner.start().await;
+        owner.start(takeover).await;
     }
 }
 
 /// Returns whether a process has received a recent heartbeat of the owner with this fence or a higher
 /// one; `None` if the process does not answer.
-async fn receives_heartbeats(peers: &Peers, member: &Member, fence: u64) -> Option<bool> {
-    let status = peers
-        .request(member, PeerRequest::OwnerStatus, PEER_TIMEOUT)
-        .await;
-    let Ok(PeerReply::OwnerStatus {
-        fence: known_fence,
-        silent_ms,
-    }) = status
-    else {
-        return None;
-    };
-    Some(known_fence >= fence && silent_ms < MAX_REPORTED_SILENCE_MS)
+async fn receives_heartbeats(node: &Node, member: &Member, fence: u64) -> Option<bool> {
+    let status = node.owner_status(member).await?;
+    Some(status.fence >= fence && status.silent_ms < MAX_REPORTED_SILENCE_MS)
 }
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -10,7 +10,11 @@
 use standin::ClaimsTopic;
 
 use super::*;
-use crate::{http, settings::Settings};
+use crate::{
+    http,
+    message::{PeerReply, PeerRequest},
+    settings::Settings,
+};
 
 /// Time that the store takes to answer a read.
 const READ_DELAY: Duration = Duration::from_millis(100);
--- a/crates/cell/src/process/claims/tests/queries.rs
+++ b/crates/cell/src/process/claims/tests/queries.rs
@@ -9,7 +9,10 @@
 use tokio::net::TcpListener;
 
 use super::*;
-use crate::{message::Frame, owner::tests};
+use crate::{
+    message::{Frame, PeerReply, PeerRequest},
+    owner::tests,
+};
 
 /// Starts a process that reports the given silence of the owner with fence 5, or does not reply.
 async fn start_process(node: &str, silent_ms: Option<u64>) -> Member {
@@ -87,7 +90,12 @@
         });
         let process = Process::with_node(tests::node(&store.await).await);
         process.node.stopping.set(stopping);
-        process.claim(4, "test").await;
+        let claims = Claims {
+            owner: None,
+            members: Vec::new(),
+            end: 4,
+        };
+        process.claim(&claims, None, "test").await;
         assert_eq!(*appends.borrow(), expected, "{stopping}");
         assert!(process.owner_role().is_none());
     }
