Read the configuration as soon as the store is back

Callers saw: jobs refused for 0.3 to 0.5 s after an outage of the store because the configuration counted as outdated; many then had no time left to try again. Cause: the first read after a failed one waited 250 ms for a change, and up to 200 ms before it. Change: that read does not wait, and follows the next answer of the store. Test: configuration_is_read_at_once_when_the_store_is_back (the first read asked for 250 ms before).

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -85,6 +85,8 @@
     state_changed: Notify,
     /// Signals that a batch waits to be written.
     batch_ready: Notify,
+    /// Signals that the store has answered a request that confirms the ownership.
+    store_answered: Notify,
     durable_batch: watch::Sender<u64>,
     /// Time at which the write of the batch in flight began.
     writing_since: Cell<Option<Millis>>,
@@ -151,6 +153,7 @@
             is_recovered: Cell::new(false),
             state_changed: Notify::new(),
             batch_ready: Notify::new(),
+            store_answered: Notify::new(),
             durable_batch: watch::Sender::new(0),
             writing_since: Cell::new(None),
             confirmed: Cell::new(node.clock.reading()),
@@ -227,6 +230,7 @@
             self.confirmed.set(sent);
         }
         self.engine.borrow_mut().confirm_ownership(sent.monotonic());
+        self.store_answered.notify_waiters();
     }
 
     /// Returns the time since the last confirmation of the ownership, including time for which the
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -54,7 +54,10 @@
                 }
                 None => {
                     self.handle_failed_config_read();
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    // The next read is answered at once, so that callers are served as soon as the
+                    // store is back.
+                    wait = Duration::ZERO;
+                    self.wait_for_store(RETRY_DELAY).await;
                     continue;
                 }
             };
@@ -67,6 +70,12 @@
         }
     }
 
+    /// Waits until the store answers another request, up to a timeout.
+    async fn wait_for_store(&self, timeout: Duration) {
+        // Either end of the wait leads to the next attempt.
+        let _ = tokio::time::timeout(timeout, self.store_answered.notified()).await;
+    }
+
     fn handle_failed_config_read(&self) {
         let is_store_available = self.time_since_confirmed() < MAX_STORE_SILENCE;
         self.is_config_topic_unavailable.set(is_store_available);
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -158,6 +158,36 @@
     }
 }
 
+/// Guards against callers who are refused after an outage because the configuration counts as
+/// outdated: the first read after a failed one must be answered without waiting for a change, and
+/// follow as soon as the store answers anything.
+#[ntex::test]
+async fn configuration_is_read_at_once_when_the_store_is_back() {
+    let is_down = Rc::new(Shared::new(true));
+    let waits = Rc::new(Shared::new(Vec::new()));
+    let (down, seen) = (Rc::clone(&is_down), Rc::clone(&waits));
+    let store = start_store(move |target| {
+        let wait = target.split("WaitMs=").nth(1).unwrap_or_default();
+        seen.borrow_mut().push((*down.borrow(), wait.to_owned()));
+        match *down.borrow() {
+            true => (503, Vec::new()),
+            false => (200, empty_read(0)),
+        }
+    });
+    let owner = owner(&store.await).await;
+    ntex::rt::spawn(Rc::clone(&owner).follow_config(0));
+    while !waits.borrow().iter().any(|(down, _)| *down) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    *is_down.borrow_mut() = false;
+    owner.confirm(owner.node.clock.reading());
+    while owner.config_age().is_none() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let first_answered = waits.borrow().iter().find(|(down, _)| !down).cloned();
+    assert_eq!(first_answered, Some((false, "0".to_owned())));
+}
+
 /// Guards against a takeover that starts from the jobs as they were before its claim.
 #[ntex::test]
 async fn records_read_ahead_are_brought_up_to_date() {
