Send probes while the store gives no answer

Cause: requests in flight hang on connections of the outage, and after a direct attempt without an answer only relays are tried for 1 s, which hold back likewise. Change: a small read each 200 ms; its first answer lets all requests in progress try again. Test: request_is_sent_again_when_the_store_answers_a_probe (new function; the old code gives the request up).

--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -51,6 +51,30 @@
     addr.to_string()
 }
 
+/// Starts a store without records that answers a request only if `answers` returns true. Returns the
+/// store's address.
+pub(crate) async fn start_silent_store(answers: impl Fn() -> bool + 'static) -> String {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let addr = listener.local_addr().expect("a bound port");
+    let answers = Rc::new(answers);
+    ntex::rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answers = Rc::clone(&answers);
+            ntex::rt::spawn(async move {
+                let mut buf = [0; 4 * 1024];
+                while let Ok(1..) = stream.read(&mut buf).await {
+                    let response = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+                    if answers() && stream.write_all(response).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr.to_string()
+}
+
 /// Returns whether a request to the store with this target appends records.
 pub(crate) fn is_append(target: &str) -> bool {
     let append = store::fence_request(Topic::Jobs, 0);
--- a/crates/cell/src/store/mod.rs
+++ b/crates/cell/src/store/mod.rs
@@ -5,7 +5,10 @@
 //! the first answer counts. All requests must be idempotent, because a request may be sent more
 //! than once.
 
+mod probes;
 mod relays;
+#[cfg(test)]
+mod tests;
 
 use std::{
     cell::{Cell, RefCell},
@@ -19,7 +22,7 @@
 };
 use kspan_model::{Millis, Name};
 use ntex::client::Client;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     attempts::{Attempts, Progress},
@@ -29,6 +32,7 @@
     peers::{Peers, RequestError},
     telemetry,
 };
+use probes::MAX_PROBE_CONNECTIONS;
 use relays::Relays;
 
 /// Timeout of a direct attempt. A slow store answers in 250 ms.
@@ -74,6 +78,12 @@
     direct_failed_at: Cell<Option<Millis>>,
     /// Whether a direct attempt is in flight that finds out whether the store is reachable again.
     is_probing: Cell<bool>,
+    /// Client for probes, which are not to wait for the connections of other requests.
+    probe_client: Client,
+    /// Whether probes are being sent.
+    is_sending_probes: Cell<bool>,
+    /// Signals that a probe was answered.
+    direct_answered: Notify,
 }
 
 impl StoreClient {
@@ -94,6 +104,9 @@
             relays: RefCell::new(Relays::new(data_centre)),
             direct_failed_at: Cell::new(None),
             is_probing: Cell::new(false),
+            probe_client: kspan_adapter::http::client(MAX_PROBE_CONNECTIONS).await,
+            is_sending_probes: Cell::new(false),
+            direct_answered: Notify::new(),
         };
         Self {
             shared: Rc::new(shared),
@@ -148,12 +161,15 @@
         failed_at.is_some_and(|at| self.clock.now().saturating_sub(at) < DIRECT_BACKOFF)
     }
 
-    async fn send_direct(&self, req: &Request) -> Result<Response> {
+    async fn send_direct(self: &Rc<Self>, req: &Request) -> Result<Response> {
         let timeout = DIRECT_TIMEOUT + req.wait();
         let response = store::send(&self.client, &self.addr, req, timeout).await;
         // A refusal may concern only one topic, and costs little time.
-        let failed_at = response.is_err().then(|| self.clock.now());
-        self.direct_failed_at.set(failed_at);
+        if response.is_err() {
+            self.record_direct_failure();
+        } else {
+            self.direct_failed_at.set(None);
+        }
         let answer = response.and_then(|response| {
             if is_refusal(response.status) {
                 let why = format!("unexpected status {}", response.status);
@@ -232,7 +248,15 @@
         self.start_first();
         loop {
             let until = deadline.min(Instant::now() + self.hedge_delay());
-            match self.attempts.wait(until).await {
+            let shared = Rc::clone(self.shared);
+            let progress = tokio::select! {
+                progress = self.attempts.wait(until) => progress,
+                () = shared.direct_answered.notified() => {
+                    self.start_direct(false);
+                    continue;
+                }
+            };
+            match progress {
                 Progress::Ended(Ok(answer)) => return Ok(answer),
                 Progress::Ended(Err(err)) => failure = err,
                 Progress::Slow if Instant::now() >= deadline => {
@@ -307,7 +331,7 @@
         let now = self.shared.clock.now();
         match self.tried.last() {
             Some(relay) => self.shared.relays.borrow_mut().record_failure(relay, now),
-            None => self.shared.direct_failed_at.set(Some(now)),
+            None => self.shared.record_direct_failure(),
         }
     }
 }
