--- a/crates/cell/src/owner/predecessors.rs
+++ b/crates/cell/src/owner/predecessors.rs
@@ -24,7 +24,7 @@
     pub(super) async fn await_predecessors(self: Rc<Self>, mut members: Vec<Member>) {
         members.retain(|member| member.node != self.node.local.node);
         while self.is_active.get() && self.engine.borrow().has_unverified_runs() {
-            members = self.ignorant_members(members).await;
+            members = self.unaware_members(members).await;
             if members.is_empty() {
                 let now = self.now();
                 self.engine.borrow_mut().record_previous_owners_ended(now);
@@ -39,7 +39,7 @@
     }
 
     /// Returns the members that do not reply or do not know this owner yet.
-    async fn ignorant_members(&self, members: Vec<Member>) -> Vec<Member> {
+    async fn unaware_members(&self, members: Vec<Member>) -> Vec<Member> {
         let mut queries = Attempts::new();
         for member in members {
             let node = Rc::clone(&self.node);
@@ -50,13 +50,13 @@
                 (!knows_owner).then_some(member)
             });
         }
-        let mut ignorant = Vec::new();
+        let mut unaware = Vec::new();
         while queries.count() > 0 {
             let until = tokio::time::Instant::now() + QUERY_INTERVAL;
             if let Progress::Ended(member) = queries.wait(until).await {
-                ignorant.extend(member);
+                unaware.extend(member);
             }
         }
-        ignorant
+        unaware
     }
 }
--- a/crates/cell/src/owner/predecessors/tests.rs
+++ b/crates/cell/src/owner/predecessors/tests.rs
@@ -58,9 +58,9 @@
         (Some(fence - 1), true),
         (None, true),
     ];
-    for (known, is_ignorant) in table {
+    for (known, is_unaware) in table {
         let member = start_member("b-1", known).await;
-        let ignorant = owner.ignorant_members(vec![member]).await;
-        assert_eq!(!ignorant.is_empty(), is_ignorant, "{known:?}");
+        let unaware = owner.unaware_members(vec![member]).await;
+        assert_eq!(!unaware.is_empty(), is_unaware, "{known:?}");
     }
 }
