--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -1,8 +1,9 @@
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use kspan_adapter::store::{self, Topic};
 use kspan_jobs::config::{CellConfig, Queue};
 use kspan_model::Name;
+use kspan_wire::stream::{read_frame, write_frame};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
@@ -10,7 +11,8 @@
 
 use super::*;
 use crate::{
-    message::{JobCall, Verb},
+    message::{Frame, JobCall, PeerReply, PeerRequest, Verb},
+    peers,
     settings::Settings as ProcessSettings,
 };
 
@@ -75,6 +77,42 @@
     addr.to_string()
 }
 
+/// Starts a process that gives each request the same reply, or none.
+pub(crate) async fn start_member(node: &str, reply: Option<PeerReply>) -> Member {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let SocketAddr::V4(addr) = listener.local_addr().expect("a bound port") else {
+        panic!("the listener is bound to an IPv4 address");
+    };
+    ntex::rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let reply = reply.clone();
+            ntex::rt::spawn(async move {
+                let mut buf = Vec::new();
+                while matches!(read_frame(&mut stream, &mut buf).await, Ok(true)) {
+                    let req: Frame<PeerRequest> = peers::decode(&buf).expect("a request");
+                    let Some(content) = reply.clone() else {
+                        continue;
+                    };
+                    let number = req.number;
+                    let frame = peers::encode(&Frame { number, content });
+                    if write_frame(&mut stream, &frame).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Member {
+        node: Name::new(node),
+        address: *addr.ip(),
+        port: addr.port(),
+        life: 1,
+        data_centre: Name::new("a"),
+        power_milli: 500,
+    }
+}
+
 /// Returns whether a request to the store with this target appends records.
 pub(crate) fn is_append(target: &str) -> bool {
     let append = store::fence_request(Topic::Jobs, 0);
--- a/crates/cell/src/process/claims/tests/queries.rs
+++ b/crates/cell/src/process/claims/tests/queries.rs
@@ -1,57 +1,15 @@
 //! Tests of the queries before a claim, and of claims during a shutdown.
 
-use std::{
-    cell::RefCell as Shared,
-    net::{Ipv4Addr, SocketAddr},
-};
-
-use kspan_wire::stream::{read_frame, write_frame};
-use tokio::net::TcpListener;
+use std::cell::RefCell as Shared;
 
 use super::*;
-use crate::{
-    message::{Frame, PeerReply, PeerRequest},
-    owner::tests,
-};
+use crate::{message::PeerReply, owner::tests};
 
 /// Starts a process that reports the given silence of the owner with fence 5, or does not reply.
 async fn start_process(node: &str, silent_ms: Option<u64>) -> Member {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
-    let listener = listener.expect("a free port");
-    let SocketAddr::V4(addr) = listener.local_addr().expect("a bound port") else {
-        panic!("the listener is bound to an IPv4 address");
-    };
-    ntex::rt::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            ntex::rt::spawn(async move {
-                let mut buf = Vec::new();
-                while matches!(read_frame(&mut stream, &mut buf).await, Ok(true)) {
-                    let req: Frame<PeerRequest> = peers::decode(&buf).expect("a request");
-                    let Some(silent_ms) = silent_ms else {
-                        continue;
-                    };
-                    let frame = peers::encode(&Frame {
-                        number: req.number,
-                        content: PeerReply::OwnerStatus {
-                            fence: 5,
-                            silent_ms,
-                        },
-                    });
-                    if write_frame(&mut stream, &frame).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    Member {
-        node: kspan_model::Name::new(node),
-        address: *addr.ip(),
-        port: addr.port(),
-        life: 1,
-        data_centre: kspan_model::Name::new("a"),
-        power_milli: 500,
-    }
+    let fence = 5;
+    let reply = silent_ms.map(|silent_ms| PeerReply::OwnerStatus { fence, silent_ms });
+    tests::start_member(node, reply).await
 }
 
 /// Guards against the loss of an owner's role because one process does not receive its heartbeats.
