--- a/crates/cell/src/owner/predecessors/tests.rs
+++ b/crates/cell/src/owner/predecessors/tests.rs
@@ -1,4 +1,3 @@
-use super::*;
 use crate::{
     message::PeerReply,
     owner::tests::{owner, start_member},
--- a/tests/lasting.rs
+++ b/tests/lasting.rs
@@ -76,7 +76,11 @@
     let cut_off = wait_for_run(&platform, &job(0), 1, TIMEOUT).await;
     let lost = wait_for_run(&platform, &job(1), 1, TIMEOUT).await;
 
-    let runner = |number: usize| platform.runners[number].lock().expect("no handler panicked");
+    let runner = |number: usize| {
+        platform.runners[number]
+            .lock()
+            .expect("no handler panicked")
+    };
     runner(cut_off).set_cut_off(true);
     // The other runner is lost, and the owner shortly after it, so that the lease of the first expires
     // about when the next owner reaches it.
