--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -164,11 +164,10 @@
 #[ntex::test]
 async fn configuration_is_read_at_once_when_the_store_is_back() {
     let is_down = Rc::new(Shared::new(true));
-    let waits = Rc::new(Shared::new(Vec::new()));
-    let (down, seen) = (Rc::clone(&is_down), Rc::clone(&waits));
+    let targets = Rc::new(Shared::new(Vec::new()));
+    let (down, seen) = (Rc::clone(&is_down), Rc::clone(&targets));
     let store = start_store(move |target| {
-        let wait = target.split("WaitMs=").nth(1).unwrap_or_default();
-        seen.borrow_mut().push((*down.borrow(), wait.to_owned()));
+        seen.borrow_mut().push((*down.borrow(), target.to_owned()));
         match *down.borrow() {
             true => (503, Vec::new()),
             false => (200, empty_read(0)),
@@ -176,7 +175,7 @@
     });
     let owner = owner(&store.await).await;
     ntex::rt::spawn(Rc::clone(&owner).follow_config(0));
-    while !waits.borrow().iter().any(|(down, _)| *down) {
+    while !targets.borrow().iter().any(|(down, _)| *down) {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     *is_down.borrow_mut() = false;
@@ -184,8 +183,10 @@
     while owner.config_age().is_none() {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
-    let first_answered = waits.borrow().iter().find(|(down, _)| !down).cloned();
-    assert_eq!(first_answered, Some((false, "0".to_owned())));
+    let first_answered = targets.borrow().iter().find(|(down, _)| !down).cloned();
+    let without_wait = store::read_request(Topic::Operators, 0, Duration::ZERO);
+    let expected = (false, without_wait.target().to_owned());
+    assert_eq!(first_answered, Some(expected));
 }
 
 /// Guards against a takeover that starts from the jobs as they were before its claim.
@@ -213,7 +214,8 @@
     ];
     for (status, end, expected) in table {
         let read = read.clone();
-        let store = start_store(move |target| match target.contains("From=10&") {
+        let first = store::read_request(Topic::Jobs, 10, Duration::ZERO);
+        let store = start_store(move |target| match target == first.target() {
             true => (status, read(end)),
             false => (200, empty_read(13)),
         });
