--- a/tests/lasting.rs
+++ b/tests/lasting.rs
@@ -7,10 +7,9 @@
 
 use harness::{
     POLL_INTERVAL, Process, TIMEOUT, call_until, check_runs,
-    standin::{PREFIX, Platform},
+    standin::{PREFIX, Platform, lasting_job_body},
     wait_for_owner,
 };
-use serde_json::json;
 
 /// Time without a run after which callers count a lasting task as lost.
 const MAX_TIME_WITHOUT_RUN: Duration = Duration::from_secs(9);
@@ -28,13 +27,6 @@
     format!("00000000000000a{number}")
 }
 
-fn lasting_job() -> String {
-    let step = json!({
-        "Count": 1, "Cpu": 3000, "MemMb": 256, "EstRuntimeMs": 100, "LongRunning": true,
-    });
-    json!({"Spec": "run 600000", "Steps": [step]}).to_string()
-}
-
 /// Returns the runner of the job's latest run and the number of its runs.
 fn latest_run(platform: &Platform, job: &str) -> Option<(usize, usize)> {
     let runs = platform.runs();
@@ -71,7 +63,7 @@
     let addr = &processes[owner].callers;
     for number in 0..2 {
         let path = format!("{PREFIX}{}", job(number));
-        call_until("POST", addr, &path, &lasting_job(), 200).await;
+        call_until("POST", addr, &path, &lasting_job_body(), 200).await;
     }
     let cut_off = wait_for_run(&platform, &job(0), 1, TIMEOUT).await;
     let lost = wait_for_run(&platform, &job(1), 1, TIMEOUT).await;
