Take back: repeat unanswered orders and inventory calls sooner

Cause: a busy owner is answered later than 80 ms, gives up the connection and sends again, which makes it busier.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -22,12 +22,12 @@
 /// Timeout of one attempt to send an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Timeout of the first attempt to send a start order, which doubles with each further one. An order is
-/// idempotent, and another attempt is answered sooner than a lost answer is given up.
-const FIRST_START_TIMEOUT: Duration = Duration::from_millis(80);
+/// Timeout of the first attempt to send a start order. An order is idempotent, and a second attempt is
+/// answered sooner than a lost answer is given up.
+const FIRST_START_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Maximum number of attempts to send a start order.
-const MAX_START_ATTEMPTS: u32 = 4;
+const MAX_START_ATTEMPTS: u32 = 3;
 
 /// Delay before a start order that could not be sent is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -95,7 +95,12 @@
                     expired
                 };
             }
-            match runner::start(&connection.client, order, start_timeout(attempt)).await {
+            let timeout = if attempt == 0 {
+                FIRST_START_TIMEOUT
+            } else {
+                ORDER_TIMEOUT
+            };
+            match runner::start(&connection.client, order, timeout).await {
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
                 }
@@ -195,9 +200,3 @@
         }
     }
 }
-
-/// Returns the timeout of an attempt to send a start order, numbered from 0.
-fn start_timeout(attempt: u32) -> Duration {
-    let timeout = FIRST_START_TIMEOUT.saturating_mul(1 << attempt);
-    timeout.min(ORDER_TIMEOUT)
-}
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -26,7 +26,7 @@
 /// Number of calls in a row without an answer after which a runner is given more time.
 const MISSES_BEFORE_SLOW_TIMEOUT: u32 = 2;
 
-/// Delay before the next call to a runner that did not answer several times in a row.
+/// Delay before the next call to a runner that did not answer.
 const NO_RESPONSE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum time for which the next call waits until ends are durable, so that it acknowledges them.
@@ -107,8 +107,6 @@
         telemetry::record_inventory(outcome_name(&outcome));
         let is_answered = outcome != InventoryOutcome::NoResponse;
         match outcome {
-            // A single lost answer says nothing about the runner.
-            InventoryOutcome::NoResponse if missed == 0 => {}
             InventoryOutcome::NoResponse => {
                 tokio::time::sleep(NO_RESPONSE_RETRY_DELAY).await;
             }
