--- a/review/standin/cases/pending_count.rs
+++ b/review/standin/cases/pending_count.rs
@@ -1,5 +1,5 @@
-//! The processes are stopped and started in turn, and a runner crashes meanwhile, while jobs wait for
-//! room.
+//! The owner of the cell is stopped and started twice, the first time while a runner is away, and jobs
+//! wait for room meanwhile.
 
 use std::{
     path::Path,
@@ -19,8 +19,11 @@
 /// How long the runner is away; the users' sheets have up to 4.5 s.
 const AWAY: Duration = Duration::from_millis(4_000);
 
-/// Time between two stops; the users' sheets have from 1.2 to 2.0 s.
-const GAP: Duration = Duration::from_millis(2_000);
+/// Time from the runner's return to the second stop.
+const GAP: Duration = Duration::from_millis(4_000);
+
+/// `GraceS` of the users' sheets.
+const GRACE: Duration = Duration::from_secs(6);
 
 pub fn play(has_trouble: bool, folder: &Path) -> Vec<String> {
     let mut cluster = Cluster::start(3, RUNNERS, 4_000, 16_384, &[("batch", PREFIX)]);
@@ -54,7 +57,10 @@
             thread::sleep(back_at.saturating_duration_since(Instant::now()));
             runner.restart();
         });
-        restart_in_turn(&mut cluster);
+        restart_owner(&mut cluster);
+        thread::sleep(back_at.saturating_duration_since(Instant::now()) + GAP);
+        count_pending(&cluster);
+        restart_owner(&mut cluster);
     }
     // Calm for longer than `ContactMs`, `visible_ms` and 2 s.
     thread::sleep(Duration::from_secs(10));
@@ -96,31 +102,23 @@
     cluster.nodes.iter().map(ask).collect()
 }
 
-/// Stops each process with SIGTERM, the owner first where it wasn't stopped yet, and starts it again
-/// when it has exited.
-fn restart_in_turn(cluster: &mut Cluster) {
-    let mut left: Vec<usize> = (0..cluster.nodes.len()).collect();
-    while !left.is_empty() {
-        let owner = cluster.owner().filter(|owner| left.contains(owner));
-        let node = owner.unwrap_or(left[0]);
-        left.retain(|other| *other != node);
-        cluster.nodes[node].signal(SIGTERM);
-        let (name, role) = (
-            &cluster.nodes[node].name,
-            owner.map_or("", |_| ", the owner,"),
-        );
-        cluster.record.note(format!("{name}{role} gets SIGTERM"));
-        let next_at = Instant::now() + GAP;
-        while !cluster.nodes[node].has_exited() && Instant::now() < next_at {
-            thread::sleep(Duration::from_millis(20));
-        }
-        if !cluster.nodes[node].has_exited() {
+/// Stops the process that owns the cell with SIGTERM, and starts it again when it has exited.
+fn restart_owner(cluster: &mut Cluster) {
+    let Some(owner) = cluster.owner() else {
+        crate::cluster::unable("no process owns the cell");
+    };
+    let node = &mut cluster.nodes[owner];
+    node.signal(SIGTERM);
+    cluster
+        .record
+        .note(format!("{}, the owner, gets SIGTERM", node.name));
+    let until = Instant::now() + GRACE;
+    while !node.has_exited() {
+        if Instant::now() > until {
             crate::cluster::unable("a process doesn't exit after SIGTERM");
         }
-        cluster.nodes[node].spawn();
-        cluster
-            .record
-            .note(format!("{} starts again", cluster.nodes[node].name));
-        thread::sleep(next_at.saturating_duration_since(Instant::now()));
+        thread::sleep(Duration::from_millis(20));
     }
+    node.spawn();
+    cluster.record.note(format!("{} starts again", node.name));
 }
