--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -2,8 +2,8 @@
 
 mod dark_runner;
 mod large_job;
-mod late_start;
 mod many_ends;
+mod paused_runners;
 mod pending_count;
 
 use std::path::Path;
@@ -16,7 +16,7 @@
         "many-ends" => many_ends::play,
         "dark-runner" => dark_runner::play,
         "large-job" => large_job::play,
-        "late-start" => late_start::play,
+        "paused-runners" => paused_runners::play,
         "pending-count" => pending_count::play,
         _ => return None,
     })
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -296,6 +296,22 @@
         self.shared.1.notify_all();
     }
 
+    /// Makes the runs of a job end `failed`, as tasks that last may at any time. Returns whether there
+    /// were any.
+    pub fn fail_runs(&self, job: &str) -> bool {
+        let mut state = self.lock();
+        let failed: Vec<Run> = state
+            .running
+            .extract_if(.., |run| run.task.starts_with(job))
+            .collect();
+        let any = !failed.is_empty();
+        for run in failed {
+            state.end(run, "failed", String::new(), &self.settings.record);
+        }
+        self.shared.1.notify_all();
+        any
+    }
+
     /// Returns the number of ends that were not acknowledged.
     pub fn open_ends(&self) -> usize {
         self.lock().ends.len()
