Write whether a job has started, and don't read it from its progress

Cause: the new owner marks waiting tasks that may have been on the crashed runner and writes their jobs' progress; the next one takes a job whose progress lists an occurrence for started.

The progress record now says whether a start is known. Older records are read by what their tasks show. A run of which only the end was seen counts as a start as well.

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -82,6 +82,7 @@
         let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
             return;
         };
+        job.started = true;
         let active = job.phase == Phase::Active;
         let max_attempts = job.record.policy.max_attempts.max(1);
         let Some((step, spec)) = job.step_mut(end.task.step) else {
--- a/crates/jobs/src/engine/progress.rs
+++ b/crates/jobs/src/engine/progress.rs
@@ -24,6 +24,7 @@
             occurrences: occurrences.collect(),
             crashes: self.crashes(),
             unaccounted: self.unaccounted(),
+            has_started: self.started,
         }
     }
 
@@ -84,7 +85,7 @@
             let begun = self.occurrences_done.saturating_add(open);
             self.next_occurrence = self.next_occurrence.max(begun);
         }
-        self.started = !progress.occurrences.is_empty() || self.occurrences_done > 0;
+        self.started = progress.has_started;
     }
 
     fn referenced_task(&mut self, known: TaskRef) -> Option<&mut Task> {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -177,6 +177,8 @@
     pub crashes: Vec<TaskCrash>,
     /// Tasks that may have been on a runner that crashed while no owner knew what it ran.
     pub unaccounted: Vec<TaskRef>,
+    /// Whether the owner that wrote the record knew of a start of any task.
+    pub has_started: bool,
 }
 
 /// Progress record without crashes, as written by versions that did not count them.
@@ -188,16 +190,31 @@
     occurrences: Vec<OccurrenceProgress>,
 }
 
+impl ProgressRecordWithoutCrashes {
+    /// Returns whether a task is known to have started. A record of a job whose tasks all wait may list
+    /// its occurrences too.
+    fn shows_start(&self) -> bool {
+        let mut tasks = self.occurrences.iter().flat_map(|occ| &occ.tasks);
+        self.occurrences_done > 0 || tasks.any(|task| task.done || task.run > 0)
+    }
+}
+
 impl ProgressRecord {
-    /// Decodes a record, also one of a version that did not count crashes.
+    /// Decodes a record, also one of a version that did not count crashes, or did not write whether the
+    /// job has started.
     ///
     /// # Errors
     ///
     /// Returns an error if the bytes do not encode a progress record.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let (old, rest) = postcard::take_from_bytes::<ProgressRecordWithoutCrashes>(bytes)?;
-        let (crashes, unaccounted) = if rest.is_empty() {
+        let ((crashes, unaccounted), rest) = if rest.is_empty() {
             Default::default()
+        } else {
+            postcard::take_from_bytes::<(Vec<TaskCrash>, Vec<TaskRef>)>(rest)?
+        };
+        let has_started = if rest.is_empty() {
+            old.shows_start() || !crashes.is_empty()
         } else {
             postcard::from_bytes(rest)?
         };
@@ -208,6 +225,7 @@
             occurrences: old.occurrences,
             crashes,
             unaccounted,
+            has_started,
         })
     }
 }
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -287,11 +287,13 @@
                 ..TaskProgress::default()
             }],
         }],
+        has_started: true,
         ..ProgressRecord::default()
     };
     let bytes = kspan_jobs::record::encode(&progress);
-    // The lists of crashes and of unaccounted tasks are the last fields, and empty: a byte each.
-    let old = &bytes[..bytes.len() - 2];
+    // The lists of crashes and of unaccounted tasks, which are empty, and whether the job has started are
+    // the last fields, with a byte each.
+    let old = &bytes[..bytes.len() - 3];
     assert_eq!(ProgressRecord::decode(old), Ok(progress.clone()));
     assert_eq!(ProgressRecord::decode(&bytes), Ok(progress));
 }
