Split the progress of large jobs, and give up what the store refuses for good

Cause: a job's progress was one record without a bound. The store refuses one above its limit, and the writer repeated the append for ever, with all other records behind it.

Too large specifications are refused with 413. A final refusal is narrowed down to its record, which is given up; a job whose progress is refused fails before its batch counts as durable. Frames take the largest answer of the store.

--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -96,6 +96,10 @@
                     ..CallResponse::unavailable(UNSERVABLE_RETRY_AFTER_S)
                 });
             }
+            Err(err @ SubmitError::TooLarge(..)) => {
+                self.log_call(path, "refused", &err.to_string());
+                return Ok(CallResponse::with_body(413, err.to_string().into_bytes()));
+            }
             Err(err) => {
                 self.log_call(path, "refused", "malformed");
                 return Ok(CallResponse::with_body(400, err.to_string().into_bytes()));
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -390,6 +390,7 @@
         max_lease: Millis(cfg.max_lease_ms),
         lease_margin: LEASE_MARGIN,
         previous_owner_timeout: Millis((MAX_UNCONFIRMED_TIME.0 + lease.0) * 102 / 100),
+        max_record_bytes: cfg.max_record_bytes,
         ended_job_retention: Millis::from_secs(cfg.keep_ended_s + cfg.keep_ended_s / 4),
         cross_rack_slowdown: round_to_u32(cfg.spread_factor),
     }
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -7,7 +7,11 @@
 use std::{rc::Rc, time::Duration};
 
 use kspan_adapter::runner::{self, InventoryCall};
-use kspan_jobs::{engine::RunnerIx, runner::InventoryOutcome};
+use kspan_jobs::{
+    engine::RunnerIx,
+    runner::{InventoryOutcome, MAX_CHECKPOINT_BYTES},
+};
+use kspan_model::Name;
 
 use super::{Owner, RunnerConnection};
 use crate::telemetry;
@@ -102,6 +106,7 @@
                 tracing::warn!(%runner, rows, "rows of an inventory that name no task skipped");
             }
         }
+        self.log_unusable_checkpoints(&outcome, &connection.client.id);
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let successor = self.engine.borrow_mut().record_inventory(
             now,
@@ -128,6 +133,19 @@
         is_answered
     }
 
+    fn log_unusable_checkpoints(&self, outcome: &InventoryOutcome, runner: &Name) {
+        let InventoryOutcome::Inventory(inventory) = outcome else {
+            return;
+        };
+        let running = inventory.running.iter().map(|row| &row.checkpoint);
+        let ended = inventory.ended.iter().map(|end| &end.checkpoint);
+        let mut checkpoints = running.chain(ended);
+        let is_too_long = checkpoints.any(|text| text.len() > MAX_CHECKPOINT_BYTES);
+        if is_too_long && self.node.log_limit.allows("checkpoint", self.now()) {
+            tracing::warn!(%runner, max_bytes = MAX_CHECKPOINT_BYTES, "checkpoints too long to be stored ignored");
+        }
+    }
+
     /// Waits until another batch is durable, up to a timeout, so that the next call can acknowledge
     /// the recorded ends.
     async fn wait_until_acknowledgeable(self: &Rc<Self>) {
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -21,6 +21,14 @@
 pub(crate) async fn start_store<F>(answer: F) -> String
 where
     F: Fn(&str) -> (u16, Vec<u8>) + Clone + 'static,
+{
+    start_store_by_length(move |target, _| answer(target)).await
+}
+
+/// Does the same, where the answer also depends on the length of the request's body.
+pub(crate) async fn start_store_by_length<F>(answer: F) -> String
+where
+    F: Fn(&str, usize) -> (u16, Vec<u8>) + Clone + 'static,
 {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
@@ -37,7 +45,7 @@
                     else {
                         continue;
                     };
-                    let (status, body) = answer(target);
+                    let (status, body) = answer(target, content_length(&head));
                     let head = format!(
                         "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n\r\n",
                         body.len()
@@ -53,6 +61,14 @@
     addr.to_string()
 }
 
+/// Returns the length of the body of a request with this head.
+fn content_length(head: &str) -> usize {
+    let lower = head.to_ascii_lowercase();
+    let mut lines = lower.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length:"));
+    length.map_or(0, |length| length.trim().parse().expect("a length"))
+}
+
 /// Starts a store without records that answers a request only if `answers` returns true. Returns the
 /// store's address.
 pub(crate) async fn start_silent_store(answers: impl Fn() -> bool + 'static) -> String {
@@ -144,6 +160,7 @@
         admin: String::new(),
         internal_port: 0,
         store: store.to_owned(),
+        max_record_bytes: 256 * 1024,
         approvals: String::new(),
         max_lease_ms: 8_000,
         spread_factor: 3.0,
--- a/crates/cell/src/peers/tests.rs
+++ b/crates/cell/src/peers/tests.rs
@@ -148,3 +148,18 @@
         assert_eq!(reply.await, Ok(PeerReply::Accepted), "{frame:?}");
     }
 }
+
+/// Guards against an owner that is cut off from the store and can't read its state through a relay,
+/// because an answer is larger than a frame.
+#[ntex::test]
+async fn largest_answer_of_the_store_fits_into_a_frame() {
+    let content = PeerReply::StoreResponse(Some((200, vec![b'#'; 4 * 1024 * 1024])));
+    let frame = encode(&Frame { number: 1, content });
+    let (mut tx, mut rx) = tokio::io::duplex(64 * 1024);
+    let mut buf = Vec::new();
+    let written = kspan_wire::stream::write_frame(&mut tx, &frame);
+    let read = kspan_wire::stream::read_frame(&mut rx, &mut buf);
+    let (written, read) = tokio::join!(written, read);
+    assert!(written.is_ok() && matches!(read, Ok(true)));
+    assert_eq!(buf, frame);
+}
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -62,6 +62,7 @@
         ready: unused.clone(),
         admin: unused,
         internal_port: 0,
+        max_record_bytes: 256 * 1024,
         store: store.to_string(),
         approvals: String::new(),
         max_lease_ms: 6_000,
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 /// Upper bounds. Larger values are mistakes, and some would overflow where they are used.
+const MIN_MAX_RECORD_BYTES: usize = 64 * 1024;
 const MAX_CONFIG_APPLY_MS: u64 = 3_600_000;
 const MAX_FACTOR: f64 = 1_000_000.0;
 const MAX_GRACE_S: f64 = 86_400.0;
@@ -62,6 +63,9 @@
     pub(crate) internal_port: u16,
     /// Address of the platform's store.
     pub(crate) store: String,
+    /// Maximum size of one record of the store, in bytes.
+    #[serde(default = "default_max_record_bytes")]
+    pub(crate) max_record_bytes: usize,
     /// Address of the service that approves runners; empty if there is none.
     #[serde(default)]
     pub(crate) approvals: String,
@@ -91,6 +95,11 @@
     /// Parses and validates the text of a settings file.
     fn parse(text: &str) -> Result<Self> {
         let cfg: Self = serde_norway::from_str(text)?;
+        if cfg.max_record_bytes < MIN_MAX_RECORD_BYTES {
+            return Err(SettingsError::Value(
+                "max_record_bytes: must be at least 65536",
+            ));
+        }
         if cfg.max_lease_ms < 1_000 {
             return Err(SettingsError::Value("max_lease_ms: must be at least 1000"));
         }
@@ -133,6 +142,10 @@
     2_500
 }
 
+fn default_max_record_bytes() -> usize {
+    256 * 1024
+}
+
 fn default_processors() -> f64 {
     1.0
 }
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -28,6 +28,7 @@
         max_lease: Millis(10_000),
         lease_margin: Millis(300),
         previous_owner_timeout: Millis(14_000),
+        max_record_bytes: 262_144,
         ended_job_retention: Millis(150_000),
         cross_rack_slowdown: 3,
     }
--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -127,7 +127,7 @@
     /// Holds an order until what was recorded for its job is durable.
     pub(super) fn hold_start(&mut self, order: StartOrder, now: Millis) {
         self.held_starts.push(HeldStart {
-            batch: self.batches.add_progress(order.task.step.job),
+            batch: self.batches.add_task_progress(order.task),
             held_since: now,
             order,
         });
@@ -169,7 +169,7 @@
         if let Some(known) = self.active_task_mut(task) {
             known.crashes.record(record);
             self.open_records.insert(record.incarnation, task);
-            self.batches.add_progress(task.step.job);
+            self.batches.add_task_progress(task);
         }
     }
 
@@ -181,7 +181,7 @@
         }
         let known = self.active_task_mut(task);
         if known.is_some_and(|known| known.crashes.forget(run, incarnation)) {
-            self.batches.add_progress(task.step.job);
+            self.batches.add_task_progress(task);
         }
     }
 
@@ -281,7 +281,7 @@
             };
             known.crashes.record(record);
             let (count, is_given_up) = (known.crashes.count(), known.is_given_up());
-            self.batches.add_progress(task.step.job);
+            self.batches.add_task_progress(task);
             self.events.push(Event::CrashCounted {
                 task,
                 run: record.run,
@@ -354,7 +354,7 @@
         };
         if known.crashes.are_outlived_at(age) {
             known.crashes = Crashes::default();
-            self.batches.add_progress(task.step.job);
+            self.batches.add_task_progress(task);
             self.runners[runner_ix.0].end_isolation(task, run);
         }
     }
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -4,12 +4,12 @@
 //! is acknowledged to a caller or a runner before its batch is durable.
 
 use kspan_model::{Millis, Name};
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::{Engine, Settings, job::Job, runner::longest_remaining_lease};
+use super::{Engine, Settings, job::Job, parts::ChangedTasks, runner::longest_remaining_lease};
 use crate::{
-    id::JobId,
-    record::{self, DurableState, Phase, Record, RecordKey},
+    id::{JobId, TaskId},
+    record::{self, DurableState, PartKey, Phase, Record, RecordKey},
 };
 
 /// Time after the end of a job at which its records are replaced by a short one. Runs that were being
@@ -17,6 +17,9 @@
 /// compacted, because the sizes of its runs would be unknown.
 const COMPACTION_DELAY: Millis = Millis(3_000);
 
+/// Size of the length of a key within a record, in bytes.
+const KEY_LENGTH_BYTES: usize = 1;
+
 /// Records that are written together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -32,10 +35,12 @@
     open_number: u64,
     durable: u64,
     jobs: Vec<JobId>,
-    progress: FxHashSet<JobId>,
+    progress: FxHashMap<JobId, ChangedTasks>,
     removed: Vec<JobId>,
     /// Jobs of which only the end is kept from now on.
     compacted: Vec<JobId>,
+    /// Parts of the progress of jobs that are no longer known.
+    orphaned_parts: Vec<PartKey>,
     runners: FxHashSet<Name>,
     /// Whether the open batch carries an end that changes no record.
     has_unrecorded_end: bool,
@@ -47,9 +52,10 @@
             open_number: 1,
             durable: 0,
             jobs: Vec::new(),
-            progress: FxHashSet::default(),
+            progress: FxHashMap::default(),
             removed: Vec::new(),
             compacted: Vec::new(),
+            orphaned_parts: Vec::new(),
             runners: FxHashSet::default(),
             has_unrecorded_end: false,
         }
@@ -68,9 +74,15 @@
         self.open_number
     }
 
-    /// Adds a job's progress; returns the batch that includes it.
+    /// Adds the progress of a job and of all its tasks; returns the batch that includes it.
     pub(super) fn add_progress(&mut self, id: JobId) -> u64 {
-        self.progress.insert(id);
+        self.progress.insert(id, ChangedTasks::All);
+        self.open_number
+    }
+
+    /// Adds the progress of a job and of one task; returns the batch that includes it.
+    pub(super) fn add_task_progress(&mut self, task: TaskId) -> u64 {
+        self.progress.entry(task.step.job).or_default().insert(task);
         self.open_number
     }
 
@@ -92,6 +104,7 @@
             || !self.progress.is_empty()
             || !self.removed.is_empty()
             || !self.compacted.is_empty()
+            || !self.orphaned_parts.is_empty()
             || !self.runners.is_empty()
     }
 }
@@ -107,6 +120,12 @@
         self.batches.durable()
     }
 
+    /// Returns how many bytes the value of a record may have.
+    pub(super) fn max_value_bytes(&self, key: &RecordKey) -> usize {
+        let key = key.to_string().len() + KEY_LENGTH_BYTES;
+        self.cfg.max_record_bytes.saturating_sub(key)
+    }
+
     /// Closes and returns the open batch; `None` if it is empty. Batches must be written one after
     /// the other.
     pub fn take_batch(&mut self) -> Option<Batch> {
@@ -118,8 +137,9 @@
         self.batches.has_unrecorded_end = false;
         let mut records = Vec::new();
         for id in std::mem::take(&mut self.batches.runners) {
-            let value = self.runner_record(&id).map(|record| record.encode());
+            let record = self.runner_record(&id);
             let key = RecordKey::Runner(id);
+            let value = record.map(|record| record.encode_within(self.max_value_bytes(&key)));
             records.push(Record { key, value });
         }
         for id in std::mem::take(&mut self.batches.jobs) {
@@ -129,13 +149,14 @@
                 value: Some(record::encode(&job.record)),
             }));
         }
-        for id in std::mem::take(&mut self.batches.progress) {
-            let job = self.jobs.get(&id);
-            records.extend(job.map(|job| Record {
-                key: RecordKey::Progress(id),
-                value: Some(record::encode(&job.progress())),
-            }));
+        for (id, changed) in std::mem::take(&mut self.batches.progress) {
+            let job = self.jobs.get_mut(&id);
+            records.extend(
+                job.into_iter()
+                    .flat_map(|job| job.progress_records(&changed)),
+            );
         }
+        records.extend(removed(std::mem::take(&mut self.batches.orphaned_parts)));
         for id in std::mem::take(&mut self.batches.removed) {
             records.extend(job_records_removed(id));
             records.push(Record {
@@ -183,8 +204,10 @@
             }
             let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
             let mut job = Job::new(id, record, now.saturating_sub(age));
+            job.split_progress(cfg.max_record_bytes);
             if let Some(progress) = state.progress.get(&id) {
-                job.restore(progress, now);
+                let parts = state.parts.get(&id).map_or(&[][..], Vec::as_slice);
+                job.restore(progress, parts, now);
             }
             if job.phase == Phase::Active {
                 engine.active.insert(id);
@@ -199,6 +222,13 @@
             engine.assign_team(&mut job);
             engine.jobs.insert(id, job);
         }
+        for (id, parts) in state.parts {
+            let keys = parts.into_iter().map(|(key, _)| key);
+            match engine.jobs.get_mut(&id) {
+                Some(job) => job.parts.add_stored(keys),
+                None => engine.batches.orphaned_parts.extend(keys),
+            }
+        }
         engine.unverified_until = Some(now + cfg.previous_owner_timeout);
         engine
     }
@@ -210,6 +240,12 @@
             return false;
         };
         self.batches.jobs.swap_remove(at);
+        self.remove_unstored_job(id);
+        true
+    }
+
+    /// Removes a job that is not stored, and whose tasks therefore have not started.
+    fn remove_unstored_job(&mut self, id: JobId) {
         self.batches.progress.remove(&id);
         self.active.remove(&id);
         self.schedulable.remove(&id);
@@ -220,7 +256,36 @@
         if let Some(team) = team {
             self.teams.remove_active_job(team);
         }
-        true
+    }
+
+    /// Gives up what a record was to keep, as the store will never accept it, and returns the record to be
+    /// written in its place. A job whose specification can't be stored is withdrawn, and one whose progress
+    /// can't be stored fails; both must happen before the batch counts as durable.
+    pub fn give_up_record(&mut self, key: &RecordKey, now: Millis, unix_ms: u64) -> Option<Record> {
+        match key {
+            RecordKey::Job(id) => {
+                self.remove_unstored_job(*id);
+                None
+            }
+            RecordKey::Progress(id) | RecordKey::Part(PartKey { job: id, .. }) => {
+                self.active.get(id)?;
+                self.end_job(*id, Phase::Failed, now, unix_ms);
+                // The record of a job that has ended has no tasks.
+                self.jobs.get(id).map(Job::progress_record)
+            }
+            RecordKey::Runner(id) => {
+                let record = self.runner_record(id)?;
+                let entry_alone = record
+                    .tasks
+                    .is_some()
+                    .then(|| record::encode(&record.entry));
+                entry_alone.map(|value| Record {
+                    key: key.clone(),
+                    value: Some(value),
+                })
+            }
+            RecordKey::Ended(_) => None,
+        }
     }
 
     /// Replaces the records of jobs that ended some time ago, and have no runs left, by their ends. A
@@ -237,6 +302,7 @@
             if is_due && !job.is_compacted && job.phase_batch <= durable && job.has_no_runs() {
                 job.compact();
                 self.batches.compacted.push(job.id);
+                self.batches.orphaned_parts.extend(job.parts.take_stored());
             }
         }
     }
@@ -249,7 +315,9 @@
         });
         let old: Vec<JobId> = old.map(|(id, _)| *id).collect();
         for id in old {
-            self.jobs.remove(&id);
+            let job = self.jobs.remove(&id);
+            let parts = job.into_iter().flat_map(|mut job| job.parts.take_stored());
+            self.batches.orphaned_parts.extend(parts);
             self.batches.removed.push(id);
         }
     }
@@ -282,6 +350,14 @@
     }
 }
 
+/// Returns the records that delete parts.
+pub(super) fn removed(parts: impl IntoIterator<Item = PartKey>) -> impl Iterator<Item = Record> {
+    parts.into_iter().map(|key| Record {
+        key: RecordKey::Part(key),
+        value: None,
+    })
+}
+
 /// Returns the records that delete the specification and the progress of a job. The specification
 /// goes first: without its progress, an ended job would run again if only a part is written.
 fn job_records_removed(id: JobId) -> [Record; 2] {
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -13,7 +13,7 @@
 use crate::{
     id::{JobId, TaskId},
     record::{FailedRun, Phase},
-    runner::{EndKind, EndedTask},
+    runner::{EndKind, EndedTask, is_usable_checkpoint},
 };
 
 /// How the owner learned that a run is over.
@@ -93,7 +93,7 @@
         }
         let (gang, is_long_running) = (spec.gang, spec.long_running);
         let slot = if gang { 0 } else { index };
-        if !end.checkpoint.is_empty() && step.tasks[slot].run <= end.run {
+        if is_usable_checkpoint(&end.checkpoint) && step.tasks[slot].run <= end.run {
             step.tasks[slot].checkpoint = end.checkpoint.clone();
         }
         let task = &step.tasks[index];
@@ -140,7 +140,7 @@
             step.set_state(index, TaskState::Waiting, now);
             self.schedulable.insert(end.task.step.job);
         }
-        self.batches.add_progress(end.task.step.job);
+        self.batches.add_task_progress(end.task);
         if active && out_of_attempts {
             return self.end_job(end.task.step.job, Phase::Failed, now, unix_ms);
         }
@@ -221,7 +221,11 @@
         }
         let finished = job.remove_done_occurrences();
         self.schedulable.insert(id);
-        self.batches.add_progress(id);
+        if gang {
+            self.batches.add_progress(id);
+        } else {
+            self.batches.add_task_progress(task);
+        }
         for (runner_ix, task, run) in elsewhere {
             if self.runners[runner_ix.0].runs.contains_key(&(task, run)) {
                 self.order_stop(runner_ix, task, run, now);
--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -35,6 +35,9 @@
 /// Number of crashes, certain or possible, from which a task does not start while some are not certain.
 const MAX_UNSETTLED: usize = 4;
 
+/// Maximum number of records of one task. Beyond it the oldest one that is not certain is dropped.
+pub(super) const MAX_RECORDS: usize = 16;
+
 /// How long a task waits for that. A runner may be cut off from the owner alone for any time.
 const MAX_SETTLING_TIME: Millis = Millis(30_000);
 
@@ -83,6 +86,10 @@
         };
         self.0.retain(is_other);
         self.0.push(record);
+        if self.0.len() > MAX_RECORDS {
+            let oldest = self.0.iter().position(|known| !known.is_certain);
+            self.0.remove(oldest.unwrap_or(0));
+        }
     }
 
     /// Removes the record of a run that may have crashed its runner and has not. Returns whether
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -14,7 +14,7 @@
 use crate::{
     id::TaskId,
     record::Phase,
-    runner::{Inventory, InventoryOutcome, RunningTask},
+    runner::{Inventory, InventoryOutcome, RunningTask, is_usable_checkpoint},
     spec::StepSpec,
 };
 
@@ -258,7 +258,7 @@
             return;
         }
         let slot = if spec.gang { 0 } else { index };
-        if !row.checkpoint.is_empty() {
+        if is_usable_checkpoint(&row.checkpoint) {
             step.tasks[slot].checkpoint = row.checkpoint.clone();
         }
         let task = &mut step.tasks[index];
@@ -294,7 +294,7 @@
         task.run = row.run;
         task.unverified = false;
         task.wait = None;
-        if !row.checkpoint.is_empty() {
+        if is_usable_checkpoint(&row.checkpoint) {
             let slot = if spec.gang { 0 } else { index };
             step.tasks[slot].checkpoint = row.checkpoint.clone();
         }
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -7,6 +7,7 @@
     approvals::Approvals,
     evidence::{Crashes, Isolation},
     locality::Wait,
+    parts::Parts,
     quota::TeamIx,
     runner::RunnerIx,
 };
@@ -267,6 +268,8 @@
     /// Number of the next occurrence to begin.
     pub(super) next_occurrence: u32,
     pub(super) occurrences: Vec<Occurrence>,
+    /// Parts into which the progress is split.
+    pub(super) parts: Parts,
 }
 
 impl Job {
@@ -288,6 +291,7 @@
             occurrences_done: 0,
             next_occurrence: 0,
             occurrences: Vec::new(),
+            parts: Parts::default(),
         }
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod locality;
 mod orders;
 mod overrun;
+mod parts;
 mod place;
 mod prefetch;
 mod progress;
@@ -90,6 +91,8 @@
     /// Time after a takeover during which orders of the previous owner may still reach a runner
     /// that the new owner cannot reach, including the lifetime of the tasks that they start.
     pub previous_owner_timeout: Millis,
+    /// Maximum size of a record of the store, key included, in bytes.
+    pub max_record_bytes: usize,
     /// How long the state of an ended job is retained.
     pub ended_job_retention: Millis,
     /// Factor by which tasks run longer outside their preferred rack.
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -3,10 +3,11 @@
 use kspan_model::{Millis, Name};
 use quick_error::quick_error;
 
-use super::{Engine, Event, job::Job};
+use super::{Engine, Event, job::Job, parts::MAX_ATTEMPTS};
 use crate::{
+    config::Policy,
     id::JobId,
-    record::{JobRecord, Phase},
+    record::{self, JobRecord, Phase, RecordKey},
     spec::{JobSpec, SpecError},
 };
 
@@ -33,6 +34,10 @@
         BeyondCap(step: usize) {
             display("step {step}: a task, or the whole gang, exceeds the cap of the team")
         }
+        /// The job's record would be larger than the store accepts.
+        TooLarge(bytes: usize, max: usize) {
+            display("job too large: {bytes} bytes as stored, at most {max} are accepted")
+        }
         /// The specification is invalid.
         Spec(err: SpecError) {
             from()
@@ -102,15 +107,27 @@
             return Err(SubmitError::BeyondCap(step));
         }
         let exceeds_rate = team.is_some_and(|team| self.submission_rates.exceeds_rate(team, now));
+        let policy = Policy {
+            max_attempts: queue.policy.max_attempts.min(MAX_ATTEMPTS),
+            ..queue.policy.clone()
+        };
         let record = JobRecord {
             queue: queue.name.clone(),
-            policy: queue.policy.clone(),
+            policy,
             accepted_unix_ms: unix_ms,
             spec: req.spec,
             team: req.team,
             exceeds_rate,
         };
+        let (bytes, max) = (
+            record::encode(&record).len(),
+            self.max_value_bytes(&RecordKey::Job(id)),
+        );
+        if bytes > max {
+            return Err(SubmitError::TooLarge(bytes, max));
+        }
         let mut job = Job::new(id, record, now);
+        job.split_progress(self.cfg.max_record_bytes);
         self.assign_team(&mut job);
         job.begin_due_occurrences(now, unix_ms, true);
         self.record_demand(&job);
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,11 +1,14 @@
 //! Durable records of jobs and runners, and their encoding.
 //!
-//! A job has two keyed records: its specification, written once before the submission is
-//! acknowledged to the caller, and its progress, written before the end of a run is acknowledged to
-//! a runner. Soon after the job's end a short record of the end replaces both. Running tasks are not
+//! A job has a keyed record of its specification, written once before the submission is acknowledged to
+//! the caller, and one of its progress, written before the end of a run is acknowledged to a runner.
+//! The progress of a job of many tasks is split into parts with a record each. Soon after the job's end a
+//! short record of the end replaces all of them. Running tasks are not
 //! recorded, because the runners report them in their inventories. The set of runners is recorded: the host list drops a runner that is unreachable, while its
 //! tasks may continue to run.
 
+mod progress;
+
 use derive_more::Display;
 use kspan_model::Name;
 use quick_error::quick_error;
@@ -19,6 +22,11 @@
     spec::{JobSpec, SpecError},
 };
 
+pub use self::progress::{
+    CrashRecord, FailedRun, OccurrenceProgress, PartKey, PartRecord, ProgressRecord, TaskCrash,
+    TaskProgress, TaskRef,
+};
+
 /// Result of decoding a record.
 pub type Result<T> = std::result::Result<T, RecordError>;
 
@@ -28,7 +36,7 @@
     pub enum RecordError {
         /// The key does not denote a known kind of record.
         UnknownKey {
-            display("unknown record key: expected j, p, e or r followed by an id")
+            display("unknown record key: expected j, p, t, e or r followed by an id")
         }
         /// The record is of a job whose specification is invalid.
         InvalidSpec(err: SpecError) {
@@ -62,6 +70,9 @@
     /// Progress of a job.
     #[display("p{_0}")]
     Progress(JobId),
+    /// Part of the progress of a job of many tasks.
+    #[display("t{_0}")]
+    Part(PartKey),
     /// End of a job whose specification and progress are no longer needed.
     #[display("e{_0}")]
     Ended(JobId),
@@ -82,6 +93,7 @@
         match kind {
             "j" => Ok(Self::Job(job()?)),
             "p" => Ok(Self::Progress(job()?)),
+            "t" => Ok(Self::Part(id.parse()?)),
             "e" => Ok(Self::Ended(job()?)),
             "r" => Ok(Self::Runner(Name::new(id))),
             _ => Err(RecordError::UnknownKey),
@@ -89,6 +101,16 @@
     }
 }
 
+impl RecordKey {
+    /// Returns the job whose progress the record has.
+    pub fn progress_of(&self) -> Option<JobId> {
+        match self {
+            Self::Progress(id) | Self::Part(PartKey { job: id, .. }) => Some(*id),
+            Self::Job(_) | Self::Ended(_) | Self::Runner(_) => None,
+        }
+    }
+}
+
 /// A record to be written; `None` as the value deletes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -162,74 +184,6 @@
     }
 }
 
-/// Durable progress of a job.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct ProgressRecord {
-    /// Phase of the job.
-    pub phase: Phase,
-    /// Time at which the job ended, in milliseconds since the Unix epoch; 0 while it is active.
-    pub ended_unix_ms: u64,
-    /// Number of completed occurrences.
-    pub occurrences_done: u32,
-    /// Occurrences that have begun and are not completed.
-    pub occurrences: Vec<OccurrenceProgress>,
-    /// Crashes of the runners of tasks in these occurrences, and runs that may turn out to be some.
-    pub crashes: Vec<TaskCrash>,
-    /// Tasks that may have been on a runner that crashed while no owner knew what it ran.
-    pub unaccounted: Vec<TaskRef>,
-    /// Whether the owner that wrote the record knew of a start of any task.
-    pub has_started: bool,
-}
-
-/// Progress record without crashes, as written by versions that did not count them.
-#[derive(Deserialize)]
-struct ProgressRecordWithoutCrashes {
-    phase: Phase,
-    ended_unix_ms: u64,
-    occurrences_done: u32,
-    occurrences: Vec<OccurrenceProgress>,
-}
-
-impl ProgressRecordWithoutCrashes {
-    /// Returns whether a task is known to have started. A record of a job whose tasks all wait may list
-    /// its occurrences too.
-    fn shows_start(&self) -> bool {
-        let mut tasks = self.occurrences.iter().flat_map(|occ| &occ.tasks);
-        self.occurrences_done > 0 || tasks.any(|task| task.done || task.run > 0)
-    }
-}
-
-impl ProgressRecord {
-    /// Decodes a record, also one of a version that did not count crashes, or did not write whether the
-    /// job has started.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the bytes do not encode a progress record.
-    pub fn decode(bytes: &[u8]) -> Result<Self> {
-        let (old, rest) = postcard::take_from_bytes::<ProgressRecordWithoutCrashes>(bytes)?;
-        let ((crashes, unaccounted), rest) = if rest.is_empty() {
-            Default::default()
-        } else {
-            postcard::take_from_bytes::<(Vec<TaskCrash>, Vec<TaskRef>)>(rest)?
-        };
-        let has_started = if rest.is_empty() {
-            old.shows_start() || !crashes.is_empty()
-        } else {
-            postcard::from_bytes(rest)?
-        };
-        Ok(Self {
-            phase: old.phase,
-            ended_unix_ms: old.ended_unix_ms,
-            occurrences_done: old.occurrences_done,
-            occurrences: old.occurrences,
-            crashes,
-            unaccounted,
-            has_started,
-        })
-    }
-}
-
 /// Durable record of a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerRecord {
@@ -256,6 +210,16 @@
         Ok(Self { entry, tasks })
     }
 
+    /// Encodes the record in up to `max_bytes` bytes. A list of tasks that doesn't fit is left out, so that
+    /// the runner may have any task.
+    pub fn encode_within(&self, max_bytes: usize) -> Vec<u8> {
+        let bytes = self.encode();
+        if bytes.len() <= max_bytes {
+            return bytes;
+        }
+        encode(&self.entry)
+    }
+
     /// Encodes the record. Versions that know no tasks ignore them.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = encode(&self.entry);
@@ -266,79 +230,6 @@
     }
 }
 
-/// A task within the progress record of its job.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskRef {
-    /// Number of the occurrence.
-    pub occurrence: u32,
-    /// Index of the step within the job.
-    pub step: u32,
-    /// Index of the task within the step.
-    pub index: u32,
-}
-
-/// A crash of the runner of one task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskCrash {
-    /// Task.
-    pub task: TaskRef,
-    /// The crash.
-    pub crash: CrashRecord,
-}
-
-/// A run during which its runner crashed, or may have.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// Run number.
-    pub run: u32,
-    /// Hash of the id of the runner's incarnation.
-    pub incarnation: u64,
-    /// Whether the runner is known to have ended. If not, only an owner that learns of its end
-    /// counts the crash.
-    pub is_certain: bool,
-    /// Whether no other run on the runner was a likely cause.
-    pub was_alone: bool,
-    /// Longest time for which the run can have been alive, in milliseconds; `None` if it is not
-    /// known.
-    pub age_ms: Option<u64>,
-}
-
-/// Durable progress of one occurrence.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct OccurrenceProgress {
-    /// Occurrence number.
-    pub number: u32,
-    /// Tasks that are done, have failed runs or have a checkpoint.
-    pub tasks: Vec<TaskProgress>,
-}
-
-/// Durable progress of one task.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TaskProgress {
-    /// Index of the step within the job.
-    pub step: u32,
-    /// Index of the task within the step.
-    pub index: u32,
-    /// Whether the task is done.
-    pub done: bool,
-    /// Highest run number that was ordered.
-    pub run: u32,
-    /// Failed runs. The list holds each failure once, since its end may be reported in any order
-    /// and to successive owners.
-    pub failures: Vec<FailedRun>,
-    /// Latest checkpoint; empty if there is none.
-    pub checkpoint: Name,
-}
-
-/// Identity of a failed run, which prevents counting the same failure twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FailedRun {
-    /// Run number.
-    pub run: u32,
-    /// Hash of the id of the runner's incarnation.
-    pub incarnation: u64,
-}
-
 /// Durable end of a job. It replaces the job's specification and progress, which would only make a
 /// takeover slower.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -360,6 +251,8 @@
     pub jobs: Vec<(JobId, JobRecord)>,
     /// Progress of the jobs.
     pub progress: FxHashMap<JobId, ProgressRecord>,
+    /// Parts of the progress of jobs of many tasks.
+    pub parts: FxHashMap<JobId, Vec<(PartKey, PartRecord)>>,
     /// Ends of jobs without a specification.
     pub ended: Vec<(JobId, EndedRecord)>,
     /// Runners that may have tasks, including those missing from the host list.
@@ -383,6 +276,10 @@
             RecordKey::Progress(id) => {
                 self.progress.insert(id, ProgressRecord::decode(value)?);
             }
+            RecordKey::Part(key) => {
+                let part = PartRecord::decode(value)?;
+                self.parts.entry(key.job).or_default().push((key, part));
+            }
             RecordKey::Ended(id) => self.ended.push((id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(RunnerRecord::decode(value)?),
         }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -26,6 +26,15 @@
     pub started_unix_ms: u64,
 }
 
+/// Maximum size of a checkpoint, in bytes. A longer one is ignored, and the task resumes from the one before.
+pub const MAX_CHECKPOINT_BYTES: usize = 1_024;
+
+/// Returns whether a task can resume from a checkpoint: there is one, and it is not longer than
+/// [`MAX_CHECKPOINT_BYTES`].
+pub fn is_usable_checkpoint(checkpoint: &str) -> bool {
+    (1..=MAX_CHECKPOINT_BYTES).contains(&checkpoint.len())
+}
+
 /// A run that a runner lists as running.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningTask {
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -291,9 +291,9 @@
         ..ProgressRecord::default()
     };
     let bytes = kspan_jobs::record::encode(&progress);
-    // The lists of crashes and of unaccounted tasks, which are empty, and whether the job has started are
-    // the last fields, with a byte each.
-    let old = &bytes[..bytes.len() - 3];
+    // The lists of crashes and of unaccounted tasks, which are empty, whether the job has started, and
+    // the size of its parts are the last fields, with a byte each.
+    let old = &bytes[..bytes.len() - 4];
     assert_eq!(ProgressRecord::decode(old), Ok(progress.clone()));
     assert_eq!(ProgressRecord::decode(&bytes), Ok(progress));
 }
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -705,8 +705,9 @@
             ..ProgressRecord::default()
         };
         let bytes = record::encode(&progress);
-        // The version before wrote no last field, and the one before it no lists of crashes either.
-        for length in [bytes.len() - 1, bytes.len() - 3] {
+        // The version before wrote neither of the last two fields, and the one before it no lists of
+        // crashes either.
+        for length in [bytes.len() - 2, bytes.len() - 4] {
             let decoded = ProgressRecord::decode(&bytes[..length]).expect("an older record");
             assert_eq!(decoded.has_started, has_started, "{progress:?}");
         }
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -6,7 +6,9 @@
 use kspan_jobs::{
     engine::{JobState, Order, RunnerIx, Submission, SubmitError},
     id::{JobId, StepId, TaskId},
-    record::{self, DurableState, JobRecord, OccurrenceProgress, ProgressRecord, TaskProgress},
+    record::{
+        self, DurableState, JobRecord, OccurrenceProgress, PartRecord, ProgressRecord, TaskProgress,
+    },
     runner::{
         EndKind, EndedTask, Inventory, InventoryOutcome, Refusal, RunningTask, StartOutcome,
         StopOutcome,
@@ -534,6 +536,7 @@
         flips in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..4),
         key in prop::sample::select(vec![
             "j000000000000000a", "p000000000000000a", "rw0", "x", "", "j", "j00", "\u{e9}",
+            "t000000000000000a.10.0", "t000000000000000a.10", "t000000000000000a.0.ffffffffffffffff",
         ]),
     ) {
         let (number, task, run, done, occurrences_done) = saved;
@@ -558,11 +561,16 @@
             }],
             ..ProgressRecord::default()
         };
+        let part = PartRecord {
+            occurrences: progress.occurrences.clone(),
+            ..PartRecord::default()
+        };
         let mut state = DurableState::default();
         for (key, value) in [
             ("j000000000000000a", record::encode(&record)),
             ("p000000000000000a", record::encode(&progress)),
             ("rw0", record::encode(&entry("w0"))),
+            ("t000000000000000a.10.0", record::encode(&part)),
         ] {
             prop_assert!(state.add(key, &value).is_ok());
             let mut altered = value[..cut.index(value.len() + 1)].to_vec();
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -31,6 +31,7 @@
         max_lease: Millis(10_000),
         lease_margin: Millis(300),
         previous_owner_timeout: Millis(14_000),
+        max_record_bytes: 262_144,
         ended_job_retention: Millis(100_000),
         cross_rack_slowdown: 3,
     }
@@ -248,7 +249,7 @@
         Ok(())
     }
 
-    fn try_submit(
+    pub(crate) fn try_submit(
         &mut self,
         path: &str,
         spec: JobSpec,
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -16,6 +16,9 @@
     hazards, number_of,
 };
 
+/// Maximum size of a record of the store, in bytes. So small that most jobs' progress is split.
+const MAX_RECORD_BYTES: usize = 20_000;
+
 impl Simulation {
     /// Lets a new owner take over and recover.
     pub(super) fn take_over(&mut self) {
@@ -29,6 +32,7 @@
             max_lease: Millis(super::runner::MAX_LEASE_MS),
             lease_margin: Millis(300),
             previous_owner_timeout: Millis(if waits { PREVIOUS_OWNER_TIMEOUT_MS } else { 0 }),
+            max_record_bytes: MAX_RECORD_BYTES,
             ended_job_retention: Millis(600_000),
             cross_rack_slowdown: 3,
         };
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -11,8 +11,9 @@
 /// Version of the message format. Messages of any other version are dropped.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// Maximum size of an encoded message on a stream, in bytes.
-pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+/// Maximum size of an encoded message on a stream, in bytes. A relayed answer of a store, which has up to
+/// 4 MiB, fits.
+pub const MAX_FRAME_BYTES: usize = 5 * 1024 * 1024;
 
 /// Maximum size of an encoded message in a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
