Reject entries of other writers in the host list as a whole

Here no process ended, but such entries were half believed: on a port of 99999, 1e300 processors or a start time of 1e300 made a runner, which was called, counted, recorded and waited for, and under a known id ended the runner and started its tasks elsewhere. One record that can't be decoded made a page of the store's answer unreadable.

Numbers were clamped, addresses and services not checked, and a page was decoded as one value.

An entry is now decoded strictly or names no runner; unknown services wait for a configuration; contradictions under a known id keep new work away until an entry confirms either; recorded runners are checked at a takeover; records of a page are decoded one by one.

--- a/crates/cell/src/node/topics.rs
+++ b/crates/cell/src/node/topics.rs
@@ -32,6 +32,9 @@
                 }
                 return None;
             }
+            if page.skipped > 0 && !self.may_skip_records(topic, page.skipped) {
+                return None;
+            }
             all.records.extend(page.records);
             match page.next {
                 Some(next) => after = Some(next),
@@ -40,6 +43,19 @@
         }
     }
 
+    /// Logs that records of a page could not be decoded, and returns whether the others may be used. Other
+    /// writers share some topics; in the cell's own ones nothing may be missing.
+    fn may_skip_records(&self, topic: Topic, records: usize) -> bool {
+        if self.log_limit.allows("skipped", self.clock.now()) {
+            tracing::warn!(
+                ?topic,
+                records,
+                "records of a page that can't be decoded skipped"
+            );
+        }
+        matches!(topic, Topic::Operators | Topic::Runners)
+    }
+
     /// Brings records that were read before up to date with what was appended since, up to the newest
     /// known end of the topic. Returns `None` if the store no longer has it or gave no valid response.
     pub(crate) async fn read_since(&self, topic: Topic, before: Page) -> Option<Page> {
@@ -65,6 +81,7 @@
                     records,
                     next: None,
                     end: from,
+                    skipped: 0,
                 });
             }
         }
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -2,8 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use kspan_adapter::store::{self, AppendOutcome, KeyedRecord, Topic};
-use kspan_jobs::{engine::Engine, record::DurableState};
+use kspan_adapter::{
+    runner_entry,
+    store::{self, AppendOutcome, KeyedRecord, Topic},
+};
+use kspan_jobs::{
+    engine::Engine,
+    record::{DurableState, RunnerRecord},
+};
 
 use super::{Owner, engine_settings};
 use crate::telemetry;
@@ -105,7 +111,7 @@
 
     /// Restores the engine from the records of previous owners, and starts inventory calls to the
     /// runners that they knew.
-    async fn restore_engine(self: &Rc<Self>, records: &[KeyedRecord]) {
+    pub(super) async fn restore_engine(self: &Rc<Self>, records: &[KeyedRecord]) {
         let mut durable_state = DurableState::default();
         for record in records {
             let value = record.value.as_deref().unwrap_or_default();
@@ -114,6 +120,7 @@
                 tracing::error!(key = record.key, offset = record.offset, %err, "malformed record skipped during recovery");
             }
         }
+        durable_state.runners.retain(is_usable);
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let cfg = engine_settings(&self.node);
         let recovered = Engine::recover(cfg, now, unix_ms, durable_state);
@@ -124,3 +131,13 @@
         }
     }
 }
+
+/// Returns whether a recorded runner can be one. Earlier versions recorded any entry of the host list.
+fn is_usable(record: &RunnerRecord) -> bool {
+    let checked = runner_entry::check(&record.entry);
+    if let Err(err) = &checked {
+        telemetry::record_malformed("runner record");
+        tracing::warn!(id = %record.entry.id, %err, "recorded runner skipped during recovery");
+    }
+    checked.is_ok()
+}
--- a/crates/cell/src/owner/topics.rs
+++ b/crates/cell/src/owner/topics.rs
@@ -9,6 +9,7 @@
     config, runner_entry,
     store::{self, KeyedRecord, Page, ReadOutcome, Topic},
 };
+use kspan_jobs::runner::RunnerEntry;
 use kspan_model::{Millis, Name};
 use tokio::time::Instant;
 
@@ -46,10 +47,12 @@
             let coverage = match changes {
                 Some(Changes::Records { records, coverage }) => {
                     self.apply_operator_records(&records);
+                    self.admit_runners().await;
                     coverage
                 }
                 Some(Changes::Snapshot(page)) => {
                     self.apply_operator_records(&page.records);
+                    self.admit_runners().await;
                     Coverage::Complete
                 }
                 None => {
@@ -186,18 +189,31 @@
         let Some(value) = &record.value else {
             return self.engine.borrow_mut().unlist_runner(self.now(), &id);
         };
-        let Some(entry) = runner_entry::decode(&id, value) else {
-            telemetry::record_malformed("runner entry");
-            if self.node.log_limit.allows("runner entry", self.now()) {
-                tracing::warn!(id = %id, offset = record.offset, "malformed runner entry skipped");
+        match runner_entry::decode(&id, value) {
+            Ok(entry) => self.apply_runner_entry(entry).await,
+            Err(err) => {
+                telemetry::record_malformed("runner entry");
+                if self.node.log_limit.allows("runner entry", self.now()) {
+                    tracing::warn!(%id, offset = record.offset, %err, "malformed runner entry skipped");
+                }
             }
-            return;
-        };
+        }
+    }
+
+    async fn apply_runner_entry(self: &Rc<Self>, entry: RunnerEntry) {
         let new_runner = self.engine.borrow_mut().upsert_runner(self.now(), entry);
         if let Some(runner_ix) = new_runner {
             self.start_inventory_calls(runner_ix).await;
         }
     }
+
+    /// Applies the entries of runners whose service a new configuration names.
+    async fn admit_runners(self: &Rc<Self>) {
+        let admitted = self.engine.borrow_mut().take_admitted_entries();
+        for entry in admitted {
+            self.apply_runner_entry(entry).await;
+        }
+    }
 }
 
 /// Changes of a topic.
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -229,6 +229,7 @@
             records: vec![known("a"), known("b"), known("d")],
             next: None,
             end: 10,
+            skipped: 0,
         };
         let page = owner.node.read_since(Topic::Jobs, before).await;
         let keys = page.map(|page| {
@@ -240,3 +241,91 @@
         assert_eq!(keys, expected, "{status} {end}");
     }
 }
+
+/// Returns a record of the host list.
+fn listed(key: &str, value: &[u8]) -> KeyedRecord {
+    KeyedRecord {
+        key: key.to_owned(),
+        value: Some(value.to_vec()),
+        offset: 1,
+    }
+}
+
+/// Returns an entry of a runner at an address.
+fn entry_at(addr: &str) -> String {
+    format!(
+        r#"{{"Service":"s","Addr":"{addr}","Zone":"a","State":"ready","Capacity":{{"Cpu":1000,"MemMb":1000}},"Labels":["a"],"born":1}}"#
+    )
+}
+
+/// Returns entries that another writer may leave.
+fn odd_entries() -> Vec<Vec<u8>> {
+    vec![
+        "[".repeat(100_000).into_bytes(),
+        entry_at("127.0.0.1:99999").into_bytes(),
+        entry_at("127.0.0.1:1")
+            .replace("1000,", "1e300,")
+            .into_bytes(),
+        entry_at("127.0.0.1:1")
+            .replace("\"born\":1", "\"born\":1e300")
+            .into_bytes(),
+        entry_at("127.0.0.1:1")
+            .replace("ready", "asleep")
+            .into_bytes(),
+        b"\xff".to_vec(),
+    ]
+}
+
+/// Guards against an entry of another writer that is called or recorded as a runner, or that takes a runner
+/// under the same id out of the list.
+#[ntex::test]
+async fn odd_entries_leave_the_runners_as_they_are() {
+    let owner = owner("127.0.0.1:1").await;
+    let sound = listed("i-1", entry_at("127.0.0.1:2").as_bytes());
+    for odd in odd_entries() {
+        let records = [listed("i-0", &odd), sound.clone()];
+        owner.replace_runners(&records).await;
+        // The same entry under the id of the runner, alone and in the complete list.
+        owner.apply_runner_record(&listed("i-1", &odd)).await;
+        owner.replace_runners(&[listed("i-1", &odd)]).await;
+        let ids = owner.engine.borrow().listed_runners();
+        assert_eq!(ids, [Name::new("i-1")]);
+        assert_eq!(owner.runner_connections.borrow().len(), 1);
+    }
+    let batch = owner.engine.borrow_mut().take_batch().expect("a record");
+    assert_eq!(batch.records.len(), 1, "{batch:?}");
+    owner.step_down("test");
+}
+
+/// Guards against a runner that an earlier version recorded from an odd entry: each new owner would call it, and
+/// hold back tasks for it.
+#[ntex::test]
+async fn recorded_odd_entries_are_not_recovered() {
+    let record = |id: &str, addr: &str| {
+        let entry = RunnerEntry {
+            id: Name::new(id),
+            service: Name::new("s"),
+            addr: Name::new(addr),
+            data_centre: Name::new("a"),
+            draining: false,
+            capacity: kspan_model::Resources::new(1, 1, 0),
+            labels: Vec::new(),
+            started_unix_ms: 1,
+        };
+        listed(&format!("r{id}"), &kspan_jobs::record::encode(&entry))
+    };
+    let owner = owner("127.0.0.1:1").await;
+    let records = [
+        record("i-0", "127.0.0.1:99999"),
+        record("i-1", "127.0.0.1:2"),
+    ];
+    owner.restore_engine(&records).await;
+    let engine = owner.engine.borrow();
+    let ids: Vec<Name> = engine
+        .live_runners()
+        .map(|ix| engine.runner(ix).id.clone())
+        .collect();
+    assert_eq!(ids, [Name::new("i-1")]);
+    drop(engine);
+    owner.step_down("test");
+}
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -70,6 +70,8 @@
     pub version: u64,
     /// Configured queues.
     pub queues: Vec<Queue>,
+    /// Names of the services; `None` if runners of any service are used.
+    pub services: Option<Vec<Name>>,
     /// Declared teams; `None` if callers need no keys.
     pub teams: Option<Teams>,
 }
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -205,6 +205,7 @@
             let age = Millis(unix_ms.saturating_sub(record.accepted_unix_ms));
             let mut job = Job::new(id, record, now.saturating_sub(age));
             job.split_progress(cfg.max_record_bytes);
+            engine.admission.name_service(&job.record.policy.service);
             if let Some(progress) = state.progress.get(&id) {
                 let parts = state.parts.get(&id).map_or(&[][..], Vec::as_slice);
                 job.restore(progress, parts, now);
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -17,12 +17,18 @@
     /// Adds or updates a runner from its entry in the host list. Returns the index of a new
     /// incarnation.
     pub fn upsert_runner(&mut self, now: Millis, entry: RunnerEntry) -> Option<RunnerIx> {
+        let entry = self.admit(entry)?;
         if let Some(&runner_ix) = self.by_id.get(&entry.id) {
             let known = &mut self.runners[runner_ix.0];
             let restarted = entry.started_unix_ms != 0
                 && known.entry.started_unix_ms != 0
                 && entry.started_unix_ms != known.entry.started_unix_ms;
+            if !restarted && !known.dead && known.is_contradicted_by(&entry) {
+                self.dispute_entry(runner_ix, entry);
+                return None;
+            }
             if !restarted && !known.dead {
+                known.disputed_by = None;
                 let began_draining = entry.draining && !known.entry.draining;
                 let has_other_capacity = entry.capacity != known.entry.capacity;
                 let started_unix_ms = known.entry.started_unix_ms;
@@ -46,7 +52,8 @@
             if restarted && entry.started_unix_ms < known.entry.started_unix_ms {
                 return None;
             }
-            if restarted && !known.dead && entry.addr == known.entry.addr {
+            let is_answering = known.has_answered && known.missed_responses == 0;
+            if restarted && !known.dead && (entry.addr == known.entry.addr || is_answering) {
                 // The runner's own answer shows whether it has restarted. Until then its tasks may be
                 // running there.
                 known.unconfirmed_entry = Some(entry);
@@ -95,6 +102,7 @@
 
     /// Records that the host list no longer contains a runner. Its tasks may still be running.
     pub fn unlist_runner(&mut self, now: Millis, id: &Name) {
+        self.admission.forget(id);
         let Some(&runner_ix) = self.by_id.get(id) else {
             return;
         };
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! Commands pass inputs and their times to the engine. It returns orders and events as values, for
 //! the caller to execute and log. Queries change nothing.
 
+mod admission;
 mod approval_requests;
 mod approvals;
 mod candidate;
@@ -48,6 +49,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use self::{
+    admission::Admission,
     approvals::{ApprovalHosts, ApprovalRates},
     crash::{HeldStart, OpenRecords, RunnerCrashes},
     demand::Demand,
@@ -321,6 +323,8 @@
     schedulable: FxHashSet<JobId>,
     runners: Vec<Runner>,
     by_id: FxHashMap<Name, RunnerIx>,
+    /// Services that a configuration or a job has named, and listed runners of others.
+    admission: Admission,
     approval_hosts: ApprovalHosts,
     approval_rates: ApprovalRates,
     run_times: RunTimes,
@@ -381,6 +385,7 @@
             schedulable: FxHashSet::default(),
             runners: Vec::new(),
             by_id: FxHashMap::default(),
+            admission: Admission::default(),
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
             run_times: RunTimes::default(),
@@ -418,6 +423,7 @@
             return false;
         }
         self.teams.declare(&config);
+        self.admission.name_services(&config);
         self.config = config;
         true
     }
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -129,6 +129,11 @@
     now + overrun.max(MIN_OVERRUN)
 }
 
+/// Returns whether two entries agree in what does not change while an incarnation lives.
+fn is_same_runner(entry: &RunnerEntry, other: &RunnerEntry) -> bool {
+    entry.service == other.service && entry.addr == other.addr && entry.labels == other.labels
+}
+
 /// A reading of the runner's clock, and the owner's time when it arrived.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -169,7 +174,10 @@
     /// Whether the incarnation is known from its own answers alone. The host list does not name its
     /// capacity and its labels yet, so that it gets no work.
     pub(super) awaits_entry: bool,
-    /// Entry of the host list for a later incarnation at the same address, until the runner's answers
+    /// Entry of the host list for this incarnation that names another service, other labels or another
+    /// address. The runner gets no work until an entry confirms either.
+    pub(super) disputed_by: Option<RunnerEntry>,
+    /// Entry of the host list for a later incarnation, until the runner's answers
     /// confirm or refute it.
     pub(super) unconfirmed_entry: Option<RunnerEntry>,
     pub(super) runs: FxHashMap<(TaskId, u32), PlacedRun>,
@@ -216,6 +224,7 @@
             ended_at: None,
             has_answered: false,
             awaits_entry: false,
+            disputed_by: None,
             unconfirmed_entry: None,
             runs: FxHashMap::default(),
             used: Resources::ZERO,
@@ -346,6 +355,16 @@
         !self.has_answered && !self.dead && !self.has_left(now)
     }
 
+    /// Returns whether an entry says of this incarnation what can't change while it lives, and what it has
+    /// not said twice.
+    pub(super) fn is_contradicted_by(&self, entry: &RunnerEntry) -> bool {
+        let is_new = self
+            .disputed_by
+            .as_ref()
+            .is_none_or(|disputed| !is_same_runner(disputed, entry));
+        !is_same_runner(&self.entry, entry) && (is_new || entry.addr != self.entry.addr)
+    }
+
     /// Returns whether a start time that the runner reports is that of another incarnation.
     pub(super) fn has_restarted(&self, started_unix_ms: u64) -> bool {
         let known = self.entry.started_unix_ms;
@@ -386,6 +405,7 @@
             && !self.is_missing(now)
             && self.has_answered
             && !self.awaits_entry
+            && self.disputed_by.is_none()
             && !self.dead
             && !self.entry.draining
             && self.missed_responses == 0
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -57,6 +57,21 @@
         Some(successor_ix)
     }
 
+    /// Believes an entry that names a later incarnation at another address, now that the runner does not
+    /// answer: no answer from its address could confirm it. Returns the index of that incarnation.
+    pub(super) fn believe_entry_elsewhere(
+        &mut self,
+        runner_ix: RunnerIx,
+        now: Millis,
+    ) -> Option<RunnerIx> {
+        let runner = &mut self.runners[runner_ix.0];
+        let addr = &runner.entry.addr;
+        let elsewhere = runner
+            .unconfirmed_entry
+            .take_if(|entry| entry.addr != *addr)?;
+        self.upsert_runner(now, elsewhere)
+    }
+
     /// Returns the entry of the incarnation that started at a time, and whether the host list has it. If
     /// not, it is assumed to be like the one before.
     fn successor_entry(
