Conclude nothing from ends that a runner has not listed yet

A runner lists the oldest 500 unacknowledged ends. While the store is down none is acknowledged, later ends are on no list, and the owner took their runs for lost.

An inventory with as many ends proves only what it lists: no run is lost by it, and a new owner counts the runner as known once all its ends are listed.

--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -99,6 +99,7 @@
         started_unix_ms: 1,
         running: Vec::new(),
         ended,
+        has_more_ends: false,
         skipped_rows: 0,
     };
     engine.record_inventory(
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -154,9 +154,12 @@
             runner.assume_longest_lease(inventory.clock, &self.cfg);
         }
         runner.record_response(inventory.clock, now);
-        runner.has_answered = true;
+        // Until all ends are listed, a task may have been completed there by an order of a previous owner.
+        runner.has_answered |= !inventory.has_more_ends;
         runner.has_suspected_stalls = false;
-        self.withdraw_task_list(runner_ix);
+        if self.runners[runner_ix.0].has_answered {
+            self.withdraw_task_list(runner_ix);
+        }
         let runner = &self.runners[runner_ix.0];
         let is_leaving = is_first && runner.entry.draining;
         self.begin_reported_occurrences(inventory, now);
@@ -183,8 +186,10 @@
                 .unacked_ends
                 .push(UnackedEnd { number, batch });
         }
-        self.remove_unreported_runs(runner_ix, sequence, &reported, now);
-        self.forget_unreported_runs(runner_ix, &reported);
+        if !inventory.has_more_ends {
+            self.remove_unreported_runs(runner_ix, sequence, &reported, now);
+            self.forget_unreported_runs(runner_ix, &reported);
+        }
         if is_leaving {
             self.move_tasks_away(runner_ix, now);
         }
--- a/crates/jobs/src/runner.rs
+++ b/crates/jobs/src/runner.rs
@@ -91,6 +91,9 @@
     pub running: Vec<RunningTask>,
     /// Ends that have not been acknowledged yet.
     pub ended: Vec<EndedTask>,
+    /// Whether the runner may have ends that it did not list: it lists up to a number of them, the oldest
+    /// first.
+    pub has_more_ends: bool,
     /// Number of rows that name no task of this system and were skipped.
     pub skipped_rows: usize,
 }
--- a/crates/jobs/tests/fleet/mod.rs
+++ b/crates/jobs/tests/fleet/mod.rs
@@ -245,6 +245,7 @@
             started_unix_ms: u64::from(incarnation),
             running,
             ended,
+            has_more_ends: false,
             skipped_rows: 0,
         });
         self.cell.complete_inventory_call(ix, &outcome);
--- a/crates/jobs/tests/hostile_inputs.rs
+++ b/crates/jobs/tests/hostile_inputs.rs
@@ -363,6 +363,7 @@
             started_unix_ms,
             running,
             ended,
+            has_more_ends: false,
             skipped_rows: 0,
         },
     )
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -214,6 +214,7 @@
             started_unix_ms: 1,
             running,
             ended,
+            has_more_ends: false,
             skipped_rows: 0,
         });
         self.complete_inventory_call(runner_ix, &outcome);
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -260,6 +260,7 @@
             started_unix_ms: self.incarnation,
             running: running.collect(),
             ended: self.ended.clone(),
+            has_more_ends: false,
             skipped_rows: 0,
         })
     }
--- a/crates/jobs/tests/teams.rs
+++ b/crates/jobs/tests/teams.rs
@@ -698,6 +698,7 @@
             started_unix_ms: 1,
             running: rows.collect(),
             ended: self.ends[number].clone(),
+            has_more_ends: false,
             skipped_rows: 0,
         };
         let outcome = InventoryOutcome::Inventory(inventory);
