Complete a restored job all of whose tasks are done

A batch may be written in part. If the last part of a large job's progress is durable and the record of its end is not, the next owner would have kept the job active without a task to run; callers would see it running for ever once its runner is gone.

The next owner completes such a job. The writer takes the records of a batch instead of copying them.

job_whose_last_part_alone_was_written_is_completed passes; large_jobs 9 of 9.

--- a/crates/cell/src/owner/commit.rs
+++ b/crates/cell/src/owner/commit.rs
@@ -10,7 +10,7 @@
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use kspan_adapter::store::{self, AppendOutcome, Sequence, Topic};
-use kspan_jobs::{engine::Batch, record::Record};
+use kspan_jobs::record::Record;
 
 use super::Owner;
 use crate::telemetry;
@@ -39,22 +39,24 @@
             };
             let started_at = self.now();
             self.writing_since.set(Some(started_at));
-            if !self.write(&batch, &mut number).await {
+            let (batch, records) = (batch.number, batch.records);
+            let count = records.len();
+            if !self.write(records, &mut number).await {
                 return;
             }
             self.writing_since.set(None);
-            telemetry::record_batch(batch.records.len(), self.now().saturating_sub(started_at));
-            self.engine.borrow_mut().mark_durable(batch.number);
-            self.durable_batch.send_replace(batch.number);
+            telemetry::record_batch(count, self.now().saturating_sub(started_at));
+            self.engine.borrow_mut().mark_durable(batch);
+            self.durable_batch.send_replace(batch);
             self.state_changed.notify_one();
             tokio::time::sleep(MIN_BATCH_INTERVAL).await;
         }
     }
 
-    /// Writes a batch in one or more appends. Returns `false` if the role ended before it was
+    /// Writes the records of a batch in one or more appends. Returns `false` if the role ended before it was
     /// durable.
-    async fn write(&self, batch: &Batch, number: &mut u64) -> bool {
-        let mut queue: VecDeque<Record> = batch.records.iter().cloned().collect();
+    async fn write(&self, records: Vec<Record>, number: &mut u64) -> bool {
+        let mut queue = VecDeque::from(records);
         let mut max_records = usize::MAX;
         while !queue.is_empty() {
             let records = queue.make_contiguous();
--- a/crates/cell/src/owner/commit/tests.rs
+++ b/crates/cell/src/owner/commit/tests.rs
@@ -62,8 +62,7 @@
             sound(4),
         ];
         let mut number = 0;
-        let batch = Batch { number: 1, records };
-        let written = owner.write(&batch, &mut number);
+        let written = owner.write(records, &mut number);
         let written = tokio::time::timeout(Duration::from_secs(5), written).await;
         assert_eq!(written, Ok(true), "status {status}");
         let accepted = answers
@@ -123,8 +122,7 @@
     });
     let owner = owner(&store.await).await;
     let records = vec![record(RecordKey::Ended(JOB), 10)];
-    let batch = Batch { number: 1, records };
-    assert!(!owner.write(&batch, &mut 0).await);
+    assert!(!owner.write(records, &mut 0).await);
     assert!(!owner.is_active());
 }
 
--- a/crates/jobs/src/engine/admission.rs
+++ b/crates/jobs/src/engine/admission.rs
@@ -17,7 +17,7 @@
 pub(super) struct Admission {
     /// Services that a configuration or an accepted job has named.
     services: FxHashSet<Name>,
-    /// Whether no configuration has listed the services yet.
+    /// Whether a configuration has listed the services. Until then runners of any service are used.
     is_limited: bool,
     /// Entries of runners of other services, by id. A later configuration may name them.
     waiting: FxHashMap<Name, RunnerEntry>,
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -223,6 +223,7 @@
             engine.assign_team(&mut job);
             engine.jobs.insert(id, job);
         }
+        engine.complete_restored_jobs(now, unix_ms);
         for (id, parts) in state.parts {
             let keys = parts.into_iter().map(|(key, _)| key);
             match engine.jobs.get_mut(&id) {
@@ -234,6 +235,20 @@
         engine
     }
 
+    /// Completes the jobs all of whose tasks are done. The parts of their progress say so, and the record
+    /// of the job was not written any more.
+    fn complete_restored_jobs(&mut self, now: Millis, unix_ms: u64) {
+        let active = self.active.iter();
+        let finished = active.filter(|id| {
+            let job = self.jobs.get_mut(id);
+            job.is_some_and(Job::remove_done_occurrences)
+        });
+        let finished: Vec<JobId> = finished.copied().collect();
+        for id in finished {
+            self.end_job(id, Phase::Completed, now, unix_ms);
+        }
+    }
+
     /// Withdraws a job whose batch has not been taken yet, so that the job is certain not to be
     /// stored. Returns whether it was withdrawn.
     pub fn withdraw(&mut self, id: JobId) -> bool {
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -5,7 +5,9 @@
 use kspan_jobs::{
     engine::{JobState, RunnerIx, SubmitError},
     id::{StepId, TaskId},
-    record::{OccurrenceProgress, ProgressRecord, Record, RecordKey, TaskProgress, encode},
+    record::{
+        OccurrenceProgress, PartRecord, ProgressRecord, Record, RecordKey, TaskProgress, encode,
+    },
     runner::{EndKind, EndedTask, MAX_CHECKPOINT_BYTES},
     spec::{JobSpec, StepSpec, Timetable},
 };
@@ -186,6 +188,44 @@
     assert_eq!(open_after_takeover(&cell), all - TASKS_PER_STEP as usize);
 }
 
+/// Guards against a job that stays active for ever, because all its tasks are known to be done and its own
+/// record was not written after them.
+#[test]
+fn job_whose_last_part_alone_was_written_is_completed() {
+    let mut cell = Cell::new(&["w0"]);
+    let mut spec = large_spec();
+    spec.steps.truncate(1);
+    cell.submit_spec(PATH, spec);
+    let mut number = 0;
+    let tasks: Vec<_> = (0..TASKS_PER_STEP)
+        .map(|index| task_at(0, 0, index))
+        .collect();
+    report(&mut cell, &mut number, &tasks[1..], 1, EndKind::Done);
+    write_batch(&mut cell);
+    // An owner that ends before it writes the end of the job.
+    let part = PartRecord {
+        occurrences: vec![OccurrenceProgress {
+            number: 0,
+            tasks: (0..TASKS_PER_STEP)
+                .map(|index| TaskProgress {
+                    index,
+                    done: true,
+                    run: 1,
+                    ..TaskProgress::default()
+                })
+                .collect(),
+        }],
+        ..PartRecord::default()
+    };
+    let first = cell.store.keys().find(|key| key.starts_with('t'));
+    let first = first.expect("a part").clone();
+    cell.store.insert(first, encode(&part));
+    cell.recover();
+    cell.commit();
+    assert_eq!(cell.engine.job_state(JOB), Some(JobState::Completed));
+    assert_eq!(stored_parts(&cell), 0);
+}
+
 /// Returns the progress record that the version before wrote: all tasks in one record.
 fn whole_record(done: u32) -> Vec<u8> {
     let tasks = (0..done).map(|index| TaskProgress {
