--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -325,6 +325,16 @@
         runners
     }
 
+    /// Returns the runner of the next start within two seconds. After a crash of its runner a task waits for
+    /// the record of the crash.
+    pub(crate) fn next_start(&mut self) -> Option<usize> {
+        (0..20).find_map(|_| {
+            self.advance(100);
+            self.commit();
+            self.schedule().first().copied()
+        })
+    }
+
     /// Runs a scheduling pass and returns the runners of the ordered starts.
     pub(crate) fn schedule(&mut self) -> Vec<usize> {
         self.engine.schedule(Millis(self.now));
--- /dev/null
+++ b/crates/jobs/tests/restarts.rs
@@ -0,0 +1,153 @@
+//! Regression tests for runners that start again under the id that they had.
+
+mod one_cell;
+
+use kspan_jobs::{
+    engine::{Order, RunnerIx},
+    runner::{Inventory, InventoryOutcome, RunningTask, StopOutcome},
+};
+use kspan_model::{Millis, Name};
+use one_cell::*;
+
+/// Inventory of the incarnation of a runner that started at a time.
+fn inventory_of(cell: &Cell, started_unix_ms: u64, running: Vec<RunningTask>) -> InventoryOutcome {
+    InventoryOutcome::Inventory(Inventory {
+        clock: Millis(cell.now),
+        started_unix_ms,
+        running,
+        ..Inventory::default()
+    })
+}
+
+fn first_run() -> RunningTask {
+    RunningTask {
+        task: task(),
+        run: 1,
+        checkpoint: Name::default(),
+        percent: 10,
+    }
+}
+
+/// Guards against a task that is started elsewhere while the next incarnation of its runner has it: an
+/// order names the runner's id alone, so that the incarnation that gets it may be another one.
+#[test]
+fn start_that_reached_the_next_incarnation_is_not_repeated_elsewhere() {
+    for is_answered in [false, true] {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(is_answered), [0]);
+        cell.report_ends(1, Vec::new());
+        let restarted = inventory_of(&cell, 2, vec![first_run()]);
+        cell.complete_inventory_call(0, &restarted);
+        assert!(cell.schedule().is_empty(), "answered: {is_answered}");
+        assert_eq!(cell.engine.runner_of(task()), Some(RunnerIx(2)));
+        let orders = cell.engine.take_orders();
+        assert!(orders.is_empty(), "the run goes on: {orders:?}");
+    }
+}
+
+/// Guards against the same where the order is still on its way when the restart is noticed.
+#[test]
+fn start_in_flight_at_a_restart_is_stopped_before_the_task_starts_elsewhere() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(false), [0]);
+    cell.report_ends(1, Vec::new());
+    let restarted = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(0, &restarted);
+    let orders = cell.engine.take_orders();
+    let stops = orders.iter().filter_map(|order| match order {
+        Order::Stop(stop) => Some((stop.runner_ix, stop.task, stop.run)),
+        _ => None,
+    });
+    assert_eq!(stops.collect::<Vec<_>>(), [(RunnerIx(2), task(), 1)]);
+    assert!(cell.schedule().is_empty());
+    // Once the stop is answered, the runner refuses the start.
+    let now = Millis(cell.now);
+    cell.engine
+        .record_stop_outcome(RunnerIx(2), task(), 1, StopOutcome::Done, now);
+    let empty = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(2, &empty);
+    assert_eq!(cell.next_start(), Some(1));
+}
+
+/// Guards against a delay where nothing is in doubt: the runs that the inventories of the incarnation
+/// have listed ended with it.
+#[test]
+fn run_that_the_ended_incarnation_had_starts_elsewhere_at_once() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(true), [0]);
+    cell.report_running(0);
+    cell.report_ends(1, Vec::new());
+    let restarted = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(0, &restarted);
+    assert_eq!(cell.next_start(), Some(1));
+}
+
+/// Guards against a task that runs twice because the host list claims a restart that the runner itself
+/// does not confirm.
+#[test]
+fn restart_is_believed_once_the_runner_confirms_it() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(true), [0]);
+    cell.report_running(0);
+    cell.report_ends(1, Vec::new());
+    let mut claimed = entry("w0");
+    claimed.started_unix_ms = 7;
+    let now = Millis(cell.now);
+    assert_eq!(cell.engine.upsert_runner(now, claimed.clone()), None);
+    assert!(cell.schedule().is_empty(), "the task may be running on w0");
+    cell.report_running(0);
+    assert!(cell.schedule().is_empty(), "the runner has not restarted");
+    assert_eq!(cell.engine.runner_of(task()), Some(RunnerIx(0)));
+    // A restart that is confirmed is handled at once, and the new incarnation gets work.
+    cell.engine.upsert_runner(now, claimed);
+    let restarted = inventory_of(&cell, 7, Vec::new());
+    cell.complete_inventory_call(0, &restarted);
+    cell.complete_inventory_call(1, &InventoryOutcome::OtherIncarnation);
+    assert_eq!(cell.next_start(), Some(2));
+}
+
+/// Guards against ends of the next incarnation that are forgotten by the runner unseen: it numbers its
+/// ends anew, and a number of the incarnation before covers them.
+#[test]
+fn ends_are_not_acknowledged_to_a_runner_that_may_have_restarted() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.submit();
+    cell.report_ends(0, vec![failed_end(7, 1)]);
+    cell.commit();
+    let next_ack = |cell: &mut Cell| {
+        let now = Millis(cell.now);
+        cell.engine.next_inventory_call(RunnerIx(0), now).ack
+    };
+    assert_eq!(next_ack(&mut cell), 7);
+    cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+    assert_eq!(next_ack(&mut cell), 0);
+    cell.report_ends(0, Vec::new());
+    assert_eq!(next_ack(&mut cell), 7);
+}
+
+/// Guards against a lease of the next incarnation that is thought to have expired: its first deadlines
+/// are on the clock of the one before, and it bounds them by its longest lease alone.
+#[test]
+fn lease_of_the_next_incarnation_may_be_the_longest_one() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(false), [0]);
+    let restarted = inventory_of(&cell, 2, vec![first_run()]);
+    cell.complete_inventory_call(0, &restarted);
+    cell.report_ends(1, Vec::new());
+    for waited in (0..10_000_u64).step_by(500) {
+        cell.complete_inventory_call(2, &InventoryOutcome::NoResponse);
+        cell.report_ends(1, Vec::new());
+        assert!(cell.schedule().is_empty(), "after {waited} ms");
+        cell.advance(500);
+    }
+}
