Split the replacement of an incarnation, and give each bound its own comment

replace_incarnation did five things and detach_runs took a flag; the new incarnation is added by a function of its own, and records are forgotten where the reason stands.

--- a/crates/jobs/src/engine/admission.rs
+++ b/crates/jobs/src/engine/admission.rs
@@ -1,4 +1,4 @@
-//! Which entries of the host list are believed.
+//! Which entries of the host list are used.
 //!
 //! Failure pattern: another writer leaves an entry among those of the runners, under an id of its own or under
 //! that of a runner. It must not be called, counted or recorded, and what the other entries say must hold.
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -129,7 +129,7 @@
                 self.last_lost_response = Some(now);
                 self.record_silence(runner_ix, now);
                 self.record_task_list(runner_ix);
-                return self.believe_entry_elsewhere(runner_ix, now);
+                return self.apply_entry_of_other_address(runner_ix, now);
             }
         }
         None
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -31,11 +31,33 @@
         let (found, missing): (Vec<_>, Vec<_>) = in_doubt
             .into_iter()
             .partition(|(task, run)| inventory.reports(*task, *run));
-        let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
         // A run that the new incarnation has can't have crashed the one before.
-        let found = self.detach_runs(runner_ix, &found, true);
+        let mut inherited = self.detach_runs(runner_ix, &found);
+        for (task, run) in found {
+            self.forget_run(runner_ix, task, run);
+        }
+        let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
         self.end_incarnation(runner_ix, &missing, now);
-        let missing = self.detach_runs(runner_ix, &missing, false);
+        inherited.extend(self.detach_runs(runner_ix, &missing));
+        let successor_ix = self.add_successor(entry, is_listed, inventory.clock, now);
+        for run in &inherited {
+            self.attach_run(runner_ix, successor_ix, *run, now);
+        }
+        self.apply_inventory(now, unix_ms, successor_ix, sequence, inventory);
+        for run in inherited.iter().filter(|run| !run.is_wanted(inventory)) {
+            self.order_stop(successor_ix, run.task, run.run, now);
+        }
+        Some(successor_ix)
+    }
+
+    /// Adds the incarnation of an entry, which gets no work until the host list has it.
+    fn add_successor(
+        &mut self,
+        entry: RunnerEntry,
+        is_listed: bool,
+        clock: Millis,
+        now: Millis,
+    ) -> RunnerIx {
         let id = entry.id.clone();
         let record_batch = self.batches.add_runner(id.clone());
         let what = "restarted";
@@ -43,23 +65,13 @@
         let successor_ix = self.add_runner(now, entry, record_batch);
         let successor = &mut self.runners[successor_ix.0];
         successor.awaits_entry = !is_listed;
-        successor.assume_inherited_lease(inventory.clock, &self.cfg);
-        let inherited = found.iter().chain(&missing);
-        let to_stop = inherited.filter(|run| !run.is_wanted(inventory));
-        let to_stop: Vec<(TaskId, u32)> = to_stop.map(|run| (run.task, run.run)).collect();
-        for inherited in found.into_iter().chain(missing) {
-            self.attach_run(runner_ix, successor_ix, inherited, now);
-        }
-        self.apply_inventory(now, unix_ms, successor_ix, sequence, inventory);
-        for (task, run) in to_stop {
-            self.order_stop(successor_ix, task, run, now);
-        }
-        Some(successor_ix)
+        successor.assume_inherited_lease(clock, &self.cfg);
+        successor_ix
     }
 
-    /// Believes an entry that names a later incarnation at another address, now that the runner does not
+    /// Applies an entry that names a later incarnation at another address, now that the runner does not
     /// answer: no answer from its address could confirm it. Returns the index of that incarnation.
-    pub(super) fn believe_entry_elsewhere(
+    pub(super) fn apply_entry_of_other_address(
         &mut self,
         runner_ix: RunnerIx,
         now: Millis,
@@ -91,21 +103,12 @@
         (entry, is_listed)
     }
 
-    /// Removes runs from an incarnation, for the next one. The records of those that it can't have had
-    /// are forgotten.
-    fn detach_runs(
-        &mut self,
-        runner_ix: RunnerIx,
-        keys: &[(TaskId, u32)],
-        forget: bool,
-    ) -> Vec<InheritedRun> {
+    /// Removes runs from an incarnation, for the next one.
+    fn detach_runs(&mut self, runner_ix: RunnerIx, keys: &[(TaskId, u32)]) -> Vec<InheritedRun> {
         let mut detached = Vec::new();
         for (task, run) in keys.iter().copied() {
             let placed = self.runners[runner_ix.0].runs.get(&(task, run)).copied();
             self.remove_run(runner_ix, task, run);
-            if forget {
-                self.forget_run(runner_ix, task, run);
-            }
             detached.extend(placed.map(|placed| InheritedRun { task, run, placed }));
         }
         detached
