--- a/crates/jobs/tests/started_jobs.rs
+++ b/crates/jobs/tests/started_jobs.rs
@@ -1,4 +1,4 @@
-//! Regression tests for what callers are told of jobs after a takeover.
+//! Regression tests for the states of jobs that callers see after a takeover.
 
 mod one_cell;
 
