--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -45,8 +45,9 @@
 }
 
 impl Process {
-    fn start(name: &str, store: SocketAddr) -> Self {
-        let local = Ipv4Addr::LOCALHOST;
+    fn start(number: usize, store: SocketAddr) -> Self {
+        let name = &format!("front-{number}");
+        let local = own_address(number);
         let held: Vec<TcpListener> = (0..4)
             .map(|_| TcpListener::bind((local, 0)).expect("a free port"))
             .collect();
@@ -127,8 +128,7 @@
             .into_iter()
             .map(|kind| Runner::start(kind, SERVICE, &store, (&runs, &gangs), record));
         let runners = runners.collect();
-        let processes =
-            (1..=hosts).map(|number| Process::start(&format!("front-{number}"), store_addr));
+        let processes = (1..=hosts).map(|number| Process::start(number, store_addr));
         let cluster = Self {
             store,
             runners,
@@ -207,6 +207,14 @@
     }
 }
 
+/// Returns a loopback address of a machine that no other case uses at the same time.
+fn own_address(number: usize) -> Ipv4Addr {
+    let id = std::process::id();
+    let part = |value: u32| u8::try_from(1 + value % 250).expect("at most 250");
+    let host = u8::try_from(number).expect("few machines");
+    Ipv4Addr::new(127, part(id), part(id / 250), host)
+}
+
 /// Returns a runner without a label of its own.
 pub fn plain(number: usize, cpu: u64, memory_mb: u64) -> Kind {
     Kind {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -312,6 +312,8 @@
             return Some((421, Vec::new()));
         }
         let order = json::parse(&String::from_utf8_lossy(&req.body))?;
+        // What ended before the order came has ended, however late the next tick is.
+        self.end_due_runs();
         let answer = match req.path.as_str() {
             "/api/run-start" => self.run_start(&order),
             "/api/run-stop" => self.run_stop(&order),
