--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,9 +1,12 @@
 //! The cases. Each returns the broken rules, or `None` if it couldn't run.
 
+use std::sync::atomic::Ordering;
+
 use crate::{
     check::{self, Lasting},
     cluster::{self, Cluster, Route},
     record::Record,
+    runner::ORDERS,
 };
 
 /// Capacity of a runner on the users' sheet: 16 cores and 64 GB.
@@ -29,6 +32,61 @@
     (0..count).map(task).collect()
 }
 
+/// A start to one runner is delivered late; the runner has started again under its id meanwhile.
+pub fn late(has_trouble: bool, record: &Record) -> Option<Vec<String>> {
+    /// Largest share of orders that are carried out late, as in the site file, in thousandths.
+    const MAX_LATE_MILLI: u64 = 55;
+    /// Attempts at one start.
+    const LATE_ORDERS: u64 = 3;
+    let kinds = (0..8).map(|number| {
+        // The smallest runner that has room gets a task first.
+        let cpu = if number == 0 { CPU / 2 } else { CPU };
+        let mut kind = cluster::plain(number, cpu, MEMORY_MB);
+        if number >= 4 {
+            kind.labels[0] = "b".to_owned();
+        }
+        kind
+    });
+    let cluster = Cluster::start(3, kinds.collect(), &[BATCH], record)?;
+    cluster.wait(2_000);
+    let runner = cluster.runners[0].clone();
+    let submit = |id: &str, spec: &str, count: u32, more: &str| {
+        let body = format!(
+            "{{\"Spec\":\"{spec}\",\"Steps\":[{{\"Count\":{count},\"Cpu\":1000,\"MemMb\":2048,\
+             \"EstRuntimeMs\":2500{more}}}]}}"
+        );
+        cluster.call("POST", &format!("/batch/{id}"), &body) == 200
+    };
+    // A task that fails by its own fault, so that the next run of the other one is at another runner.
+    if !submit("00000000000000a4", "fail 2500", 1, "") {
+        return None;
+    }
+    cluster.wait(1_000);
+    let is_late = has_trouble && std::env::var("LATE").map_or(true, |value| value != "0");
+    if is_late {
+        runner.hold_starts_for(1_200);
+    }
+    let orders_before = ORDERS.load(Ordering::SeqCst);
+    let is_accepted = submit("00000000000000a5", "run 25000", 1, "");
+    // Other work on other runners.
+    if !is_accepted || !submit("00000000000000a6", "run 1000", 64, ",\"Constraints\":\"b\"") {
+        return None;
+    }
+    cluster.wait(3_000);
+    let orders = ORDERS.load(Ordering::SeqCst) - orders_before;
+    record.add(format!(
+        "{LATE_ORDERS} of {orders} orders within 3 s are held up"
+    ));
+    if orders * MAX_LATE_MILLI < LATE_ORDERS * 1_000 {
+        return None;
+    }
+    if has_trouble && std::env::var("CRASH").map_or(true, |value| value != "0") {
+        runner.crash_for(2_500);
+    }
+    cluster.wait(10_000);
+    Some(check::twice(&cluster.runs, record.now()))
+}
+
 /// Tasks that fill run on all runners; then tasks that serve are handed in.
 pub fn fills(has_trouble: bool, record: &Record) -> Option<Vec<String>> {
     let kinds = (0..8)
@@ -68,39 +126,6 @@
     ))
 }
 
-/// Tasks that last fail by their own fault now and then. They need a label that two of the runners have.
-pub fn flaky(has_trouble: bool, record: &Record) -> Option<Vec<String>> {
-    let kinds = (0..8).map(|number| {
-        let mut kind = cluster::plain(number, CPU, MEMORY_MB);
-        if number >= 6 {
-            kind.labels[0] = "b".to_owned();
-        }
-        kind
-    });
-    let cluster = Cluster::start(3, kinds.collect(), &[WATCH], record)?;
-    let mut tasks = Vec::new();
-    for job in 0..8 {
-        let id = format!("00000000000000b{job}");
-        let run_ms = 9_000 + 1_300 * job;
-        let spec = if has_trouble {
-            format!("flaky {run_ms}")
-        } else {
-            "last".to_owned()
-        };
-        let body = format!(
-            "{{\"Spec\":\"{spec}\",\"Steps\":[{{\"Count\":4,\"Cpu\":200,\"MemMb\":512,\
-             \"EstRuntimeMs\":400,\"LongRunning\":true,\"Constraints\":\"b\"}}]}}"
-        );
-        if cluster.call("POST", &format!("/watch/{id}"), &body) != 200 {
-            return None;
-        }
-        tasks.extend(lasting_tasks(&id, 4, record.now()));
-        cluster.wait(500);
-    }
-    cluster.wait(60_000);
-    Some(check::missing(&tasks, &cluster.runs, &[], record.now()))
-}
-
 /// The rack of a job's data is full for a while; the tasks of the job last.
 pub fn affinity(has_trouble: bool, record: &Record) -> Option<Vec<String>> {
     let kinds = (0..16)
--- a/review/standin-2/check.rs
+++ b/review/standin-2/check.rs
@@ -1,4 +1,4 @@
-//! Check of rule LOST for tasks that last.
+//! Checks of rule LOST for tasks that last, and of rule TWICE.
 
 use crate::runner::{Run, Runs};
 
@@ -54,3 +54,27 @@
         )
     })
 }
+
+/// Returns the tasks that had two runs at the same time, where the runs were watched until `end`.
+pub fn twice(runs: &Runs, end: u64) -> Vec<String> {
+    let runs = runs.lock().expect("no handler panics");
+    let mut broken = Vec::new();
+    for (at, one) in runs.iter().enumerate() {
+        for other in runs[at + 1..].iter().filter(|other| other.task == one.task) {
+            let from = one.began.max(other.began);
+            let until = one.ended.unwrap_or(end).min(other.ended.unwrap_or(end));
+            if from < until {
+                broken.push(format!(
+                    "TWICE: {} has run {} on {} and run {} on {} for {} ms at the same time",
+                    one.task,
+                    one.run,
+                    one.runner,
+                    other.run,
+                    other.runner,
+                    until - from
+                ));
+            }
+        }
+    }
+    broken
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -31,8 +31,8 @@
     let record = Record::new(Path::new(folder).join(file));
     record.add(format!("case {name}, trouble {has_trouble}"));
     let broken = match name.as_str() {
+        "late" => cases::late(has_trouble, &record),
         "fills" => cases::fills(has_trouble, &record),
-        "flaky" => cases::flaky(has_trouble, &record),
         "affinity" => cases::affinity(has_trouble, &record),
         "gang" => cases::gang(has_trouble, &record),
         "odd" => cases::odd(has_trouble, &record),
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -2,13 +2,17 @@
 //!
 //! - `run MS`: ends `done` after that time.
 //! - `last`: lasts until it is stopped.
+//! - `fail MS`: ends `failed` after that time.
 //! - `flaky MS`: lasts, and fails by its own fault after that time.
 //! - `gang COUNT MS`: works while that many tasks of the run are present, and ends `done` after that time.
 
 use std::{
     collections::{BTreeSet, HashMap},
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -20,6 +24,9 @@
     store::Store,
 };
 
+/// Number of starts and stops that came to all runners.
+pub static ORDERS: AtomicU64 = AtomicU64::new(0);
+
 /// Interval at which a runner looks for ends that are due.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -35,6 +42,9 @@
 /// Time after its start at which a task that lasts is at work.
 const STARTUP_MS: u64 = 200;
 
+/// Time after which the link delivers a start that it held up.
+const LATE_MS: u64 = 8_000;
+
 /// Time for which a call to a runner that is gone gets no answer before its connection ends.
 const SILENCE: Duration = Duration::from_secs(4);
 
@@ -89,14 +99,35 @@
     run: u64,
     began: u64,
     due: Option<(u64, &'static str)>,
+    /// Whether the task is to last.
+    lasts: bool,
     /// Number of members and run time, if the task is one of a gang.
     gang: Option<(usize, u64)>,
     at: usize,
 }
 
+/// What distinguishes one life of a runner from the next under its id.
+#[derive(Clone, Copy)]
+struct Life {
+    born: u64,
+    started: Instant,
+}
+
+impl Life {
+    fn begin() -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            born: born.expect("a clock after 1970").as_millis() as u64,
+            started: Instant::now(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     is_gone: bool,
+    /// Whether the runner has crashed and is not back yet.
+    is_down: bool,
     /// Whether the runner fails all that it starts.
     is_grey: bool,
     fence: u64,
@@ -114,8 +145,9 @@
     pub kind: Kind,
     pub addr: SocketAddr,
     service: String,
-    born: u64,
-    started: Instant,
+    life: Arc<Mutex<Life>>,
+    /// Time until which the link holds up the starts that come, in milliseconds of the record.
+    holds_starts_until: Arc<AtomicU64>,
     state: Arc<(Mutex<State>, Condvar)>,
     store: Store,
     runs: Runs,
@@ -134,15 +166,12 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("a bound port");
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .expect("a clock after 1970");
         let runner = Self {
             kind,
             addr,
             service: service.to_owned(),
-            born: born.as_millis() as u64,
-            started: Instant::now(),
+            life: Arc::new(Mutex::new(Life::begin())),
+            holds_starts_until: Arc::default(),
             state: Arc::default(),
             store: store.clone(),
             runs: Arc::clone(runs),
@@ -169,6 +198,32 @@
             .add(format!("runner {} is gone for good", self.kind.id));
     }
 
+    /// Lets the link hold up the starts that come within a time, and deliver them [`LATE_MS`] later.
+    pub fn hold_starts_for(&self, ms: u64) {
+        let until = self.record.now() + ms;
+        self.holds_starts_until.store(until, Ordering::SeqCst);
+    }
+
+    /// Lets the runner crash; it starts again under its id after a time, and knows nothing of before.
+    pub fn crash_for(&self, ms: u64) {
+        {
+            let mut state = self.state.0.lock().expect("no handler panics");
+            for run in std::mem::take(&mut state.running) {
+                self.end_run(run.at, "crashed");
+            }
+            *state = State {
+                is_down: true,
+                ..State::default()
+            };
+            self.record.add(format!("runner {} crashes", self.kind.id));
+        }
+        thread::sleep(Duration::from_millis(ms));
+        *self.life.lock().expect("no handler panics") = Life::begin();
+        self.state.0.lock().expect("no handler panics").is_down = false;
+        self.record
+            .add(format!("runner {} starts again under its id", self.kind.id));
+    }
+
     /// Lets the runner fail all that it starts, or no longer.
     pub fn set_grey(&self, is_grey: bool) {
         self.state.0.lock().expect("no handler panics").is_grey = is_grey;
@@ -189,7 +244,11 @@
     }
 
     fn clock(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.life().started.elapsed().as_millis() as u64
+    }
+
+    fn life(&self) -> Life {
+        *self.life.lock().expect("no handler panics")
     }
 
     fn entry(&self, sequence: u64) -> String {
@@ -204,12 +263,16 @@
              \"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":{sequence},\"born\":{},\
              \"Capacity\":{{\"Cpu\":{cpu},\"MemMb\":{memory_mb},\"Gpus\":0}},\
              \"Labels\":[\"{}\",\"{}\"]}}",
-            self.service, self.addr, self.born, labels[0], labels[1]
+            self.service,
+            self.addr,
+            self.life().born,
+            labels[0],
+            labels[1]
         )
     }
 
     fn tick(&self) {
-        let (mut sequence, mut next_beat) = (1, 0);
+        let (mut sequence, mut next_beat, mut born) = (1, 0, self.life().born);
         loop {
             let now = self.clock();
             let is_gone = self.state.0.lock().expect("no handler panics").is_gone;
@@ -218,7 +281,11 @@
                 thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
                 return self.store.put("keyed.servers", &self.kind.id, "");
             }
-            if now >= next_beat {
+            let is_down = self.state.0.lock().expect("no handler panics").is_down;
+            if self.life().born != born {
+                (born, sequence, next_beat) = (self.life().born, 1, 0);
+            }
+            if now >= next_beat && !is_down {
                 self.store
                     .put("keyed.servers", &self.kind.id, &self.entry(sequence));
                 sequence += 1;
@@ -305,6 +372,29 @@
             thread::sleep(SILENCE);
             return None;
         }
+        if req.path != "/api/hold" {
+            ORDERS.fetch_add(1, Ordering::SeqCst);
+        }
+        if req.path == "/api/run-start"
+            && self.record.now() < self.holds_starts_until.load(Ordering::SeqCst)
+        {
+            self.record
+                .add(format!("a start to {} is held up", self.kind.id));
+            thread::sleep(Duration::from_millis(LATE_MS));
+            self.record
+                .add(format!("the start to {} is delivered", self.kind.id));
+            // Its sender has given up; the answer is lost.
+            self.answer(req);
+            return None;
+        }
+        self.answer(req)
+    }
+
+    /// Answers a request as the present life of the runner.
+    fn answer(&self, req: &Request) -> Answer {
+        if self.state.0.lock().expect("no handler panics").is_down {
+            return None;
+        }
         if req
             .header("x-knapweedspan-expect-instance")
             .is_some_and(|id| id != self.kind.id)
@@ -381,7 +471,7 @@
         let gang = (what == "gang").then_some((count, ms));
         let due = match what {
             "run" => Some((after, "done")),
-            "flaky" => Some((after, "failed")),
+            "fail" | "flaky" => Some((after, "failed")),
             _ => None,
         };
         let mut runs = self.runs.lock().expect("no handler panics");
@@ -397,7 +487,9 @@
         });
         let at = runs.len() - 1;
         let began = self.clock();
+        let lasts = matches!(what, "last" | "flaky");
         state.running.push(Running {
+            lasts,
             task,
             run,
             began,
@@ -455,7 +547,9 @@
             .iter()
             .map(|run| {
                 let percent = match run.due {
-                    Some((at, "done")) => (now - run.began) * 100 / (at - run.began).max(1),
+                    Some((at, "done" | "failed")) if !run.lasts => {
+                        (now - run.began) * 100 / (at - run.began).max(1)
+                    }
                     _ => u64::from(now >= run.began + STARTUP_MS) * 100,
                 };
                 format!("[\"{}\",{},\"\",{},0]", run.task, run.run, percent.min(100))
@@ -470,7 +564,7 @@
         let (running, finished) = (running.join(","), finished.join(","));
         let body = format!(
             "{{\"ClockMs\":{now},\"born\":{},\"Running\":[{running}],\"Finished\":[{finished}]}}",
-            self.born
+            self.life().born
         );
         (200, body)
     }
