--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/cases fills review/7
+exec target/review-2/cases gang review/7
