Log how long a runner did not answer, and which takeovers stop waiting for one

Two hypotheses on runs that start twice could not be told apart from the log: whether the owner learns of ends late after a cut, or a lease lasts longer than a new owner assumes. A runner that answers again is now logged with the time since its first failed call and the ends that it lists, with a histogram; and a takeover that no longer waits for silent runners is logged with their number. No decision changes.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -33,6 +33,7 @@
         Event::StartFailed { why, .. } => telemetry::record_not_started(why),
         Event::RunEnded { how, .. } => record_run_end(*how),
         Event::RunnerCrashed { .. } => telemetry::record_runner_crash(),
+        Event::RunnerAnswered { silent, .. } => telemetry::record_runner_silence(*silent),
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
         Event::JobLate { .. } => telemetry::record_late_job(),
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
@@ -40,6 +41,7 @@
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
         | Event::CapChanged { .. }
+        | Event::TakeoverWaitEnded { .. }
         | Event::RunnerChanged { .. } => {}
     }
 }
@@ -92,6 +94,8 @@
         Event::JobEnded { .. } => "job ended",
         Event::JobLate { .. } => "job late",
         Event::CapChanged { .. } => "cap",
+        Event::RunnerAnswered { .. } => "answered again",
+        Event::TakeoverWaitEnded { .. } => "takeover wait",
         Event::RunnerChanged { .. } => "runner",
     }
 }
@@ -146,21 +150,6 @@
             };
             tracing::info!(%task, run, runner = %runner, how = run_end_name(*how), why, after_ms = elapsed.0, "run ended");
         }
-        Event::RunnerCrashed { id, runs, youngest } => {
-            let youngest_ms = youngest.map(|age| age.0);
-            tracing::warn!(runner = %id, runs, youngest_ms, "runner ended without draining, its runs are lost");
-        }
-        Event::CrashCounted {
-            task,
-            run,
-            count,
-            was_alone,
-            age,
-            is_given_up,
-        } => {
-            let age_ms = age.map(|age| age.0);
-            tracing::warn!(%task, run, count, was_alone, age_ms, is_given_up, "crash counted against a task that ran there");
-        }
         Event::RunAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, "run adopted");
         }
@@ -189,8 +178,44 @@
         } => {
             tracing::info!(%team, is_reached, %used, %cap, "team's cap reached, or left again");
         }
+        Event::RunnerCrashed { .. }
+        | Event::CrashCounted { .. }
+        | Event::RunnerAnswered { .. }
+        | Event::TakeoverWaitEnded { .. }
+        | Event::RunnerChanged { .. } => log_runner_event(event),
+    }
+}
+
+/// Logs an event of a runner rather than of a task or a job.
+fn log_runner_event(event: &Event) {
+    match event {
+        Event::RunnerCrashed { id, runs, youngest } => {
+            let youngest_ms = youngest.map(|age| age.0);
+            tracing::warn!(runner = %id, runs, youngest_ms, "runner ended without draining, its runs are lost");
+        }
+        Event::CrashCounted {
+            task,
+            run,
+            count,
+            was_alone,
+            age,
+            is_given_up,
+        } => {
+            let age_ms = age.map(|age| age.0);
+            tracing::warn!(%task, run, count, was_alone, age_ms, is_given_up, "crash counted against a task that ran there");
+        }
+        Event::RunnerAnswered { id, silent, ends } => {
+            tracing::info!(runner = %id, silent_ms = silent.0, ends, "runner answers again");
+        }
+        Event::TakeoverWaitEnded { silent_runners } => {
+            tracing::warn!(
+                silent_runners,
+                "tasks wait no longer for runners that have not answered since the takeover"
+            );
+        }
         Event::RunnerChanged { id, what } => {
             tracing::info!(runner = %id, what, "runner state changed")
         }
+        _ => {}
     }
 }
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -73,6 +73,11 @@
     counter!("kspan_cell_runner_crashes_total").increment(1);
 }
 
+/// Records that a runner answers again, and for how long it did not.
+pub(crate) fn record_runner_silence(silent: Millis) {
+    histogram!("kspan_cell_runner_silence_seconds").record(seconds(silent));
+}
+
 /// Records a crash that was counted against a task, and whether the task is given up.
 pub(crate) fn record_counted_crash(is_given_up: bool) {
     counter!("kspan_cell_crashes_counted_total").increment(1);
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -6,7 +6,9 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::{Engine, Settings, job::Job, parts::ChangedTasks, runner::longest_remaining_lease};
+use super::{
+    Engine, Event, Settings, job::Job, parts::ChangedTasks, runner::longest_remaining_lease,
+};
 use crate::{
     id::{JobId, TaskId},
     record::{self, DurableState, PartKey, Phase, Record, RecordKey},
@@ -353,11 +355,19 @@
         let Some(until) = self.unverified_until else {
             return true;
         };
-        let is_any_unaccounted = self.runners.iter().any(|runner| runner.is_unaccounted(now));
+        let unaccounted = self.runners.iter();
+        let silent_runners = unaccounted
+            .filter(|runner| runner.is_unaccounted(now))
+            .count();
+        let is_any_unaccounted = silent_runners > 0;
         if now < until && is_any_unaccounted {
             return false;
         }
         self.unverified_until = None;
+        if is_any_unaccounted {
+            self.events
+                .push(Event::TakeoverWaitEnded { silent_runners });
+        }
         if is_any_unaccounted && self.is_wait_shortened {
             // The crash of such a runner may show only after the tasks have started elsewhere.
             self.mark_unverified_tasks_unaccounted();
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -117,6 +117,7 @@
         }
         match outcome {
             InventoryOutcome::Inventory(inventory) => {
+                self.emit_answer_after_silence(runner_ix, inventory.ended.len(), now);
                 if self.runners[runner_ix.0].has_restarted(inventory.started_unix_ms) {
                     return self.replace_incarnation(now, unix_ms, runner_ix, sequence, inventory);
                 }
@@ -195,6 +196,16 @@
         }
     }
 
+    fn emit_answer_after_silence(&mut self, runner_ix: RunnerIx, ends: usize, now: Millis) {
+        let runner = &self.runners[runner_ix.0];
+        let Some(since) = runner.silent_since else {
+            return;
+        };
+        let id = runner.entry.id.clone();
+        let silent = now.saturating_sub(since);
+        self.events.push(Event::RunnerAnswered { id, silent, ends });
+    }
+
     /// Begins occurrences that the runner reports and this owner has not begun.
     fn begin_reported_occurrences(&mut self, inventory: &Inventory, now: Millis) {
         let running = inventory.running.iter().map(|row| row.task);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -303,6 +303,20 @@
         /// Cap of the team.
         cap: Resources,
     },
+    /// A runner answers again after calls without an answer.
+    RunnerAnswered {
+        /// Id of the runner.
+        id: Name,
+        /// Time since the first of these calls failed.
+        silent: Millis,
+        /// Number of ends that the answer lists.
+        ends: usize,
+    },
+    /// After a takeover, tasks wait no longer for runners that have not answered.
+    TakeoverWaitEnded {
+        /// Number of those runners.
+        silent_runners: usize,
+    },
     /// The status of a runner changed.
     RunnerChanged {
         /// Id of the runner.
--- a/crates/jobs/tests/silence.rs
+++ b/crates/jobs/tests/silence.rs
@@ -3,6 +3,7 @@
 mod one_cell;
 
 use kspan_jobs::{
+    engine::Event,
     id::{JobId, StepId, TaskId},
     record::{self, RunnerRecord},
     runner::{EndKind, EndedTask, InventoryOutcome},
@@ -186,3 +187,25 @@
     let decoded = RunnerRecord::decode(&old).expect("an older record");
     assert_eq!((decoded.entry, decoded.tasks), (entry("w1"), None));
 }
+
+/// Guards against a runner that was silent for long without a trace of it in the log.
+#[test]
+fn answer_after_a_silence_tells_its_duration() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.engine.take_events();
+    silence(&mut cell, 0, 1);
+    cell.advance(700);
+    silence(&mut cell, 0, 1);
+    cell.report_ends(0, Vec::new());
+    let answers = cell.engine.take_events().into_iter().filter_map(|event| {
+        let Event::RunnerAnswered { silent, ends, .. } = event else {
+            return None;
+        };
+        Some((silent, ends))
+    });
+    assert_eq!(answers.collect::<Vec<_>>(), [(Millis(700), 0)]);
+    cell.report_ends(0, Vec::new());
+    let is_answer = |event: &Event| matches!(event, Event::RunnerAnswered { .. });
+    assert!(!cell.engine.take_events().iter().any(is_answer));
+}
