Count the longest lease for silent runners that restarted, after a takeover

Cause: a deadline on the clock of a runner's former incarnation gives the next one, whose clock is lower, the longest lease that runners grant: 10 s. A new owner counted 6.5 s for every runner that does not answer, as no order of a previous owner would grant more.

The tests of kspan-jobs pass but for the known red one.

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -7,7 +7,10 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{
-    Engine, Event, Settings, job::Job, parts::ChangedTasks, runner::longest_remaining_lease,
+    Engine, Event, Settings,
+    job::Job,
+    parts::ChangedTasks,
+    runner::{longest_inherited_lease, longest_remaining_lease},
 };
 use crate::{
     id::{JobId, TaskId},
@@ -139,6 +142,7 @@
         self.batches.has_unrecorded_end = false;
         let mut records = Vec::new();
         for id in std::mem::take(&mut self.batches.runners) {
+            records.extend(self.restart_record(&id));
             let record = self.runner_record(&id);
             let key = RecordKey::Runner(id);
             let value = record.map(|record| record.encode_within(self.max_value_bytes(&key)));
@@ -193,8 +197,9 @@
     /// every run as an orphan of unknown size.
     pub fn recover(cfg: Settings, now: Millis, unix_ms: u64, state: DurableState) -> Self {
         let mut engine = Self::new(cfg);
+        engine.recorded_restarts = state.restarts.keys().cloned().collect();
         for record in state.runners {
-            engine.recover_runner(now, record);
+            engine.recover_runner(now, record, &state.restarts);
         }
         for (id, end) in state.ended {
             engine.jobs.insert(id, Job::ended(id, end, now));
@@ -302,7 +307,7 @@
                     value: Some(value),
                 })
             }
-            RecordKey::Ended(_) => None,
+            RecordKey::Ended(_) | RecordKey::Restart(_) => None,
         }
     }
 
@@ -355,14 +360,25 @@
         let Some(until) = self.unverified_until else {
             return true;
         };
-        let unaccounted = self.runners.iter();
-        let silent_runners = unaccounted
+        let excess =
+            longest_inherited_lease(&self.cfg).saturating_sub(longest_remaining_lease(&self.cfg));
+        let mut silent_runners = 0;
+        for runner in self
+            .runners
+            .iter()
             .filter(|runner| runner.is_unaccounted(now))
-            .count();
-        let is_any_unaccounted = silent_runners > 0;
-        if now < until && is_any_unaccounted {
-            return false;
+        {
+            let excess = if runner.may_inherit_lease() {
+                excess
+            } else {
+                Millis::ZERO
+            };
+            if now < until + excess {
+                return false;
+            }
+            silent_runners += 1;
         }
+        let is_any_unaccounted = silent_runners > 0;
         self.unverified_until = None;
         if is_any_unaccounted {
             self.events
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -1,6 +1,7 @@
 //! Changes of the host list, draining and lease expiry of runners, and periodic work.
 
 use kspan_model::{Millis, Name};
+use rustc_hash::FxHashMap;
 
 use super::{Engine, Event, LossReason, Runner, RunnerIx, job::TaskState, silence::TaskList};
 use crate::{id::TaskId, record::RunnerRecord, runner::RunnerEntry};
@@ -93,9 +94,17 @@
     }
 
     /// Adds a runner from the records of a previous owner.
-    pub(super) fn recover_runner(&mut self, now: Millis, record: RunnerRecord) {
+    pub(super) fn recover_runner(
+        &mut self,
+        now: Millis,
+        record: RunnerRecord,
+        restarts: &FxHashMap<Name, u64>,
+    ) {
+        let restarted = restarts.get(&record.entry.id).copied();
+        let is_inheriting = restarted == Some(record.entry.started_unix_ms);
         let runner_ix = self.add_runner(now, record.entry, self.batches.durable());
         let runner = &mut self.runners[runner_ix.0];
+        runner.inherited_lease_until = is_inheriting.then_some(Millis(u64::MAX));
         runner.missing_since = Some(now);
         runner.task_list = record.tasks.map_or(TaskList::None, TaskList::Restored);
     }
@@ -229,6 +238,7 @@
             }
         }
         self.verify_unlisted_tasks(now);
+        self.end_inherited_leases(now);
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
         }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -151,7 +151,9 @@
         // The runner says itself that it has not restarted.
         runner.unconfirmed_entry = None;
         let is_first = !runner.has_answered;
-        if is_first {
+        if is_first && runner.inherited_lease_until.is_some() {
+            runner.assume_inherited_lease(inventory.clock, &self.cfg, now);
+        } else if is_first {
             runner.assume_longest_lease(inventory.clock, &self.cfg);
         }
         runner.record_response(inventory.clock, now);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -337,6 +337,8 @@
     schedulable: FxHashSet<JobId>,
     runners: Vec<Runner>,
     by_id: FxHashMap<Name, RunnerIx>,
+    /// Runners with a durable record of their restart.
+    recorded_restarts: FxHashSet<Name>,
     /// Services that a configuration or a job has named, and listed runners of others.
     admission: Admission,
     approval_hosts: ApprovalHosts,
@@ -399,6 +401,7 @@
             schedulable: FxHashSet::default(),
             runners: Vec::new(),
             by_id: FxHashMap::default(),
+            recorded_restarts: FxHashSet::default(),
             admission: Admission::default(),
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -105,13 +105,18 @@
 /// Returns for how long a lease that is granted now can last at most, even if the runner's clock is
 /// slow.
 pub(super) fn longest_remaining_lease(cfg: &Settings) -> Millis {
-    let lease = cfg.lease + cfg.lease_margin;
-    Millis(
-        lease
-            .saturating_mul(1_000)
-            .0
-            .div_ceil(MIN_CLOCK_RATE_PERMILLE),
-    )
+    longest_duration(cfg.lease + cfg.lease_margin)
+}
+
+/// Returns the same for a lease that is granted by a deadline on the clock of another incarnation.
+pub(super) fn longest_inherited_lease(cfg: &Settings) -> Millis {
+    longest_duration(cfg.max_lease + cfg.lease_margin)
+}
+
+/// Returns how long a duration on a runner's clock takes at most.
+fn longest_duration(on_clock: Millis) -> Millis {
+    let scaled = on_clock.saturating_mul(1_000).0;
+    Millis(scaled.div_ceil(MIN_CLOCK_RATE_PERMILLE))
 }
 
 /// Returns what is left of a capacity; nothing of any kind if more of one is used.
@@ -199,6 +204,9 @@
     runs_alone: usize,
     /// Whether the latest inventory had runs that may be stalled.
     pub(super) has_suspected_stalls: bool,
+    /// Time until which the lease may be one that was granted by a deadline on the clock of the incarnation
+    /// before; the latest representable time if it isn't known.
+    pub(super) inherited_lease_until: Option<Millis>,
     /// Time at which the lease was first seen to have expired since the latest response.
     pub(super) lease_expired_at: Option<Millis>,
     /// Number of the latest end that was applied.
@@ -237,6 +245,7 @@
             isolated_runs: 0,
             runs_alone: 0,
             has_suspected_stalls: false,
+            inherited_lease_until: None,
             lease_expired_at: None,
             last_end_number: 0,
             unacked_ends: Vec::new(),
@@ -531,9 +540,16 @@
 
     /// Extends the assumed lease to the longest that the runner grants. Deadlines on the clock of the
     /// incarnation before it exceed any on its own clock.
-    pub(super) fn assume_inherited_lease(&mut self, clock: Millis, cfg: &Settings) {
+    pub(super) fn assume_inherited_lease(&mut self, clock: Millis, cfg: &Settings, now: Millis) {
         let deadline = clock + cfg.max_lease + cfg.lease_margin;
         self.latest_deadline = self.latest_deadline.max(deadline);
+        self.inherited_lease_until = Some(now + longest_inherited_lease(cfg));
+    }
+
+    /// Returns whether the lease may be one that was granted by a deadline on the clock of the incarnation
+    /// before.
+    pub(super) fn may_inherit_lease(&self) -> bool {
+        self.inherited_lease_until.is_some() || self.unconfirmed_entry.is_some()
     }
 
     /// Returns whether the lease has expired even if the runner's clock is slow.
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -8,11 +8,12 @@
 //! shows the restart is also the first one of the new incarnation: a run that it lists goes on, and one
 //! that it does not list is stopped, after which the runner refuses its start.
 
-use kspan_model::Millis;
+use kspan_model::{Millis, Name};
 
 use super::{Engine, Event, RunnerIx, job::TaskState, runner::PlacedRun};
 use crate::{
     id::TaskId,
+    record::{self, Record, RecordKey},
     runner::{Inventory, RunnerEntry},
 };
 
@@ -65,7 +66,7 @@
         let successor_ix = self.add_runner(now, entry, record_batch);
         let successor = &mut self.runners[successor_ix.0];
         successor.awaits_entry = !is_listed;
-        successor.assume_inherited_lease(clock, &self.cfg);
+        successor.assume_inherited_lease(clock, &self.cfg, now);
         successor_ix
     }
 
@@ -84,6 +85,37 @@
         self.upsert_runner(now, elsewhere)
     }
 
+    /// Returns the record of a runner's restart to be written now, or deleted; `None` if there is nothing to
+    /// write. It exists while the runner may hold a lease that it inherited.
+    pub(super) fn restart_record(&mut self, id: &Name) -> Option<Record> {
+        let runner_ix = *self.by_id.get(id)?;
+        let runner = &self.runners[runner_ix.0];
+        let is_inheriting = !runner.dead && runner.inherited_lease_until.is_some();
+        let value = is_inheriting.then(|| record::encode(&runner.entry.started_unix_ms));
+        let is_changed = if is_inheriting {
+            self.recorded_restarts.insert(id.clone());
+            true
+        } else {
+            self.recorded_restarts.remove(id)
+        };
+        let key = RecordKey::Restart(id.clone());
+        is_changed.then_some(Record { key, value })
+    }
+
+    /// Ends the state of runners whose inherited lease must have expired or been replaced by one on their
+    /// own clock.
+    pub(super) fn end_inherited_leases(&mut self, now: Millis) {
+        for runner in &mut self.runners {
+            let is_over = runner
+                .inherited_lease_until
+                .is_some_and(|until| now >= until);
+            if is_over {
+                runner.inherited_lease_until = None;
+                self.batches.add_runner(runner.entry.id.clone());
+            }
+        }
+    }
+
     /// Returns the entry of the incarnation that started at a time, and whether the host list has it. If
     /// not, it is assumed to be like the one before.
     fn successor_entry(
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -36,7 +36,7 @@
     pub enum RecordError {
         /// The key does not denote a known kind of record.
         UnknownKey {
-            display("unknown record key: expected j, p, t, e or r followed by an id")
+            display("unknown record key: expected j, p, t, e, r or s followed by an id")
         }
         /// The record is of a job whose specification is invalid.
         InvalidSpec(err: SpecError) {
@@ -79,6 +79,9 @@
     /// One incarnation of a runner, by its id.
     #[display("r{_0}")]
     Runner(Name),
+    /// Restart of a runner under its id, by that id, while its lease may be one of the incarnation before.
+    #[display("s{_0}")]
+    Restart(Name),
 }
 
 impl RecordKey {
@@ -96,6 +99,7 @@
             "t" => Ok(Self::Part(id.parse()?)),
             "e" => Ok(Self::Ended(job()?)),
             "r" => Ok(Self::Runner(Name::new(id))),
+            "s" => Ok(Self::Restart(Name::new(id))),
             _ => Err(RecordError::UnknownKey),
         }
     }
@@ -106,7 +110,7 @@
     pub fn progress_of(&self) -> Option<JobId> {
         match self {
             Self::Progress(id) | Self::Part(PartKey { job: id, .. }) => Some(*id),
-            Self::Job(_) | Self::Ended(_) | Self::Runner(_) => None,
+            Self::Job(_) | Self::Ended(_) | Self::Runner(_) | Self::Restart(_) => None,
         }
     }
 }
@@ -257,6 +261,9 @@
     pub ended: Vec<(JobId, EndedRecord)>,
     /// Runners that may have tasks, including those missing from the host list.
     pub runners: Vec<RunnerRecord>,
+    /// Runners that restarted under their id, with the start time of the incarnation, in milliseconds since
+    /// the Unix epoch. Their lease may be one that the incarnation before was granted.
+    pub restarts: FxHashMap<Name, u64>,
 }
 
 impl DurableState {
@@ -282,6 +289,9 @@
             }
             RecordKey::Ended(id) => self.ended.push((id, decode(value)?)),
             RecordKey::Runner(_) => self.runners.push(RunnerRecord::decode(value)?),
+            RecordKey::Restart(id) => {
+                self.restarts.insert(id, decode(value)?);
+            }
         }
         Ok(())
     }
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 use kspan_jobs::{
     engine::{Order, RunnerIx},
-    runner::{Inventory, InventoryOutcome, RunningTask, StopOutcome},
+    runner::{Inventory, InventoryOutcome, RunnerEntry, RunningTask, StopOutcome},
 };
 use kspan_model::{Millis, Name};
 use one_cell::*;
@@ -151,3 +151,69 @@
         cell.advance(500);
     }
 }
+
+/// Returns the time after which the task starts elsewhere, in ms, once a new owner has taken over to which
+/// the runner of the task does not answer, and no previous owner is left.
+fn start_after_takeover(cell: &mut Cell, listed: &RunnerEntry) -> u64 {
+    cell.recover();
+    let now = Millis(cell.now);
+    cell.engine.upsert_runner(now, listed.clone());
+    cell.engine.upsert_runner(now, entry("w1"));
+    cell.commit();
+    cell.report_ends(1, Vec::new());
+    cell.commit();
+    cell.engine.record_previous_owners_ended(now);
+    let start = (100..=12_000).step_by(100).find(|_| {
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.advance(100);
+        let starts = cell.schedule();
+        cell.commit();
+        !starts.is_empty()
+    });
+    start.expect("the task starts")
+}
+
+/// Guards against a task that runs twice after a takeover: a runner that restarted under its id may have
+/// been granted the longest lease by deadlines on the clock of its former incarnation.
+#[test]
+fn new_owner_waits_for_the_longest_lease_of_a_restarted_runner() {
+    let longest = 10_600..11_200;
+    let ordinary = 6_400..7_000;
+    // Start time that the host list names, whether the previous owner knew of the restart, how long ago it
+    // was, and when the task starts.
+    let table = [
+        (2, false, 0, longest.clone()),
+        (2, true, 0, longest),
+        (2, true, 12_000, ordinary.clone()),
+        (1, false, 0, ordinary),
+    ];
+    for (started_unix_ms, is_known, ago, expected) in table {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(true), [0]);
+        cell.commit();
+        let listed = RunnerEntry {
+            started_unix_ms,
+            ..entry("w0")
+        };
+        let mut runner_ix = 0;
+        if is_known {
+            let restarted = inventory_of(&cell, started_unix_ms, vec![first_run()]);
+            cell.complete_inventory_call(0, &restarted);
+            cell.engine.upsert_runner(Millis(cell.now), listed.clone());
+            runner_ix = 2;
+        }
+        for _ in (0..ago).step_by(1_000) {
+            cell.advance(1_000);
+            let running = inventory_of(&cell, started_unix_ms, vec![first_run()]);
+            cell.complete_inventory_call(runner_ix, &running);
+        }
+        cell.commit();
+        let after = start_after_takeover(&mut cell, &listed);
+        assert!(
+            expected.contains(&after),
+            "started at {started_unix_ms}, known {is_known}, {ago} ms ago: {after} ms"
+        );
+    }
+}
