Raise the fence of calls to a restarted runner, so that it refuses older orders

Cause: orders name the runner's id, the fence is that of the owner's claim for all incarnations, and a restarted runner has seen none. Stops on the next incarnation bar only the runs that are still on the owner's list; a start whose stop the former incarnation had confirmed had left it.

Change: calls to the next incarnation carry the end of the topic of claims as their fence, which grows with each of the owner's heartbeats, each a conditional append. It is above the claim and every call to the former incarnation, and below any later claim. Once the incarnation has answered such a call it refuses all orders for the one before. It gets no work before that, and its lease counts as the longest from that answer on. A refusal of a stop for an incarnation that has ended no longer counts as a newer owner.

restart_is_believed_once_the_runner_confirms_it gets one more inventory call, since work now waits for the first answer under the raised fence; its assertions are unchanged.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -359,6 +359,13 @@
         }
     }
 
+    /// Returns the fencing token for calls to a runner that becomes known now. It grows with each heartbeat
+    /// that is appended to the topic of claims: any newer claim has a higher one, and orders for a former
+    /// incarnation of the runner have a lower one.
+    fn newest_fence(&self) -> u64 {
+        self.fence.max(self.claims_end.get())
+    }
+
     /// Returns the connections to a runner, creating them if there are none.
     async fn connection(&self, runner_ix: RunnerIx, entry: &RunnerEntry) -> Rc<RunnerConnection> {
         let known = self.runner_connections.borrow().get(&runner_ix).cloned();
@@ -370,7 +377,7 @@
                 client: kspan_adapter::http::client(MAX_CONNECTIONS_PER_RUNNER).await,
                 addr: entry.addr.clone(),
                 id: entry.id.clone(),
-                fence: self.fence,
+                fence: self.newest_fence(),
             },
             order_slots: Semaphore::new(MAX_ORDERS_PER_RUNNER),
         });
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -33,6 +33,9 @@
 /// Delay before the next call to a runner that did not answer.
 const NO_RESPONSE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Interval at which calls to a restarted runner wait for a higher fencing token.
+const NEW_FENCE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum time for which the next call waits until ends are durable, so that it acknowledges them.
 const MAX_DURABLE_WAIT: Duration = Duration::from_millis(200);
 
@@ -44,6 +47,15 @@
         ntex::rt::spawn(Rc::clone(self).poll_inventory(runner_ix, connection));
     }
 
+    /// Starts inventory calls to a runner that has restarted under its id. They wait for a fencing token
+    /// above `former_fence`, so that the runner refuses orders for its former incarnation.
+    async fn start_successor_calls(self: Rc<Self>, runner_ix: RunnerIx, former_fence: u64) {
+        while self.is_active.get() && self.newest_fence() <= former_fence {
+            tokio::time::sleep(NEW_FENCE_POLL_INTERVAL).await;
+        }
+        self.start_inventory_calls(runner_ix).await;
+    }
+
     /// Makes inventory calls to a runner until its incarnation or the role ends.
     pub(super) async fn poll_inventory(
         self: Rc<Self>,
@@ -116,7 +128,9 @@
             &outcome,
         );
         if let Some(successor_ix) = successor {
-            self.start_inventory_calls(successor_ix).await;
+            let former_fence = connection.client.fence;
+            let owner = Rc::clone(self);
+            ntex::rt::spawn(owner.start_successor_calls(successor_ix, former_fence));
         }
         self.state_changed.notify_one();
         telemetry::record_inventory(outcome_name(&outcome));
--- a/crates/cell/src/owner/runners/tests.rs
+++ b/crates/cell/src/owner/runners/tests.rs
@@ -1,4 +1,4 @@
-use std::net::Ipv4Addr;
+use std::{cell::RefCell, net::Ipv4Addr};
 
 use kspan_jobs::runner::RunnerEntry;
 use kspan_model::{Name, Resources};
@@ -12,11 +12,20 @@
 
 /// Starts a runner that answers each inventory call after `delay`.
 async fn start_runner(delay: Duration) -> RunnerEntry {
+    start_runner_with(delay, |_| 0).await
+}
+
+/// Does the same, where `started` returns the start time that the runner reports, from the call's body.
+async fn start_runner_with<F>(delay: Duration, started: F) -> RunnerEntry
+where
+    F: Fn(&str) -> u64 + Clone + 'static,
+{
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
     let addr = listener.local_addr().expect("a bound port").to_string();
     ntex::rt::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
+            let started = started.clone();
             ntex::rt::spawn(async move {
                 let mut buf = [0; 4_096];
                 while let Ok(length @ 1..) = stream.read(&mut buf).await {
@@ -24,10 +33,11 @@
                         continue;
                     }
                     tokio::time::sleep(delay).await;
-                    let body = r#"{"ClockMs":1000}"#;
+                    let call = String::from_utf8_lossy(&buf[..length]).into_owned();
+                    let body = format!(r#"{{"ClockMs":1000,"born":{}}}"#, started(&call));
                     let length = body.len();
                     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-                    if stream.write_all((head + body).as_bytes()).await.is_err() {
+                    if stream.write_all((head + &body).as_bytes()).await.is_err() {
                         return;
                     }
                 }
@@ -46,6 +56,13 @@
     }
 }
 
+/// Returns the fencing token in the body of a call.
+fn fence_of(call: &str) -> u64 {
+    let (_, rest) = call.split_once(r#""Fence":"#).expect("a fencing token");
+    let digits = rest.split([',', '}']).next().expect("a value");
+    digits.parse().expect("a number")
+}
+
 /// Guards against a runner that answers, only slowly, and is taken for a silent one: its lease would
 /// run out and its tasks be given up.
 #[ntex::test]
@@ -64,3 +81,37 @@
     }
     owner.step_down("test");
 }
+
+/// Guards against orders for a former incarnation that the next one executes late: calls to it have a higher
+/// fencing token, for which the owner waits.
+#[ntex::test]
+async fn calls_to_the_next_incarnation_have_a_higher_fence() {
+    let owner = crate::owner::tests::owner("127.0.0.1:1").await;
+    let fences: Rc<RefCell<Vec<u64>>> = Rc::default();
+    let calls = Rc::clone(&fences);
+    // The runner restarts once, after its first call.
+    let entry = start_runner_with(Duration::ZERO, move |call| {
+        calls.borrow_mut().push(fence_of(call));
+        if calls.borrow().len() == 1 { 1 } else { 2 }
+    });
+    let entry = RunnerEntry {
+        started_unix_ms: 1,
+        ..entry.await
+    };
+    let first = owner.newest_fence();
+    let now = owner.now();
+    let runner_ix = owner.engine.borrow_mut().upsert_runner(now, entry);
+    let runner_ix = runner_ix.expect("a new runner");
+    owner.start_inventory_calls(runner_ix).await;
+    while fences.borrow().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(*fences.borrow(), [first, first]);
+    owner.claims_end.set(first + 3);
+    while fences.borrow().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(fences.borrow()[2], first + 3);
+    owner.step_down("test");
+}
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -121,6 +121,7 @@
                 if self.runners[runner_ix.0].has_restarted(inventory.started_unix_ms) {
                     return self.replace_incarnation(now, unix_ms, runner_ix, sequence, inventory);
                 }
+                self.record_own_answer(runner_ix, inventory.clock, now);
                 self.apply_inventory(now, unix_ms, runner_ix, sequence, inventory);
             }
             InventoryOutcome::Fenced => self.fenced = true,
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -115,6 +115,9 @@
         now: Millis,
     ) {
         let sequence = self.next_sequence();
+        if self.runners[runner_ix.0].dead {
+            return;
+        }
         match outcome {
             StopOutcome::Done => {
                 if let Some(placed) = self.runners[runner_ix.0].runs.get_mut(&(task, run)) {
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -204,6 +204,9 @@
     runs_alone: usize,
     /// Whether the latest inventory had runs that may be stalled.
     pub(super) has_suspected_stalls: bool,
+    /// Whether the runner executes no order for a former incarnation any more: it has answered a call of its
+    /// own, which has a higher fencing token.
+    pub(super) bars_former_orders: bool,
     /// Time until which the lease may be one that was granted by a deadline on the clock of the incarnation
     /// before; the latest representable time if it isn't known.
     pub(super) inherited_lease_until: Option<Millis>,
@@ -245,6 +248,7 @@
             isolated_runs: 0,
             runs_alone: 0,
             has_suspected_stalls: false,
+            bars_former_orders: true,
             inherited_lease_until: None,
             lease_expired_at: None,
             last_end_number: 0,
@@ -413,6 +417,7 @@
             && self.record_batch <= durable
             && !self.is_missing(now)
             && self.has_answered
+            && self.bars_former_orders
             && !self.awaits_entry
             && self.disputed_by.is_none()
             && !self.dead
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -7,6 +7,9 @@
 //! The new incarnation therefore inherits the runs whose order it may have received. The inventory that
 //! shows the restart is also the first one of the new incarnation: a run that it lists goes on, and one
 //! that it does not list is stopped, after which the runner refuses its start.
+//!
+//! The caller addresses the new incarnation with a higher fencing token than the one before. Once it has
+//! answered such a call, it refuses all orders for the one before, however late they arrive.
 
 use kspan_model::{Millis, Name};
 
@@ -45,12 +48,27 @@
             self.attach_run(runner_ix, successor_ix, *run, now);
         }
         self.apply_inventory(now, unix_ms, successor_ix, sequence, inventory);
+        self.runners[successor_ix.0].bars_former_orders = false;
         for run in inherited.iter().filter(|run| !run.is_wanted(inventory)) {
             self.order_stop(successor_ix, run.task, run.run, now);
         }
         Some(successor_ix)
     }
 
+    /// Records the first answer of a runner to a call with its own fencing token. Orders for the incarnation
+    /// before have granted their last lease, and started what the inventory lists.
+    pub(super) fn record_own_answer(&mut self, runner_ix: RunnerIx, clock: Millis, now: Millis) {
+        let runner = &mut self.runners[runner_ix.0];
+        if runner.bars_former_orders {
+            return;
+        }
+        runner.bars_former_orders = true;
+        runner.assume_inherited_lease(clock, &self.cfg, now);
+        for placed in runner.runs.values_mut() {
+            placed.settled_sequence.get_or_insert(0);
+        }
+    }
+
     /// Adds the incarnation of an entry, which gets no work until the host list has it.
     fn add_successor(
         &mut self,
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -111,6 +111,8 @@
     let restarted = inventory_of(&cell, 7, Vec::new());
     cell.complete_inventory_call(0, &restarted);
     cell.complete_inventory_call(1, &InventoryOutcome::OtherIncarnation);
+    let empty = inventory_of(&cell, 7, Vec::new());
+    cell.complete_inventory_call(2, &empty);
     assert_eq!(cell.next_start(), Some(2));
 }
 
@@ -217,3 +219,39 @@
         );
     }
 }
+
+/// Guards against an owner that gives up its role because a runner refuses a stop for an incarnation that has
+/// ended: the calls to the next one have a higher fencing token.
+#[test]
+fn refused_stop_of_an_ended_incarnation_does_not_end_the_ownership() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(false), [0]);
+    let restarted = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(0, &restarted);
+    let now = Millis(cell.now);
+    let engine = &mut cell.engine;
+    engine.record_stop_outcome(RunnerIx(0), task(), 1, StopOutcome::Fenced, now);
+    assert!(!engine.is_fenced());
+    engine.record_stop_outcome(RunnerIx(1), task(), 1, StopOutcome::Fenced, now);
+    assert!(engine.is_fenced());
+}
+
+/// Guards against work for an incarnation that still executes orders for the one before: one of them may
+/// grant it another lease, or start a run.
+#[test]
+fn next_incarnation_gets_work_once_it_has_answered_a_call_of_its_own() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    let mut listed = entry("w0");
+    listed.started_unix_ms = 2;
+    cell.engine.upsert_runner(Millis(cell.now), listed);
+    let restarted = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(0, &restarted);
+    cell.submit();
+    assert_eq!(cell.next_start(), None);
+    let empty = inventory_of(&cell, 2, Vec::new());
+    cell.complete_inventory_call(1, &empty);
+    assert_eq!(cell.next_start(), Some(1));
+}
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -91,6 +91,22 @@
     );
 }
 
+/// Guards against tasks that run twice because a runner restarts under its id, executes orders for its former
+/// incarnation, and is cut off before the owner or a new one knows of it.
+#[test]
+fn invariants_hold_while_restarted_runners_are_partitioned() {
+    let (violations, starts) = run_schedules(
+        HAZARDOUS_SCHEDULES,
+        Mutation::None,
+        Hazard::PartitionedRestarts,
+    );
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(
+        starts > HAZARDOUS_SCHEDULES * 10,
+        "only {starts} starts were observed"
+    );
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
--- a/crates/jobs/tests/support/hazards.rs
+++ b/crates/jobs/tests/support/hazards.rs
@@ -96,6 +96,38 @@
         }
     }
 
+    /// Lets runners crash, start again under their id and be partitioned, with an owner lost in between one
+    /// time in two.
+    pub(super) fn plan_partitioned_restarts(&mut self) {
+        for runner in &mut self.runners {
+            runner.keeps_id = true;
+            runner.executes_former_calls = true;
+        }
+        for _ in 0..RESTARTS {
+            let at = self.hazard_rng.random_range(500..16_000);
+            let runner = self.hazard_rng.random_range(0..self.runners.len());
+            let restarts_after = self.hazard_rng.random_range(1..600);
+            let crash = Event::RunnerCrashes {
+                runner,
+                restarts_after,
+            };
+            self.push(at, crash);
+            let partitioned_after = self.hazard_rng.random_range(200..3_000);
+            let heals_after = self.hazard_rng.random_range(4_000..12_000);
+            let partition = Event::PartitionBegins {
+                runner,
+                heals_after,
+            };
+            self.push(at + restarts_after + partitioned_after, partition);
+            if self.hazard_rng.random_range(0..2) == 0 {
+                let killed_after = self.hazard_rng.random_range(0..partitioned_after);
+                let takeover_after = self.hazard_rng.random_range(200..2_000);
+                let kill = Event::OwnerKilled { takeover_after };
+                self.push(at + restarts_after + killed_after, kill);
+            }
+        }
+    }
+
     /// Changes the capacity of a runner. What runs there stays.
     pub(super) fn change_capacity(&mut self, runner: usize, cores: u64) {
         let runner = &mut self.runners[runner];
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -80,6 +80,16 @@
     ChangingCapacity,
     /// Runners start again under the id that they had, often and soon after a crash.
     ReusedIds,
+    /// The same, and they execute orders for their former incarnation, are partitioned soon after, and lose
+    /// their owner in between.
+    PartitionedRestarts,
+}
+
+impl Hazard {
+    /// Returns whether runners start again under the id that they had.
+    fn reuses_ids(self) -> bool {
+        matches!(self, Self::ReusedIds | Self::PartitionedRestarts)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -131,7 +141,14 @@
     Fault,
     Takeover,
     RunnerRestarts(usize),
+    PartitionBegins {
+        runner: usize,
+        heals_after: u64,
+    },
     PartitionHealed(usize),
+    OwnerKilled {
+        takeover_after: u64,
+    },
     Resume(usize),
     TaskCrashesRunner {
         runner: usize,
@@ -165,11 +182,14 @@
     calls_in_flight: BTreeSet<usize>,
     /// Number of the simulated runner, by the engine's runner index.
     runners: BTreeMap<usize, usize>,
+    /// Fencing tokens for incarnations that followed others under their id, by the engine's runner index.
+    raised_fences: BTreeMap<usize, u64>,
     /// Start orders with the time at which each was sent.
     starts: Vec<(StartOrder, u64)>,
     start_outcomes: Vec<Option<StartOutcome>>,
     stops: Vec<StopOrder>,
-    inventory_calls: BTreeMap<u64, InventoryCall>,
+    /// Inventory calls with the time at which each was sent, by sequence number.
+    inventory_calls: BTreeMap<u64, (InventoryCall, u64)>,
     inventory_outcomes: Vec<InventoryOutcome>,
     /// Callers waiting for a batch: batch, job, and whether the call is a cancellation.
     callers: Vec<(u64, JobId, bool)>,
@@ -245,6 +265,7 @@
         match hazard {
             Hazard::ChangingCapacity => simulation.plan_capacity_changes(),
             Hazard::ReusedIds => simulation.plan_restarts(),
+            Hazard::PartitionedRestarts => simulation.plan_partitioned_restarts(),
             Hazard::None | Hazard::CrashingTasks => {}
         }
         simulation
@@ -254,7 +275,10 @@
         let end = match self.hazard {
             // Tasks take down one runner after the other, long after the last fault.
             Hazard::CrashingTasks => 200_000,
-            Hazard::None | Hazard::ChangingCapacity | Hazard::ReusedIds => 75_000,
+            Hazard::None
+            | Hazard::ChangingCapacity
+            | Hazard::ReusedIds
+            | Hazard::PartitionedRestarts => 75_000,
         };
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
@@ -301,6 +325,18 @@
                 self.push(restarts_after, Event::RunnerRestarts(runner));
             }
             Event::RunnerRestarts(number) => self.runners[number].restart(self.now),
+            Event::PartitionBegins {
+                runner,
+                heals_after,
+            } => {
+                self.runners[runner].is_partitioned = true;
+                self.push(heals_after, Event::PartitionHealed(runner));
+            }
+            Event::OwnerKilled { takeover_after } => {
+                let owner = self.newest();
+                self.owners[owner].alive = false;
+                self.push(takeover_after, Event::Takeover);
+            }
             Event::PartitionHealed(number) => self.runners[number].is_partitioned = false,
             Event::Resume(owner) => {
                 if self.owners[owner].alive {
@@ -411,7 +447,7 @@
             2 => self.push(0, Event::Takeover),
             // The hazard has its own restarts; after more, tasks may be given up that were on several
             // runners when these crashed.
-            3 if self.hazard == Hazard::ReusedIds => {}
+            3 if self.hazard.reuses_ids() => {}
             3 => {
                 self.runners[runner].crash();
                 // One in three stays down for longer than any lease.
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -24,7 +24,7 @@
             if self.mutation == Mutation::AckBeforeDurable {
                 call.ack = u64::MAX;
             }
-            cell.inventory_calls.insert(call.sequence, call);
+            cell.inventory_calls.insert(call.sequence, (call, self.now));
             let runner = cell.runners[&runner_ix.0];
             let sequence = call.sequence;
             let (lost, answered, delay) = self.draw_delivery(runner);
@@ -143,10 +143,11 @@
         incarnation: u64,
     ) {
         let (order, sent) = self.owners[owner].starts[call].clone();
-        let fence = self.owners[owner].fence;
+        let fence = self.fence_for(owner, order.runner_ix.0);
         let number = self.owners[owner].runners[&order.runner_ix.0];
         let id = self.owners[owner].engine.runner(order.runner_ix).id.clone();
-        let is_up = self.runners[number].is_reached_by(incarnation);
+        let is_late = self.now > sent + MIN_LATE_DELAY_MS;
+        let is_up = self.runners[number].is_reached_by(incarnation, is_late);
         let outcome = if is_up && self.runners[number].id() == id {
             let (outcome, ends) =
                 self.runners[number].start(&order, fence, self.now, &mut self.rng);
@@ -159,7 +160,7 @@
                     runner_ix: number,
                     now: self.now,
                     fence,
-                    late: self.now > sent + MIN_LATE_DELAY_MS,
+                    late: is_late,
                 };
                 self.checks.record_start(observed, &self.runners);
                 let (task, run) = (order.task, order.run);
@@ -228,7 +229,7 @@
 
     pub(super) fn stop_arrives(&mut self, owner: usize, call: usize, answered: bool) {
         let order = self.owners[owner].stops[call];
-        let fence = self.owners[owner].fence;
+        let fence = self.fence_for(owner, order.runner_ix.0);
         let number = self.owners[owner].runners[&order.runner_ix.0];
         let id = self.owners[owner].engine.runner(order.runner_ix).id.clone();
         if !self.runners[number].is_up || self.runners[number].id() != id {
@@ -285,14 +286,15 @@
         answered: bool,
         incarnation: u64,
     ) {
-        let call = self.owners[owner].inventory_calls[&sequence];
-        let fence = self.owners[owner].fence;
+        let (call, sent) = self.owners[owner].inventory_calls[&sequence];
+        let is_late = self.now > sent + MIN_LATE_DELAY_MS;
+        let fence = self.fence_for(owner, runner_ix);
         let id = self.owners[owner]
             .engine
             .runner(RunnerIx(runner_ix))
             .id
             .clone();
-        let outcome = if !self.runners[runner].is_reached_by(incarnation) {
+        let outcome = if !self.runners[runner].is_reached_by(incarnation, is_late) {
             if answered {
                 self.inventory_unanswered(owner, runner_ix, sequence);
             }
@@ -345,6 +347,7 @@
         if let Some(successor_ix) = successor {
             let number = cell.runners[&runner_ix];
             cell.runners.insert(successor_ix.0, number);
+            self.raise_fence(owner, successor_ix.0);
         }
     }
 }
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -19,11 +19,28 @@
 /// Maximum size of a record of the store, in bytes. So small that most jobs' progress is split.
 const MAX_RECORD_BYTES: usize = 20_000;
 
+/// Number of fencing tokens from one claim to the next. An owner's heartbeats lie between them.
+const FENCES_PER_OWNER: u64 = 1_000;
+
 impl Simulation {
+    /// Returns the fencing token of an owner's calls to a runner.
+    pub(super) fn fence_for(&self, owner: usize, runner_ix: usize) -> u64 {
+        let cell = &self.owners[owner];
+        let raised = cell.raised_fences.get(&runner_ix);
+        raised.copied().unwrap_or(cell.fence)
+    }
+
+    /// Raises the fencing token of an owner's calls to an incarnation that follows another one.
+    pub(super) fn raise_fence(&mut self, owner: usize, successor_ix: usize) {
+        let cell = &mut self.owners[owner];
+        let raised = cell.fence + 1 + cell.raised_fences.len() as u64;
+        cell.raised_fences.insert(successor_ix, raised);
+    }
+
     /// Lets a new owner take over and recover.
     pub(super) fn take_over(&mut self) {
         let fence = self.next_fence;
-        self.next_fence += 1;
+        self.next_fence += FENCES_PER_OWNER;
         self.store_fence = fence;
         self.checks.fence = fence;
         let waits = self.mutation != Mutation::NoTakeoverWait;
@@ -63,6 +80,7 @@
             writing: None,
             calls_in_flight: BTreeSet::new(),
             runners,
+            raised_fences: BTreeMap::new(),
             starts: Vec::new(),
             start_outcomes: Vec::new(),
             stops: Vec::new(),
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -44,11 +44,15 @@
     pub(crate) incarnation: u64,
     /// Whether all incarnations have the same id.
     pub(crate) keeps_id: bool,
+    /// Whether an incarnation executes calls that were sent to a former one.
+    pub(crate) executes_former_calls: bool,
     pub(crate) running: BTreeMap<TaskId, Run>,
     number: usize,
     /// Rate of the runner's clock relative to the simulation's, in thousandths.
     rate: u64,
     incarnation_started_at: u64,
+    /// Whether the incarnation has executed an inventory call.
+    has_answered: bool,
     fence: u64,
     lease: u64,
     ended: Vec<EndedTask>,
@@ -67,10 +71,12 @@
             capacity_changed_at: None,
             incarnation: 1,
             keeps_id: false,
+            executes_former_calls: false,
             running: BTreeMap::new(),
             number,
             rate: rng.random_range(980..=1_000),
             incarnation_started_at: 0,
+            has_answered: false,
             fence: 0,
             lease: 0,
             ended: Vec::new(),
@@ -85,10 +91,13 @@
         Name::new(&format!("w{}-{incarnation}", self.number))
     }
 
-    /// Returns whether a call reaches the runner on a connection that was opened to an incarnation. A
-    /// connection to another one under the same id ended with its process.
-    pub(crate) fn is_reached_by(&self, incarnation: u64) -> bool {
-        self.is_up && (!self.keeps_id || incarnation == self.incarnation)
+    /// Returns whether a call reaches the runner that was sent to an incarnation. A connection to another one
+    /// under the same id ended with its process, unless calls are held up on the way. A call that is held up
+    /// for long and arrives before the incarnation has answered any is beyond what an owner can prevent.
+    pub(crate) fn is_reached_by(&self, incarnation: u64, is_late: bool) -> bool {
+        let is_connected = !self.keeps_id || incarnation == self.incarnation;
+        let reaches_next = self.executes_former_calls && (self.has_answered || !is_late);
+        self.is_up && (is_connected || reaches_next)
     }
 
     /// Returns whether the incarnation has written its entry to the host list. One under a known id is
@@ -118,6 +127,7 @@
         self.is_up = true;
         self.incarnation += 1;
         self.incarnation_started_at = now;
+        self.has_answered = false;
         self.fence = 0;
         self.lease = 0;
         self.ended.clear();
@@ -242,6 +252,7 @@
         if !self.accept_fence(fence) {
             return InventoryOutcome::Fenced;
         }
+        self.has_answered = true;
         if let Some(deadline) = call.deadline {
             self.extend_lease(deadline, now);
         }
