Acknowledge ends once, so that a late call takes none from the next incarnation

Callers may see a task start again whose run had ended as done: a runner that restarts between two answered calls numbers its ends anew, and a call for its former incarnation that reaches it makes it forget its ends up to the number in that call, unseen.

Cause: each inventory call repeated the highest acknowledged number for good, waiting at the runner for up to 1.7 s, so that such a call was nearly always under way. A call carries a number now only while there are ends that no answered call has acknowledged.

Result: answered_acknowledgements_are_not_repeated (new) and the other tests of restarts pass.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -70,12 +70,13 @@
         let is_answering = runner.missed_responses == 0;
         // The runner may have restarted since its last response. Its next incarnation numbers its ends
         // anew, and would forget those up to the number.
-        let ack = if is_answering {
+        let cursor = if is_answering {
             runner.ack_cursor(durable)
         } else {
             0
         };
-        runner.unacked_ends.retain(|end| end.number > ack);
+        let ack = runner.begin_acknowledgement(sequence, cursor);
+        runner.unacked_ends.retain(|end| end.number > cursor);
         // A runner with unacknowledged ends answers immediately in any case. A runner whose clock
         // is not known yet must be called again soon, because its lease is extended only then.
         let answers_immediately = !runner.has_answered || !runner.unacked_ends.is_empty();
@@ -158,6 +159,7 @@
             runner.assume_longest_lease(inventory.clock, &self.cfg);
         }
         runner.record_response(inventory.clock, now);
+        runner.record_answered_call(sequence);
         // Until all ends are listed, a task may have been completed there by an order of a previous owner.
         runner.has_answered |= !inventory.has_more_ends;
         runner.has_suspected_stalls = false;
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -153,6 +153,13 @@
     pub(super) batch: u64,
 }
 
+/// An inventory call that acknowledges the ends up to a number.
+#[derive(Clone, Copy, Debug)]
+struct AcknowledgingCall {
+    sequence: u64,
+    number: u64,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Runner {
     pub(super) entry: RunnerEntry,
@@ -215,6 +222,10 @@
     /// Number of the latest end that was applied.
     pub(super) last_end_number: u64,
     pub(super) unacked_ends: Vec<UnackedEnd>,
+    /// Latest call that acknowledged ends.
+    acknowledging_call: Option<AcknowledgingCall>,
+    /// Highest number that the runner has answered an acknowledgement of.
+    acknowledged_number: u64,
     pub(super) health: Health,
     reading: Option<ClockReading>,
     latest_deadline: Millis,
@@ -253,6 +264,8 @@
             lease_expired_at: None,
             last_end_number: 0,
             unacked_ends: Vec::new(),
+            acknowledging_call: None,
+            acknowledged_number: 0,
             health: Health::default(),
             reading: None,
             latest_deadline: Millis::ZERO,
@@ -575,6 +588,30 @@
         first_pending.map_or(self.last_end_number, |number| number.saturating_sub(1))
     }
 
+    /// Returns the number for a call to acknowledge, where ends up to `cursor` may be acknowledged; 0 if the
+    /// runner has answered that already. A number that is not needed would make the next incarnation forget
+    /// ends unseen if the call reached it.
+    pub(super) fn begin_acknowledgement(&mut self, sequence: u64, cursor: u64) -> u64 {
+        if cursor <= self.acknowledged_number {
+            return 0;
+        }
+        self.acknowledging_call = Some(AcknowledgingCall {
+            sequence,
+            number: cursor,
+        });
+        cursor
+    }
+
+    /// Records that a call was answered, and with it what it acknowledged.
+    pub(super) fn record_answered_call(&mut self, sequence: u64) {
+        let answered = self
+            .acknowledging_call
+            .take_if(|call| call.sequence == sequence);
+        if let Some(call) = answered {
+            self.acknowledged_number = self.acknowledged_number.max(call.number);
+        }
+    }
+
     /// Returns whether the runner has a label.
     pub(super) fn has_label(&self, label: &Name) -> bool {
         self.entry.labels.contains(label)
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -135,6 +135,26 @@
     assert_eq!(next_ack(&mut cell), 7);
 }
 
+/// Guards against the same where the runner restarts between two calls that are answered: a call that
+/// acknowledges nothing new has no number, so that it takes no end from the next incarnation.
+#[test]
+fn answered_acknowledgements_are_not_repeated() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.submit();
+    cell.report_ends(0, vec![failed_end(7, 1)]);
+    cell.commit();
+    let now = Millis(cell.now);
+    let call = cell.engine.next_inventory_call(RunnerIx(0), now);
+    assert_eq!(call.ack, 7);
+    let answer = inventory_of(&cell, 1, Vec::new());
+    cell.engine
+        .record_inventory(now, cell.now, RunnerIx(0), call.sequence, &answer);
+    assert_eq!(cell.engine.next_inventory_call(RunnerIx(0), now).ack, 0);
+    cell.report_ends(0, vec![failed_end(8, 2)]);
+    cell.commit();
+    assert_eq!(cell.engine.next_inventory_call(RunnerIx(0), now).ack, 8);
+}
+
 /// Guards against a lease of the next incarnation that is thought to have expired: its first deadlines
 /// are on the clock of the one before, and it bounds them by its longest lease alone.
 #[test]
