Raise the fence after a call without an answer, so that the next answer bars it

Callers may see tasks run twice where an order that was given up is carried out seconds later, by the next incarnation of its runner, before that has answered a call with the fence raised for it.

Cause: the fence rose only once a restart was known. Between the first answer of the next incarnation and the first call to it under the raised fence, and for good if the owner was lost in between, orders for the one before were still accepted.

Change: after a call without an answer, later calls to the runner carry a fence above that call's (the end of the topic of claims, as for restarts). The first one that is answered bars what was not, in this incarnation and in the next. A refusal for a fence below the newest one sent to the runner is no longer taken for a newer owner: a start is sent again, a stop and an inventory call count as unanswered.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -134,6 +134,31 @@
 struct RunnerConnection {
     client: RunnerClient,
     order_slots: Semaphore,
+    /// Highest fence of a call that the runner has not answered.
+    doubted_fence: Cell<u64>,
+}
+
+impl RunnerConnection {
+    /// Returns the fence for the next call. It is higher than that of each call without an answer, if
+    /// `newest` is, so that such a call is refused once the runner has answered a later one.
+    fn next_fence(&self, newest: u64) -> u64 {
+        let fence = &self.client.fence;
+        if self.doubted_fence.get() >= fence.get() {
+            fence.set(fence.get().max(newest));
+        }
+        fence.get()
+    }
+
+    /// Records that a call with this fence was not answered, and may be executed later.
+    fn record_doubt(&self, fence: u64) {
+        self.doubted_fence.set(self.doubted_fence.get().max(fence));
+    }
+
+    /// Returns whether a call with this fence may have been refused because of a later call of the same
+    /// owner, rather than by a newer one.
+    fn is_overtaken(&self, fence: u64) -> bool {
+        fence < self.client.fence.get()
+    }
 }
 
 impl Owner {
@@ -359,9 +384,8 @@
         }
     }
 
-    /// Returns the fencing token for calls to a runner that becomes known now. It grows with each heartbeat
-    /// that is appended to the topic of claims: any newer claim has a higher one, and orders for a former
-    /// incarnation of the runner have a lower one.
+    /// Returns the highest fencing token of the owner's calls. It grows with each heartbeat that is appended
+    /// to the topic of claims, and any newer claim has a higher one.
     fn newest_fence(&self) -> u64 {
         self.fence.max(self.claims_end.get())
     }
@@ -377,9 +401,10 @@
                 client: kspan_adapter::http::client(MAX_CONNECTIONS_PER_RUNNER).await,
                 addr: entry.addr.clone(),
                 id: entry.id.clone(),
-                fence: self.newest_fence(),
+                fence: Cell::new(self.newest_fence()),
             },
             order_slots: Semaphore::new(MAX_ORDERS_PER_RUNNER),
+            doubted_fence: Cell::new(0),
         });
         self.runner_connections
             .borrow_mut()
--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -8,6 +8,7 @@
 use kspan_adapter::{approvals::Approved, http::CallError, runner};
 use kspan_jobs::{
     engine::{ApprovalRequest, Order, StartOrder, StopOrder},
+    id::TaskId,
     runner::{Refusal, StartOutcome, StopOutcome},
 };
 use kspan_model::{Millis, Name};
@@ -108,13 +109,18 @@
             } else {
                 ORDER_TIMEOUT
             };
+            let fence = connection.next_fence(self.newest_fence());
             match runner::start(&connection.client, order, timeout).await {
+                Ok(StartOutcome::Refused(Refusal::Fenced)) if connection.is_overtaken(fence) => {}
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
                 }
                 Ok(outcome) => return outcome,
                 Err(CallError::NotSent(_)) => tokio::time::sleep(RETRY_DELAY).await,
-                Err(CallError::InDoubt(_) | CallError::Malformed(_)) => in_doubt = true,
+                Err(CallError::InDoubt(_) | CallError::Malformed(_)) => {
+                    connection.record_doubt(fence);
+                    in_doubt = true;
+                }
             }
         }
         if in_doubt {
@@ -136,7 +142,7 @@
                 let _slot = connection.order_slots.acquire().await;
                 // The ownership may have ended during the wait, and so may the run.
                 if self.may_send_orders() && self.engine.borrow().is_stop_needed(&order) {
-                    runner::stop(&connection.client, task, run, ORDER_TIMEOUT).await
+                    self.send_stop(&connection, task, run).await
                 } else {
                     StopOutcome::InDoubt
                 }
@@ -149,6 +155,24 @@
         self.state_changed.notify_one();
     }
 
+    async fn send_stop(
+        &self,
+        connection: &RunnerConnection,
+        task: TaskId,
+        run: u32,
+    ) -> StopOutcome {
+        let fence = connection.next_fence(self.newest_fence());
+        let outcome = runner::stop(&connection.client, task, run, ORDER_TIMEOUT).await;
+        match outcome {
+            StopOutcome::Fenced if connection.is_overtaken(fence) => StopOutcome::InDoubt,
+            StopOutcome::InDoubt => {
+                connection.record_doubt(fence);
+                outcome
+            }
+            _ => outcome,
+        }
+    }
+
     async fn request_approvals(self: Rc<Self>, order: ApprovalRequest) {
         let names: Vec<Name> = {
             let engine = self.engine.borrow();
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -99,6 +99,7 @@
             0..MISSES_BEFORE_SLOW_TIMEOUT => CALL_TIMEOUT,
             _ => SLOW_CALL_TIMEOUT,
         };
+        let fence = connection.next_fence(self.newest_fence());
         let response = runner::request_inventory(&connection.client, call, timeout + wait).await;
         if !self.is_active.get() {
             return false;
@@ -109,6 +110,15 @@
             }
             InventoryOutcome::NoResponse
         });
+        let is_overtaken = outcome == InventoryOutcome::Fenced && connection.is_overtaken(fence);
+        let outcome = if is_overtaken {
+            InventoryOutcome::NoResponse
+        } else {
+            outcome
+        };
+        if outcome == InventoryOutcome::NoResponse {
+            connection.record_doubt(fence);
+        }
         if let InventoryOutcome::Inventory(inventory) = &outcome
             && inventory.skipped_rows > 0
         {
@@ -128,7 +138,7 @@
             &outcome,
         );
         if let Some(successor_ix) = successor {
-            let former_fence = connection.client.fence;
+            let former_fence = connection.client.fence.get();
             let owner = Rc::clone(self);
             ntex::rt::spawn(owner.start_successor_calls(successor_ix, former_fence));
         }
--- a/crates/cell/src/owner/runners/tests.rs
+++ b/crates/cell/src/owner/runners/tests.rs
@@ -115,3 +115,25 @@
     assert_eq!(fences.borrow()[2], first + 3);
     owner.step_down("test");
 }
+
+/// Guards against calls that are executed long after they were given up: a call that the runner answers
+/// later has a higher fencing token, after which it refuses them.
+#[ntex::test]
+async fn fence_rises_above_that_of_a_call_without_an_answer() {
+    let owner = crate::owner::tests::owner("127.0.0.1:1").await;
+    let entry = start_runner(Duration::ZERO).await;
+    let now = owner.now();
+    let runner_ix = owner.engine.borrow_mut().upsert_runner(now, entry.clone());
+    let runner_ix = runner_ix.expect("a new runner");
+    let connection = owner.connection(runner_ix, &entry).await;
+    let first = owner.newest_fence();
+    let newest = first + 5;
+    assert_eq!(connection.next_fence(newest), first);
+    assert!(!connection.is_overtaken(first));
+    connection.record_doubt(first);
+    assert_eq!(connection.next_fence(first), first, "no higher one yet");
+    assert_eq!(connection.next_fence(newest), newest);
+    assert!(connection.is_overtaken(first) && !connection.is_overtaken(newest));
+    connection.record_doubt(first);
+    assert_eq!(connection.next_fence(newest + 5), newest);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -172,6 +172,14 @@
     },
 }
 
+/// A call that an owner sent to a runner.
+#[derive(Clone)]
+struct Sent<T> {
+    call: T,
+    at: u64,
+    fence: u64,
+}
+
 struct Owner {
     engine: Engine,
     fence: u64,
@@ -182,14 +190,17 @@
     calls_in_flight: BTreeSet<usize>,
     /// Number of the simulated runner, by the engine's runner index.
     runners: BTreeMap<usize, usize>,
-    /// Fencing tokens for incarnations that followed others under their id, by the engine's runner index.
-    raised_fences: BTreeMap<usize, u64>,
-    /// Start orders with the time at which each was sent.
-    starts: Vec<(StartOrder, u64)>,
+    /// Fencing tokens of the next calls, by the engine's runner index.
+    call_fences: BTreeMap<usize, u64>,
+    /// Highest fencing tokens of calls without an answer, by the engine's runner index.
+    doubted_fences: BTreeMap<usize, u64>,
+    /// Highest fencing token of its calls.
+    newest_fence: u64,
+    starts: Vec<Sent<StartOrder>>,
     start_outcomes: Vec<Option<StartOutcome>>,
-    stops: Vec<StopOrder>,
-    /// Inventory calls with the time at which each was sent, by sequence number.
-    inventory_calls: BTreeMap<u64, (InventoryCall, u64)>,
+    stops: Vec<Sent<StopOrder>>,
+    /// Inventory calls by sequence number.
+    inventory_calls: BTreeMap<u64, Sent<InventoryCall>>,
     inventory_outcomes: Vec<InventoryOutcome>,
     /// Callers waiting for a batch: batch, job, and whether the call is a cancellation.
     callers: Vec<(u64, JobId, bool)>,
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use super::{
-    Event, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Simulation, checks::ObservedStart,
+    Event, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation, checks::ObservedStart,
 };
 
 impl Simulation {
@@ -24,9 +24,10 @@
             if self.mutation == Mutation::AckBeforeDurable {
                 call.ack = u64::MAX;
             }
-            cell.inventory_calls.insert(call.sequence, (call, self.now));
             let runner = cell.runners[&runner_ix.0];
             let sequence = call.sequence;
+            let sent = self.sent(owner, runner_ix.0, call);
+            self.owners[owner].inventory_calls.insert(sequence, sent);
             let (lost, answered, delay) = self.draw_delivery(runner);
             if !lost {
                 let arrives = Event::InventoryCallArrives {
@@ -83,7 +84,8 @@
         }
         let runner = self.owners[owner].runners[&order.runner_ix.0];
         let call = self.owners[owner].starts.len();
-        self.owners[owner].starts.push((order, self.now));
+        let sent = self.sent(owner, order.runner_ix.0, order);
+        self.owners[owner].starts.push(sent);
         self.owners[owner].start_outcomes.push(None);
         let (lost, answered, delay) = self.draw_delivery(runner);
         if !lost {
@@ -113,7 +115,8 @@
         }
         let runner = self.owners[owner].runners[&order.runner_ix.0];
         let call = self.owners[owner].stops.len();
-        self.owners[owner].stops.push(order);
+        let sent = self.sent(owner, order.runner_ix.0, order);
+        self.owners[owner].stops.push(sent);
         let (lost, answered, delay) = self.draw_delivery(runner);
         if !lost {
             self.push(
@@ -142,8 +145,11 @@
         answered: bool,
         incarnation: u64,
     ) {
-        let (order, sent) = self.owners[owner].starts[call].clone();
-        let fence = self.fence_for(owner, order.runner_ix.0);
+        let Sent {
+            call: order,
+            at: sent,
+            fence,
+        } = self.owners[owner].starts[call].clone();
         let number = self.owners[owner].runners[&order.runner_ix.0];
         let id = self.owners[owner].engine.runner(order.runner_ix).id.clone();
         let is_late = self.now > sent + MIN_LATE_DELAY_MS;
@@ -209,7 +215,9 @@
         if !cell.alive || cell.paused {
             return;
         }
-        let (order, _) = cell.starts[call].clone();
+        let Sent {
+            call: order, fence, ..
+        } = cell.starts[call].clone();
         let known = cell.start_outcomes[call].filter(|_| outcome.is_some());
         let lost_response = if self.mutation == Mutation::LostResponseAsRefusal {
             StartOutcome::Refused(Refusal::DeadlinePassed)
@@ -222,14 +230,22 @@
             run,
             ..
         } = order;
-        let outcome = known.unwrap_or(lost_response);
+        let mut outcome = known.unwrap_or(lost_response);
+        if known.is_none() {
+            cell.record_doubt(runner_ix.0, fence);
+        } else if outcome == StartOutcome::Refused(Refusal::Fenced)
+            && cell.is_overtaken(runner_ix.0, fence)
+        {
+            outcome = StartOutcome::Refused(Refusal::Unhealthy);
+        }
         cell.engine
             .record_start_outcome(Millis(self.now), runner_ix, task, run, outcome);
     }
 
     pub(super) fn stop_arrives(&mut self, owner: usize, call: usize, answered: bool) {
-        let order = self.owners[owner].stops[call];
-        let fence = self.fence_for(owner, order.runner_ix.0);
+        let Sent {
+            call: order, fence, ..
+        } = self.owners[owner].stops[call].clone();
         let number = self.owners[owner].runners[&order.runner_ix.0];
         let id = self.owners[owner].engine.runner(order.runner_ix).id.clone();
         if !self.runners[number].is_up || self.runners[number].id() != id {
@@ -263,12 +279,19 @@
         if !cell.alive || cell.paused {
             return;
         }
+        let Sent {
+            call: order, fence, ..
+        } = cell.stops[call].clone();
         let StopOrder {
             runner_ix,
             task,
             run,
-        } = cell.stops[call];
+        } = order;
+        if fenced.is_none() {
+            cell.record_doubt(runner_ix.0, fence);
+        }
         let outcome = match fenced {
+            Some(true) if cell.is_overtaken(runner_ix.0, fence) => StopOutcome::InDoubt,
             Some(true) => StopOutcome::Fenced,
             Some(false) => StopOutcome::Done,
             None => StopOutcome::InDoubt,
@@ -286,9 +309,12 @@
         answered: bool,
         incarnation: u64,
     ) {
-        let (call, sent) = self.owners[owner].inventory_calls[&sequence];
+        let Sent {
+            call,
+            at: sent,
+            fence,
+        } = self.owners[owner].inventory_calls[&sequence].clone();
         let is_late = self.now > sent + MIN_LATE_DELAY_MS;
-        let fence = self.fence_for(owner, runner_ix);
         let id = self.owners[owner]
             .engine
             .runner(RunnerIx(runner_ix))
@@ -334,6 +360,13 @@
             return;
         }
         let mut outcome = cell.inventory_outcomes[outcome_index].clone();
+        let fence = cell.inventory_calls[&sequence].fence;
+        if outcome == InventoryOutcome::Fenced && cell.is_overtaken(runner_ix, fence) {
+            outcome = InventoryOutcome::NoResponse;
+        }
+        if outcome == InventoryOutcome::NoResponse {
+            cell.record_doubt(runner_ix, fence);
+        }
         if no_response_is_death && outcome == InventoryOutcome::NoResponse {
             outcome = InventoryOutcome::OtherIncarnation;
         }
@@ -347,7 +380,7 @@
         if let Some(successor_ix) = successor {
             let number = cell.runners[&runner_ix];
             cell.runners.insert(successor_ix.0, number);
-            self.raise_fence(owner, successor_ix.0);
+            cell.raise_fence(successor_ix.0);
         }
     }
 }
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 
 use super::{
-    Event, LEASE_MS, MAX_UNCONFIRMED_MS, Mutation, Owner, PREVIOUS_OWNER_TIMEOUT_MS, Simulation,
-    hazards, number_of,
+    Event, LEASE_MS, MAX_UNCONFIRMED_MS, Mutation, Owner, PREVIOUS_OWNER_TIMEOUT_MS, Sent,
+    Simulation, hazards, number_of,
 };
 
 /// Maximum size of a record of the store, in bytes. So small that most jobs' progress is split.
@@ -22,19 +22,41 @@
 /// Number of fencing tokens from one claim to the next. An owner's heartbeats lie between them.
 const FENCES_PER_OWNER: u64 = 1_000;
 
-impl Simulation {
-    /// Returns the fencing token of an owner's calls to a runner.
-    pub(super) fn fence_for(&self, owner: usize, runner_ix: usize) -> u64 {
-        let cell = &self.owners[owner];
-        let raised = cell.raised_fences.get(&runner_ix);
-        raised.copied().unwrap_or(cell.fence)
+impl Owner {
+    /// Raises the fencing token of the calls to a runner above all earlier ones, and returns it.
+    pub(super) fn raise_fence(&mut self, runner_ix: usize) -> u64 {
+        self.newest_fence += 1;
+        self.call_fences.insert(runner_ix, self.newest_fence);
+        self.newest_fence
+    }
+
+    /// Records that a runner has not answered a call with this fencing token.
+    pub(super) fn record_doubt(&mut self, runner_ix: usize, fence: u64) {
+        let doubted = self.doubted_fences.entry(runner_ix).or_default();
+        *doubted = (*doubted).max(fence);
+    }
+
+    /// Returns whether a call with this fencing token may have been refused because of a later one of the
+    /// same owner.
+    pub(super) fn is_overtaken(&self, runner_ix: usize, fence: u64) -> bool {
+        self.call_fences
+            .get(&runner_ix)
+            .is_some_and(|newest| fence < *newest)
     }
+}
 
-    /// Raises the fencing token of an owner's calls to an incarnation that follows another one.
-    pub(super) fn raise_fence(&mut self, owner: usize, successor_ix: usize) {
+impl Simulation {
+    /// Records a call that an owner sends to a runner now. Its fencing token is higher than those of calls to
+    /// it without an answer.
+    pub(super) fn sent<T>(&mut self, owner: usize, runner_ix: usize, call: T) -> Sent<T> {
         let cell = &mut self.owners[owner];
-        let raised = cell.fence + 1 + cell.raised_fences.len() as u64;
-        cell.raised_fences.insert(successor_ix, raised);
+        let fence = cell.call_fences.get(&runner_ix).copied();
+        let mut fence = fence.unwrap_or(cell.fence);
+        if cell.doubted_fences.get(&runner_ix) >= Some(&fence) {
+            fence = cell.raise_fence(runner_ix);
+        }
+        let at = self.now;
+        Sent { call, at, fence }
     }
 
     /// Lets a new owner take over and recover.
@@ -80,7 +102,9 @@
             writing: None,
             calls_in_flight: BTreeSet::new(),
             runners,
-            raised_fences: BTreeMap::new(),
+            call_fences: BTreeMap::new(),
+            doubted_fences: BTreeMap::new(),
+            newest_fence: fence,
             starts: Vec::new(),
             start_outcomes: Vec::new(),
             stops: Vec::new(),
