Let inventories alone confirm which incarnation a runner is

Callers may see tasks run twice, or end twice: after calls without an answer, the answer to a start made the owner take the runner for the known incarnation again. The next inventory call gave the next incarnation a deadline on the clock of the one before, and acknowledged its ends by numbers of the one before.

Cause: an answer to an order doesn't name the incarnation, yet it counted like an inventory. It no longer ends a silence, and one whose clock went back by more than answers can overtake each other shows a restart: until the next inventory the runner gets no work, no deadline and no number, and a new owner counts its longest lease.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -67,7 +67,7 @@
         };
         // A call without a response may still reach the runner, however late. If each retry
         // extended the lease, the lease could never be known to have expired.
-        let is_answering = runner.missed_responses == 0;
+        let is_answering = runner.is_incarnation_confirmed();
         // The runner may have restarted since its last response. Its next incarnation numbers its ends
         // anew, and would forget those up to the number.
         let cursor = if is_answering {
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -80,12 +80,11 @@
         match outcome {
             StartOutcome::Started(clock) => {
                 let runner = &mut self.runners[runner_ix.0];
-                runner.record_response(clock, now);
+                runner.record_clock(clock, now);
                 if let Some(placed) = runner.runs.get_mut(&(task, run)) {
                     placed.settled_sequence = Some(sequence);
                     placed.delivery.record_answer();
                 }
-                self.withdraw_task_list(runner_ix);
                 self.mark_running(runner_ix, task, run, now);
             }
             StartOutcome::Refused(why) => self.handle_refusal(runner_ix, task, run, why, now),
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -26,6 +26,9 @@
 /// while the list was unavailable come back about two seconds after it does.
 const MISSING_GRACE_PERIOD: Millis = Millis(2_500);
 
+/// Maximum difference between the clock readings of responses that overtake each other.
+const MAX_RESPONSE_DELAY: Millis = Millis(1_500);
+
 /// Minimum remaining time that is assumed for a run that has exceeded its expected run time.
 const MIN_OVERRUN: Millis = Millis(200);
 
@@ -211,6 +214,9 @@
     runs_alone: usize,
     /// Whether the latest inventory had runs that may be stalled.
     pub(super) has_suspected_stalls: bool,
+    /// Whether the answer to an order shows that the runner has restarted. Its next inventory tells what the
+    /// new incarnation has.
+    shows_restart: bool,
     /// Whether the runner executes no order for a former incarnation any more: it has answered a call of its
     /// own, which has a higher fencing token.
     pub(super) bars_former_orders: bool,
@@ -259,6 +265,7 @@
             isolated_runs: 0,
             runs_alone: 0,
             has_suspected_stalls: false,
+            shows_restart: false,
             bars_former_orders: true,
             inherited_lease_until: None,
             lease_expired_at: None,
@@ -435,7 +442,7 @@
             && self.disputed_by.is_none()
             && !self.dead
             && !self.entry.draining
-            && self.missed_responses == 0
+            && self.is_incarnation_confirmed()
             && self.unsized_runs == 0
             && self.health.is_available(now)
     }
@@ -528,16 +535,33 @@
         self.silent_since.get_or_insert(now);
     }
 
-    /// Records a response with a reading of the runner's clock.
+    /// Records the answer to an inventory call, with a reading of the runner's clock.
     pub(super) fn record_response(&mut self, clock: Millis, now: Millis) {
-        if self.reading.is_none_or(|reading| clock >= reading.clock) {
-            self.reading = Some(ClockReading { clock, at: now });
-        }
+        self.record_clock(clock, now);
+        self.shows_restart = false;
         self.missed_responses = 0;
         self.silent_since = None;
         self.lease_expired_at = None;
     }
 
+    /// Records a reading of the runner's clock in the answer to an order. It doesn't tell the incarnation,
+    /// but a clock that went back is that of another one.
+    pub(super) fn record_clock(&mut self, clock: Millis, now: Millis) {
+        match self.reading {
+            Some(reading) if clock + MAX_RESPONSE_DELAY < reading.clock => {
+                self.shows_restart = true;
+            }
+            Some(reading) if clock < reading.clock => {}
+            _ => self.reading = Some(ClockReading { clock, at: now }),
+        }
+    }
+
+    /// Returns whether the next call may tell the runner what holds for the known incarnation alone: a
+    /// deadline on its clock, and numbers of its ends.
+    pub(super) fn is_incarnation_confirmed(&self) -> bool {
+        self.missed_responses == 0 && !self.shows_restart
+    }
+
     /// Returns the deadline on the runner's clock for an order sent now, and records that the lease
     /// extends to it. Returns `None` while the runner's clock is unknown.
     pub(super) fn extend_lease(&mut self, cfg: &Settings, now: Millis) -> Option<Millis> {
@@ -567,7 +591,9 @@
     /// Returns whether the lease may be one that was granted by a deadline on the clock of the incarnation
     /// before.
     pub(super) fn may_inherit_lease(&self) -> bool {
-        self.inherited_lease_until.is_some() || self.unconfirmed_entry.is_some()
+        self.inherited_lease_until.is_some()
+            || self.unconfirmed_entry.is_some()
+            || self.shows_restart
     }
 
     /// Returns whether the lease has expired even if the runner's clock is slow.
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 use kspan_jobs::{
     engine::{Order, RunnerIx},
-    runner::{Inventory, InventoryOutcome, RunnerEntry, RunningTask, StopOutcome},
+    runner::{Inventory, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome, StopOutcome},
 };
 use kspan_model::{Millis, Name};
 use one_cell::*;
@@ -155,6 +155,28 @@
     assert_eq!(cell.engine.next_inventory_call(RunnerIx(0), now).ack, 8);
 }
 
+/// Guards against calls that give the next incarnation deadlines and numbers of the one before, because it has
+/// answered an order in the meantime.
+#[test]
+fn answer_to_an_order_does_not_confirm_the_incarnation() {
+    for (missed, clock) in [(1, 10_000), (0, 30)] {
+        let mut cell = Cell::new(&["w0"]);
+        cell.submit();
+        cell.report_ends(0, vec![failed_end(7, 1)]);
+        cell.commit();
+        assert_eq!(cell.schedule_and_send(false), [0]);
+        for _ in 0..missed {
+            cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        }
+        let now = Millis(cell.now);
+        let started = StartOutcome::Started(Millis(clock));
+        cell.engine
+            .record_start_outcome(now, RunnerIx(0), task(), 2, started);
+        let call = cell.engine.next_inventory_call(RunnerIx(0), now);
+        assert_eq!((call.ack, call.deadline), (0, None), "clock {clock}");
+    }
+}
+
 /// Guards against a lease of the next incarnation that is thought to have expired: its first deadlines
 /// are on the clock of the one before, and it bounds them by its longest lease alone.
 #[test]
