Keep runs in doubt beyond the lease of a silent runner that shows a restart

Callers may see a task run on two runners at the same time: its runner restarted, was sent the start with a deadline on the clock of its former incarnation, and was cut off before it answered an inventory call.

Cause: the owner knew of no restart, took the lease on the former clock for expired after 6.9 s and started the task elsewhere, where the new incarnation may hold it for 10 s.

Change: where the host list or an answer to an order shows a restart, runs whose start the next incarnation may have outlast the former lease, until the longest lease after the last attempt to send it has passed. All other runs are released as before.

Result: run_of_an_incarnation_that_was_never_heard_outlasts_the_lease (new): 10.6 s where a restart shows, 6.4 s where none does.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -262,13 +262,22 @@
         if self.confirmed_at < expired_at {
             return;
         }
-        if !self.runners[runner_ix.0].runs.is_empty() {
-            let id = self.runners[runner_ix.0].entry.id.clone();
+        let runner = &self.runners[runner_ix.0];
+        let kept = if runner.may_inherit_lease() {
+            runner.runs_with_inherited_lease(&self.cfg, now)
+        } else {
+            Vec::new()
+        };
+        if runner.runs.len() > kept.len() {
+            let id = runner.entry.id.clone();
             self.events
                 .push(Event::RunnerChanged { id, what: "lapsed" });
-            self.remove_runs(runner_ix, &[], LossReason::LeaseExpired, now);
+            self.remove_runs(runner_ix, &kept, LossReason::LeaseExpired, now);
             self.rewrite_task_list(runner_ix);
         }
+        if !kept.is_empty() {
+            return;
+        }
         if self.runners[runner_ix.0].missing_since.is_some() {
             self.mark_dead(runner_ix, now);
             self.runners[runner_ix.0].presumed_dead = true;
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -39,9 +39,12 @@
         if !self.is_start_wanted(runner_ix, task, run) {
             return false;
         }
+        // Ticks are frequent, and no time precedes the order itself.
+        let latest_tick = self.last_tick;
         let placed = self.runners[runner_ix.0].runs.get_mut(&(task, run));
         placed.is_some_and(|placed| {
-            placed.delivery.record_attempt();
+            let sent_at = latest_tick.unwrap_or_default().max(placed.known_since);
+            placed.delivery.record_attempt(sent_at);
             true
         })
     }
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -40,6 +40,8 @@
 pub(super) struct Delivery {
     /// Number of times that the order was sent.
     attempts: u32,
+    /// Time of the latest of them.
+    latest_attempt: Option<Millis>,
     /// Whether the runner answered that the run is there.
     is_answered: bool,
     /// Whether an inventory of the runner listed the run.
@@ -48,8 +50,9 @@
 
 impl Delivery {
     /// Records that the order is sent once more.
-    pub(super) fn record_attempt(&mut self) {
+    pub(super) fn record_attempt(&mut self, now: Millis) {
         self.attempts = self.attempts.saturating_add(1);
+        self.latest_attempt = Some(now);
     }
 
     /// Records that the runner answered the order.
@@ -415,6 +418,21 @@
         keys
     }
 
+    /// Returns those of them that may have a lease of the next incarnation. Deadlines on the clock of this one
+    /// grant it the longest lease, whenever this one's ends.
+    pub(super) fn runs_with_inherited_lease(
+        &self,
+        cfg: &Settings,
+        now: Millis,
+    ) -> Vec<(TaskId, u32)> {
+        let mut keys = self.runs_for_successor();
+        keys.retain(|key| {
+            let sent_at = self.runs[key].delivery.latest_attempt;
+            sent_at.is_some_and(|at| now < at + longest_inherited_lease(cfg))
+        });
+        keys
+    }
+
     /// Returns the tasks that may be on the runner, in order.
     pub(super) fn tasks(&self) -> Vec<TaskId> {
         let mut tasks: Vec<TaskId> = self.runs.keys().map(|(task, _)| *task).collect();
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -297,3 +297,48 @@
     cell.complete_inventory_call(1, &empty);
     assert_eq!(cell.next_start(), Some(1));
 }
+
+/// Guards against a task that runs twice because its runner restarted, was sent an order on the clock of its
+/// former incarnation, and was cut off before it answered an inventory call.
+#[test]
+fn run_of_an_incarnation_that_was_never_heard_outlasts_the_lease() {
+    // How the restart shows, and the time after which the task starts elsewhere, in ms.
+    let table = [
+        ("nowhere", 6_400..7_100),
+        ("host list", 10_600..11_200),
+        ("answer to the start", 10_600..11_200),
+    ];
+    for (shown_by, expected) in table {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        cell.advance(100);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(false), [0]);
+        cell.report_ends(1, Vec::new());
+        let now = Millis(cell.now);
+        match shown_by {
+            "host list" => {
+                let listed = RunnerEntry {
+                    started_unix_ms: 2,
+                    ..entry("w0")
+                };
+                cell.engine.upsert_runner(now, listed);
+            }
+            "answer to the start" => {
+                let started = StartOutcome::Started(Millis(30));
+                cell.engine
+                    .record_start_outcome(now, RunnerIx(0), task(), 1, started);
+            }
+            _ => {}
+        }
+        let start = (100..=12_000).step_by(100).find(|_| {
+            cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+            cell.report_ends(1, Vec::new());
+            cell.advance(100);
+            cell.commit();
+            !cell.schedule().is_empty()
+        });
+        let after = start.expect("the task starts");
+        assert!(expected.contains(&after), "{shown_by}: {after} ms");
+    }
+}
