Start a task only once a late run of it has ended

Callers may see a task run on two runners at the same time: a start of an earlier run is carried out late by a living runner, the owner finds the run, orders its stop, and starts the waiting task elsewhere at once.

Cause: a run that matches no task was only stopped, which takes up to a second; the task didn't know of it. It waits now until that run has left its runner.

Result: task_waits_until_a_late_run_of_it_has_ended fails before (the task starts beside the late run) and passes now.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -6,7 +6,7 @@
 use super::{
     Engine, Event, LossReason, RunnerIx,
     evidence::Isolation,
-    job::{MAX_RUN, TaskState},
+    job::{MAX_RUN, OrphanRun, TaskState},
     reserve::ServiceRunners,
     runner::{Delivery, PlacedRun, UnackedEnd},
     stall::Progress,
@@ -266,6 +266,9 @@
         });
         self.charge_reported_run(runner_ix, task, run, now);
         self.order_stop(runner_ix, task, run, now);
+        if let Some(known) = self.task_mut(task) {
+            known.orphan = Some(OrphanRun { runner_ix, run });
+        }
     }
 
     fn update_reported_run(&mut self, runner_ix: RunnerIx, row: &RunningTask, now: Millis) {
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -77,10 +77,19 @@
     pub(super) unverified: bool,
     /// Whether a run ordered by a previous owner may have been on a runner that crashed.
     pub(super) unaccounted: bool,
+    /// A run that should not exist and is being stopped.
+    pub(super) orphan: Option<OrphanRun>,
     /// The task's wait for its rack, or that of its gang if the task is the first member.
     pub(super) wait: Option<Wait>,
 }
 
+/// A run of a task that a runner lists although the task has another one, or none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct OrphanRun {
+    pub(super) runner_ix: RunnerIx,
+    pub(super) run: u32,
+}
+
 impl Task {
     fn new(now: Millis) -> Self {
         Self {
@@ -95,14 +104,16 @@
             skip_runs: 0,
             unverified: false,
             unaccounted: false,
+            orphan: None,
             wait: None,
         }
     }
 
     /// Returns whether the task is waiting and may start. An unverified run of a previous owner
-    /// blocks it until `all_verified`.
+    /// blocks it until `all_verified`, and an orphan run until it has ended.
     pub(super) fn may_start(&self, all_verified: bool, now: Millis) -> bool {
         self.state == TaskState::Waiting
+            && self.orphan.is_none()
             && (all_verified || !self.unverified)
             && self.crashes_allow_start(now)
     }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -55,7 +55,7 @@
     demand::Demand,
     durable::Batches,
     estimate::RunTimes,
-    job::Job,
+    job::{Job, OrphanRun, Task},
     overrun::Overruns,
     quiet::QuietRunner,
     quota::TeamTable,
@@ -473,8 +473,22 @@
         }
     }
 
-    /// Removes a run from a runner and releases what it was charged.
+    fn task_mut(&mut self, task: TaskId) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(&task.step.job)?;
+        let (step, _) = job.step_mut(task.step)?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Removes a run from a runner and releases what it was charged. A task that waited for the end of the
+    /// run may start.
     fn remove_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32) {
+        let removed = OrphanRun { runner_ix, run };
+        if let Some(known) = self.task_mut(task)
+            && known.orphan == Some(removed)
+        {
+            known.orphan = None;
+            self.schedulable.insert(task.step.job);
+        }
         let removed = self.runners[runner_ix.0].remove_run(task, run);
         if let Some(charge) = removed.and_then(|placed| placed.charge) {
             self.teams.release(charge);
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -464,3 +464,29 @@
     let late = cell.engine.upsert_runner(Millis(cell.now), entry("w0"));
     assert_eq!(late, None);
 }
+
+/// Guards against two runs at once: a start of an earlier run is carried out late, and the task starts once
+/// more while that run is being stopped.
+#[test]
+fn task_waits_until_a_late_run_of_it_has_ended() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.submit();
+    cell.report_ends(0, vec![failed_end(1, 2)]);
+    let late = RunningTask {
+        task: task(),
+        run: 1,
+        checkpoint: Name::default(),
+        percent: 10,
+    };
+    cell.report_inventory(1, vec![late], Vec::new());
+    assert!(cell.schedule().is_empty(), "the late run is being stopped");
+    let stopped = EndedTask {
+        number: 1,
+        task: task(),
+        run: 1,
+        how: EndKind::Stopped,
+        checkpoint: Name::default(),
+    };
+    cell.report_ends(1, vec![stopped]);
+    assert_eq!(cell.schedule().len(), 1);
+}
