Read the host's memory and descriptors from the settings

The process doesn't know how much memory and how many descriptors it may use, so nothing that it holds for its clients can be bounded by them. memory_mb and max_descriptors name both, with those of the smallest host where a settings file names none. They are parsed and validated; nothing enforces them yet.

--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -155,6 +155,8 @@
         address: Ipv4Addr::LOCALHOST,
         data_centre: Name::new("a"),
         processors: 1.0,
+        memory_mb: None,
+        max_descriptors: None,
         callers: String::new(),
         ready: String::new(),
         admin: String::new(),
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -58,6 +58,8 @@
         address: Ipv4Addr::LOCALHOST,
         data_centre: Name::new("a"),
         processors: 1.0,
+        memory_mb: None,
+        max_descriptors: None,
         callers: unused.clone(),
         ready: unused.clone(),
         admin: unused,
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -16,6 +16,20 @@
 const MAX_GRACE_S: f64 = 86_400.0;
 const MAX_KEEP_ENDED_S: u64 = 365 * 86_400;
 
+/// Bounds of the host's memory, in MB.
+const MIN_MEMORY_MB: u64 = 64;
+const MAX_MEMORY_MB: u64 = 1_000_000;
+
+/// Memory of the host where the settings name none, in MB: that of the smallest host.
+const DEFAULT_MEMORY_MB: u64 = 160;
+
+/// Bounds of the process's file descriptors.
+const MIN_DESCRIPTORS: usize = 256;
+const MAX_DESCRIPTORS: usize = 1_000_000;
+
+/// Maximum number of file descriptors where the settings name none: that of the smallest host.
+const DEFAULT_DESCRIPTORS: usize = 4_100;
+
 /// Result of reading settings.
 pub(crate) type Result<T> = std::result::Result<T, SettingsError>;
 
@@ -53,6 +67,12 @@
     /// Processor time that the host offers to the process, in processors.
     #[serde(default = "default_processors")]
     pub(crate) processors: f64,
+    /// Memory that the host offers to the process, in MB; above it the platform ends the process.
+    #[serde(default)]
+    pub(crate) memory_mb: Option<u64>,
+    /// Maximum number of the process's file descriptors.
+    #[serde(default)]
+    pub(crate) max_descriptors: Option<usize>,
     /// Listen address for callers.
     pub(crate) callers: String,
     /// Listen address of the readiness check; may be the callers' address.
@@ -118,6 +138,16 @@
                 "processors: must be above 0, up to 1000000",
             ));
         }
+        if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&cfg.memory_mb()) {
+            return Err(SettingsError::Value(
+                "memory_mb: must be from 64 to 1000000",
+            ));
+        }
+        if !(MIN_DESCRIPTORS..=MAX_DESCRIPTORS).contains(&cfg.max_descriptors()) {
+            return Err(SettingsError::Value(
+                "max_descriptors: must be from 256 to 1000000",
+            ));
+        }
         if cfg.grace_s <= 0.0 || !(0.0..=MAX_GRACE_S).contains(&cfg.grace_s) {
             return Err(SettingsError::Value(
                 "grace_s: must be above 0, up to 86400",
@@ -131,6 +161,16 @@
         Ok(cfg)
     }
 
+    /// Returns the memory of the host, in MB.
+    pub(crate) fn memory_mb(&self) -> u64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB)
+    }
+
+    /// Returns the maximum number of the process's file descriptors.
+    pub(crate) fn max_descriptors(&self) -> usize {
+        self.max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
+    }
+
     /// Returns the host's processor time in thousandths of a processor.
     #[allow(clippy::cast_possible_truncation, reason = "a host has few processors")]
     pub(crate) fn processors_milli(&self) -> u32 {
--- a/crates/cell/src/settings/tests.rs
+++ b/crates/cell/src/settings/tests.rs
@@ -47,6 +47,18 @@
         ),
         ("node: h-1", "node: h-1\nprocessors: .inf", "processors"),
         ("max_lease_ms: 8000", "max_lease_ms: 10", "max_lease_ms"),
+        ("node: h-1", "node: h-1\nmemory_mb: 63", "memory_mb"),
+        ("node: h-1", "node: h-1\nmemory_mb: 1000001", "memory_mb"),
+        (
+            "node: h-1",
+            "node: h-1\nmax_descriptors: 255",
+            "max_descriptors",
+        ),
+        (
+            "node: h-1",
+            "node: h-1\nmax_descriptors: 1000001",
+            "max_descriptors",
+        ),
     ];
     assert!(Settings::parse(VALID).is_ok());
     for (valid, invalid, name) in table {
@@ -56,6 +68,21 @@
     }
 }
 
+/// Guards against a host that doesn't state its limits and gets a process without any.
+#[test]
+fn hosts_without_stated_limits_have_the_limits_of_the_smallest() {
+    for text in [
+        VALID.to_owned(),
+        format!("{VALID}memory_mb: \nmax_descriptors: \n"),
+    ] {
+        let cfg = Settings::parse(&text).expect("valid settings");
+        assert_eq!((cfg.memory_mb(), cfg.max_descriptors()), (160, 4_100));
+    }
+    let text = format!("{VALID}memory_mb: 260\nmax_descriptors: 2000\n");
+    let cfg = Settings::parse(&text).expect("valid settings");
+    assert_eq!((cfg.memory_mb(), cfg.max_descriptors()), (260, 2_000));
+}
+
 /// Guards against recursion as deep as a file asks for.
 #[test]
 fn deeply_nested_files_are_rejected() {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -34,7 +34,9 @@
 pub(crate) struct Process {
     pub(crate) child: Child,
     pub(crate) callers: String,
+    pub(crate) ready: String,
     pub(crate) admin: String,
+    pub(crate) internal: String,
     pub(crate) lines: Arc<Mutex<Vec<Value>>>,
     pub(crate) settings: PathBuf,
 }
@@ -47,12 +49,17 @@
     /// Starts a process on a host that offers `processors` processors and reaches the store at
     /// `store_addr`.
     pub(crate) fn start_on(number: usize, processors: f64, store_addr: SocketAddr) -> Self {
+        Self::start_with(number, &format!("processors: {processors}\n"), store_addr)
+    }
+
+    /// Starts a process with further lines of settings, which reaches the store at `store_addr`.
+    pub(crate) fn start_with(number: usize, more: &str, store_addr: SocketAddr) -> Self {
         let address = loopback::own_address();
         let addrs: [_; 4] = loopback::free_ports(address);
         let settings = format!(
             "node: host-{number}\naddress: {address}\ndata_centre: z\ncallers: {}\nready: {}\n\
              admin: {}\ninternal_port: {}\nstore: {}\nmax_lease_ms: 10000\nspread_factor: 3\n\
-             keep_ended_s: 120\ngrace_s: 6\nprocessors: {processors}\n",
+             keep_ended_s: 120\ngrace_s: 6\n{more}",
             addrs[0],
             addrs[1],
             addrs[2],
@@ -79,7 +86,9 @@
         Self {
             child,
             callers: addrs[0].to_string(),
+            ready: addrs[1].to_string(),
             admin: addrs[2].to_string(),
+            internal: addrs[3].to_string(),
             lines,
             settings: path,
         }
