--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -11,7 +11,7 @@
 const MAX_TASKS_PER_STEP: u32 = 10_000;
 
 /// Maximum number of steps of a job.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 
 /// Maximum number of tasks in all steps of a job. Each takes memory at the owner from the submission
 /// on, and a request body has room for thousands of steps.
