Bound what clients of the HTTP interfaces hold by the host's memory and descriptors

Cause: the limits were those of one request. Nothing counted what all clients hold together, nothing bounded how long an unfinished body may stay, and nothing bounded the number of connections. Change: each interface has a share of the host's memory and descriptors. A body reserves its buffer while it arrives and four times its size while it is executed; where the share is full, the unfinished body that stood still for longest is given up (503 with Retry-After), and otherwise the new one is refused. A body over the limit gets 413 before it is read if it was announced; one that makes no progress for 5 s, or takes 60 s, gets 408. None of these has run, and each closes its connection. Where there is no room for a connection, a refused, silent, stalled or idle one is closed for it. Operators' pages and the readiness check take no bodies. The decisions have no I/O (admission/ledger.rs, admission/connections.rs) and tests of their own. New metric kspan_cell_clients_refused_total and log line "client refused". A new test shows 413 and 408, that the connection is closed, and that no refused job is known.

--- a/crates/cell/src/admin.rs
+++ b/crates/cell/src/admin.rs
@@ -3,10 +3,15 @@
 use std::{io, net::SocketAddr, rc::Rc};
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ntex::http::{Request, Response, StatusCode};
+use ntex::http::{Response, StatusCode};
 use serde::Serialize;
 
-use crate::{http, message::Member, process::Process};
+use crate::{
+    admission::{Admission, Door},
+    http::{self, BodyError},
+    message::Member,
+    process::Process,
+};
 
 /// State of the process.
 #[derive(Serialize)]
@@ -44,12 +49,22 @@
 pub(crate) async fn serve(
     process: Rc<Process>,
     addr: SocketAddr,
+    admission: Rc<Admission>,
     metrics: PrometheusHandle,
 ) -> io::Result<()> {
-    http::serve(addr, move |req: Request| {
-        let response = respond(&process, &metrics, req.path());
-        async move { response }
-    })
+    http::serve(
+        addr,
+        Door::Operators,
+        admission,
+        move |mut req, exchange| {
+            let response = if http::has_body(&mut req) {
+                exchange.refuse(&BodyError::TooLarge)
+            } else {
+                respond(&process, &metrics, req.path())
+            };
+            async move { response }
+        },
+    )
     .await
 }
 
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -8,7 +8,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    forward, http,
+    admission::{Admission, Door},
+    forward,
+    http::{self, BodyError, Exchange},
     message::{ApiKey, CallFailure, CallResponse, JobCall, Verb},
     peers::RequestError,
     process::Process,
@@ -27,6 +29,9 @@
 /// Time after which a caller that was not served should retry, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
+/// Size of a decoded job and its copies that are sent to the owner, in sizes of its body.
+const DECODED_FACTOR: usize = 4;
+
 /// Time without the owner's heartbeats from which a process is not ready.
 const MAX_READY_SILENCE_MS: u64 = 3_000;
 
@@ -35,25 +40,36 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub(crate) async fn serve(process: Rc<Process>, addr: SocketAddr) -> io::Result<()> {
-    http::serve(addr, move |req| {
+pub(crate) async fn serve(
+    process: Rc<Process>,
+    addr: SocketAddr,
+    door: Door,
+    admission: Rc<Admission>,
+) -> io::Result<()> {
+    http::serve(addr, door, admission, move |req, exchange| {
         let process = Rc::clone(&process);
-        async move { handle(&process, req).await }
+        async move { handle(&process, req, &exchange).await }
     })
     .await
 }
 
-async fn handle(process: &Rc<Process>, mut req: Request) -> Response {
+async fn handle(process: &Rc<Process>, mut req: Request, exchange: &Exchange) -> Response {
     if req.path() == entry::READY_PATH {
+        if http::has_body(&mut req) {
+            return exchange.refuse(&BodyError::TooLarge);
+        }
         return respond(process, &readiness(process));
     }
     let _in_flight = process.node.in_flight.enter();
-    let body = match http::read_body(&mut req).await {
+    let body = match exchange.read_body(&mut req).await {
         Ok(body) => body,
-        Err(_) => return respond(process, &CallResponse::new(400)),
+        Err(err) => return exchange.refuse(&err),
     };
+    if let Err(err) = body.reserve_decoded(DECODED_FACTOR) {
+        return exchange.refuse(&err);
+    }
     let verb = match *req.method() {
-        Method::POST => match entry::decode_job(&body) {
+        Method::POST => match entry::decode_job(body.bytes()) {
             Ok(spec) => Verb::Submit(spec),
             Err(err) => {
                 telemetry::record_malformed("job");
@@ -65,6 +81,7 @@
         Method::DELETE => Verb::Cancel,
         _ => return respond(process, &CallResponse::new(405)),
     };
+    let _reservation = body.into_reservation();
     let host = req
         .headers()
         .get("host")
--- a/crates/cell/src/http.rs
+++ b/crates/cell/src/http.rs
@@ -1,40 +1,251 @@
 //! HTTP server on the process's single thread.
 
-use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use ntex::{
     ServiceFactory, SharedCfg, fn_service,
-    http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response, body::Body},
+    http::{
+        HttpService, HttpServiceConfig, KeepAlive, Payload, Request, Response, StatusCode,
+        body::Body as ResponseBody, error::PayloadError,
+    },
+    io::{Io, IoRef},
     time::Seconds,
-    util::{Bytes, BytesMut, stream_recv},
+    util::{Bytes, stream_recv},
 };
-use tokio::net::TcpListener;
+use quick_error::quick_error;
+use rustc_hash::FxHashMap;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::admission::{Admission, ConnectionGuard, Door, Refusal, Reservation};
+
+/// Result of reading a request's body.
+pub(crate) type Result<T> = std::result::Result<T, BodyError>;
 
 /// Time for which an idle connection is kept open.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(120);
 
+/// Maximum size of a request's head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 512 * 1024;
 
+/// Initial capacity for a body that doesn't arrive at once, in bytes.
+const MIN_BODY_CAPACITY: usize = 16 * 1024;
+
 /// Delay before the next attempt to accept a connection after a failure.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after which a client whose request was refused for lack of memory should retry, in seconds.
+const RETRY_AFTER_S: u32 = 1;
+
+quick_error! {
+    /// Reason why a request's body was not read.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The body is larger than the maximum.
+        TooLarge {
+            display("request body larger than {MAX_BODY_BYTES} bytes")
+        }
+        /// The process doesn't read the body, or doesn't read it to its end.
+        Refused(why: Refusal) {
+            from()
+            display("{why}")
+        }
+        /// The connection failed, or the body is malformed.
+        Broken(err: PayloadError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+impl BodyError {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::TooLarge => "too large",
+            Self::Refused(why) => why.name(),
+            Self::Broken(_) => "broken",
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Refused(Refusal::Full) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(Refusal::Stalled) => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// A request's complete body, whose bytes are reserved while it is held.
+#[derive(Default)]
+pub(crate) struct Body {
+    bytes: Vec<u8>,
+    reservation: Option<Reservation>,
+}
+
+impl Body {
+    /// Returns the body's bytes.
+    pub(crate) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Reserves `factor` times the body's size for what is decoded from it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room.
+    pub(crate) fn reserve_decoded(&self, factor: usize) -> Result<()> {
+        let reserved = self.bytes.len() * factor;
+        let resize = |one: &Reservation| one.resize(reserved);
+        Ok(self.reservation.as_ref().map_or(Ok(()), resize)?)
+    }
+
+    /// Drops the bytes and returns what is reserved.
+    pub(crate) fn into_reservation(self) -> Option<Reservation> {
+        self.reservation
+    }
+}
+
+/// A request's connection, and what is known of the clients of its interface.
+pub(crate) struct Exchange {
+    door: Door,
+    admission: Rc<Admission>,
+    connection: Option<Rc<ConnectionGuard>>,
+}
+
+impl Exchange {
+    /// Reads a request's complete body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is truncated or too large, does not arrive in time, or has no
+    /// room.
+    pub(crate) async fn read_body(&self, req: &mut Request) -> Result<Body> {
+        if !has_body(req) {
+            return Ok(Body::default());
+        }
+        let announced = announced_bytes(req);
+        if announced.is_some_and(|bytes| bytes > MAX_BODY_BYTES) {
+            return Err(BodyError::TooLarge);
+        }
+        self.record(ConnectionGuard::record_arrival);
+        let body = self
+            .receive(req, announced.unwrap_or(MAX_BODY_BYTES))
+            .await?;
+        self.record(ConnectionGuard::record_execution);
+        Ok(body)
+    }
+
+    async fn receive(&self, req: &mut Request, max_bytes: usize) -> Result<Body> {
+        let reservation = self.admission.open_message(self.door);
+        let mut payload = req.take_payload();
+        let mut bytes = Vec::new();
+        while let Some(chunk) = receive_chunk(&mut payload, &reservation).await? {
+            let length = bytes.len() + chunk.len();
+            if length > MAX_BODY_BYTES {
+                return Err(BodyError::TooLarge);
+            }
+            if length > bytes.capacity() {
+                let doubled = (2 * bytes.capacity()).max(MIN_BODY_CAPACITY);
+                let capacity = doubled.min(max_bytes).max(length);
+                reservation.resize(capacity)?;
+                bytes.reserve_exact(capacity - bytes.len());
+            }
+            bytes.extend_from_slice(&chunk);
+            if length < max_bytes {
+                reservation.record_progress();
+                self.record(ConnectionGuard::record_arrival);
+            }
+        }
+        reservation.record_end()?;
+        let reservation = Some(reservation);
+        Ok(Body { bytes, reservation })
+    }
+
+    /// Creates the response to a request whose body was not read or has no room. The request was
+    /// not executed. The connection is closed, because the rest of the body may follow.
+    pub(crate) fn refuse(&self, err: &BodyError) -> Response {
+        self.admission.report(self.door, err.name());
+        self.record(ConnectionGuard::record_refusal);
+        let mut builder = Response::build(err.status());
+        if matches!(err, BodyError::Refused(Refusal::Full)) {
+            builder.header("Retry-After", RETRY_AFTER_S.to_string());
+        }
+        builder.force_close();
+        builder.content_type("text/plain");
+        builder.body(err.to_string())
+    }
+
+    fn record(&self, step: impl Fn(&ConnectionGuard)) {
+        if let Some(connection) = &self.connection {
+            step(connection);
+        }
+    }
+}
+
+/// Returns whether a request has a body.
+pub(crate) fn has_body(req: &mut Request) -> bool {
+    !matches!(req.payload(), Payload::None)
+}
+
+/// Returns the size of the body that the request's head announces.
+fn announced_bytes(req: &Request) -> Option<usize> {
+    let value = req.headers().get("content-length")?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+async fn receive_chunk(payload: &mut Payload, reservation: &Reservation) -> Result<Option<Bytes>> {
+    tokio::select! {
+        biased;
+        chunk = stream_recv(payload) => Ok(chunk.transpose()?),
+        why = reservation.given_up() => Err(why.into()),
+    }
+}
+
+/// Open connections of an interface.
+type Connections = Rc<RefCell<FxHashMap<IoRef, Rc<ConnectionGuard>>>>;
+
 /// Serves requests on `addr` with `handle` until the process exits.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub(crate) async fn serve<F, R>(addr: SocketAddr, handle: F) -> io::Result<()>
+pub(crate) async fn serve<F, R>(
+    addr: SocketAddr,
+    door: Door,
+    admission: Rc<Admission>,
+    handle: F,
+) -> io::Result<()>
 where
-    F: Fn(Request) -> R + Clone + 'static,
+    F: Fn(Request, Exchange) -> R + Clone + 'static,
     R: Future<Output = Response> + 'static,
 {
     let listener = TcpListener::bind(addr).await?;
-    let http = HttpServiceConfig::new().set_keepalive(KeepAlive::Timeout(KEEP_ALIVE_TIMEOUT));
+    let http = HttpServiceConfig::new()
+        .set_max_buf_size(MAX_HEAD_BYTES)
+        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE_TIMEOUT));
     let cfg: SharedCfg = SharedCfg::new("http").add(http).into();
-    let service = HttpService::<_, _, Body>::h1(fn_service(move |req: Request| {
-        let response = handle(req);
-        async move { Ok::<_, io::Error>(response.await) }
+    let connections = Connections::default();
+    let (open, known) = (Rc::clone(&connections), Rc::clone(&admission));
+    let service = HttpService::<_, _, ResponseBody>::h1(fn_service(move |req: Request| {
+        let connection = req.io().and_then(|io| open.borrow().get(io).cloned());
+        let exchange = Exchange {
+            door,
+            admission: Rc::clone(&known),
+            connection: connection.clone(),
+        };
+        exchange.record(ConnectionGuard::record_execution);
+        let response = handle(req, exchange);
+        async move {
+            let response = response.await;
+            if let Some(connection) = connection {
+                connection.record_answer();
+            }
+            Ok::<_, io::Error>(response)
+        }
     }));
     let pipeline = service.pipeline(cfg.clone()).await;
     let pipeline =
@@ -45,38 +256,32 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let Ok(stream) = stream.into_std() else {
+            let Some(io) = open_io(stream, &cfg) else {
                 continue;
             };
-            // A failure only makes responses slower.
-            let _ = stream.set_nodelay(true);
-            let Ok(io) = ntex::rt::from_tcp_stream(stream, cfg.clone()) else {
+            let (io_ref, closer) = (io.get_ref(), io.get_ref());
+            let Some(guard) = admission.open_connection(door, move || closer.terminate()) else {
                 continue;
             };
-            let pipeline = Rc::clone(&pipeline);
+            connections
+                .borrow_mut()
+                .insert(io_ref.clone(), Rc::new(guard));
+            let (pipeline, connections) = (Rc::clone(&pipeline), Rc::clone(&connections));
             ntex::rt::spawn(async move {
                 // An error ends only this connection, and its client notices it.
                 let _ = pipeline.call(io).await;
+                connections.borrow_mut().remove(&io_ref);
             });
+            // A connection that was closed for this one is dropped by its own task.
+            tokio::task::yield_now().await;
         }
     });
     Ok(())
 }
 
-/// Reads a request's complete body.
-///
-/// # Errors
-///
-/// Returns an error if the body is truncated or too large.
-pub(crate) async fn read_body(req: &mut Request) -> io::Result<Bytes> {
-    let mut payload = req.take_payload();
-    let mut buf = BytesMut::new();
-    while let Some(chunk) = stream_recv(&mut payload).await {
-        let chunk = chunk.map_err(io::Error::other)?;
-        if buf.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(io::Error::other("request body larger than 512 KiB"));
-        }
-        buf.extend_from_slice(&chunk);
-    }
-    Ok(buf.freeze())
+fn open_io(stream: TcpStream, cfg: &SharedCfg) -> Option<Io> {
+    let stream = stream.into_std().ok()?;
+    // A failure only makes responses slower.
+    let _ = stream.set_nodelay(true);
+    ntex::rt::from_tcp_stream(stream, cfg.clone()).ok()
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,6 +8,7 @@
 //! formats of the platform are in `kspan-adapter`.
 
 mod admin;
+mod admission;
 mod attempts;
 mod clock;
 mod election;
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -11,7 +11,8 @@
 
 use super::*;
 use crate::{
-    http,
+    admission::{Door, tests::on_smallest_host},
+    http::{self, Exchange},
     message::{PeerReply, PeerRequest},
     settings::Settings,
 };
@@ -26,18 +27,23 @@
     let topic = Rc::new(ClaimsTopic::new(CLAIM_KEY, claim));
     let addr = free_addr();
     let handler = Rc::clone(&topic);
-    let serving = http::serve(addr, move |req| {
-        let topic = Rc::clone(&handler);
-        async move { respond(&topic, req).await }
-    });
+    let serving = http::serve(
+        addr,
+        Door::Callers,
+        on_smallest_host(),
+        move |req, exchange| {
+            let topic = Rc::clone(&handler);
+            async move { respond(&topic, req, &exchange).await }
+        },
+    );
     serving.await.expect("a free port");
     (topic, addr)
 }
 
-async fn respond(topic: &ClaimsTopic, mut req: Request) -> Response {
-    let body = http::read_body(&mut req).await.expect("a complete body");
+async fn respond(topic: &ClaimsTopic, mut req: Request, exchange: &Exchange) -> Response {
+    let body = exchange.read_body(&mut req).await.expect("a complete body");
     let query = req.uri().query().unwrap_or_default();
-    let (status, response) = topic.handle(req.path(), query, &body);
+    let (status, response) = topic.handle(req.path(), query, body.bytes());
     if ClaimsTopic::is_read(req.path()) {
         // Lets all processes that read at once see the same claims.
         tokio::time::sleep(READ_DELAY).await;
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     admin,
+    admission::{Admission, Door, Limits},
     attempts::{Attempts, Progress},
     entry, logging,
     message::Member,
@@ -121,19 +122,44 @@
     let internal = SocketAddr::from((cfg.address, cfg.internal_port));
     let mut signals = spawn_signal_thread()?;
     let metrics = telemetry::install().map_err(io::Error::other)?;
+    let (memory_mb, max_descriptors) = (cfg.memory_mb(), cfg.max_descriptors());
     let process = Process::new(cfg).await;
+    let admission = Admission::new(
+        |door| Limits::new(door, memory_mb, max_descriptors),
+        process.node.clock,
+        Rc::clone(&process.node.log_limit),
+    );
     let listener = TcpListener::bind(internal).await?;
     let socket = Rc::new(UdpSocket::bind(internal).await?);
-    entry::serve(Rc::clone(&process), callers).await?;
+    entry::serve(
+        Rc::clone(&process),
+        callers,
+        Door::Callers,
+        Rc::clone(&admission),
+    )
+    .await?;
     if ready != callers {
-        entry::serve(Rc::clone(&process), ready).await?;
+        entry::serve(
+            Rc::clone(&process),
+            ready,
+            Door::Ready,
+            Rc::clone(&admission),
+        )
+        .await?;
     }
-    admin::serve(Rc::clone(&process), admin_addr, metrics).await?;
+    admin::serve(
+        Rc::clone(&process),
+        admin_addr,
+        Rc::clone(&admission),
+        metrics,
+    )
+    .await?;
     let handler = Rc::clone(&process);
     ntex::rt::spawn(peers::serve(listener, move |req| {
         let process = Rc::clone(&handler);
         async move { process.handle_request(req).await }
     }));
+    ntex::rt::spawn(Rc::clone(&admission).sweep());
     ntex::rt::spawn(Rc::clone(&process).receive_heartbeats(socket));
     ntex::rt::spawn(Rc::clone(&process).monitor_owner());
     ntex::rt::spawn(Rc::clone(&process).send_member_heartbeats());
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -113,6 +113,12 @@
     counter!("kspan_cell_malformed_total", "kind" => kind).increment(1);
 }
 
+/// Records a message or a connection that an interface refused or gave up.
+pub(crate) fn record_refusal(interface: &'static str, why: &'static str) {
+    let labels = [("interface", interface), ("why", why)];
+    counter!("kspan_cell_clients_refused_total", &labels).increment(1);
+}
+
 /// Records a batch that became durable.
 pub(crate) fn record_batch(records: usize, took: Millis) {
     counter!("kspan_cell_records_written_total").increment(records as u64);
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -10,7 +10,7 @@
 
 use crowd::{Script, Use, connect, sample, watch};
 use harness::{
-    Process, call, call_until, send,
+    Process, TIMEOUT, call, call_until, send,
     standin::{ENTRIES_TARGET, HOST, PREFIX, Platform, READY_PATH, WAITING_TARGET, job_body},
     wait_for_owner,
 };
@@ -385,6 +385,49 @@
     }
 }
 
+/// Guards against refusals that don't say why, and refused connections that stay open: a body that
+/// can't be served gets 413, one that doesn't arrive in time gets 408.
+#[ntex::test]
+async fn refusals_say_why_and_close_the_connection() {
+    let _crowd = CROWD.lock().await;
+    let platform = Platform::start(1);
+    let process = start(&platform).await;
+    let over = Script {
+        head: chunked_head(Door::Callers, 1),
+        piece: chunk(PIECE_BYTES),
+        repeats: MAX_BODY_BYTES / PIECE_BYTES + 1,
+        tail: Vec::new(),
+    };
+    let announced = Script {
+        head: head_of_length(Door::Callers, 2, MAX_BODY_BYTES + 1),
+        ..Script::default()
+    };
+    let table = [
+        (&process.callers, announced, "413"),
+        (&process.callers, over, "413"),
+        (&process.callers, body_in_pieces(Door::Callers, 3), "408"),
+        (&process.admin, body_in_pieces(Door::Admin, 4), "413"),
+        (&process.ready, body_in_pieces(Door::Ready, 6), "413"),
+    ];
+    for (addr, script, status) in table {
+        let mut streams = connect(addr, vec![script]).await;
+        let mut response = Vec::new();
+        // The connection may be reset after the response, because bytes of the body were not read.
+        let _ = tokio::time::timeout(TIMEOUT, streams[0].read_to_end(&mut response))
+            .await
+            .expect("the connection is closed");
+        let response = String::from_utf8_lossy(&response);
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {status} ")),
+            "expected {status}: {response}"
+        );
+    }
+    for client in 1..=3 {
+        let path = format!("{PREFIX}{client:016x}");
+        call_until("GET", &process.callers, &path, "", 410).await;
+    }
+}
+
 /// Guards against a refusal of a job that runs, and against more memory than the host has while
 /// many complete bodies of the maximum size arrive at once.
 #[ntex::test]
