Bound what other processes hold by the host's memory and descriptors

What was seen: whoever reaches the internal port can end a process: frames that stop short of their end, requests in flight and replies that are not read took 226,684, 225,072 and 86,320 KiB on a host of 64 MB, and relayed requests to the store 756 sockets of 200. Cause: a frame's limit is 5 MiB, and a connection's are 512 queued replies; nothing counted what all connections hold, and nothing bounded their number, the time for a frame, or the time for a reply to be read. Change: a frame's memory is reserved in the share of other processes before it is read, and held until the reply is written. A frame without room waits for up to 5 s, then its connection is closed; an unfinished frame is given up first. A frame has 5 s to arrive and a reply 5 s to be written. Connections are limited as those of callers are. At most 32 requests to the store are relayed at a time. Requests that wait for a process that hangs are limited to 6 MiB a connection: none of 64 requests of 1 MiB was refused with a limit out of reach, at least 32 must be (requests_for_a_process_that_reads_nothing_are_bounded).

--- a/crates/cell/src/in_flight.rs
+++ b/crates/cell/src/in_flight.rs
@@ -16,6 +16,11 @@
         InFlightGuard(Rc::clone(&self.0))
     }
 
+    /// Returns the number of requests in flight.
+    pub(crate) fn count(&self) -> usize {
+        self.0.get()
+    }
+
     /// Returns whether no request is in flight.
     pub(crate) fn is_empty(&self) -> bool {
         self.0.get() == 0
--- a/crates/cell/src/node/mod.rs
+++ b/crates/cell/src/node/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) log_limit: Rc<LogLimit>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) in_flight: InFlight,
+    /// Requests to the store that are relayed for other processes.
+    pub(crate) relayed: InFlight,
     approvals: Client,
     pub(crate) election: RefCell<Election>,
     members: RefCell<Vec<Member>>,
@@ -88,6 +90,7 @@
             log_limit,
             stopping: Cell::new(false),
             in_flight: InFlight::default(),
+            relayed: InFlight::default(),
             approvals: kspan_adapter::http::client(MAX_APPROVAL_CONNECTIONS).await,
             known_ends: RefCell::default(),
             cfg,
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use kspan_wire::stream::{read_frame, write_frame};
+use kspan_wire::stream::{read_frame, read_length, read_payload, write_frame};
 use quick_error::quick_error;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -20,11 +20,12 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::{mpsc, oneshot},
+    sync::{Notify, mpsc, oneshot},
     time::Instant,
 };
 
 use crate::{
+    admission::{self, Admission, ConnectionGuard, Door, Refusal, Reservation},
     message::{Frame, Member, PeerReply, PeerRequest},
     telemetry,
 };
@@ -53,6 +54,28 @@
 /// Maximum number of frames that wait for a connection's writer.
 const MAX_QUEUED_FRAMES: usize = 512;
 
+/// Maximum size of the requests that wait for a connection's writer, in bytes. A process that hangs
+/// reads none, while callers keep sending.
+const MAX_QUEUED_BYTES: usize = 6 * 1024 * 1024;
+
+/// Time within which a reply must be written. Its request has timed out long before.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Size of a frame together with the request decoded from it, in sizes of the frame.
+const DECODED_FACTOR: usize = 2;
+
+/// Size of a reply together with the buffer from which it is written, in sizes of the reply.
+const WRITE_FACTOR: usize = 2;
+
+/// Memory that a request in flight takes besides its frame, in bytes.
+const REQUEST_BYTES: usize = 1024;
+
+/// Capacity above which the buffer of a connection is dropped after a frame, in bytes.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+/// Interval at which a frame that has no room tries again.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 type Address = (Ipv4Addr, u16);
 
 /// Connections to other processes, by address.
@@ -65,11 +88,23 @@
     tx: mpsc::Sender<Vec<u8>>,
     pending: RefCell<FxHashMap<u64, oneshot::Sender<PeerReply>>>,
     next_number: Cell<u64>,
+    queued_bytes: Cell<usize>,
     last_received: Cell<Instant>,
     is_open: Cell<bool>,
 }
 
 impl Connection {
+    /// Adds a frame to the queue of the writer. Returns `false` if the queue is full.
+    fn enqueue(&self, frame: Vec<u8>) -> bool {
+        let queued = self.queued_bytes.get() + frame.len();
+        let has_room = queued <= MAX_QUEUED_BYTES;
+        let is_queued = has_room && self.tx.try_send(frame).is_ok();
+        if is_queued {
+            self.queued_bytes.set(queued);
+        }
+        is_queued
+    }
+
     /// Closes the connection and fails its pending requests.
     fn close(&self) {
         self.is_open.set(false);
@@ -99,7 +134,7 @@
             number,
             content: req,
         });
-        if connection.tx.try_send(frame).is_err() {
+        if !connection.enqueue(frame) {
             connection.pending.borrow_mut().remove(&number);
             return Err(RequestError::NotSent);
         }
@@ -141,6 +176,7 @@
             tx,
             pending: RefCell::default(),
             next_number: Cell::new(0),
+            queued_bytes: Cell::new(0),
             last_received: Cell::new(Instant::now()),
             is_open: Cell::new(true),
         });
@@ -167,6 +203,8 @@
     connection: Rc<Connection>,
 ) {
     while let Some(frame) = rx.recv().await {
+        let queued = connection.queued_bytes.get();
+        connection.queued_bytes.set(queued - frame.len());
         if !connection.is_open.get() || write_frame(&mut writer, &frame).await.is_err() {
             break;
         }
@@ -183,6 +221,9 @@
             tracing::warn!("malformed reply of another process; connection closed");
             break;
         };
+        if buf.capacity() > MAX_KEPT_BYTES {
+            buf = Vec::new();
+        }
         let waiter = connection.pending.borrow_mut().remove(&frame.number);
         if let Some(waiter) = waiter {
             // The request may have timed out.
@@ -192,8 +233,11 @@
     connection.close();
 }
 
+/// A reply that waits for a connection's writer, and what is reserved for it.
+type Reply = (Vec<u8>, Reservation);
+
 /// Serves requests of other processes with `handle` until this process exits.
-pub(crate) async fn serve<H, R>(listener: TcpListener, handle: H)
+pub(crate) async fn serve<H, R>(listener: TcpListener, admission: Rc<Admission>, handle: H)
 where
     H: Fn(PeerRequest) -> R + Clone + 'static,
     R: Future<Output = PeerReply> + 'static,
@@ -203,40 +247,142 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        let closed = Rc::new(Notify::new());
+        let closer = Rc::clone(&closed);
+        let close = move || closer.notify_one();
+        let Some(guard) = admission.open_connection(Door::Peers, close) else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
-        ntex::rt::spawn(serve_connection(stream, handle.clone()));
+        let (admission, handle) = (Rc::clone(&admission), handle.clone());
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                () = serve_connection(stream, &admission, &guard, handle) => {}
+                () = closed.notified() => {}
+            }
+        });
+        // A connection that was closed for this one is dropped by its own task.
+        tokio::task::yield_now().await;
     }
 }
 
-async fn serve_connection<H, R>(stream: TcpStream, handle: H)
-where
+async fn serve_connection<H, R>(
+    stream: TcpStream,
+    admission: &Rc<Admission>,
+    guard: &ConnectionGuard,
+    handle: H,
+) where
     H: Fn(PeerRequest) -> R + Clone + 'static,
     R: Future<Output = PeerReply> + 'static,
 {
-    let (mut reader, mut writer) = stream.into_split();
-    let (tx, mut rx) = mpsc::channel::<Vec<u8>>(MAX_QUEUED_FRAMES);
-    ntex::rt::spawn(async move {
-        while let Some(frame) = rx.recv().await {
-            if write_frame(&mut writer, &frame).await.is_err() {
-                return;
+    let (reader, writer) = stream.into_split();
+    let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let writing = write_replies(writer, rx);
+    tokio::pin!(writing);
+    let is_done = tokio::select! {
+        () = read_requests(reader, tx, admission, guard, handle) => false,
+        result = &mut writing => {
+            if result.is_err() {
+                admission.report(Door::Peers, "replies not read");
             }
+            true
         }
-    });
+    };
+    if !is_done {
+        // The requests in flight are still answered; a failure ends only this connection.
+        let _ = writing.await;
+    }
+}
+
+/// Writes replies until there are no more requests.
+async fn write_replies(
+    mut writer: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<Reply>,
+) -> std::io::Result<()> {
+    while let Some((frame, _reservation)) = rx.recv().await {
+        tokio::time::timeout(WRITE_TIMEOUT, write_frame(&mut writer, &frame)).await??;
+    }
+    Ok(())
+}
+
+/// Reads requests until the connection ends, breaks the protocol, or has no room for too long.
+async fn read_requests<H, R>(
+    mut reader: OwnedReadHalf,
+    tx: mpsc::Sender<Reply>,
+    admission: &Rc<Admission>,
+    guard: &ConnectionGuard,
+    handle: H,
+) where
+    H: Fn(PeerRequest) -> R + Clone + 'static,
+    R: Future<Output = PeerReply> + 'static,
+{
     let mut buf = Vec::new();
-    while matches!(read_frame(&mut reader, &mut buf).await, Ok(true)) {
+    while let Ok(Some(length)) = read_length(&mut reader).await {
+        guard.record_arrival();
+        let reservation = admission.open_message(Door::Peers);
+        let frame = read_reserved(&mut reader, length, &mut buf, &reservation);
+        match frame.await {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(why) => return admission.report(Door::Peers, why.name()),
+        }
         let Some(frame) = decode::<Frame<PeerRequest>>(&buf) else {
             telemetry::record_malformed("frame");
             tracing::warn!("malformed frame from another process; connection closed");
             return;
         };
-        let (reply, tx) = (handle(frame.content), tx.clone());
-        let number = frame.number;
-        ntex::rt::spawn(async move {
-            let content = reply.await;
-            // A lost reply appears as a timeout to the sender, which retries if it needs to.
-            let _ = tx.try_send(encode(&Frame { number, content }));
-        });
+        if buf.capacity() > MAX_KEPT_BYTES {
+            buf = Vec::new();
+        }
+        // What was reserved only shrinks here, which is always granted.
+        let _ = reservation.resize(length + REQUEST_BYTES);
+        guard.record_answer();
+        let reply = handle(frame.content);
+        ntex::rt::spawn(send_reply(reply, frame.number, reservation, tx.clone()));
+    }
+}
+
+/// Reads a frame whose bytes are reserved before. Returns `false` if the stream ends within it.
+///
+/// # Errors
+///
+/// Returns an error if there is no room, or if the frame does not arrive in time.
+async fn read_reserved(
+    reader: &mut OwnedReadHalf,
+    length: usize,
+    buf: &mut Vec<u8>,
+    reservation: &Reservation,
+) -> admission::Result<bool> {
+    let bytes = DECODED_FACTOR * length + REQUEST_BYTES;
+    while let Err(why) = reservation.resize(bytes) {
+        if why != Refusal::Full {
+            return Err(why);
+        }
+        tokio::time::sleep(ROOM_POLL_INTERVAL).await;
+    }
+    let read = tokio::select! {
+        biased;
+        read = read_payload(reader, length, buf) => read,
+        why = reservation.given_up() => return Err(why),
+    };
+    reservation.record_end()?;
+    Ok(read.is_ok())
+}
+
+async fn send_reply(
+    reply: impl Future<Output = PeerReply>,
+    number: u64,
+    reservation: Reservation,
+    tx: mpsc::Sender<Reply>,
+) {
+    let content = reply.await;
+    let frame = encode(&Frame { number, content });
+    // A lost reply appears as a timeout to the sender, which retries if it needs to.
+    if let Err(why) = reservation.resize(WRITE_FACTOR * frame.len()) {
+        telemetry::record_refusal(Door::Peers.name(), why.name());
+        return;
     }
+    let _ = tx.try_send((frame, reservation));
 }
 
 /// Encodes a message with `postcard`.
--- a/crates/cell/src/peers/tests.rs
+++ b/crates/cell/src/peers/tests.rs
@@ -6,6 +6,7 @@
 
 use super::*;
 use crate::{
+    admission::tests::on_smallest_host,
     message::{CallResponse, Heartbeat, JobCall, Verb},
     node::ClaimRecord,
 };
@@ -126,7 +127,9 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a free port");
     let addr = listener.local_addr().expect("a bound port");
-    ntex::rt::spawn(serve(listener, |_| async { PeerReply::Accepted }));
+    ntex::rt::spawn(serve(listener, on_smallest_host(), |_| async {
+        PeerReply::Accepted
+    }));
     let peers = Peers::default();
     let to = member(addr.port());
     let timeout = Duration::from_secs(5);
@@ -163,3 +166,35 @@
     assert!(written.is_ok() && matches!(read, Ok(true)));
     assert_eq!(buf, frame);
 }
+
+/// Guards against requests that pile up for a process that hangs, while callers keep sending.
+#[ntex::test]
+async fn requests_for_a_process_that_reads_nothing_are_bounded() {
+    // Connections are accepted by the kernel, and nothing reads them.
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let listener = listener.expect("a free port");
+    let to = member(listener.local_addr().expect("a bound port").port());
+    let peers = Rc::new(Peers::default());
+    let requests = (0..64).map(|_| {
+        let (peers, to) = (Rc::clone(&peers), to.clone());
+        let call = JobCall {
+            key: None,
+            host: String::new(),
+            path: "x".repeat(1024 * 1024),
+            verb: Verb::Show,
+            hops_left: 0,
+        };
+        ntex::rt::spawn(async move {
+            let timeout = Duration::from_millis(200);
+            peers.request(&to, PeerRequest::Call(call), timeout).await
+        })
+    });
+    let requests: Vec<_> = requests.collect();
+    let mut refused = 0;
+    for request in requests {
+        let reply = request.await.expect("no panic");
+        refused += usize::from(reply == Err(RequestError::NotSent));
+    }
+    // The queue has room for 6 MiB, and the kernel's buffers for some more.
+    assert!(refused >= 32, "{refused} of 64 refused");
+}
--- a/crates/cell/src/process/mod.rs
+++ b/crates/cell/src/process/mod.rs
@@ -22,6 +22,10 @@
     settings::Settings,
 };
 
+/// Maximum number of requests to the store that are relayed for other processes at the same time.
+/// Each may take a connection to the store. An owner that needs a relay sends a few at a time.
+const MAX_RELAYED: usize = 32;
+
 /// A process of the cell, with the owner's role if it has it.
 pub(crate) struct Process {
     pub(crate) node: Rc<Node>,
@@ -73,7 +77,11 @@
             PeerRequest::RequestApprovals { step, runners } => {
                 PeerReply::Approvals(self.node.request_approvals(step, &runners).await)
             }
+            PeerRequest::RelayToStore(_) if self.node.relayed.count() >= MAX_RELAYED => {
+                PeerReply::StoreResponse(None)
+            }
             PeerRequest::RelayToStore(req) => {
+                let _relayed = self.node.relayed.enter();
                 let response = self.node.store.send_for_peer(&req).await;
                 PeerReply::StoreResponse(
                     response.map(|response| (response.status, response.body.to_vec())),
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -155,7 +155,7 @@
     )
     .await?;
     let handler = Rc::clone(&process);
-    ntex::rt::spawn(peers::serve(listener, move |req| {
+    ntex::rt::spawn(peers::serve(listener, Rc::clone(&admission), move |req| {
         let process = Rc::clone(&handler);
         async move { process.handle_request(req).await }
     }));
