Register a body for being given up only where its reader waits

Ordinary bodies arrive with their head, and paid for the signal by which an unfinished one is given up: an allocation, two table entries and readings of the clock for each chunk. The signal is created, and progress and phase are recorded, when the reader waits for the first time. A message that is given up while it waits for room learns that from the ledger (messages_that_wait_for_room_are_given_up_as_stalled).

--- a/crates/cell/src/admission/ledger.rs
+++ b/crates/cell/src/admission/ledger.rs
@@ -41,6 +41,8 @@
     Granted(Vec<Id>),
     /// The share is full.
     Refused,
+    /// The message was given up before.
+    GivenUp,
 }
 
 /// What each interface's clients hold.
@@ -79,18 +81,22 @@
         id
     }
 
-    /// Records that bytes of an unfinished message have arrived.
-    pub(super) fn record_progress(&mut self, id: Id, now: Instant) {
-        if let Some(holding) = self.holdings.get_mut(&id) {
-            holding.progressed_at = now;
-        }
+    /// Records that bytes of an unfinished message have arrived. Returns `false` if it was given up
+    /// before.
+    pub(super) fn record_progress(&mut self, id: Id, now: Instant) -> bool {
+        let holding = self.holdings.get_mut(&id);
+        let Some(holding) = holding else { return false };
+        holding.progressed_at = now;
+        true
     }
 
-    /// Records that a message has arrived completely. It isn't given up any more.
-    pub(super) fn record_end(&mut self, id: Id) {
-        if let Some(holding) = self.holdings.get_mut(&id) {
-            holding.is_unfinished = false;
-        }
+    /// Records that a message has arrived completely. It isn't given up any more. Returns `false` if
+    /// it was given up before.
+    pub(super) fn record_end(&mut self, id: Id) -> bool {
+        let holding = self.holdings.get_mut(&id);
+        let Some(holding) = holding else { return false };
+        holding.is_unfinished = false;
+        true
     }
 
     /// Changes what a holding reserves to `bytes`. A holding that was given up gets no more.
@@ -99,7 +105,7 @@
     /// the smallest host.
     pub(super) fn resize(&mut self, id: Id, bytes: usize) -> Growth {
         let Some(holding) = self.holdings.get(&id) else {
-            return Growth::Refused;
+            return Growth::GivenUp;
         };
         let (door, held) = (holding.door, holding.bytes);
         let others = self.shares[door as usize].used - held;
@@ -157,7 +163,7 @@
         stalled
     }
 
-    /// Returns the bytes of a holding; closing a holding twice has no effect.
+    /// Returns a holding's bytes to its share; closing a holding twice has no effect.
     pub(super) fn close(&mut self, id: Id) {
         if let Some(holding) = self.holdings.remove(&id) {
             self.shares[holding.door as usize].used -= holding.bytes;
--- a/crates/cell/src/admission/mod.rs
+++ b/crates/cell/src/admission/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod tests;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
 };
 
@@ -97,13 +97,10 @@
 
     /// Opens a reservation of zero bytes for a message.
     pub(crate) fn open_message(self: &Rc<Self>, door: Door) -> Reservation {
-        let id = self.ledger.borrow_mut().open(door, Instant::now());
-        let give_up = Rc::new(GiveUp::default());
-        self.give_ups.borrow_mut().insert(id, Rc::clone(&give_up));
         Reservation {
             admission: Rc::clone(self),
-            id,
-            give_up,
+            id: self.ledger.borrow_mut().open(door, Instant::now()),
+            give_up: OnceCell::new(),
         }
     }
 
@@ -186,7 +183,9 @@
 pub(crate) struct Reservation {
     admission: Rc<Admission>,
     id: u64,
-    give_up: Rc<GiveUp>,
+    /// Signal that the message is given up, created when its reader waits for the first time: most
+    /// messages arrive at once.
+    give_up: OnceCell<Rc<GiveUp>>,
 }
 
 impl Reservation {
@@ -196,9 +195,6 @@
     ///
     /// Returns an error if there is no room, or if the message was given up.
     pub(crate) fn resize(&self, bytes: usize) -> Result<()> {
-        if let Some(why) = self.give_up.why.get() {
-            return Err(why);
-        }
         let growth = self.admission.ledger.borrow_mut().resize(self.id, bytes);
         match growth {
             Growth::Granted(victims) => {
@@ -206,44 +202,61 @@
                 Ok(())
             }
             Growth::Refused => Err(Refusal::Full),
+            Growth::GivenUp => Err(self.why_given_up()),
         }
     }
 
-    /// Records that bytes of the message have arrived.
-    pub(crate) fn record_progress(&self) {
-        let mut ledger = self.admission.ledger.borrow_mut();
-        ledger.record_progress(self.id, Instant::now());
-    }
-
     /// Records that the message has arrived completely; it isn't given up any more.
     ///
     /// # Errors
     ///
     /// Returns an error if the message was given up.
     pub(crate) fn record_end(&self) -> Result<()> {
-        if let Some(why) = self.give_up.why.get() {
-            return Err(why);
+        if !self.admission.ledger.borrow_mut().record_end(self.id) {
+            return Err(self.why_given_up());
         }
-        self.admission.ledger.borrow_mut().record_end(self.id);
-        self.admission.give_ups.borrow_mut().remove(&self.id);
         Ok(())
     }
 
-    /// Waits until the message is given up; returns the reason.
+    /// Records that all bytes that have arrived are read, and waits until the message is given up;
+    /// returns the reason.
     pub(crate) async fn given_up(&self) -> Refusal {
+        if !self.record_progress() {
+            return self.why_given_up();
+        }
+        let give_up = self.give_up.get_or_init(|| {
+            let give_up = Rc::new(GiveUp::default());
+            let mut give_ups = self.admission.give_ups.borrow_mut();
+            give_ups.insert(self.id, Rc::clone(&give_up));
+            give_up
+        });
         loop {
-            if let Some(why) = self.give_up.why.get() {
+            if let Some(why) = give_up.why.get() {
                 return why;
             }
-            self.give_up.notify.notified().await;
+            give_up.notify.notified().await;
         }
     }
+
+    fn record_progress(&self) -> bool {
+        let mut ledger = self.admission.ledger.borrow_mut();
+        ledger.record_progress(self.id, Instant::now())
+    }
+
+    /// Returns why the message was given up. One whose reader hasn't waited for bytes has waited for
+    /// room until it counted as stalled.
+    fn why_given_up(&self) -> Refusal {
+        let why = self.give_up.get().and_then(|give_up| give_up.why.get());
+        why.unwrap_or(Refusal::Stalled)
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.admission.ledger.borrow_mut().close(self.id);
-        self.admission.give_ups.borrow_mut().remove(&self.id);
+        if self.give_up.get().is_some() {
+            self.admission.give_ups.borrow_mut().remove(&self.id);
+        }
     }
 }
 
--- a/crates/cell/src/admission/tests.rs
+++ b/crates/cell/src/admission/tests.rs
@@ -60,10 +60,11 @@
     for id in [slow, slower] {
         assert_eq!(ledger.resize(id, 500), Growth::Granted(vec![]));
     }
-    ledger.record_progress(slow, after(start, 20));
-    ledger.record_progress(slower, after(start, 10));
+    assert!(ledger.record_progress(slow, after(start, 20)));
+    assert!(ledger.record_progress(slower, after(start, 10)));
     assert_eq!(ledger.resize(new, 300), Growth::Granted(vec![slower]));
-    assert_eq!(ledger.resize(slower, 1), Growth::Refused);
+    assert_eq!(ledger.resize(slower, 1), Growth::GivenUp);
+    assert!(!ledger.record_end(slower));
     assert_eq!(ledger.used(Door::Callers), 800);
 }
 
@@ -74,7 +75,7 @@
     let mut ledger = Ledger::new(limits);
     let [complete, new] = [0; 2].map(|_| ledger.open(Door::Callers, start));
     assert_eq!(ledger.resize(complete, 900), Growth::Granted(vec![]));
-    ledger.record_end(complete);
+    assert!(ledger.record_end(complete));
     assert_eq!(ledger.resize(new, 101), Growth::Refused);
     assert_eq!(ledger.resize(new, 100), Growth::Granted(vec![]));
     assert_eq!(ledger.close_stalled(after(start, 100_000)), [new]);
@@ -89,7 +90,7 @@
     let mut ledger = Ledger::new(limits);
     let [complete, unfinished, new] = [0; 3].map(|_| ledger.open(Door::Callers, start));
     assert_eq!(ledger.resize(complete, 800), Growth::Granted(vec![]));
-    ledger.record_end(complete);
+    assert!(ledger.record_end(complete));
     assert_eq!(ledger.resize(unfinished, 100), Growth::Granted(vec![]));
     assert_eq!(ledger.resize(new, 300), Growth::Refused);
     assert_eq!(ledger.resize(unfinished, 110), Growth::Granted(vec![]));
@@ -115,7 +116,7 @@
     let mut ledger = Ledger::new(limits);
     let [stalled, slow] = [0; 2].map(|_| ledger.open(Door::Callers, start));
     for ms in (0..=59_000).step_by(1_000) {
-        ledger.record_progress(slow, after(start, ms));
+        assert!(ledger.record_progress(slow, after(start, ms)));
         let expected = if ms == 5_000 { vec![stalled] } else { vec![] };
         assert_eq!(ledger.close_stalled(after(start, ms)), expected, "{ms}");
     }
@@ -188,8 +189,21 @@
     let now = Instant::now();
     admission.close_stalled(now);
     assert_eq!(reservation.resize(100), Ok(()));
-    admission.close_stalled(after(now, 5_000));
-    assert_eq!(reservation.given_up().await, Refusal::Stalled);
+    let (why, ()) = tokio::join!(reservation.given_up(), async {
+        admission.close_stalled(after(Instant::now(), 5_000));
+    });
+    assert_eq!(why, Refusal::Stalled);
     assert_eq!(reservation.resize(200), Err(Refusal::Stalled));
     assert_eq!(reservation.record_end(), Err(Refusal::Stalled));
+    assert_eq!(reservation.given_up().await, Refusal::Stalled);
+}
+
+/// Guards against a message that waits for ever after it was given up while it waited for room.
+#[ntex::test]
+async fn messages_that_wait_for_room_are_given_up_as_stalled() {
+    let admission = on_smallest_host();
+    let reservation = admission.open_message(Door::Peers);
+    admission.close_stalled(after(Instant::now(), 5_000));
+    assert_eq!(reservation.resize(1), Err(Refusal::Stalled));
+    assert_eq!(reservation.given_up().await, Refusal::Stalled);
 }
--- a/crates/cell/src/http.rs
+++ b/crates/cell/src/http.rs
@@ -131,19 +131,19 @@
         if announced.is_some_and(|bytes| bytes > MAX_BODY_BYTES) {
             return Err(BodyError::TooLarge);
         }
-        self.record(ConnectionGuard::record_arrival);
-        let body = self
-            .receive(req, announced.unwrap_or(MAX_BODY_BYTES))
-            .await?;
-        self.record(ConnectionGuard::record_execution);
-        Ok(body)
+        let max_bytes = announced.unwrap_or(MAX_BODY_BYTES);
+        self.receive(req, max_bytes).await
     }
 
     async fn receive(&self, req: &mut Request, max_bytes: usize) -> Result<Body> {
         let reservation = self.admission.open_message(self.door);
         let mut payload = req.take_payload();
         let mut bytes = Vec::new();
-        while let Some(chunk) = receive_chunk(&mut payload, &reservation).await? {
+        let mut has_waited = false;
+        while let Some(chunk) = self
+            .receive_chunk(&mut payload, &reservation, &mut has_waited)
+            .await?
+        {
             let length = bytes.len() + chunk.len();
             if length > MAX_BODY_BYTES {
                 return Err(BodyError::TooLarge);
@@ -155,16 +155,34 @@
                 bytes.reserve_exact(capacity - bytes.len());
             }
             bytes.extend_from_slice(&chunk);
-            if length < max_bytes {
-                reservation.record_progress();
-                self.record(ConnectionGuard::record_arrival);
-            }
         }
         reservation.record_end()?;
+        if has_waited {
+            self.record(ConnectionGuard::record_execution);
+        }
         let reservation = Some(reservation);
         Ok(Body { bytes, reservation })
     }
 
+    /// Receives the next chunk. The second branch runs only where the chunk isn't there yet.
+    async fn receive_chunk(
+        &self,
+        payload: &mut Payload,
+        reservation: &Reservation,
+        has_waited: &mut bool,
+    ) -> Result<Option<Bytes>> {
+        let given_up = async {
+            *has_waited = true;
+            self.record(ConnectionGuard::record_arrival);
+            reservation.given_up().await
+        };
+        tokio::select! {
+            biased;
+            chunk = stream_recv(payload) => Ok(chunk.transpose()?),
+            why = given_up => Err(why.into()),
+        }
+    }
+
     /// Creates the response to a request whose body was not read or has no room. The request was
     /// not executed. The connection is closed, because the rest of the body may follow.
     pub(crate) fn refuse(&self, err: &BodyError) -> Response {
@@ -197,14 +215,6 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-async fn receive_chunk(payload: &mut Payload, reservation: &Reservation) -> Result<Option<Bytes>> {
-    tokio::select! {
-        biased;
-        chunk = stream_recv(payload) => Ok(chunk.transpose()?),
-        why = reservation.given_up() => Err(why.into()),
-    }
-}
-
 /// Open connections of an interface.
 type Connections = Rc<RefCell<FxHashMap<IoRef, Rc<ConnectionGuard>>>>;
 
