--- a/crates/cell/src/admin.rs
+++ b/crates/cell/src/admin.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::{
-    admission::{Admission, Door},
+    admission::{Admission, Interface},
     http::{self, BodyError},
     message::Member,
     process::Process,
@@ -52,19 +52,14 @@
     admission: Rc<Admission>,
     metrics: PrometheusHandle,
 ) -> io::Result<()> {
-    http::serve(
-        addr,
-        Door::Operators,
-        admission,
-        move |mut req, exchange| {
-            let response = if http::has_body(&mut req) {
-                exchange.refuse(&BodyError::TooLarge)
-            } else {
-                respond(&process, &metrics, req.path())
-            };
-            async move { response }
-        },
-    )
+    http::serve(addr, Interface::Operators, admission, move |mut req, cx| {
+        let response = if http::has_body(&mut req) {
+            cx.refuse(&BodyError::TooLarge)
+        } else {
+            respond(&process, &metrics, req.path())
+        };
+        async move { response }
+    })
     .await
 }
 
--- a/crates/cell/src/admission/connections.rs
+++ b/crates/cell/src/admission/connections.rs
@@ -3,7 +3,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time::{Duration, Instant};
 
-use super::limits::{Door, Limits};
+use super::limits::{Interface, Limits};
 
 /// Time without progress from which a connection counts as idle rather than between two steps.
 const IDLE_TIME: Duration = Duration::from_secs(1);
@@ -31,7 +31,7 @@
 
 #[derive(Debug)]
 struct Connection {
-    door: Door,
+    interface: Interface,
     phase: Phase,
     since: Instant,
 }
@@ -57,18 +57,18 @@
 /// Open connections of all interfaces.
 #[derive(Debug)]
 pub(super) struct Connections {
-    limits: [usize; Door::ALL.len()],
-    open: [usize; Door::ALL.len()],
+    limits: [usize; Interface::ALL.len()],
+    open: [usize; Interface::ALL.len()],
     connections: FxHashMap<Id, Connection>,
     next_id: Id,
 }
 
 impl Connections {
     /// Creates a table without connections.
-    pub(super) fn new(limits: impl Fn(Door) -> Limits) -> Self {
+    pub(super) fn new(limits: impl Fn(Interface) -> Limits) -> Self {
         Self {
-            limits: Door::ALL.map(|door| limits(door).connections),
-            open: [0; Door::ALL.len()],
+            limits: Interface::ALL.map(|interface| limits(interface).connections),
+            open: [0; Interface::ALL.len()],
             connections: FxHashMap::default(),
             next_id: 0,
         }
@@ -76,10 +76,10 @@
 
     /// Adds a connection. Returns its id and the connection that must be closed for it, if any;
     /// `None` if there is no room because all others have requests in execution.
-    pub(super) fn open(&mut self, door: Door, now: Instant) -> Option<(Id, Option<Id>)> {
+    pub(super) fn open(&mut self, interface: Interface, now: Instant) -> Option<(Id, Option<Id>)> {
         let mut victim = None;
-        if self.open[door as usize] >= self.limits[door as usize] {
-            victim = Some(self.choose_victim(door, now)?);
+        if self.open[interface as usize] >= self.limits[interface as usize] {
+            victim = Some(self.choose_victim(interface, now)?);
         }
         if let Some(victim) = victim {
             self.close(victim);
@@ -87,18 +87,21 @@
         let id = self.next_id;
         self.next_id += 1;
         let connection = Connection {
-            door,
+            interface,
             phase: Phase::New,
             since: now,
         };
         self.connections.insert(id, connection);
-        self.open[door as usize] += 1;
+        self.open[interface as usize] += 1;
         Some((id, victim))
     }
 
-    fn choose_victim(&self, door: Door, now: Instant) -> Option<Id> {
-        let of_door = self.connections.iter().filter(|(_, one)| one.door == door);
-        let candidates = of_door.filter_map(|(id, one)| Some((one.order(now)?, *id)));
+    fn choose_victim(&self, interface: Interface, now: Instant) -> Option<Id> {
+        let of_interface = self
+            .connections
+            .iter()
+            .filter(|(_, one)| one.interface == interface);
+        let candidates = of_interface.filter_map(|(id, one)| Some((one.order(now)?, *id)));
         candidates.min().map(|(_, id)| id)
     }
 
@@ -129,12 +132,12 @@
     /// Removes a connection; removing it twice has no effect.
     pub(super) fn close(&mut self, id: Id) {
         if let Some(connection) = self.connections.remove(&id) {
-            self.open[connection.door as usize] -= 1;
+            self.open[connection.interface as usize] -= 1;
         }
     }
 
     /// Returns the number of an interface's open connections.
-    pub(super) fn open_count(&self, door: Door) -> usize {
-        self.open[door as usize]
+    pub(super) fn open_count(&self, interface: Interface) -> usize {
+        self.open[interface as usize]
     }
 }
--- a/crates/cell/src/admission/ledger.rs
+++ b/crates/cell/src/admission/ledger.rs
@@ -2,15 +2,15 @@
 //!
 //! Each interface has a share of its own, so that callers cannot starve other processes or
 //! operators. Where a share is full, the unfinished message that has made no progress for longest
-//! is given up in favour of a newer one: ordinary messages arrive at once. Messages that have
-//! arrived completely are never given up, because they may be in execution.
+//! is evicted in favour of a newer one: ordinary messages arrive at once. Messages that have
+//! arrived completely are never evicted, because they may be in execution.
 
 use rustc_hash::FxHashMap;
 use tokio::time::{Duration, Instant};
 
-use super::limits::{Door, Limits};
+use super::limits::{Interface, Limits};
 
-/// Time without progress after which an unfinished message is given up.
+/// Time without progress after which an unfinished message is evicted.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time within which a message must arrive completely.
@@ -21,7 +21,7 @@
 
 #[derive(Debug)]
 struct Holding {
-    door: Door,
+    interface: Interface,
     bytes: usize,
     started_at: Instant,
     progressed_at: Instant,
@@ -37,28 +37,28 @@
 /// Outcome of a request for more bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Growth {
-    /// The bytes are reserved; the messages named are given up in favour.
+    /// The bytes are reserved; the messages named are evicted in favour.
     Granted(Vec<Id>),
     /// The share is full.
     Refused,
-    /// The message was given up before.
-    GivenUp,
+    /// The message was evicted before.
+    Evicted,
 }
 
 /// What each interface's clients hold.
 #[derive(Debug)]
 pub(super) struct Ledger {
-    shares: [Share; Door::ALL.len()],
+    shares: [Share; Interface::ALL.len()],
     holdings: FxHashMap<Id, Holding>,
     next_id: Id,
 }
 
 impl Ledger {
     /// Creates a ledger in which nothing is held.
-    pub(super) fn new(limits: impl Fn(Door) -> Limits) -> Self {
+    pub(super) fn new(limits: impl Fn(Interface) -> Limits) -> Self {
         Self {
-            shares: Door::ALL.map(|door| Share {
-                limit: limits(door).bytes,
+            shares: Interface::ALL.map(|interface| Share {
+                limit: limits(interface).bytes,
                 used: 0,
             }),
             holdings: FxHashMap::default(),
@@ -67,11 +67,11 @@
     }
 
     /// Opens a holding of zero bytes for a message whose first bytes have arrived.
-    pub(super) fn open(&mut self, door: Door, now: Instant) -> Id {
+    pub(super) fn open(&mut self, interface: Interface, now: Instant) -> Id {
         let id = self.next_id;
         self.next_id += 1;
         let holding = Holding {
-            door,
+            interface,
             bytes: 0,
             started_at: now,
             progressed_at: now,
@@ -81,7 +81,7 @@
         id
     }
 
-    /// Records that bytes of an unfinished message have arrived. Returns `false` if it was given up
+    /// Records that bytes of an unfinished message have arrived. Returns `false` if it was evicted
     /// before.
     pub(super) fn record_progress(&mut self, id: Id, now: Instant) -> bool {
         let holding = self.holdings.get_mut(&id);
@@ -90,8 +90,8 @@
         true
     }
 
-    /// Records that a message has arrived completely. It isn't given up any more. Returns `false` if
-    /// it was given up before.
+    /// Records that a message has arrived completely. It isn't evicted any more. Returns `false` if
+    /// it was evicted before.
     pub(super) fn record_end(&mut self, id: Id) -> bool {
         let holding = self.holdings.get_mut(&id);
         let Some(holding) = holding else { return false };
@@ -99,20 +99,20 @@
         true
     }
 
-    /// Changes what a holding reserves to `bytes`. A holding that was given up gets no more.
+    /// Changes what a holding reserves to `bytes`. A holding that was evicted gets no more.
     ///
     /// A single holding may exceed the share, so that one message of the maximum size is served on
     /// the smallest host.
     pub(super) fn resize(&mut self, id: Id, bytes: usize) -> Growth {
         let Some(holding) = self.holdings.get(&id) else {
-            return Growth::GivenUp;
+            return Growth::Evicted;
         };
-        let (door, held) = (holding.door, holding.bytes);
-        let others = self.shares[door as usize].used - held;
+        let (interface, held) = (holding.interface, holding.bytes);
+        let others = self.shares[interface as usize].used - held;
         let mut victims = Vec::new();
-        let excess = (others + bytes).saturating_sub(self.shares[door as usize].limit);
+        let excess = (others + bytes).saturating_sub(self.shares[interface as usize].limit);
         if bytes > held && excess > 0 && others > 0 {
-            let Some(chosen) = self.choose_victims(id, door, excess.min(others)) else {
+            let Some(chosen) = self.choose_victims(id, interface, excess.min(others)) else {
                 return Growth::Refused;
             };
             victims = chosen;
@@ -120,19 +120,22 @@
                 self.close(*victim);
             }
         }
-        self.shares[door as usize].used += bytes;
-        self.shares[door as usize].used -= held;
+        self.shares[interface as usize].used += bytes;
+        self.shares[interface as usize].used -= held;
         if let Some(holding) = self.holdings.get_mut(&id) {
             holding.bytes = bytes;
         }
         Growth::Granted(victims)
     }
 
-    /// Returns the unfinished messages to give up for `bytes` bytes, or `None` if they don't hold
+    /// Returns the unfinished messages to evict for `bytes` bytes, or `None` if they don't hold
     /// as much.
-    fn choose_victims(&self, for_id: Id, door: Door, bytes: usize) -> Option<Vec<Id>> {
+    fn choose_victims(&self, for_id: Id, interface: Interface, bytes: usize) -> Option<Vec<Id>> {
         let is_candidate = |(id, holding): &(&Id, &Holding)| {
-            **id != for_id && holding.door == door && holding.is_unfinished && holding.bytes > 0
+            **id != for_id
+                && holding.interface == interface
+                && holding.is_unfinished
+                && holding.bytes > 0
         };
         let mut candidates: Vec<_> = self.holdings.iter().filter(is_candidate).collect();
         candidates.sort_unstable_by_key(|(id, holding)| (holding.progressed_at, **id));
@@ -166,12 +169,12 @@
     /// Returns a holding's bytes to its share; closing a holding twice has no effect.
     pub(super) fn close(&mut self, id: Id) {
         if let Some(holding) = self.holdings.remove(&id) {
-            self.shares[holding.door as usize].used -= holding.bytes;
+            self.shares[holding.interface as usize].used -= holding.bytes;
         }
     }
 
     /// Returns the bytes that an interface's clients hold.
-    pub(super) fn used(&self, door: Door) -> usize {
-        self.shares[door as usize].used
+    pub(super) fn used(&self, interface: Interface) -> usize {
+        self.shares[interface as usize].used
     }
 }
--- a/crates/cell/src/admission/limits.rs
+++ b/crates/cell/src/admission/limits.rs
@@ -18,7 +18,7 @@
 
 /// An interface of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Door {
+pub(crate) enum Interface {
     /// Callers' requests.
     Callers,
     /// Readiness checks.
@@ -29,7 +29,7 @@
     Peers,
 }
 
-impl Door {
+impl Interface {
     /// All interfaces, in the order of their numbers.
     pub(crate) const ALL: [Self; 4] = [Self::Callers, Self::Ready, Self::Operators, Self::Peers];
 
@@ -55,7 +55,7 @@
 
 impl Limits {
     /// Returns the limits of an interface on a host with this memory and these descriptors.
-    pub(crate) fn new(door: Door, memory_mb: u64, max_descriptors: usize) -> Self {
+    pub(crate) fn new(interface: Interface, memory_mb: u64, max_descriptors: usize) -> Self {
         let memory = usize::try_from(memory_mb * 1_000_000).unwrap_or(usize::MAX);
         let divide = |divisor| memory / usize::try_from(divisor).unwrap_or(usize::MAX);
         let bytes = divide(BYTES_DIVISOR);
@@ -63,16 +63,16 @@
         let connections = divide(CONNECTIONS_DIVISOR) / CONNECTION_BYTES;
         let few = (sockets / 16).clamp(MIN_CONNECTIONS, MAX_SERVICE_CONNECTIONS);
         // The process's own connections to the store and to runners have about half of the sockets.
-        match door {
-            Door::Callers => Self {
+        match interface {
+            Interface::Callers => Self {
                 bytes: bytes / 2,
                 connections: (sockets / 3).min(connections).max(MIN_CONNECTIONS),
             },
-            Door::Peers => Self {
+            Interface::Peers => Self {
                 bytes: bytes * 3 / 8,
                 connections: (sockets / 8).min(connections / 2).max(MIN_CONNECTIONS),
             },
-            Door::Ready | Door::Operators => Self {
+            Interface::Ready | Interface::Operators => Self {
                 bytes: bytes / 16,
                 connections: few,
             },
--- a/crates/cell/src/admission/mod.rs
+++ b/crates/cell/src/admission/mod.rs
@@ -21,7 +21,7 @@
     time::{Duration, Instant},
 };
 
-pub(crate) use self::limits::{Door, Limits};
+pub(crate) use self::limits::{Interface, Limits};
 use self::{
     connections::{Connections, Phase},
     ledger::{Growth, Ledger},
@@ -59,9 +59,9 @@
     }
 }
 
-/// Signal that a message is given up.
+/// Signal that a message is evicted.
 #[derive(Debug, Default)]
-struct GiveUp {
+struct EvictionSignal {
     why: Cell<Option<Refusal>>,
     notify: Notify,
 }
@@ -70,8 +70,8 @@
 pub(crate) struct Admission {
     ledger: RefCell<Ledger>,
     connections: RefCell<Connections>,
-    /// Signals of the messages that may be given up.
-    give_ups: RefCell<FxHashMap<u64, Rc<GiveUp>>>,
+    /// Signals of the messages that may be evicted.
+    signals: RefCell<FxHashMap<u64, Rc<EvictionSignal>>>,
     /// Functions that close connections.
     closers: RefCell<FxHashMap<u64, Box<dyn Fn()>>>,
     clock: Clock,
@@ -81,14 +81,14 @@
 impl Admission {
     /// Creates the state of a process without clients.
     pub(crate) fn new(
-        limits: impl Fn(Door) -> Limits,
+        limits: impl Fn(Interface) -> Limits,
         clock: Clock,
         log_limit: Rc<LogLimit>,
     ) -> Rc<Self> {
         Rc::new(Self {
             ledger: RefCell::new(Ledger::new(&limits)),
             connections: RefCell::new(Connections::new(&limits)),
-            give_ups: RefCell::default(),
+            signals: RefCell::default(),
             closers: RefCell::default(),
             clock,
             log_limit,
@@ -96,11 +96,11 @@
     }
 
     /// Opens a reservation of zero bytes for a message.
-    pub(crate) fn open_message(self: &Rc<Self>, door: Door) -> Reservation {
-        Reservation {
+    pub(crate) fn open_message(self: &Rc<Self>, interface: Interface) -> MemoryReservation {
+        MemoryReservation {
             admission: Rc::clone(self),
-            id: self.ledger.borrow_mut().open(door, Instant::now()),
-            give_up: OnceCell::new(),
+            id: self.ledger.borrow_mut().open(interface, Instant::now()),
+            signal: OnceCell::new(),
         }
     }
 
@@ -108,16 +108,19 @@
     /// there is no room.
     pub(crate) fn open_connection(
         self: &Rc<Self>,
-        door: Door,
+        interface: Interface,
         close: impl Fn() + 'static,
     ) -> Option<ConnectionGuard> {
-        let opened = self.connections.borrow_mut().open(door, Instant::now());
+        let opened = self
+            .connections
+            .borrow_mut()
+            .open(interface, Instant::now());
         let Some((id, victim)) = opened else {
-            self.report(door, "no room for a connection");
+            self.report(interface, "no room for a connection");
             return None;
         };
         if let Some(victim) = victim {
-            self.report(door, "connection closed for another");
+            self.report(interface, "connection closed for another");
             self.close_connection(victim);
         }
         self.closers.borrow_mut().insert(id, Box::new(close));
@@ -128,13 +131,13 @@
     }
 
     /// Counts a refusal and logs it.
-    pub(crate) fn report(&self, door: Door, why: &'static str) {
-        telemetry::record_refusal(door.name(), why);
+    pub(crate) fn report(&self, interface: Interface, why: &'static str) {
+        telemetry::record_refusal(interface.name(), why);
         if self.log_limit.allows("refused client", self.clock.now()) {
-            let bytes = self.ledger.borrow().used(door);
-            let connections = self.connections.borrow().open_count(door);
+            let bytes = self.ledger.borrow().used(interface);
+            let connections = self.connections.borrow().open_count(interface);
             tracing::warn!(
-                interface = door.name(),
+                interface = interface.name(),
                 why,
                 bytes,
                 connections,
@@ -143,7 +146,7 @@
         }
     }
 
-    /// Gives up stalled messages and closes refused connections until the process exits.
+    /// Evicts stalled messages and closes refused connections until the process exits.
     pub(crate) async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -151,10 +154,10 @@
         }
     }
 
-    /// Gives up the messages that have stalled, and closes the connections that were refused.
+    /// Evicts the messages that have stalled, and closes the connections that were refused.
     fn close_stalled(&self, now: Instant) {
         let stalled = self.ledger.borrow_mut().close_stalled(now);
-        self.give_up(stalled, Refusal::Stalled);
+        self.evict(stalled, Refusal::Stalled);
         let refused = self.connections.borrow_mut().close_refused(now);
         for id in refused {
             self.close_connection(id);
@@ -168,73 +171,73 @@
         }
     }
 
-    fn give_up(&self, ids: Vec<u64>, why: Refusal) {
+    fn evict(&self, ids: Vec<u64>, why: Refusal) {
         for id in ids {
-            let give_up = self.give_ups.borrow_mut().remove(&id);
-            if let Some(give_up) = give_up {
-                give_up.why.set(Some(why));
-                give_up.notify.notify_one();
+            let signal = self.signals.borrow_mut().remove(&id);
+            if let Some(signal) = signal {
+                signal.why.set(Some(why));
+                signal.notify.notify_one();
             }
         }
     }
 }
 
 /// Bytes reserved for a message, returned when this is dropped.
-pub(crate) struct Reservation {
+pub(crate) struct MemoryReservation {
     admission: Rc<Admission>,
     id: u64,
-    /// Signal that the message is given up, created when its reader waits for the first time: most
+    /// Signal that the message is evicted, created when its reader waits for the first time: most
     /// messages arrive at once.
-    give_up: OnceCell<Rc<GiveUp>>,
+    signal: OnceCell<Rc<EvictionSignal>>,
 }
 
-impl Reservation {
+impl MemoryReservation {
     /// Changes the number of bytes reserved.
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no room, or if the message was given up.
+    /// Returns an error if there is no room, or if the message was evicted.
     pub(crate) fn resize(&self, bytes: usize) -> Result<()> {
         let growth = self.admission.ledger.borrow_mut().resize(self.id, bytes);
         match growth {
             Growth::Granted(victims) => {
-                self.admission.give_up(victims, Refusal::Full);
+                self.admission.evict(victims, Refusal::Full);
                 Ok(())
             }
             Growth::Refused => Err(Refusal::Full),
-            Growth::GivenUp => Err(self.why_given_up()),
+            Growth::Evicted => Err(self.eviction_reason()),
         }
     }
 
-    /// Records that the message has arrived completely; it isn't given up any more.
+    /// Records that the message has arrived completely; it isn't evicted any more.
     ///
     /// # Errors
     ///
-    /// Returns an error if the message was given up.
+    /// Returns an error if the message was evicted.
     pub(crate) fn record_end(&self) -> Result<()> {
         if !self.admission.ledger.borrow_mut().record_end(self.id) {
-            return Err(self.why_given_up());
+            return Err(self.eviction_reason());
         }
         Ok(())
     }
 
-    /// Records that all bytes that have arrived are read, and waits until the message is given up;
+    /// Records that all bytes that have arrived are read, and waits until the message is evicted;
     /// returns the reason.
-    pub(crate) async fn given_up(&self) -> Refusal {
+    pub(crate) async fn evicted(&self) -> Refusal {
         if !self.record_progress() {
-            return self.why_given_up();
+            return self.eviction_reason();
         }
-        let give_up = self.give_up.get_or_init(|| {
-            let give_up = Rc::new(GiveUp::default());
-            let mut give_ups = self.admission.give_ups.borrow_mut();
-            give_ups.insert(self.id, Rc::clone(&give_up));
-            give_up
+        let signal = self.signal.get_or_init(|| {
+            let signal = Rc::new(EvictionSignal::default());
+            let mut signals = self.admission.signals.borrow_mut();
+            signals.insert(self.id, Rc::clone(&signal));
+            signal
         });
         loop {
-            if let Some(why) = give_up.why.get() {
+            if let Some(why) = signal.why.get() {
                 return why;
             }
-            give_up.notify.notified().await;
+            signal.notify.notified().await;
         }
     }
 
@@ -243,19 +246,19 @@
         ledger.record_progress(self.id, Instant::now())
     }
 
-    /// Returns why the message was given up. One whose reader hasn't waited for bytes has waited for
+    /// Returns why the message was evicted. One whose reader hasn't waited for bytes has waited for
     /// room until it counted as stalled.
-    fn why_given_up(&self) -> Refusal {
-        let why = self.give_up.get().and_then(|give_up| give_up.why.get());
+    fn eviction_reason(&self) -> Refusal {
+        let why = self.signal.get().and_then(|signal| signal.why.get());
         why.unwrap_or(Refusal::Stalled)
     }
 }
 
-impl Drop for Reservation {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.admission.ledger.borrow_mut().close(self.id);
-        if self.give_up.get().is_some() {
-            self.admission.give_ups.borrow_mut().remove(&self.id);
+        if self.signal.get().is_some() {
+            self.admission.signals.borrow_mut().remove(&self.id);
         }
     }
 }
--- a/crates/cell/src/admission/tests.rs
+++ b/crates/cell/src/admission/tests.rs
@@ -5,11 +5,11 @@
 
 /// Returns the state of a process on the smallest host, without clients.
 pub(crate) fn on_smallest_host() -> Rc<Admission> {
-    let limits = |door| Limits::new(door, 160, 4_100);
+    let limits = |interface| Limits::new(interface, 160, 4_100);
     Admission::new(limits, Clock::new(), Rc::default())
 }
 
-fn limits(_: Door) -> Limits {
+fn limits(_: Interface) -> Limits {
     Limits {
         bytes: SHARE,
         connections: 3,
@@ -25,12 +25,12 @@
 #[test]
 fn ordinary_clients_meet_no_limit() {
     for (memory_mb, descriptors) in [(160, 4_100), (260, 4_100)] {
-        let callers = Limits::new(Door::Callers, memory_mb, descriptors);
+        let callers = Limits::new(Interface::Callers, memory_mb, descriptors);
         assert!(callers.bytes >= 500 * 4 * 8_000, "{callers:?}");
         assert!(callers.bytes >= 4 * 512 * 1024, "{callers:?}");
         assert!(callers.connections >= 1_000, "{callers:?}");
         // One connection from each of 300 hosts, and again after a restart of some.
-        let peers = Limits::new(Door::Peers, memory_mb, descriptors);
+        let peers = Limits::new(Interface::Peers, memory_mb, descriptors);
         assert!(peers.connections >= 450, "{peers:?}");
     }
 }
@@ -39,7 +39,7 @@
 #[test]
 fn interfaces_stay_within_half_of_the_host() {
     for (memory_mb, descriptors) in [(64, 400), (160, 4_100), (260, 4_100), (64, 4_100)] {
-        let all = Door::ALL.map(|door| Limits::new(door, memory_mb, descriptors));
+        let all = Interface::ALL.map(|interface| Limits::new(interface, memory_mb, descriptors));
         let bytes: usize = all.iter().map(|one| one.bytes).sum();
         let connections: usize = all.iter().map(|one| one.connections).sum();
         assert!(bytes as u64 <= memory_mb * 1_000_000 / 4, "{all:?}");
@@ -53,42 +53,42 @@
 
 /// Guards against an unfinished message that keeps a newer one out.
 #[test]
-fn message_that_stood_still_for_longest_is_given_up() {
+fn message_that_stood_still_for_longest_is_evicted() {
     let start = Instant::now();
     let mut ledger = Ledger::new(limits);
-    let [slow, slower, new] = [0; 3].map(|_| ledger.open(Door::Callers, start));
+    let [slow, slower, new] = [0; 3].map(|_| ledger.open(Interface::Callers, start));
     for id in [slow, slower] {
         assert_eq!(ledger.resize(id, 500), Growth::Granted(vec![]));
     }
     assert!(ledger.record_progress(slow, after(start, 20)));
     assert!(ledger.record_progress(slower, after(start, 10)));
     assert_eq!(ledger.resize(new, 300), Growth::Granted(vec![slower]));
-    assert_eq!(ledger.resize(slower, 1), Growth::GivenUp);
+    assert_eq!(ledger.resize(slower, 1), Growth::Evicted);
     assert!(!ledger.record_end(slower));
-    assert_eq!(ledger.used(Door::Callers), 800);
+    assert_eq!(ledger.used(Interface::Callers), 800);
 }
 
 /// Guards against a refusal of a message that may be in execution.
 #[test]
-fn complete_messages_are_not_given_up() {
+fn complete_messages_are_not_evicted() {
     let start = Instant::now();
     let mut ledger = Ledger::new(limits);
-    let [complete, new] = [0; 2].map(|_| ledger.open(Door::Callers, start));
+    let [complete, new] = [0; 2].map(|_| ledger.open(Interface::Callers, start));
     assert_eq!(ledger.resize(complete, 900), Growth::Granted(vec![]));
     assert!(ledger.record_end(complete));
     assert_eq!(ledger.resize(new, 101), Growth::Refused);
     assert_eq!(ledger.resize(new, 100), Growth::Granted(vec![]));
     assert_eq!(ledger.close_stalled(after(start, 100_000)), [new]);
     ledger.close(complete);
-    assert_eq!(ledger.used(Door::Callers), 0);
+    assert_eq!(ledger.used(Interface::Callers), 0);
 }
 
-/// Guards against messages that are given up although that makes no room.
+/// Guards against messages that are evicted although that makes no room.
 #[test]
-fn nothing_is_given_up_in_vain() {
+fn nothing_is_evicted_in_vain() {
     let start = Instant::now();
     let mut ledger = Ledger::new(limits);
-    let [complete, unfinished, new] = [0; 3].map(|_| ledger.open(Door::Callers, start));
+    let [complete, unfinished, new] = [0; 3].map(|_| ledger.open(Interface::Callers, start));
     assert_eq!(ledger.resize(complete, 800), Growth::Granted(vec![]));
     assert!(ledger.record_end(complete));
     assert_eq!(ledger.resize(unfinished, 100), Growth::Granted(vec![]));
@@ -101,9 +101,9 @@
 fn interfaces_do_not_share_their_bytes() {
     let start = Instant::now();
     let mut ledger = Ledger::new(limits);
-    let callers = ledger.open(Door::Callers, start);
+    let callers = ledger.open(Interface::Callers, start);
     assert_eq!(ledger.resize(callers, SHARE), Growth::Granted(vec![]));
-    let peers = ledger.open(Door::Peers, start);
+    let peers = ledger.open(Interface::Peers, start);
     assert_eq!(ledger.resize(peers, SHARE), Growth::Granted(vec![]));
     // One message alone may exceed the share.
     assert_eq!(ledger.resize(peers, 2 * SHARE), Growth::Granted(vec![]));
@@ -111,10 +111,10 @@
 
 /// Guards against clients that send a byte now and then.
 #[test]
-fn stalled_and_slow_messages_are_given_up() {
+fn stalled_and_slow_messages_are_evicted() {
     let start = Instant::now();
     let mut ledger = Ledger::new(limits);
-    let [stalled, slow] = [0; 2].map(|_| ledger.open(Door::Callers, start));
+    let [stalled, slow] = [0; 2].map(|_| ledger.open(Interface::Callers, start));
     for ms in (0..=59_000).step_by(1_000) {
         assert!(ledger.record_progress(slow, after(start, ms)));
         let expected = if ms == 5_000 { vec![stalled] } else { vec![] };
@@ -140,15 +140,15 @@
         let mut ids = Vec::new();
         for (phase, ms) in phases.into_iter().zip([0, 1, 2]) {
             let now = after(start, ms);
-            let (id, victim) = connections.open(Door::Callers, now).expect("room");
+            let (id, victim) = connections.open(Interface::Callers, now).expect("room");
             assert_eq!(victim, None);
             connections.set_phase(id, phase, now);
             ids.push(id);
         }
-        let opened = connections.open(Door::Callers, after(start, 5_000));
+        let opened = connections.open(Interface::Callers, after(start, 5_000));
         let victim = opened.map(|(_, victim)| victim.expect("a connection is closed"));
         assert_eq!(victim, expected.map(|at: usize| ids[at]), "{phases:?}");
-        assert_eq!(connections.open_count(Door::Callers), 3);
+        assert_eq!(connections.open_count(Interface::Callers), 3);
     }
 }
 
@@ -160,10 +160,10 @@
     let mut connections = Connections::new(limits);
     let ids: Vec<_> = [0, 10, 20]
         .into_iter()
-        .filter_map(|ms| connections.open(Door::Peers, after(start, ms)))
+        .filter_map(|ms| connections.open(Interface::Peers, after(start, ms)))
         .map(|(id, _)| id)
         .collect();
-    let opened = connections.open(Door::Peers, after(start, 30));
+    let opened = connections.open(Interface::Peers, after(start, 30));
     assert_eq!(opened.and_then(|(_, victim)| victim), Some(ids[0]));
 }
 
@@ -172,38 +172,38 @@
 fn refused_connections_are_closed_after_a_while() {
     let start = Instant::now();
     let mut connections = Connections::new(limits);
-    let (id, _) = connections.open(Door::Callers, start).expect("room");
+    let (id, _) = connections.open(Interface::Callers, start).expect("room");
     connections.set_phase(id, Phase::Refused, start);
     connections.set_phase(id, Phase::Idle, start);
     assert!(connections.close_refused(after(start, 900)).is_empty());
     assert_eq!(connections.close_refused(after(start, 1_000)), [id]);
-    assert_eq!(connections.open_count(Door::Callers), 0);
+    assert_eq!(connections.open_count(Interface::Callers), 0);
 }
 
-/// Guards against a reader that waits for a message that was given up.
+/// Guards against a reader that waits for a message that was evicted.
 #[ntex::test]
-async fn stalled_messages_learn_that_they_are_given_up() {
+async fn stalled_messages_learn_that_they_are_evicted() {
     let admission = on_smallest_host();
-    let reservation = admission.open_message(Door::Callers);
+    let reservation = admission.open_message(Interface::Callers);
     assert_eq!(reservation.resize(100), Ok(()));
     let now = Instant::now();
     admission.close_stalled(now);
     assert_eq!(reservation.resize(100), Ok(()));
-    let (why, ()) = tokio::join!(reservation.given_up(), async {
+    let (why, ()) = tokio::join!(reservation.evicted(), async {
         admission.close_stalled(after(Instant::now(), 5_000));
     });
     assert_eq!(why, Refusal::Stalled);
     assert_eq!(reservation.resize(200), Err(Refusal::Stalled));
     assert_eq!(reservation.record_end(), Err(Refusal::Stalled));
-    assert_eq!(reservation.given_up().await, Refusal::Stalled);
+    assert_eq!(reservation.evicted().await, Refusal::Stalled);
 }
 
-/// Guards against a message that waits for ever after it was given up while it waited for room.
+/// Guards against a message that waits for ever after it was evicted while it waited for room.
 #[ntex::test]
-async fn messages_that_wait_for_room_are_given_up_as_stalled() {
+async fn messages_that_wait_for_room_are_evicted_as_stalled() {
     let admission = on_smallest_host();
-    let reservation = admission.open_message(Door::Peers);
+    let reservation = admission.open_message(Interface::Peers);
     admission.close_stalled(after(Instant::now(), 5_000));
     assert_eq!(reservation.resize(1), Err(Refusal::Stalled));
-    assert_eq!(reservation.given_up().await, Refusal::Stalled);
+    assert_eq!(reservation.evicted().await, Refusal::Stalled);
 }
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -8,9 +8,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    admission::{Admission, Door},
+    admission::{Admission, Interface},
     forward,
-    http::{self, BodyError, Exchange},
+    http::{self, BodyError, RequestContext},
     message::{ApiKey, CallFailure, CallResponse, JobCall, Verb},
     peers::RequestError,
     process::Process,
@@ -43,30 +43,30 @@
 pub(crate) async fn serve(
     process: Rc<Process>,
     addr: SocketAddr,
-    door: Door,
+    interface: Interface,
     admission: Rc<Admission>,
 ) -> io::Result<()> {
-    http::serve(addr, door, admission, move |req, exchange| {
+    http::serve(addr, interface, admission, move |req, cx| {
         let process = Rc::clone(&process);
-        async move { handle(&process, req, &exchange).await }
+        async move { handle(&process, req, &cx).await }
     })
     .await
 }
 
-async fn handle(process: &Rc<Process>, mut req: Request, exchange: &Exchange) -> Response {
+async fn handle(process: &Rc<Process>, mut req: Request, cx: &RequestContext) -> Response {
     if req.path() == entry::READY_PATH {
         if http::has_body(&mut req) {
-            return exchange.refuse(&BodyError::TooLarge);
+            return cx.refuse(&BodyError::TooLarge);
         }
         return respond(process, &readiness(process));
     }
     let _in_flight = process.node.in_flight.enter();
-    let body = match exchange.read_body(&mut req).await {
+    let body = match cx.read_body(&mut req).await {
         Ok(body) => body,
-        Err(err) => return exchange.refuse(&err),
+        Err(err) => return cx.refuse(&err),
     };
     if let Err(err) = body.reserve_decoded(DECODED_FACTOR) {
-        return exchange.refuse(&err);
+        return cx.refuse(&err);
     }
     let verb = match *req.method() {
         Method::POST => match entry::decode_job(body.bytes()) {
--- a/crates/cell/src/http.rs
+++ b/crates/cell/src/http.rs
@@ -16,7 +16,7 @@
 use rustc_hash::FxHashMap;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::admission::{Admission, ConnectionGuard, Door, Refusal, Reservation};
+use crate::admission::{Admission, ConnectionGuard, Interface, MemoryReservation, Refusal};
 
 /// Result of reading a request's body.
 pub(crate) type Result<T> = std::result::Result<T, BodyError>;
@@ -83,7 +83,7 @@
 #[derive(Default)]
 pub(crate) struct Body {
     bytes: Vec<u8>,
-    reservation: Option<Reservation>,
+    reservation: Option<MemoryReservation>,
 }
 
 impl Body {
@@ -99,24 +99,24 @@
     /// Returns an error if there is no room.
     pub(crate) fn reserve_decoded(&self, factor: usize) -> Result<()> {
         let reserved = self.bytes.len() * factor;
-        let resize = |one: &Reservation| one.resize(reserved);
+        let resize = |one: &MemoryReservation| one.resize(reserved);
         Ok(self.reservation.as_ref().map_or(Ok(()), resize)?)
     }
 
     /// Drops the bytes and returns what is reserved.
-    pub(crate) fn into_reservation(self) -> Option<Reservation> {
+    pub(crate) fn into_reservation(self) -> Option<MemoryReservation> {
         self.reservation
     }
 }
 
 /// A request's connection, and what is known of the clients of its interface.
-pub(crate) struct Exchange {
-    door: Door,
+pub(crate) struct RequestContext {
+    interface: Interface,
     admission: Rc<Admission>,
     connection: Option<Rc<ConnectionGuard>>,
 }
 
-impl Exchange {
+impl RequestContext {
     /// Reads a request's complete body.
     ///
     /// # Errors
@@ -136,7 +136,7 @@
     }
 
     async fn receive(&self, req: &mut Request, max_bytes: usize) -> Result<Body> {
-        let reservation = self.admission.open_message(self.door);
+        let reservation = self.admission.open_message(self.interface);
         let mut payload = req.take_payload();
         let mut bytes = Vec::new();
         let mut has_waited = false;
@@ -168,25 +168,25 @@
     async fn receive_chunk(
         &self,
         payload: &mut Payload,
-        reservation: &Reservation,
+        reservation: &MemoryReservation,
         has_waited: &mut bool,
     ) -> Result<Option<Bytes>> {
-        let given_up = async {
+        let evicted = async {
             *has_waited = true;
             self.record(ConnectionGuard::record_arrival);
-            reservation.given_up().await
+            reservation.evicted().await
         };
         tokio::select! {
             biased;
             chunk = stream_recv(payload) => Ok(chunk.transpose()?),
-            why = given_up => Err(why.into()),
+            why = evicted => Err(why.into()),
         }
     }
 
     /// Creates the response to a request whose body was not read or has no room. The request was
     /// not executed. The connection is closed, because the rest of the body may follow.
     pub(crate) fn refuse(&self, err: &BodyError) -> Response {
-        self.admission.report(self.door, err.name());
+        self.admission.report(self.interface, err.name());
         self.record(ConnectionGuard::record_refusal);
         let mut builder = Response::build(err.status());
         if matches!(err, BodyError::Refused(Refusal::Full)) {
@@ -225,12 +225,12 @@
 /// Returns an error if the address cannot be bound.
 pub(crate) async fn serve<F, R>(
     addr: SocketAddr,
-    door: Door,
+    interface: Interface,
     admission: Rc<Admission>,
     handle: F,
 ) -> io::Result<()>
 where
-    F: Fn(Request, Exchange) -> R + Clone + 'static,
+    F: Fn(Request, RequestContext) -> R + Clone + 'static,
     R: Future<Output = Response> + 'static,
 {
     let listener = TcpListener::bind(addr).await?;
@@ -242,13 +242,13 @@
     let (open, known) = (Rc::clone(&connections), Rc::clone(&admission));
     let service = HttpService::<_, _, ResponseBody>::h1(fn_service(move |req: Request| {
         let connection = req.io().and_then(|io| open.borrow().get(io).cloned());
-        let exchange = Exchange {
-            door,
+        let cx = RequestContext {
+            interface,
             admission: Rc::clone(&known),
             connection: connection.clone(),
         };
-        exchange.record(ConnectionGuard::record_execution);
-        let response = handle(req, exchange);
+        cx.record(ConnectionGuard::record_execution);
+        let response = handle(req, cx);
         async move {
             let response = response.await;
             if let Some(connection) = connection {
@@ -270,7 +270,8 @@
                 continue;
             };
             let (io_ref, closer) = (io.get_ref(), io.get_ref());
-            let Some(guard) = admission.open_connection(door, move || closer.terminate()) else {
+            let Some(guard) = admission.open_connection(interface, move || closer.terminate())
+            else {
                 continue;
             };
             connections
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    admission::{self, Admission, ConnectionGuard, Door, Refusal, Reservation},
+    admission::{self, Admission, ConnectionGuard, Interface, MemoryReservation, Refusal},
     message::{Frame, Member, PeerReply, PeerRequest},
     telemetry,
 };
@@ -234,7 +234,7 @@
 }
 
 /// A reply that waits for a connection's writer, and what is reserved for it.
-type Reply = (Vec<u8>, Reservation);
+type Reply = (Vec<u8>, MemoryReservation);
 
 /// Serves requests of other processes with `handle` until this process exits.
 pub(crate) async fn serve<H, R>(listener: TcpListener, admission: Rc<Admission>, handle: H)
@@ -250,7 +250,7 @@
         let closed = Rc::new(Notify::new());
         let closer = Rc::clone(&closed);
         let close = move || closer.notify_one();
-        let Some(guard) = admission.open_connection(Door::Peers, close) else {
+        let Some(guard) = admission.open_connection(Interface::Peers, close) else {
             continue;
         };
         let _ = stream.set_nodelay(true);
@@ -283,7 +283,7 @@
         () = read_requests(reader, tx, admission, guard, handle) => false,
         result = &mut writing => {
             if result.is_err() {
-                admission.report(Door::Peers, "replies not read");
+                admission.report(Interface::Peers, "replies not read");
             }
             true
         }
@@ -319,12 +319,12 @@
     let mut buf = Vec::new();
     while let Ok(Some(length)) = read_length(&mut reader).await {
         guard.record_arrival();
-        let reservation = admission.open_message(Door::Peers);
+        let reservation = admission.open_message(Interface::Peers);
         let frame = read_reserved(&mut reader, length, &mut buf, &reservation);
         match frame.await {
             Ok(true) => {}
             Ok(false) => return,
-            Err(why) => return admission.report(Door::Peers, why.name()),
+            Err(why) => return admission.report(Interface::Peers, why.name()),
         }
         let Some(frame) = decode::<Frame<PeerRequest>>(&buf) else {
             telemetry::record_malformed("frame");
@@ -351,7 +351,7 @@
     reader: &mut OwnedReadHalf,
     length: usize,
     buf: &mut Vec<u8>,
-    reservation: &Reservation,
+    reservation: &MemoryReservation,
 ) -> admission::Result<bool> {
     let bytes = DECODED_FACTOR * length + REQUEST_BYTES;
     while let Err(why) = reservation.resize(bytes) {
@@ -363,7 +363,7 @@
     let read = tokio::select! {
         biased;
         read = read_payload(reader, length, buf) => read,
-        why = reservation.given_up() => return Err(why),
+        why = reservation.evicted() => return Err(why),
     };
     reservation.record_end()?;
     Ok(read.is_ok())
@@ -372,14 +372,14 @@
 async fn send_reply(
     reply: impl Future<Output = PeerReply>,
     number: u64,
-    reservation: Reservation,
+    reservation: MemoryReservation,
     tx: mpsc::Sender<Reply>,
 ) {
     let content = reply.await;
     let frame = encode(&Frame { number, content });
     // A lost reply appears as a timeout to the sender, which retries if it needs to.
     if let Err(why) = reservation.resize(WRITE_FACTOR * frame.len()) {
-        telemetry::record_refusal(Door::Peers.name(), why.name());
+        telemetry::record_refusal(Interface::Peers.name(), why.name());
         return;
     }
     let _ = tx.try_send((frame, reservation));
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -11,8 +11,8 @@
 
 use super::*;
 use crate::{
-    admission::{Door, tests::on_smallest_host},
-    http::{self, Exchange},
+    admission::{Interface, tests::on_smallest_host},
+    http::{self, RequestContext},
     message::{PeerReply, PeerRequest},
     settings::Settings,
 };
@@ -29,19 +29,19 @@
     let handler = Rc::clone(&topic);
     let serving = http::serve(
         addr,
-        Door::Callers,
+        Interface::Callers,
         on_smallest_host(),
-        move |req, exchange| {
+        move |req, cx| {
             let topic = Rc::clone(&handler);
-            async move { respond(&topic, req, &exchange).await }
+            async move { respond(&topic, req, &cx).await }
         },
     );
     serving.await.expect("a free port");
     (topic, addr)
 }
 
-async fn respond(topic: &ClaimsTopic, mut req: Request, exchange: &Exchange) -> Response {
-    let body = exchange.read_body(&mut req).await.expect("a complete body");
+async fn respond(topic: &ClaimsTopic, mut req: Request, cx: &RequestContext) -> Response {
+    let body = cx.read_body(&mut req).await.expect("a complete body");
     let query = req.uri().query().unwrap_or_default();
     let (status, response) = topic.handle(req.path(), query, body.bytes());
     if ClaimsTopic::is_read(req.path()) {
--- a/crates/cell/src/program.rs
+++ b/crates/cell/src/program.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     admin,
-    admission::{Admission, Door, Limits},
+    admission::{Admission, Interface, Limits},
     attempts::{Attempts, Progress},
     entry, logging,
     message::Member,
@@ -125,7 +125,7 @@
     let (memory_mb, max_descriptors) = (cfg.memory_mb(), cfg.max_descriptors());
     let process = Process::new(cfg).await;
     let admission = Admission::new(
-        |door| Limits::new(door, memory_mb, max_descriptors),
+        |interface| Limits::new(interface, memory_mb, max_descriptors),
         process.node.clock,
         Rc::clone(&process.node.log_limit),
     );
@@ -134,7 +134,7 @@
     entry::serve(
         Rc::clone(&process),
         callers,
-        Door::Callers,
+        Interface::Callers,
         Rc::clone(&admission),
     )
     .await?;
@@ -142,7 +142,7 @@
         entry::serve(
             Rc::clone(&process),
             ready,
-            Door::Ready,
+            Interface::Ready,
             Rc::clone(&admission),
         )
         .await?;
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -52,14 +52,14 @@
 
 /// Interface of a process that a crowd connects to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Door {
+enum Interface {
     Callers,
     Ready,
     Admin,
     Peers,
 }
 
-impl Door {
+impl Interface {
     fn addr(self, process: &Process) -> &str {
         match self {
             Self::Callers => &process.callers,
@@ -81,20 +81,20 @@
 }
 
 /// Returns the head of a request with a body.
-fn head(door: Door, client: usize, header: &str) -> Vec<u8> {
-    let path = door.path(client);
+fn head(interface: Interface, client: usize, header: &str) -> Vec<u8> {
+    let path = interface.path(client);
     let head = format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n{header}\r\n\r\n"
     );
     head.into_bytes()
 }
 
-fn head_of_length(door: Door, client: usize, length: usize) -> Vec<u8> {
-    head(door, client, &format!("Content-Length: {length}"))
+fn head_of_length(interface: Interface, client: usize, length: usize) -> Vec<u8> {
+    head(interface, client, &format!("Content-Length: {length}"))
 }
 
-fn chunked_head(door: Door, client: usize) -> Vec<u8> {
-    head(door, client, "Transfer-Encoding: chunked")
+fn chunked_head(interface: Interface, client: usize) -> Vec<u8> {
+    head(interface, client, "Transfer-Encoding: chunked")
 }
 
 fn chunk(bytes: usize) -> Rc<[u8]> {
@@ -109,8 +109,8 @@
 }
 
 /// A body of the maximum size, sent at once but for its last byte.
-fn whole_body(door: Door, client: usize) -> Script {
-    let mut head = head_of_length(door, client, MAX_BODY_BYTES);
+fn whole_body(interface: Interface, client: usize) -> Script {
+    let mut head = head_of_length(interface, client, MAX_BODY_BYTES);
     head.extend(text(MAX_BODY_BYTES - 1));
     Script {
         head,
@@ -119,9 +119,9 @@
 }
 
 /// A body of the maximum size, sent in pieces but for its last byte.
-fn body_in_pieces(door: Door, client: usize) -> Script {
+fn body_in_pieces(interface: Interface, client: usize) -> Script {
     Script {
-        head: head_of_length(door, client, MAX_BODY_BYTES),
+        head: head_of_length(interface, client, MAX_BODY_BYTES),
         piece: text(PIECE_BYTES).into(),
         repeats: MAX_BODY_BYTES / PIECE_BYTES - 1,
         tail: text(PIECE_BYTES - 1),
@@ -129,9 +129,9 @@
 }
 
 /// A body announced as 2,000 times the maximum size, of which twice the maximum size is sent.
-fn announced_oversized_body(door: Door, client: usize) -> Script {
+fn announced_oversized_body(interface: Interface, client: usize) -> Script {
     Script {
-        head: head_of_length(door, client, 2_000 * MAX_BODY_BYTES),
+        head: head_of_length(interface, client, 2_000 * MAX_BODY_BYTES),
         piece: text(PIECE_BYTES).into(),
         repeats: 2 * MAX_BODY_BYTES / PIECE_BYTES,
         tail: Vec::new(),
@@ -139,9 +139,9 @@
 }
 
 /// A body of eight times the maximum size in chunks, whose end isn't sent.
-fn unannounced_oversized_body(door: Door, client: usize) -> Script {
+fn unannounced_oversized_body(interface: Interface, client: usize) -> Script {
     Script {
-        head: chunked_head(door, client),
+        head: chunked_head(interface, client),
         piece: chunk(PIECE_BYTES),
         repeats: 8 * MAX_BODY_BYTES / PIECE_BYTES,
         tail: Vec::new(),
@@ -149,9 +149,9 @@
 }
 
 /// A body of nearly the maximum size in two large chunks, the second of which lacks its end.
-fn body_in_large_chunks(door: Door, client: usize) -> Script {
+fn body_in_large_chunks(interface: Interface, client: usize) -> Script {
     let half = chunk(MAX_BODY_BYTES / 2);
-    let mut head = chunked_head(door, client);
+    let mut head = chunked_head(interface, client);
     head.extend_from_slice(&half);
     head.extend_from_slice(&half[..half.len() - 3]);
     Script {
@@ -161,9 +161,9 @@
 }
 
 /// A body of 40,000 chunks of one byte, whose end isn't sent.
-fn body_in_small_chunks(door: Door, client: usize) -> Script {
+fn body_in_small_chunks(interface: Interface, client: usize) -> Script {
     Script {
-        head: chunked_head(door, client),
+        head: chunked_head(interface, client),
         piece: chunk(1).repeat(1_000).into(),
         repeats: 40,
         tail: Vec::new(),
@@ -171,13 +171,13 @@
 }
 
 /// A complete body of the maximum size that is hundreds of times larger once it is decoded.
-fn body_of_many_steps(door: Door, client: usize) -> Script {
+fn body_of_many_steps(interface: Interface, client: usize) -> Script {
     let mut body = String::from("{\"Spec\":\"run 100\",\"Steps\":[{}");
     while body.len() < MAX_BODY_BYTES - 16 {
         body.push_str(",{}");
     }
     body.push_str("]}");
-    let mut head = head_of_length(door, client, body.len());
+    let mut head = head_of_length(interface, client, body.len());
     head.extend_from_slice(body.as_bytes());
     Script {
         head,
@@ -186,13 +186,13 @@
 }
 
 /// A connection on which nothing is sent.
-fn nothing(_: Door, _: usize) -> Script {
+fn nothing(_: Interface, _: usize) -> Script {
     Script::default()
 }
 
 /// A request whose head lacks its end.
-fn half_head(door: Door, client: usize) -> Script {
-    let path = door.path(client);
+fn half_head(interface: Interface, client: usize) -> Script {
+    let path = interface.path(client);
     let mut head = format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Padding: ").into_bytes();
     head.extend(text(32 * 1024));
     Script {
@@ -202,8 +202,8 @@
 }
 
 /// A request that is served, on a connection that stays open.
-fn served_request(door: Door, client: usize) -> Script {
-    let path = door.path(client);
+fn served_request(interface: Interface, client: usize) -> Script {
+    let path = interface.path(client);
     Script {
         head: format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n").into_bytes(),
         ..Script::default()
@@ -211,8 +211,8 @@
 }
 
 /// Two thousand requests whose responses the client never reads.
-fn unread_responses(door: Door, client: usize) -> Script {
-    let one = served_request(door, client).head;
+fn unread_responses(interface: Interface, client: usize) -> Script {
+    let one = served_request(interface, client).head;
     Script {
         piece: one.repeat(20).into(),
         repeats: 100,
@@ -249,7 +249,7 @@
 }
 
 /// A frame of the maximum size, sent in pieces but for its last byte.
-fn unfinished_frame(_: Door, _: usize) -> Script {
+fn unfinished_frame(_: Interface, _: usize) -> Script {
     let length = u32::try_from(MAX_FRAME_BYTES).expect("a frame");
     Script {
         head: length.to_be_bytes().to_vec(),
@@ -260,7 +260,7 @@
 }
 
 /// A frame announced as larger than any other.
-fn oversized_frame(_: Door, _: usize) -> Script {
+fn oversized_frame(_: Interface, _: usize) -> Script {
     Script {
         head: u32::MAX.to_be_bytes().to_vec(),
         piece: text(PIECE_BYTES).into(),
@@ -270,7 +270,7 @@
 }
 
 /// Half of a frame's length.
-fn half_length(_: Door, _: usize) -> Script {
+fn half_length(_: Interface, _: usize) -> Script {
     Script {
         head: vec![0, 0],
         ..Script::default()
@@ -278,7 +278,7 @@
 }
 
 /// Large requests that stay in flight, because the store keeps them.
-fn requests_in_flight(_: Door, _: usize) -> Script {
+fn requests_in_flight(_: Interface, _: usize) -> Script {
     Script {
         piece: relayed_request(WAITING_TARGET, 256 * 1024).into(),
         repeats: 10,
@@ -287,7 +287,7 @@
 }
 
 /// Requests with large replies, which the client never reads.
-fn unread_replies(_: Door, _: usize) -> Script {
+fn unread_replies(_: Interface, _: usize) -> Script {
     Script {
         piece: relayed_request(ENTRIES_TARGET, 0).into(),
         repeats: 20,
@@ -329,17 +329,19 @@
     );
 }
 
-/// Lets a crowd of `clients` fill the interface `door` of a process on a small host, and checks the
+/// Lets a crowd of `clients` fill the interface `interface` of a process on a small host, and checks the
 /// process.
-async fn check(door: Door, clients: usize, script: fn(Door, usize) -> Script) {
+async fn check(interface: Interface, clients: usize, script: fn(Interface, usize) -> Script) {
     let _crowd = CROWD.lock().await;
     let platform = Platform::start(1);
     // Makes the list of entries large; the process ignores an entry that it can't read.
     platform.list_entry("odd", &text(200 * 1024));
     let mut process = start(&platform).await;
 
-    let scripts = (0..clients).map(|client| script(door, client)).collect();
-    let addr = door.addr(&process).to_owned();
+    let scripts = (0..clients)
+        .map(|client| script(interface, client))
+        .collect();
+    let addr = interface.addr(&process).to_owned();
     let (highest, streams) =
         watch(&mut process, async move { connect(&addr, scripts).await }).await;
     let highest = highest.expect("the process lives");
@@ -377,7 +379,7 @@
     let platform = Platform::start(1);
     let process = start(&platform).await;
     for client in 0..20 {
-        let path = Door::Callers.path(client);
+        let path = Interface::Callers.path(client);
         let (status, _) = call("POST", &process.callers, &path, &padded_job())
             .await
             .expect("a response");
@@ -393,21 +395,25 @@
     let platform = Platform::start(1);
     let process = start(&platform).await;
     let over = Script {
-        head: chunked_head(Door::Callers, 1),
+        head: chunked_head(Interface::Callers, 1),
         piece: chunk(PIECE_BYTES),
         repeats: MAX_BODY_BYTES / PIECE_BYTES + 1,
         tail: Vec::new(),
     };
     let announced = Script {
-        head: head_of_length(Door::Callers, 2, MAX_BODY_BYTES + 1),
+        head: head_of_length(Interface::Callers, 2, MAX_BODY_BYTES + 1),
         ..Script::default()
     };
     let table = [
         (&process.callers, announced, "413"),
         (&process.callers, over, "413"),
-        (&process.callers, body_in_pieces(Door::Callers, 3), "408"),
-        (&process.admin, body_in_pieces(Door::Admin, 4), "413"),
-        (&process.ready, body_in_pieces(Door::Ready, 6), "413"),
+        (
+            &process.callers,
+            body_in_pieces(Interface::Callers, 3),
+            "408",
+        ),
+        (&process.admin, body_in_pieces(Interface::Admin, 4), "413"),
+        (&process.ready, body_in_pieces(Interface::Ready, 6), "413"),
     ];
     for (addr, script, status) in table {
         let mut streams = connect(addr, vec![script]).await;
@@ -438,7 +444,7 @@
     let addr = process.callers.clone();
     let crowd = async move {
         let calls = (0..CLIENTS).map(|client| {
-            let (addr, path) = (addr.clone(), Door::Callers.path(client));
+            let (addr, path) = (addr.clone(), Interface::Callers.path(client));
             ntex::rt::spawn(async move { send("POST", &addr, &path, &padded_job()).await })
         });
         let calls: Vec<_> = calls.collect();
@@ -465,7 +471,7 @@
             }
             status => panic!("unexpected status {status}"),
         };
-        let path = Door::Callers.path(client);
+        let path = Interface::Callers.path(client);
         call_until("GET", &process.callers, &path, "", expected).await;
     }
     assert_within_host(highest);
@@ -473,10 +479,10 @@
 
 /// Defines a test for each row: its name, the interface, the number of clients and what they send.
 macro_rules! crowds {
-    ($($name:ident: $door:ident, $clients:expr, $script:ident;)*) => {$(
+    ($($name:ident: $interface:ident, $clients:expr, $script:ident;)*) => {$(
         #[ntex::test]
         async fn $name() {
-            check(Door::$door, $clients, $script).await;
+            check(Interface::$interface, $clients, $script).await;
         }
     )*};
 }
