Record a restart as soon as the host list or an answer shows it

Callers may see a task run twice after a takeover: the answer to a start showed that its runner had restarted, the owner was lost before an inventory confirmed it, and the new owner counted 6.6 s for a lease of 10 s.

Cause: the record that tells later owners of a restart was written only once the restart was confirmed. The record is now written with the first sign, and deleted when an inventory shows that there was no restart.

Result: restart_that_an_answer_shows_is_known_to_the_next_owner (new): 10.6 s where the clock went back; it was 6.6 s in the review's test.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -57,7 +57,9 @@
             if restarted && !known.dead && (entry.addr == known.entry.addr || is_answering) {
                 // The runner's own answer shows whether it has restarted. Until then its tasks may be
                 // running there.
+                let may_have_restarted = known.may_inherit_lease();
                 known.unconfirmed_entry = Some(entry);
+                self.record_suspected_restart(runner_ix, may_have_restarted);
                 return None;
             }
             if !restarted && !self.runners[runner_ix.0].presumed_dead {
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -147,6 +147,7 @@
         inventory: &Inventory,
     ) {
         let runner = &mut self.runners[runner_ix.0];
+        let may_have_restarted = runner.may_inherit_lease();
         if runner.entry.started_unix_ms == 0 {
             runner.entry.started_unix_ms = inventory.started_unix_ms;
         }
@@ -163,6 +164,7 @@
         // Until all ends are listed, a task may have been completed there by an order of a previous owner.
         runner.has_answered |= !inventory.has_more_ends;
         runner.has_suspected_stalls = false;
+        self.record_suspected_restart(runner_ix, may_have_restarted);
         if self.runners[runner_ix.0].has_answered {
             self.withdraw_task_list(runner_ix);
         }
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -83,11 +83,13 @@
         match outcome {
             StartOutcome::Started(clock) => {
                 let runner = &mut self.runners[runner_ix.0];
+                let may_have_restarted = runner.may_inherit_lease();
                 runner.record_clock(clock, now);
                 if let Some(placed) = runner.runs.get_mut(&(task, run)) {
                     placed.settled_sequence = Some(sequence);
                     placed.delivery.record_answer();
                 }
+                self.record_suspected_restart(runner_ix, may_have_restarted);
                 self.mark_running(runner_ix, task, run, now);
             }
             StartOutcome::Refused(why) => self.handle_refusal(runner_ix, task, run, why, now),
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -104,11 +104,12 @@
     }
 
     /// Returns the record of a runner's restart to be written now, or deleted; `None` if there is nothing to
-    /// write. It exists while the runner may hold a lease that it inherited.
+    /// write. It exists while the runner may hold a lease that it inherited, also before its own answer
+    /// confirms the restart.
     pub(super) fn restart_record(&mut self, id: &Name) -> Option<Record> {
         let runner_ix = *self.by_id.get(id)?;
         let runner = &self.runners[runner_ix.0];
-        let is_inheriting = !runner.dead && runner.inherited_lease_until.is_some();
+        let is_inheriting = !runner.dead && runner.may_inherit_lease();
         let value = is_inheriting.then(|| record::encode(&runner.entry.started_unix_ms));
         let is_changed = if is_inheriting {
             self.recorded_restarts.insert(id.clone());
@@ -120,6 +121,15 @@
         is_changed.then_some(Record { key, value })
     }
 
+    /// Records that a runner may have restarted, or has not, if that has changed. `before` tells whether it
+    /// might have before.
+    pub(super) fn record_suspected_restart(&mut self, runner_ix: RunnerIx, before: bool) {
+        let runner = &self.runners[runner_ix.0];
+        if runner.may_inherit_lease() != before {
+            self.batches.add_runner(runner.entry.id.clone());
+        }
+    }
+
     /// Ends the state of runners whose inherited lease must have expired or been replaced by one on their
     /// own clock.
     pub(super) fn end_inherited_leases(&mut self, now: Millis) {
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -298,6 +298,24 @@
     assert_eq!(cell.next_start(), Some(1));
 }
 
+/// Guards against the same where the owner is lost before an inventory confirms the restart that an answer to
+/// an order has shown.
+#[test]
+fn restart_that_an_answer_shows_is_known_to_the_next_owner() {
+    for (clock, expected) in [(30, 10_600..11_200), (10_000, 6_400..7_000)] {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(false), [0]);
+        let (now, started) = (Millis(cell.now), StartOutcome::Started(Millis(clock)));
+        cell.engine
+            .record_start_outcome(now, RunnerIx(0), task(), 1, started);
+        cell.commit();
+        let after = start_after_takeover(&mut cell, &entry("w0"));
+        assert!(expected.contains(&after), "clock {clock}: {after} ms");
+    }
+}
+
 /// Guards against a task that runs twice because its runner restarted, was sent an order on the clock of its
 /// former incarnation, and was cut off before it answered an inventory call.
 #[test]
