End the record of a restart with the wait for its runner

When a takeover stops waiting for silent runners, every lease that an earlier owner granted is over; the record is deleted then. record_of_a_restart_ends_with_the_wait_for_its_runner (new) passes.

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -380,6 +380,7 @@
         }
         let is_any_unaccounted = silent_runners > 0;
         self.unverified_until = None;
+        self.end_unverified_leases(now);
         if is_any_unaccounted {
             self.events
                 .push(Event::TakeoverWaitEnded { silent_runners });
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -130,6 +130,16 @@
         }
     }
 
+    /// Ends the inherited leases of runners that have not answered since a takeover, once none can last any
+    /// longer.
+    pub(super) fn end_unverified_leases(&mut self, now: Millis) {
+        for runner in &mut self.runners {
+            if !runner.has_answered && runner.inherited_lease_until.is_some() {
+                runner.inherited_lease_until = Some(now);
+            }
+        }
+    }
+
     /// Ends the state of runners whose inherited lease must have expired or been replaced by one on their
     /// own clock.
     pub(super) fn end_inherited_leases(&mut self, now: Millis) {
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -316,6 +316,28 @@
     }
 }
 
+/// Guards against a record of a restart that makes each later takeover wait longer, although its runner was
+/// lost.
+#[test]
+fn record_of_a_restart_ends_with_the_wait_for_its_runner() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(true), [0]);
+    let restarted = inventory_of(&cell, 2, vec![first_run()]);
+    cell.complete_inventory_call(0, &restarted);
+    cell.commit();
+    assert!(cell.store.contains_key("sw0"));
+    let listed = RunnerEntry {
+        started_unix_ms: 2,
+        ..entry("w0")
+    };
+    start_after_takeover(&mut cell, &listed);
+    cell.advance(500);
+    cell.commit();
+    assert!(!cell.store.contains_key("sw0"));
+}
+
 /// Guards against a task that runs twice because its runner restarted, was sent an order on the clock of its
 /// former incarnation, and was cut off before it answered an inventory call.
 #[test]
