Count the longest lease for an incarnation after one that was presumed to have ended

Callers may see a task run twice: a runner that is silent and missing from the host list counts as ended; listed again with a later start, its next incarnation was taken for a new runner with an ordinary lease, although late orders on the former clock may have reached it.

The longest lease counts for it, as for any incarnation that follows another one. incarnation_after_a_presumed_end_may_have_the_longest_lease (new): 10 s and more.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -19,6 +19,7 @@
     /// incarnation.
     pub fn upsert_runner(&mut self, now: Millis, entry: RunnerEntry) -> Option<RunnerIx> {
         let entry = self.admit(entry)?;
+        let mut follows_another = false;
         if let Some(&runner_ix) = self.by_id.get(&entry.id) {
             let known = &mut self.runners[runner_ix.0];
             let restarted = entry.started_unix_ms != 0
@@ -67,6 +68,7 @@
                 return None;
             }
             if restarted {
+                follows_another = true;
                 self.mark_dead(runner_ix, now);
             } else {
                 self.forget_incarnation(runner_ix);
@@ -76,7 +78,12 @@
         let record_batch = self.batches.add_runner(id.clone());
         self.events
             .push(Event::RunnerChanged { id, what: "listed" });
-        Some(self.add_runner(now, entry, record_batch))
+        let added_ix = self.add_runner(now, entry, record_batch);
+        if follows_another {
+            // Orders for the incarnation before may have reached this one.
+            self.runners[added_ix.0].inherited_lease_until = Some(Millis(u64::MAX));
+        }
+        Some(added_ix)
     }
 
     pub(super) fn add_runner(
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -382,3 +382,37 @@
         assert!(expected.contains(&after), "{shown_by}: {after} ms");
     }
 }
+
+/// Guards against the same where the restart shows only after the former incarnation was presumed to have
+/// ended.
+#[test]
+fn incarnation_after_a_presumed_end_may_have_the_longest_lease() {
+    let mut cell = Cell::new(&["w0", "w1"]);
+    cell.report_ends(0, Vec::new());
+    cell.engine
+        .unlist_runner(Millis(cell.now), &Name::new("w0"));
+    for _ in 0..80 {
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.advance(100);
+    }
+    cell.submit();
+    let listed = RunnerEntry {
+        started_unix_ms: 2,
+        ..entry("w0")
+    };
+    let added = cell.engine.upsert_runner(Millis(cell.now), listed);
+    assert_eq!(added, Some(RunnerIx(2)));
+    // A late start of the task, whose run was not listed before.
+    let running = inventory_of(&cell, 2, vec![first_run()]);
+    cell.complete_inventory_call(2, &running);
+    cell.report_ends(1, Vec::new());
+    let start = (100..=12_000).step_by(100).find(|_| {
+        cell.complete_inventory_call(2, &InventoryOutcome::NoResponse);
+        cell.report_ends(1, Vec::new());
+        cell.advance(100);
+        cell.commit();
+        !cell.schedule().is_empty()
+    });
+    let after = start.expect("the task starts");
+    assert!((10_000..11_200).contains(&after), "{after} ms");
+}
