--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -107,6 +107,14 @@
     );
 }
 
+/// Guards against the same where an order is held up for seconds and reaches the next incarnation before any
+/// owner does.
+#[test]
+fn invariants_hold_while_late_orders_reach_unknown_incarnations() {
+    let (violations, _) = run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::LateOrders);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
--- a/crates/jobs/tests/support/hazards.rs
+++ b/crates/jobs/tests/support/hazards.rs
@@ -102,6 +102,7 @@
         for runner in &mut self.runners {
             runner.keeps_id = true;
             runner.executes_former_calls = true;
+            runner.executes_late_calls = self.hazard == Hazard::LateOrders;
         }
         for _ in 0..RESTARTS {
             let at = self.hazard_rng.random_range(500..16_000);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -83,12 +83,17 @@
     /// The same, and they execute orders for their former incarnation, are partitioned soon after, and lose
     /// their owner in between.
     PartitionedRestarts,
+    /// The same, where orders that are held up for long reach an incarnation before any owner does.
+    LateOrders,
 }
 
 impl Hazard {
     /// Returns whether runners start again under the id that they had.
     fn reuses_ids(self) -> bool {
-        matches!(self, Self::ReusedIds | Self::PartitionedRestarts)
+        matches!(
+            self,
+            Self::ReusedIds | Self::PartitionedRestarts | Self::LateOrders
+        )
     }
 }
 
@@ -276,7 +281,9 @@
         match hazard {
             Hazard::ChangingCapacity => simulation.plan_capacity_changes(),
             Hazard::ReusedIds => simulation.plan_restarts(),
-            Hazard::PartitionedRestarts => simulation.plan_partitioned_restarts(),
+            Hazard::PartitionedRestarts | Hazard::LateOrders => {
+                simulation.plan_partitioned_restarts();
+            }
             Hazard::None | Hazard::CrashingTasks => {}
         }
         simulation
@@ -289,7 +296,8 @@
             Hazard::None
             | Hazard::ChangingCapacity
             | Hazard::ReusedIds
-            | Hazard::PartitionedRestarts => 75_000,
+            | Hazard::PartitionedRestarts
+            | Hazard::LateOrders => 75_000,
         };
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -113,6 +113,9 @@
         if self.mutation == Mutation::StopsDropped {
             return;
         }
+        if !self.owners[owner].engine.is_stop_needed(&order) {
+            return;
+        }
         let runner = self.owners[owner].runners[&order.runner_ix.0];
         let call = self.owners[owner].stops.len();
         let sent = self.sent(owner, order.runner_ix.0, order);
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -46,6 +46,8 @@
     pub(crate) keeps_id: bool,
     /// Whether an incarnation executes calls that were sent to a former one.
     pub(crate) executes_former_calls: bool,
+    /// Whether it does so with calls that were held up for long and arrive before any owner's.
+    pub(crate) executes_late_calls: bool,
     pub(crate) running: BTreeMap<TaskId, Run>,
     number: usize,
     /// Rate of the runner's clock relative to the simulation's, in thousandths.
@@ -72,6 +74,7 @@
             incarnation: 1,
             keeps_id: false,
             executes_former_calls: false,
+            executes_late_calls: false,
             running: BTreeMap::new(),
             number,
             rate: rng.random_range(980..=1_000),
@@ -97,7 +100,8 @@
     /// prevent.
     pub(crate) fn is_reached_by(&self, incarnation: u64, is_late: bool) -> bool {
         let is_connected = !self.keeps_id || incarnation == self.incarnation;
-        let reaches_next = self.executes_former_calls && (self.has_answered || !is_late);
+        let is_executed = self.has_answered || !is_late || self.executes_late_calls;
+        let reaches_next = self.executes_former_calls && is_executed;
         self.is_up && (is_connected || reaches_next)
     }
 
