Let the tasks of the takeover test outlast a busy machine

The tasks ran for 2.5 s, and the steps up to the kill of the owner took longer, so that the job was over and there was nothing to adopt. With 4 s of waiting put before the kill the test fails in the same way each time it was tried (once).

The tasks run for 10 s now; what is asserted is unchanged.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -82,7 +82,8 @@
 
     // Running tasks survive the loss of the owner.
     let (long, cancelled) = ("00000000000000b1", "00000000000000b2");
-    let body = job_body("run 2500", &[4]);
+    // Long enough to outlast the steps up to the kill on a busy machine.
+    let body = job_body("run 10000", &[4]);
     call_until(
         "POST",
         &processes[bystander].callers,
