Log rare ends and gangs in lines of their own

Callers saw nothing of this; operators could not tell why a gang's run ended as alone.

Each kind of end has a limit of its own. One line names a gang's step, run, the runners of its members and the owner's fence; adopted members name the fence too. No decision changes.

The new test fails on the former table of kinds, which had one for all ends.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -1,5 +1,8 @@
 //! Logs and metrics of the engine's events.
 
+#[cfg(test)]
+mod tests;
+
 use kspan_jobs::{
     engine::{Event, RunEnd, WaitEnd},
     runner::EndKind,
@@ -14,7 +17,7 @@
         for event in events {
             record_metrics(event);
             if self.node.log_limit.allows(event_kind(event), self.now()) {
-                log_event(event);
+                log_event(event, self.fence);
             }
         }
     }
@@ -38,7 +41,9 @@
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
         Event::JobLate { .. } => telemetry::record_late_job(),
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
+        Event::GangOrdered { .. } => telemetry::record_gang_start(),
         Event::RunAdopted { .. }
+        | Event::GangMemberAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
         | Event::CapChanged { .. }
@@ -86,10 +91,12 @@
         Event::RackWaitBegan { .. } => "rack wait",
         Event::RackWaitEnded { .. } => "rack wait over",
         Event::StartFailed { .. } => "not started",
-        Event::RunEnded { .. } => "run over",
+        Event::RunEnded { how, .. } => run_end_kind(*how),
         Event::RunnerCrashed { .. } => "crash",
         Event::CrashCounted { .. } => "crash counted",
         Event::RunAdopted { .. } => "adopted",
+        Event::GangOrdered { .. } => "gang ordered",
+        Event::GangMemberAdopted { .. } => "gang adopted",
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
         Event::JobEnded { .. } => "job ended",
@@ -102,7 +109,21 @@
     }
 }
 
-fn log_event(event: &Event) {
+/// Returns the kind of the line of a run's end. Rare ends have kinds of their own, so that frequent ones
+/// don't suppress their lines.
+fn run_end_kind(how: RunEnd) -> &'static str {
+    match how {
+        RunEnd::Reported(EndKind::Done) => "run done",
+        RunEnd::Reported(EndKind::Failed) => "run failed",
+        RunEnd::Reported(EndKind::Stopped) => "run stopped",
+        RunEnd::Reported(EndKind::LeaseExpired) => "run lapsed",
+        RunEnd::Reported(EndKind::GangBroken) => "run broken",
+        RunEnd::Reported(EndKind::GangIncomplete) => "run alone",
+        RunEnd::Lost(_) => "run lost",
+    }
+}
+
+fn log_event(event: &Event, fence: u64) {
     match event {
         Event::StartOrdered {
             task,
@@ -155,6 +176,7 @@
         Event::RunAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, "run adopted");
         }
+        Event::GangOrdered { .. } | Event::GangMemberAdopted { .. } => log_gang_event(event, fence),
         Event::OrphanRunFound { task, run, runner } => {
             tracing::warn!(%task, run, runner = %runner, "stopping a run that the runner should not have");
         }
@@ -189,6 +211,23 @@
     }
 }
 
+/// Logs an event of a gang with the fence of its owner, so that the lines that name a step show each of its
+/// runs whole.
+fn log_gang_event(event: &Event, fence: u64) {
+    match event {
+        Event::GangOrdered { step, run, runners } => {
+            let members = runners.len();
+            let runners: Vec<&str> = runners.iter().map(|id| id.as_str()).collect();
+            let runners = runners.join(" ");
+            tracing::info!(%step, run, members, runners, fence, "gang ordered");
+        }
+        Event::GangMemberAdopted { task, run, runner } => {
+            tracing::info!(%task, run, runner = %runner, fence, "member of a gang adopted");
+        }
+        _ => {}
+    }
+}
+
 /// Logs an event of a runner rather than of a task or a job.
 fn log_runner_event(event: &Event) {
     match event {
--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -115,7 +115,12 @@
                 ORDER_TIMEOUT
             };
             let fence = connection.next_fence(self.newest_fence());
-            match runner::start(&connection.client, order, timeout).await {
+            let sent_at = self.now();
+            let answer = runner::start(&connection.client, order, timeout).await;
+            if let Err(err) = &answer {
+                self.log_failed_attempt(order, attempt, err, sent_at);
+            }
+            match answer {
                 Ok(StartOutcome::Refused(Refusal::Fenced)) if connection.is_overtaken(fence) => {}
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
@@ -135,6 +140,29 @@
         }
     }
 
+    fn log_failed_attempt(
+        &self,
+        order: &StartOrder,
+        attempt: u32,
+        err: &CallError,
+        sent_at: Millis,
+    ) {
+        if !self.node.log_limit.allows("start attempt", self.now()) {
+            return;
+        }
+        let runner = self.engine.borrow().runner(order.runner_ix).id.clone();
+        let took = self.now().saturating_sub(sent_at);
+        tracing::warn!(
+            task = %order.task,
+            run = order.run,
+            %runner,
+            attempt,
+            %err,
+            took_ms = took.0,
+            "start order not answered"
+        );
+    }
+
     async fn stop_task(self: Rc<Self>, order: StopOrder) {
         let is_needed = |engine: &Engine| engine.is_stop_needed(&order);
         let send = async |client: &RunnerClient| runner::stop(client, &order, ORDER_TIMEOUT).await;
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -41,6 +41,11 @@
     histogram!("kspan_cell_start_wait_seconds").record(seconds(waited));
 }
 
+/// Records that a gang was ordered to start.
+pub(crate) fn record_gang_start() {
+    counter!("kspan_cell_gangs_started_total").increment(1);
+}
+
 /// Records the begin of a wait for a rack.
 pub(crate) fn record_rack_wait() {
     counter!("kspan_cell_rack_waits_total").increment(1);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -259,6 +259,24 @@
         /// Id of the runner.
         runner: Name,
     },
+    /// All members of a gang were ordered to start.
+    GangOrdered {
+        /// Step of the gang.
+        step: StepId,
+        /// Run number that the members share.
+        run: u32,
+        /// Ids of the members' runners, by index.
+        runners: Vec<Name>,
+    },
+    /// A member of a gang's run that a previous owner ordered was adopted.
+    GangMemberAdopted {
+        /// Task id.
+        task: TaskId,
+        /// Run number.
+        run: u32,
+        /// Id of the runner.
+        runner: Name,
+    },
     /// A run that matches no waiting task was found and is being stopped.
     OrphanRunFound {
         /// Task id.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -71,11 +71,23 @@
         let gang_run = run.filter(|_| spec.gang);
         // The members of a gang start together, so they wait for the records of all.
         let is_gang_held = spec.gang && step.tasks.iter().any(|task| task.is_held());
+        if let Some(run) = gang_run {
+            self.emit_gang_ordered(id, run, &choices);
+        }
         for choice in choices {
             self.start_task(id, choice, gang_run, is_gang_held, now);
         }
     }
 
+    fn emit_gang_ordered(&mut self, step: StepId, run: u32, choices: &[Choice]) {
+        let ids = choices.iter().map(|choice| {
+            let runner = &self.runners[choice.runner_ix.0];
+            runner.entry.id.clone()
+        });
+        let runners = ids.collect();
+        self.events.push(Event::GangOrdered { step, run, runners });
+    }
+
     /// Decides for the waiting tasks of a step.
     fn placement(
         &self,
