Stop the rest of a gang as soon as a member will never be there

Callers saw members of gangs run until their runners ended them as alone (GANG), 3 to 5 s after their start, and the job start again. The owner knew earlier: a start in doubt stopped that run alone, and a new owner that adopted some of the members left them when the rest was nowhere. Only an end, a refusal and a withdrawn start ended the others.

One module, engine/gangs.rs, decides it now from the states of the members, whatever brought them about: after each end or loss of a member's run, in each scheduling pass and each tick. A member that starts may still come, until the first one present has waited for 60% of the time that runners allow (new setting gang_wait_ms); one that is unverified after a takeover may be there until its runner has answered. Members in runs of different numbers are stopped too. The event names the member and the reason, and kspan_cell_gangs_stopped_total counts them.

Evidence: six of the eleven tests in jobs/tests/gangs.rs fail on the code before (a start in doubt, silence, adoption in part, an end listed after a takeover, runs of different numbers, and the start of the next run after a doubt); the other five hold on both. The harness of gangs moved from attempts.rs to one_cell/gang.rs.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -42,6 +42,7 @@
         Event::JobLate { .. } => telemetry::record_late_job(),
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
         Event::GangOrdered { .. } => telemetry::record_gang_start(),
+        Event::GangStopped { why, .. } => telemetry::record_gang_stop(*why),
         Event::RunAdopted { .. }
         | Event::GangMemberAdopted { .. }
         | Event::OrphanRunFound { .. }
@@ -97,6 +98,7 @@
         Event::RunAdopted { .. } => "adopted",
         Event::GangOrdered { .. } => "gang ordered",
         Event::GangMemberAdopted { .. } => "gang adopted",
+        Event::GangStopped { .. } => "gang stopped",
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
         Event::JobEnded { .. } => "job ended",
@@ -176,7 +178,9 @@
         Event::RunAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, "run adopted");
         }
-        Event::GangOrdered { .. } | Event::GangMemberAdopted { .. } => log_gang_event(event, fence),
+        Event::GangOrdered { .. } | Event::GangStopped { .. } | Event::GangMemberAdopted { .. } => {
+            log_gang_event(event, fence)
+        }
         Event::OrphanRunFound { task, run, runner } => {
             tracing::warn!(%task, run, runner = %runner, "stopping a run that the runner should not have");
         }
@@ -221,6 +225,14 @@
             let runners = runners.join(" ");
             tracing::info!(%step, run, members, runners, fence, "gang ordered");
         }
+        Event::GangStopped {
+            missing,
+            run,
+            why,
+            stopped,
+        } => {
+            tracing::info!(%missing, run, %why, stopped, fence, "gang can't become whole, stopping its members");
+        }
         Event::GangMemberAdopted { task, run, runner } => {
             tracing::info!(%task, run, runner = %runner, fence, "member of a gang adopted");
         }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -425,6 +425,7 @@
         max_record_bytes: cfg.max_record_bytes,
         ended_job_retention: Millis::from_secs(cfg.keep_ended_s + cfg.keep_ended_s / 4),
         cross_rack_slowdown: round_to_u32(cfg.spread_factor),
+        gang_wait: Millis(cfg.gang_wait_ms),
     }
 }
 
--- a/crates/cell/src/owner/tests.rs
+++ b/crates/cell/src/owner/tests.rs
@@ -168,6 +168,7 @@
         spread_factor: 3.0,
         keep_ended_s: 600,
         config_apply_ms: 2_500,
+        gang_wait_ms: 3_000,
         grace_s: 10.0,
     })
     .await
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -77,6 +77,7 @@
         spread_factor: 2.0,
         keep_ended_s: 1,
         config_apply_ms: 2_500,
+        gang_wait_ms: 3_000,
         grace_s: 3.0,
     })
     .await
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -12,6 +12,7 @@
 /// Upper bounds. Larger values are mistakes, and some would overflow where they are used.
 const MIN_MAX_RECORD_BYTES: usize = 64 * 1024;
 const MAX_CONFIG_APPLY_MS: u64 = 3_600_000;
+const MAX_GANG_WAIT_MS: u64 = 3_600_000;
 const MAX_FACTOR: f64 = 1_000_000.0;
 const MAX_GRACE_S: f64 = 86_400.0;
 const MAX_KEEP_ENDED_S: u64 = 365 * 86_400;
@@ -93,6 +94,9 @@
     pub(crate) max_lease_ms: u64,
     /// Factor by which a task's run time grows when it runs away from its data.
     pub(crate) spread_factor: f64,
+    /// Time for which runners let a member of a gang wait for the others, in milliseconds.
+    #[serde(default = "default_gang_wait_ms")]
+    pub(crate) gang_wait_ms: u64,
     /// Time for which an ended job's state stays available, in seconds.
     pub(crate) keep_ended_s: u64,
     /// Time within which an accepted version of the configuration must be in force, in milliseconds.
@@ -128,6 +132,11 @@
                 "config_apply_ms: must be from 1000 to 3600000",
             ));
         }
+        if !(1_000..=MAX_GANG_WAIT_MS).contains(&cfg.gang_wait_ms) {
+            return Err(SettingsError::Value(
+                "gang_wait_ms: must be from 1000 to 3600000",
+            ));
+        }
         if !(1.0..=MAX_FACTOR).contains(&cfg.spread_factor) {
             return Err(SettingsError::Value(
                 "spread_factor: must be from 1 to 1000000",
@@ -182,6 +191,10 @@
     2_500
 }
 
+fn default_gang_wait_ms() -> u64 {
+    3_000
+}
+
 fn default_max_record_bytes() -> usize {
     256 * 1024
 }
--- a/crates/cell/src/settings/tests.rs
+++ b/crates/cell/src/settings/tests.rs
@@ -46,6 +46,12 @@
             "config_apply_ms",
         ),
         ("node: h-1", "node: h-1\nprocessors: .inf", "processors"),
+        ("node: h-1", "node: h-1\ngang_wait_ms: 999", "gang_wait_ms"),
+        (
+            "node: h-1",
+            "node: h-1\ngang_wait_ms: 3600001",
+            "gang_wait_ms",
+        ),
         ("max_lease_ms: 8000", "max_lease_ms: 10", "max_lease_ms"),
         ("node: h-1", "node: h-1\nmemory_mb: 63", "memory_mb"),
         ("node: h-1", "node: h-1\nmemory_mb: 1000001", "memory_mb"),
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,7 +2,7 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
-use kspan_jobs::engine::{LossReason, TeamUsage};
+use kspan_jobs::engine::{GangLoss, LossReason, TeamUsage};
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -46,6 +46,11 @@
     counter!("kspan_cell_gangs_started_total").increment(1);
 }
 
+/// Records that a gang's run was stopped because it could not become whole.
+pub(crate) fn record_gang_stop(why: GangLoss) {
+    counter!("kspan_cell_gangs_stopped_total", "why" => why.to_string()).increment(1);
+}
+
 /// Records the begin of a wait for a rack.
 pub(crate) fn record_rack_wait() {
     counter!("kspan_cell_rack_waits_total").increment(1);
--- a/crates/jobs/examples/slopes.rs
+++ b/crates/jobs/examples/slopes.rs
@@ -31,6 +31,7 @@
         max_record_bytes: 262_144,
         ended_job_retention: Millis(150_000),
         cross_rack_slowdown: 3,
+        gang_wait: Millis(3_000),
     }
 }
 
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -145,8 +145,8 @@
         if active && out_of_attempts {
             return self.end_job(end.task.step.job, Phase::Failed, now, unix_ms);
         }
-        if gang && current {
-            self.stop_gang(end.task, now);
+        if gang {
+            self.settle_gang(end.task.step, now);
         }
     }
 
@@ -192,7 +192,7 @@
         step.set_state(index, TaskState::Waiting, now);
         self.schedulable.insert(task.step.job);
         if gang {
-            self.stop_gang(task, now);
+            self.settle_gang(task.step, now);
         }
     }
 
@@ -237,19 +237,20 @@
         }
     }
 
-    /// Stops the remaining members of a gang after one of them has ended.
-    pub(super) fn stop_gang(&mut self, ended: TaskId, now: Millis) {
-        self.stop_matching_runs(ended.step.job, now, |task| task.step == ended.step);
-    }
-
     /// Stops all runs of a job.
     pub(super) fn stop_job_runs(&mut self, id: JobId, now: Millis) {
         self.stop_matching_runs(id, now, |_| true);
     }
 
-    fn stop_matching_runs(&mut self, id: JobId, now: Millis, matches: impl Fn(TaskId) -> bool) {
+    /// Stops the runs of a job's tasks that match. Returns their number.
+    pub(super) fn stop_matching_runs(
+        &mut self,
+        id: JobId,
+        now: Millis,
+        matches: impl Fn(TaskId) -> bool,
+    ) -> usize {
         let Some(job) = self.jobs.get(&id) else {
-            return;
+            return 0;
         };
         let mut runs = Vec::new();
         for occurrence in &job.occurrences {
@@ -275,9 +276,11 @@
                 }
             }
         }
+        let stopped = runs.len();
         for (runner_ix, task, run) in runs {
             self.order_stop(runner_ix, task, run, now);
         }
+        stopped
     }
 
     pub(super) fn update_health(&mut self, runner_ix: RunnerIx, how: EndKind, now: Millis) {
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -337,6 +337,9 @@
         step.set_state(index, TaskState::Running(runner_ix), now);
         job.started = true;
         self.charge_reported_run(runner_ix, row.task, row.run, now);
+        if is_gang {
+            self.live_gangs.insert(row.task.step);
+        }
         let runner = self.runners[runner_ix.0].entry.id.clone();
         let (task, run) = (row.task, row.run);
         self.events.push(if is_gang {
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod estimate;
 mod evidence;
 mod explain;
+mod gangs;
 mod health;
 mod host_list;
 mod inventory;
@@ -45,7 +46,7 @@
 mod throttle;
 mod urgency;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use kspan_model::{Millis, Name, Resources};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -75,6 +76,7 @@
     durable::Batch,
     ends::{LossReason, RunEnd},
     explain::{Explanation, StepExplanation},
+    gangs::GangLoss,
     inventory::InventoryCall,
     locality::{LocalityRule, WaitEnd},
     queries::{JobState, Totals},
@@ -102,6 +104,8 @@
     pub ended_job_retention: Millis,
     /// Factor by which tasks run longer outside their preferred rack.
     pub cross_rack_slowdown: u32,
+    /// How long runners let a member of a gang wait for the others.
+    pub gang_wait: Millis,
 }
 
 /// An order for the engine's caller to execute.
@@ -268,6 +272,17 @@
         /// Ids of the members' runners, by index.
         runners: Vec<Name>,
     },
+    /// The run of a gang can't become whole, and its members are being stopped.
+    GangStopped {
+        /// Member that will never be there.
+        missing: TaskId,
+        /// Number of the run.
+        run: u32,
+        /// Reason.
+        why: GangLoss,
+        /// Number of members that are being stopped.
+        stopped: usize,
+    },
     /// A member of a gang's run that a previous owner ordered was adopted.
     GangMemberAdopted {
         /// Task id.
@@ -367,6 +382,8 @@
     active: FxHashSet<JobId>,
     /// Active jobs that may have waiting tasks in steps that are ready.
     schedulable: FxHashSet<JobId>,
+    /// Gangs that may have a run.
+    live_gangs: BTreeSet<StepId>,
     runners: Vec<Runner>,
     by_id: FxHashMap<Name, RunnerIx>,
     /// Runners with a durable record of their restart.
@@ -431,6 +448,7 @@
             jobs: FxHashMap::default(),
             active: FxHashSet::default(),
             schedulable: FxHashSet::default(),
+            live_gangs: BTreeSet::new(),
             runners: Vec::new(),
             by_id: FxHashMap::default(),
             recorded_restarts: FxHashSet::default(),
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -73,10 +73,14 @@
         let is_gang_held = spec.gang && step.tasks.iter().any(|task| task.is_held());
         if let Some(run) = gang_run {
             self.emit_gang_ordered(id, run, &choices);
+            self.live_gangs.insert(id);
         }
         for choice in choices {
             self.start_task(id, choice, gang_run, is_gang_held, now);
         }
+        if gang_run.is_some() {
+            self.settle_gang(id, now);
+        }
     }
 
     fn emit_gang_ordered(&mut self, step: StepId, run: u32, choices: &[Choice]) {
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -44,6 +44,7 @@
         self.release_held_starts(now);
         self.release_quiet_runners(now);
         let all_verified = self.are_all_runs_verified(now);
+        self.settle_gangs(now);
         self.update_unknown_usage(all_verified, now);
         self.reserved.clear();
         let ReadySteps {
--- a/crates/jobs/tests/attempts.rs
+++ b/crates/jobs/tests/attempts.rs
@@ -7,119 +7,14 @@
 
 use kspan_jobs::{
     engine::{JobState, RunnerIx},
-    id::TaskId,
     record::{FailedRun, OccurrenceProgress, ProgressRecord, RecordKey, TaskProgress, encode},
     runner::{EndKind, EndedTask, InventoryOutcome, RunningTask},
-    spec::JobSpec,
 };
-use kspan_model::{Millis, Name, Resources};
-use one_cell::*;
-
-/// Number of members of the gang, and of runners.
-const MEMBERS: u32 = 4;
-
-const RUNNERS: [&str; MEMBERS as usize] = ["w0", "w1", "w2", "w3"];
-
-/// Returns a gang that has one member on each runner.
-fn gang_spec() -> JobSpec {
-    let mut spec = spec();
-    spec.steps[0].count = MEMBERS;
-    spec.steps[0].gang = true;
-    spec
-}
-
-fn member(index: u32) -> TaskId {
-    task().step.task(index)
-}
-
-/// A cell with a gang, whose members end as a test says.
-struct GangCell {
-    cell: Cell,
-    /// Number of the latest end of each runner.
-    end_numbers: BTreeMap<usize, u64>,
-    /// Runner of each member in its latest run.
-    runners: BTreeMap<u32, usize>,
-}
-
-impl GangCell {
-    fn new() -> Self {
-        let mut cell = Cell::new(&RUNNERS);
-        cell.submit_spec(PATH, gang_spec());
-        let mut gang = Self {
-            cell,
-            end_numbers: BTreeMap::new(),
-            runners: BTreeMap::new(),
-        };
-        gang.answer_all();
-        gang
-    }
-
-    /// Completes an inventory call of each runner, without any run.
-    fn answer_all(&mut self) {
-        for runner_ix in 0..RUNNERS.len() {
-            self.cell.report_ends(runner_ix, Vec::new());
-        }
-    }
-
-    /// Waits until all members start together.
-    fn start(&mut self) {
-        for _ in 0..30 {
-            self.cell.advance(1_000);
-            let started = self.cell.schedule_and_start();
-            if !started.is_empty() {
-                let placed = started.iter().map(|(at, task)| (task.index, *at));
-                self.runners = placed.collect();
-                assert_eq!(self.runners.len(), MEMBERS as usize);
-                return;
-            }
-            self.answer_all();
-        }
-        panic!("the gang does not start within 30 s");
-    }
-
-    /// Reports the end of a member on its runner.
-    fn end(&mut self, index: u32, run: u32, how: EndKind) {
-        let runner_ix = self.runners[&index];
-        let number = self.end_numbers.entry(runner_ix).or_default();
-        *number += 1;
-        let end = EndedTask {
-            number: *number,
-            task: member(index),
-            run,
-            how,
-            checkpoint: Name::default(),
-        };
-        self.cell.report_ends(runner_ix, vec![end]);
-        self.cell.commit();
-    }
-
-    /// Lets a run end, in which the members of the given indexes fail.
-    fn end_run(&mut self, run: u32, failing: &[u32]) {
-        for index in 0..MEMBERS {
-            let how = if failing.contains(&index) {
-                EndKind::Failed
-            } else {
-                EndKind::GangBroken
-            };
-            self.end(index, run, how);
-        }
-    }
-
-    /// Replaces the owner by one that has the durable records, and whose runners have not answered.
-    fn take_over(&mut self) {
-        self.cell.recover();
-        for id in RUNNERS {
-            self.cell
-                .engine
-                .upsert_runner(Millis(self.cell.now), entry(id));
-        }
-        self.cell.commit();
-    }
-
-    fn has_failed(&self) -> bool {
-        self.cell.engine.job_state(JOB) == Some(JobState::Failed)
-    }
-}
+use kspan_model::{Name, Resources};
+use one_cell::{
+    gang::{GangCell, MEMBERS, RUNNERS, gang_spec, member},
+    *,
+};
 
 /// Guards against a gang that is given up after one run, because several of its members failed in it.
 #[test]
--- a/crates/jobs/tests/locality.rs
+++ b/crates/jobs/tests/locality.rs
@@ -812,6 +812,7 @@
         let mut replay = Replay::new(scenario(2, arrivals), LocalityRule::Predicted);
         let mut engine = Engine::new(Settings {
             cross_rack_slowdown: 1,
+            gang_wait: Millis(3_000),
             ..settings()
         });
         let now = Millis(replay.cell.now);
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only a part")]
 
+pub(crate) mod gang;
+
 use std::collections::BTreeMap;
 
 use kspan_jobs::{
@@ -22,6 +24,9 @@
 pub(crate) const PATH: &str = "/q/000000000000000a";
 pub(crate) const MAX_ATTEMPTS: u32 = 4;
 
+/// How long runners let a member of a gang wait for the others.
+pub(crate) const GANG_WAIT: Millis = Millis(3_000);
+
 /// Change to a step that a test case applies.
 pub(crate) type StepChange = fn(&mut StepSpec);
 
@@ -34,6 +39,7 @@
         max_record_bytes: 262_144,
         ended_job_retention: Millis(100_000),
         cross_rack_slowdown: 3,
+        gang_wait: GANG_WAIT,
     }
 }
 
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -74,6 +74,7 @@
             max_record_bytes: MAX_RECORD_BYTES,
             ended_job_retention: Millis(600_000),
             cross_rack_slowdown: 3,
+            gang_wait: Millis(super::runner::GANG_WAIT_MS),
         };
         let mut state = DurableState::default();
         for (key, value) in &self.store {
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -15,6 +15,9 @@
 
 pub(crate) const MAX_LEASE_MS: u64 = 10_000;
 
+/// Time for which a member of a gang waits for the others, in milliseconds.
+pub(crate) const GANG_WAIT_MS: u64 = 3_000;
+
 /// Time after a restart at which the host list shows it, in milliseconds.
 const ENTRY_DELAY_MS: u64 = 1_000;
 
