Keep a run that is listed although its start order got no answer

Callers saw work thrown away: a run, and a whole gang with it, was stopped because the answers to its start order were lost, although an inventory had listed it meanwhile.

Cause: the outcome in doubt ordered a stop whatever the inventories said. Now it does so only while neither an answer nor an inventory has shown the run. Nothing starts twice by that: the run keeps its number and its runner, and a late repeat of the order finds it there.

--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -97,15 +97,22 @@
             StartOutcome::Withdrawn => {
                 self.remove_lost_run(runner_ix, task, run, LossReason::StartWithdrawn, now);
             }
-            StartOutcome::InDoubt => {
-                self.emit_start_failed(runner_ix, task, run, "no answer");
-                self.runners[runner_ix.0]
-                    .health
-                    .pause_for(now, NO_CAPACITY_PAUSE);
-                if self.runners[runner_ix.0].runs.contains_key(&(task, run)) {
-                    self.order_stop(runner_ix, task, run, now);
-                }
-            }
+            StartOutcome::InDoubt => self.handle_doubt(runner_ix, task, run, now),
+        }
+    }
+
+    /// Stops a run whose order was not answered, unless an inventory has shown that it is there.
+    fn handle_doubt(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32, now: Millis) {
+        let runner = &mut self.runners[runner_ix.0];
+        runner.health.pause_for(now, NO_CAPACITY_PAUSE);
+        let placed = runner.runs.get(&(task, run));
+        if placed.is_some_and(|placed| placed.delivery.is_shown()) {
+            return;
+        }
+        let is_placed = placed.is_some();
+        self.emit_start_failed(runner_ix, task, run, "no answer");
+        if is_placed {
+            self.order_stop(runner_ix, task, run, now);
         }
     }
 
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -66,9 +66,14 @@
         self.is_listed = true;
     }
 
+    /// Returns whether the runner has shown that it received the order.
+    pub(super) fn is_shown(self) -> bool {
+        self.is_answered || self.is_listed
+    }
+
     /// Returns whether the order was sent and nothing shows that the runner received it.
     pub(super) fn is_in_doubt(self) -> bool {
-        self.attempts > 0 && !self.is_answered && !self.is_listed
+        self.attempts > 0 && !self.is_shown()
     }
 
     /// Returns whether the next incarnation under the runner's id may have received the order. An order
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -138,6 +138,21 @@
     }
 }
 
+/// Guards against a whole gang that is stopped because the answer to one of its start orders was lost.
+#[test]
+fn gang_goes_on_if_a_member_without_an_answer_is_listed() {
+    let mut gang = GangCell::new();
+    let last = gang.start_but_last();
+    gang.list(&[LAST], 1);
+    gang.record_start(&last, StartOutcome::InDoubt);
+    let all: Vec<u32> = (0..MEMBERS).collect();
+    for _ in 0..50 {
+        assert!(gang.stopped().is_empty());
+        gang.list(&all, 1);
+        gang.cell.advance(100);
+    }
+}
+
 /// Guards against members that a new owner adopts and that wait for one that the former owner did not start.
 #[test]
 fn gang_adopted_in_part_is_stopped_once_the_rest_is_known_to_be_nowhere() {
