Ask at once whether a run whose start got no answer is there

Callers saw room, and the next run of a gang, wait for 2.8 to 3.4 s after a start without an answer, although the runner answered all the while.

Cause: after the stop, the run is proved not to be there by an inventory that was requested later. A run that isn't there lists no end, so that the inventory call in flight and the next one each waited their full 1.7 s.

While a run in doubt is being stopped, calls wait for 0.2 s at most. The call in flight still ends by itself.

Measured: inventory_wait_is_shorter_while_a_run_is_in_doubt fails without the change.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -37,6 +37,10 @@
 /// seconds.
 const MAX_POLL_WAIT_WHEN_SHARED: Millis = Millis(400);
 
+/// The same while a run may be there whose start got no answer. Its room is reserved until an inventory that was
+/// requested after the stop doesn't list it.
+const MAX_POLL_WAIT_ON_DOUBT: Millis = Millis(200);
+
 /// How long after a lost response further losses are expected.
 const LOSS_WINDOW: Millis = Millis(2_000);
 
@@ -67,6 +71,7 @@
         let runner = &mut self.runners[runner_ix.0];
         let wait = match (has_recent_loss, runner.has_suspected_stalls) {
             (true, _) => wait_on_loss,
+            _ if runner.needs_proof() => MAX_POLL_WAIT_ON_DOUBT,
             (false, true) => MAX_POLL_WAIT_ON_SUSPICION,
             (false, false) if runner.is_shared() => MAX_POLL_WAIT_WHEN_SHARED,
             (false, false) => MAX_POLL_WAIT,
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -114,6 +114,12 @@
 }
 
 impl PlacedRun {
+    /// Returns whether only an inventory can tell whether the run is there, which is being stopped.
+    pub(super) fn needs_proof(&self) -> bool {
+        let is_stopped = self.stop_sent_at.is_some() || self.settled_sequence.is_some();
+        self.delivery.is_in_doubt() && is_stopped
+    }
+
     /// Returns how long the run was expected to take when it was ordered.
     pub(super) fn expected_run_time(&self) -> Option<Millis> {
         Some(self.expected_end?.saturating_sub(self.ordered_at?))
@@ -410,6 +416,11 @@
         self.runs_alone > 0
     }
 
+    /// Returns whether an inventory is needed to prove that a run is not there; no end of it would be reported.
+    pub(super) fn needs_proof(&self) -> bool {
+        self.runs.values().any(PlacedRun::needs_proof)
+    }
+
     /// Returns whether a run was ordered or adopted within a time.
     pub(super) fn has_run_since(&self, since: Millis) -> bool {
         self.runs.values().any(|placed| placed.known_since > since)
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -6,7 +6,9 @@
     config::ApprovalPolicy,
     engine::{JobState, Order, RunnerIx},
     id::StepId,
-    runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
+    runner::{
+        EndKind, EndedTask, InventoryOutcome, OrderOutcome, RunnerEntry, RunningTask, StartOutcome,
+    },
     spec::{JobSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
@@ -141,6 +143,34 @@
     assert_eq!(wait(&mut cell), usual_wait);
 }
 
+/// Guards against room, and a whole gang, that waits for seconds until it is proved that a run isn't there: after
+/// the stop no end is listed, so that the next inventory comes only when its wait is over.
+#[test]
+fn inventory_wait_is_shorter_while_a_run_is_in_doubt() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    assert_eq!(cell.schedule_and_send(false), [0]);
+    let wait = |cell: &mut Cell| {
+        let call = cell
+            .engine
+            .next_inventory_call(RunnerIx(0), Millis(cell.now));
+        call.wait
+    };
+    let usual_wait = wait(&mut cell);
+    let now = Millis(cell.now);
+    let in_doubt = StartOutcome::InDoubt;
+    cell.engine
+        .record_start_outcome(now, RunnerIx(0), task(), 1, in_doubt);
+    assert!(wait(&mut cell) <= Millis(200));
+    let done = OrderOutcome::Done;
+    cell.engine
+        .record_stop_outcome(RunnerIx(0), task(), 1, done, now);
+    assert!(wait(&mut cell) <= Millis(200));
+    cell.report_ends(0, Vec::new());
+    assert_eq!(wait(&mut cell), usual_wait);
+}
+
 #[test]
 fn new_owner_stops_movable_tasks_on_a_draining_runner() {
     let mut cell = Cell::new(&[]);
