Check in random schedules that owners stop gangs that can't become whole

With the new hazard, all steps are gangs of two to four members, which work from the moment when all of a run are present, end together, break when one is lost, and end as alone after 3 s.

Checked: a member that ends as alone has been ordered to stop, if one member of its run never started, its owner has been at work for 2 s, and all runners have answered this owner.

A mutation, owners that hear nothing of lost starts and believe that gangs wait for an hour, is caught.

--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -115,6 +115,17 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against members of a gang that wait in vain although their owner knows that another will never come.
+#[test]
+fn invariants_hold_while_members_of_gangs_wait_for_each_other() {
+    let (violations, starts) = run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::Gangs);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(
+        starts > HAZARDOUS_SCHEDULES * 10,
+        "only {starts} starts were observed"
+    );
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
@@ -151,6 +162,7 @@
             "overcommit",
             Hazard::ChangingCapacity,
         ),
+        (Mutation::GangWaitUnknown, "alone", Hazard::Gangs),
     ];
     for (mutation, expected, hazard) in table {
         let (violations, _) = run_schedules(MUTATION_SCHEDULES, mutation, hazard);
--- a/crates/jobs/tests/support/callers.rs
+++ b/crates/jobs/tests/support/callers.rs
@@ -18,6 +18,7 @@
         }
         let id = JobId(self.rng.random());
         let mut spec = self.random_spec();
+        self.make_gangs(&mut spec);
         self.checks.record_submission(id, &spec);
         if self.mutation == Mutation::DependenciesDropped {
             spec.steps
--- a/crates/jobs/tests/support/checks.rs
+++ b/crates/jobs/tests/support/checks.rs
@@ -6,7 +6,7 @@
     engine::JobState,
     id::{JobId, StepId, TaskId},
     runner::{EndKind, EndedTask},
-    spec::JobSpec,
+    spec::{JobSpec, StepSpec},
 };
 use kspan_model::{Name, Resources};
 
@@ -110,7 +110,7 @@
 }
 
 impl Checks {
-    fn report(&mut self, text: String) {
+    pub(crate) fn report(&mut self, text: String) {
         self.violations.push(text);
     }
 
@@ -122,8 +122,12 @@
         self.cancelled.entry(job).or_insert(now);
     }
 
+    pub(crate) fn step_spec(&self, step: StepId) -> &StepSpec {
+        &self.specs[&step.job].steps[step.step as usize]
+    }
+
     fn size_of(&self, task: TaskId) -> Resources {
-        self.specs[&task.step.job].steps[task.step.step as usize].charged_resources()
+        self.step_spec(task.step).charged_resources()
     }
 
     /// Checks a run that started on a runner.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 pub(crate) mod checks;
+mod gangs;
 mod hazards;
 mod network;
 mod owners;
@@ -20,7 +21,7 @@
     Engine,
     config::{CellConfig, Policy, Queue},
     engine::{Batch, InventoryCall, StartOrder, StopOrder},
-    id::{JobId, TaskId},
+    id::{JobId, StepId, TaskId},
     runner::{InventoryOutcome, StartOutcome},
 };
 use kspan_model::{Millis, Name};
@@ -68,6 +69,8 @@
     CapacityNotUpdated,
     /// The recorded tasks of a runner are not withdrawn when it answers again.
     TaskListKept,
+    /// Starts without an answer are not reported, and the engine believes that gangs wait for an hour.
+    GangWaitUnknown,
 }
 
 /// A hazard of a schedule, beside the faults that all schedules have.
@@ -85,6 +88,8 @@
     PartitionedRestarts,
     /// The same, where orders that are held up for long reach an incarnation before any owner does.
     LateOrders,
+    /// All steps are gangs, whose members work only together.
+    Gangs,
 }
 
 impl Hazard {
@@ -175,6 +180,16 @@
         task: TaskId,
         run: u32,
     },
+    GangWaitOver {
+        runner: usize,
+        incarnation: u64,
+        task: TaskId,
+        run: u32,
+    },
+    GangEnds {
+        step: StepId,
+        run: u32,
+    },
 }
 
 /// A call that an owner sent to a runner.
@@ -190,6 +205,10 @@
     fence: u64,
     alive: bool,
     paused: bool,
+    /// Time since which the owner has been at work without a pause.
+    working_since: Option<u64>,
+    /// Time since which all runners have answered the owner.
+    verified_since: Option<u64>,
     confirmed: u64,
     writing: Option<Batch>,
     calls_in_flight: BTreeSet<usize>,
@@ -229,6 +248,8 @@
     store_down_until: u64,
     next_fence: u64,
     submitted: Vec<JobId>,
+    /// Members of gangs that have started, with their run numbers.
+    started_members: BTreeSet<(TaskId, u32)>,
     faults_until: u64,
 }
 
@@ -263,6 +284,7 @@
             store_down_until: 0,
             next_fence: 1,
             submitted: Vec::new(),
+            started_members: BTreeSet::new(),
             faults_until: 16_000,
         };
         simulation.take_over();
@@ -284,7 +306,7 @@
             Hazard::PartitionedRestarts | Hazard::LateOrders => {
                 simulation.plan_partitioned_restarts();
             }
-            Hazard::None | Hazard::CrashingTasks => {}
+            Hazard::None | Hazard::CrashingTasks | Hazard::Gangs => {}
         }
         simulation
     }
@@ -297,7 +319,8 @@
             | Hazard::ChangingCapacity
             | Hazard::ReusedIds
             | Hazard::PartitionedRestarts
-            | Hazard::LateOrders => 75_000,
+            | Hazard::LateOrders
+            | Hazard::Gangs => 75_000,
         };
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
@@ -308,6 +331,7 @@
                 self.runners[number].expire_lease_and_stops(at);
             }
             self.handle(event);
+            self.break_gangs();
             let settled = self.now > self.faults_until + 2_000;
             if settled && self.rng.random_range(0..64) == 0 && self.is_finished() {
                 break;
@@ -360,6 +384,7 @@
             Event::Resume(owner) => {
                 if self.owners[owner].alive {
                     self.owners[owner].paused = false;
+                    self.owners[owner].working_since = Some(self.now);
                     self.push(0, Event::Tick(owner));
                 }
             }
@@ -414,6 +439,13 @@
                 fenced,
             } => self.stop_answered(owner, call, fenced),
             Event::BatchWritten { owner, batch } => self.batch_written(owner, batch),
+            Event::GangWaitOver {
+                runner,
+                incarnation,
+                task,
+                run,
+            } => self.end_wait(runner, incarnation, task, run),
+            Event::GangEnds { step, run } => self.end_gang(step, run),
             Event::TaskEnds {
                 runner,
                 incarnation,
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -9,7 +9,8 @@
 use rand::Rng;
 
 use super::{
-    Event, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation, checks::ObservedStart,
+    Event, Hazard, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation,
+    checks::ObservedStart,
 };
 
 impl Simulation {
@@ -99,7 +100,8 @@
                 },
             );
         }
-        if lost || !answered {
+        let is_reported = self.mutation != Mutation::GangWaitUnknown;
+        if (lost || !answered) && is_reported {
             let timeout = Event::StartAnswered {
                 owner,
                 call,
@@ -173,16 +175,20 @@
                 };
                 self.checks.record_start(observed, &self.runners);
                 let (task, run) = (order.task, order.run);
-                self.plan_crash(number, task, run);
-                self.push(
-                    after,
-                    Event::TaskEnds {
-                        runner: number,
-                        incarnation,
-                        task,
-                        run,
-                    },
-                );
+                if self.hazard == Hazard::Gangs {
+                    self.plan_gang(number, task, run, after);
+                } else {
+                    self.plan_crash(number, task, run);
+                    self.push(
+                        after,
+                        Event::TaskEnds {
+                            runner: number,
+                            incarnation,
+                            task,
+                            run,
+                        },
+                    );
+                }
             }
             outcome
         } else if is_up {
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -74,7 +74,11 @@
             max_record_bytes: MAX_RECORD_BYTES,
             ended_job_retention: Millis(600_000),
             cross_rack_slowdown: 3,
-            gang_wait: Millis(super::runner::GANG_WAIT_MS),
+            gang_wait: if self.mutation == Mutation::GangWaitUnknown {
+                Millis(3_600_000)
+            } else {
+                Millis(super::runner::GANG_WAIT_MS)
+            },
         };
         let mut state = DurableState::default();
         for (key, value) in &self.store {
@@ -99,6 +103,8 @@
             fence,
             alive: true,
             paused: false,
+            working_since: Some(self.now),
+            verified_since: None,
             confirmed: self.now,
             writing: None,
             calls_in_flight: BTreeSet::new(),
@@ -174,6 +180,9 @@
             return;
         }
         cell.engine.tick(now, self.now);
+        if !cell.engine.has_unverified_runs() {
+            cell.verified_since.get_or_insert(self.now);
+        }
         let may_order = self.now - cell.confirmed < MAX_UNCONFIRMED_MS;
         if may_order {
             cell.engine.schedule(now);
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -28,6 +28,8 @@
     pub(crate) stopping_until: Option<u64>,
     pub(crate) started_at: u64,
     pub(crate) length: u64,
+    /// Whether the run is a member of a gang that is whole.
+    pub(crate) is_at_work: bool,
 }
 
 impl Run {
@@ -231,6 +233,7 @@
             stopping_until: None,
             started_at: now,
             length: rng.random_range(50..2_500),
+            is_at_work: false,
         };
         self.running.insert(order.task, run);
         (StartOutcome::Started(clock), Some(run.length))
@@ -284,6 +287,22 @@
         })
     }
 
+    /// Lets a member of a gang work.
+    pub(crate) fn begin_work(&mut self, task: TaskId) {
+        if let Some(run) = self.running.get_mut(&task) {
+            run.is_at_work = true;
+        }
+    }
+
+    /// Ends a member of a gang.
+    pub(crate) fn end_member(&mut self, task: TaskId, how: EndKind, checks: &mut Checks) {
+        let Some(known) = self.running.get(&task) else {
+            return;
+        };
+        checks.record_end(&self.incarnation_name(), task, known.run, how);
+        self.end(task, how);
+    }
+
     /// Completes or fails a run whose run time is over.
     pub(crate) fn finish_run(
         &mut self,
