Stop the later run of a gang when an earlier one is found to be done

Callers would have seen members of a gang wait for each other, or do the work again, after the gang was done: a runner is silent until its lease has expired, the gang starts again, and then the runner lists the end of the first run.

Cause: a done member marks all members as done, and nothing stopped those of other runs.

Now runs with another number are stopped, as they were for single tasks; members of the run that is done end by themselves.

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -113,7 +113,7 @@
                 self.record_overrun(runner_ix, &placed, now);
             }
             if active {
-                self.complete_task(end.task, gang, now, unix_ms);
+                self.complete_task(end.task, end.run, gang, now, unix_ms);
             }
             if let Some(image) = image {
                 let is_remote = placed.is_some_and(|placed| placed.is_remote);
@@ -196,8 +196,9 @@
         }
     }
 
-    /// Marks a task as done, or all members of its gang.
-    fn complete_task(&mut self, task: TaskId, gang: bool, now: Millis, unix_ms: u64) {
+    /// Marks a task as done, or all members of its gang, and stops other runs of them. The members of a gang
+    /// that share the run end by themselves.
+    fn complete_task(&mut self, task: TaskId, run: u32, gang: bool, now: Millis, unix_ms: u64) {
         let id = task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -211,10 +212,10 @@
         let one = task.index as usize..task.index as usize + 1;
         for index in if gang { all } else { one } {
             let member = &step.tasks[index];
-            let run = member.run;
-            if let (Some(runner_ix), false) = (member.state.runner(), gang) {
+            let is_ending = gang && member.run == run;
+            if let Some(runner_ix) = member.state.runner().filter(|_| !is_ending) {
                 let index = u32::try_from(index).unwrap_or(u32::MAX);
-                elsewhere.push((runner_ix, task.step.task(index), run));
+                elsewhere.push((runner_ix, task.step.task(index), member.run));
             }
             if step.tasks[index].state != TaskState::Done {
                 step.set_state(index, TaskState::Done, now);
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -224,6 +224,31 @@
     }
 }
 
+/// Guards against members of a later run that wait for each other, or work, although an earlier run is done: its end
+/// was learned after its runner had been silent.
+#[test]
+fn later_run_is_stopped_when_an_earlier_one_is_done() {
+    let mut gang = GangCell::new();
+    gang.start();
+    let first = gang.runners.clone();
+    for index in 0..MEMBERS {
+        gang.cell.report_ends(first[&index], Vec::new());
+    }
+    gang.start_but_last();
+    gang.runners = first;
+    gang.end(0, 1, EndKind::Done);
+    assert!(are_others_in(&gang.stopped()));
+}
+
+/// Guards against members that are stopped although one of them has reported that the run is done.
+#[test]
+fn members_of_a_run_that_is_done_are_not_stopped() {
+    let mut gang = GangCell::new();
+    gang.start();
+    gang.end(0, 1, EndKind::Done);
+    assert!(gang.stopped().is_empty());
+}
+
 /// Guards against a second run of a member beside one that was stopped with its gang.
 #[test]
 fn gang_starts_again_once_all_members_are_gone() {
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -197,6 +197,11 @@
             Hazard::CrashingTasks,
             "as above, by successive owners",
         ),
+        (
+            10_494,
+            Hazard::Gangs,
+            "members of a run waited in vain after an earlier run was found to be done",
+        ),
     ];
     for (seed, hazard, cause) in table {
         let checks = Simulation::run_hazardous_schedule(seed, Mutation::None, hazard);
--- a/crates/jobs/tests/support/gangs.rs
+++ b/crates/jobs/tests/support/gangs.rs
@@ -23,6 +23,15 @@
 /// Time in which such an owner stops a run that it knows can't become whole, in milliseconds.
 const MAX_REACTION_MS: u64 = 200;
 
+/// A member of a gang on an incarnation of a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Member {
+    runner: usize,
+    incarnation: u64,
+    task: TaskId,
+    run: u32,
+}
+
 impl Simulation {
     /// Turns the steps of a job into gangs.
     pub(super) fn make_gangs(&mut self, spec: &mut JobSpec) {
@@ -43,13 +52,13 @@
         let members = self.present_members(task.step, run);
         if members.len() < self.checks.step_spec(task.step).count as usize {
             let incarnation = self.runners[runner].incarnation;
-            let over = Event::GangWaitOver {
+            let member = Member {
                 runner,
                 incarnation,
                 task,
                 run,
             };
-            return self.push(GANG_WAIT_MS, over);
+            return self.push(GANG_WAIT_MS, Event::GangWaitOver(member));
         }
         for (at, member) in members {
             self.runners[at].begin_work(member);
@@ -98,7 +107,13 @@
     }
 
     /// Ends a member that has waited too long, and checks whether the owner should have stopped it.
-    pub(super) fn end_wait(&mut self, runner: usize, incarnation: u64, task: TaskId, run: u32) {
+    pub(super) fn end_wait(&mut self, member: Member) {
+        let Member {
+            runner,
+            incarnation,
+            task,
+            run,
+        } = member;
         let known = self.runners[runner].running.get(&task).copied();
         let is_current = self.runners[runner].incarnation == incarnation;
         let waiting = known.filter(|known| is_current && known.run == run && !known.is_at_work);
--- a/crates/jobs/tests/support/hazards.rs
+++ b/crates/jobs/tests/support/hazards.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Kills the owner, and lets a new one take over.
+    pub(super) fn kill_owner(&mut self, takeover_after: u64) {
+        let owner = self.newest();
+        self.owners[owner].alive = false;
+        self.push(takeover_after, Event::Takeover);
+    }
+
     /// Changes the capacity of a runner. What runs there stays.
     pub(super) fn change_capacity(&mut self, runner: usize, cores: u64) {
         let runner = &mut self.runners[runner];
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -180,12 +180,7 @@
         task: TaskId,
         run: u32,
     },
-    GangWaitOver {
-        runner: usize,
-        incarnation: u64,
-        task: TaskId,
-        run: u32,
-    },
+    GangWaitOver(gangs::Member),
     GangEnds {
         step: StepId,
         run: u32,
@@ -375,11 +370,7 @@
                 self.runners[runner].is_partitioned = true;
                 self.push(heals_after, Event::PartitionHealed(runner));
             }
-            Event::OwnerKilled { takeover_after } => {
-                let owner = self.newest();
-                self.owners[owner].alive = false;
-                self.push(takeover_after, Event::Takeover);
-            }
+            Event::OwnerKilled { takeover_after } => self.kill_owner(takeover_after),
             Event::PartitionHealed(number) => self.runners[number].is_partitioned = false,
             Event::Resume(owner) => {
                 if self.owners[owner].alive {
@@ -439,12 +430,7 @@
                 fenced,
             } => self.stop_answered(owner, call, fenced),
             Event::BatchWritten { owner, batch } => self.batch_written(owner, batch),
-            Event::GangWaitOver {
-                runner,
-                incarnation,
-                task,
-                run,
-            } => self.end_wait(runner, incarnation, task, run),
+            Event::GangWaitOver(member) => self.end_wait(member),
             Event::GangEnds { step, run } => self.end_gang(step, run),
             Event::TaskEnds {
                 runner,
