--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -78,12 +78,11 @@
         self.state_changed.notify_one();
     }
 
-    /// Sends a start order until it is answered, up to a number of attempts, or for as long as it is valid if it is
-    /// persistent. If an earlier attempt
-    /// is in doubt, a refusal does not prove that the task will not run, except for
-    /// [`Refusal::StaleRun`]. Whether the order may be sent is checked after each wait, since the
-    /// ownership, the lease, the ticket or the runner's incarnation may have ended during it, or the run
-    /// may have been stopped.
+    /// Sends a start order until it is answered, up to a number of attempts, or for as long as it is valid if
+    /// it is persistent. If an earlier attempt is in doubt, a refusal does not prove that the task will not run,
+    /// except for [`Refusal::StaleRun`]. Whether the order may be sent is checked after each wait, since the
+    /// ownership, the lease, the ticket or the runner's incarnation may have ended during it, or the run may
+    /// have been stopped.
     async fn send_start(
         &self,
         connection: &RunnerConnection,
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -25,6 +25,16 @@
     others().is_subset(stopped)
 }
 
+/// Checks that a whole gang is not stopped for longer than its members would wait for another.
+fn assert_goes_on(gang: &mut GangCell) {
+    let all: Vec<u32> = (0..MEMBERS).collect();
+    for _ in 0..50 {
+        assert!(gang.stopped().is_empty());
+        gang.list(&all, 1);
+        gang.cell.advance(100);
+    }
+}
+
 /// Guards against members that wait in vain for one whose start did not succeed.
 #[test]
 fn gang_is_stopped_when_a_member_does_not_start() {
@@ -130,12 +140,7 @@
     let last = gang.start_but_last();
     gang.cell.advance(GANG_WAIT.0 / 2);
     gang.record_start(&last, StartOutcome::Started(Millis(gang.cell.now)));
-    let all: Vec<u32> = (0..MEMBERS).collect();
-    for _ in 0..50 {
-        gang.list(&all, 1);
-        gang.cell.advance(100);
-        assert!(gang.stopped().is_empty());
-    }
+    assert_goes_on(&mut gang);
 }
 
 /// Guards against a whole gang that is stopped because the answer to one of its start orders was lost.
@@ -145,12 +150,7 @@
     let last = gang.start_but_last();
     gang.list(&[LAST], 1);
     gang.record_start(&last, StartOutcome::InDoubt);
-    let all: Vec<u32> = (0..MEMBERS).collect();
-    for _ in 0..50 {
-        assert!(gang.stopped().is_empty());
-        gang.list(&all, 1);
-        gang.cell.advance(100);
-    }
+    assert_goes_on(&mut gang);
 }
 
 /// Guards against members that a new owner adopts and that wait for one that the former owner did not start.
@@ -181,12 +181,7 @@
         assert!(gang.stopped().is_empty(), "member {index}");
         gang.cell.advance(500);
     }
-    let all: Vec<u32> = (0..MEMBERS).collect();
-    for _ in 0..50 {
-        gang.list(&all, 1);
-        gang.cell.advance(100);
-        assert!(gang.stopped().is_empty());
-    }
+    assert_goes_on(&mut gang);
 }
 
 /// Guards against members that wait, after a takeover, for one whose end a runner lists while others have not
