--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub(crate) mod gang;
+pub(crate) mod team;
 
 use std::collections::BTreeMap;
 
