--- a/crates/jobs/tests/one_cell/gang.rs
+++ b/crates/jobs/tests/one_cell/gang.rs
@@ -5,10 +5,10 @@
 use kspan_jobs::{
     engine::{JobState, Order, StartOrder},
     id::TaskId,
-    runner::{EndKind, EndedTask, RunningTask, StartOutcome},
+    runner::{EndKind, RunningTask, StartOutcome},
     spec::JobSpec,
 };
-use kspan_model::{Millis, Name};
+use kspan_model::Millis;
 
 use super::*;
 
@@ -79,13 +79,7 @@
         let runner_ix = self.runners[&index];
         let number = self.end_numbers.entry(runner_ix).or_default();
         *number += 1;
-        let end = EndedTask {
-            number: *number,
-            task: member(index),
-            run,
-            how,
-            checkpoint: Name::default(),
-        };
+        let end = end_row(*number, member(index), run, how);
         self.cell.report_ends(runner_ix, vec![end]);
         self.cell.commit();
     }
@@ -166,11 +160,8 @@
     pub(crate) fn list(&mut self, indexes: &[u32], run: u32) {
         for index in indexes {
             let running = RunningTask {
-                task: member(*index),
-                run,
-                checkpoint: Name::default(),
                 percent: 0,
-                load: 0,
+                ..running_row(member(*index), run)
             };
             let runner_ix = self.runners[index];
             self.cell
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -113,6 +113,28 @@
     }
 }
 
+/// Returns the row of an inventory that lists a run.
+pub(crate) fn running_row(task: TaskId, run: u32) -> RunningTask {
+    RunningTask {
+        task,
+        run,
+        checkpoint: Name::default(),
+        percent: 10,
+        load: 0,
+    }
+}
+
+/// Returns the row of an inventory that lists the end of a run.
+pub(crate) fn end_row(number: u64, task: TaskId, run: u32, how: EndKind) -> EndedTask {
+    EndedTask {
+        number,
+        task,
+        run,
+        how,
+        checkpoint: Name::default(),
+    }
+}
+
 /// A cell whose runners answer only on request of the test.
 pub(crate) struct Cell {
     pub(crate) engine: Engine,
--- a/crates/jobs/tests/one_cell/team.rs
+++ b/crates/jobs/tests/one_cell/team.rs
@@ -2,8 +2,6 @@
 
 use kspan_jobs::{
     config::CellConfig,
-    id::TaskId,
-    runner::RunningTask,
     spec::{JobSpec, StepSpec},
     team::{KeyDigest, Team, Teams},
 };
@@ -45,13 +43,3 @@
 pub(crate) fn path(number: usize) -> String {
     format!("/q/{number:016x}")
 }
-
-pub(crate) fn row(task: TaskId) -> RunningTask {
-    RunningTask {
-        task,
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 10,
-        load: 0,
-    }
-}
--- a/crates/jobs/tests/team_caps.rs
+++ b/crates/jobs/tests/team_caps.rs
@@ -8,11 +8,11 @@
     config::CellConfig,
     engine::{Order, RunnerIx},
     id::TaskId,
-    runner::{EndKind, EndedTask, Inventory, InventoryOutcome, RunningTask, StartOutcome},
+    runner::{EndKind, EndedTask, Inventory, InventoryOutcome, StartOutcome},
 };
 use kspan_model::{Millis, Name, Resources};
 use one_cell::{
-    team::{UNLIMITED, config_with, job, row, team},
+    team::{UNLIMITED, config_with, job, team},
     *,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -274,10 +274,7 @@
             .collect();
         self.late.retain(|run| !barred.contains(run));
         let here = self.running.iter().filter(|run| run.runner == number);
-        let rows = here.map(|run| RunningTask {
-            run: run.run,
-            ..row(run.task)
-        });
+        let rows = here.map(|run| running_row(run.task, run.run));
         let inventory = Inventory {
             clock: Millis(self.cell.now),
             started_unix_ms: 1,
--- a/crates/jobs/tests/teams.rs
+++ b/crates/jobs/tests/teams.rs
@@ -11,7 +11,7 @@
 };
 use kspan_model::{Millis, Name, Resources};
 use one_cell::{
-    team::{UNLIMITED, config_with, job, path, row, team},
+    team::{UNLIMITED, config_with, job, path, team},
     *,
 };
 use serde::Serialize;
@@ -128,7 +128,9 @@
             ..failed_end(ended as u64, 1)
         };
         let still_running = running[ended..].iter().filter(|(at, _)| *at == runner_ix);
-        let rows = still_running.map(|(_, task)| row(*task)).collect();
+        let rows = still_running
+            .map(|(_, task)| running_row(*task, 1))
+            .collect();
         cell.report_inventory(runner_ix, rows, vec![end]);
         // The gang of two fits beside one running task.
         let expected = if ended == 5 { 2 } else { 0 };
@@ -171,7 +173,10 @@
     let jobs: Vec<u64> = started.iter().map(|(_, task)| task.step.job.0).collect();
     assert_eq!(jobs, [3], "only the team without a cap starts");
     // Once the runner has answered, its runs are known, and still count.
-    let rows = running.iter().map(|(_, task)| row(*task)).collect();
+    let rows = running
+        .iter()
+        .map(|(_, task)| running_row(*task, 1))
+        .collect();
     cell.report_inventory(silent, rows, Vec::new());
     assert!(cell.schedule_and_start().is_empty());
     let explanation = cell
@@ -216,7 +221,10 @@
         .expect("accepted");
     assert!(cell.schedule_and_start().is_empty());
     // The runs are listed and being stopped; they still count.
-    let rows = running.iter().map(|(_, task)| row(*task)).collect();
+    let rows = running
+        .iter()
+        .map(|(_, task)| running_row(*task, 1))
+        .collect();
     cell.report_inventory(silent[0].0, rows, Vec::new());
     assert!(cell.schedule_and_start().is_empty());
     let ends = (1..).zip(&running).map(|(number, (_, task))| EndedTask {
@@ -255,7 +263,10 @@
             how: EndKind::Done,
             ..failed_end(ended, 1)
         };
-        let rows = running.iter().map(|(_, task)| row(*task)).collect();
+        let rows = running
+            .iter()
+            .map(|(_, task)| running_row(*task, 1))
+            .collect();
         cell.report_inventory(0, rows, vec![end]);
     }
     let events = cell.engine.take_events();
@@ -325,7 +336,7 @@
         let (runner_ix, task) = running.remove(0);
         ended[runner_ix] += 1;
         let rows = running.iter().filter(|(at, _)| *at == runner_ix);
-        let rows = rows.map(|(_, task)| row(*task)).collect();
+        let rows = rows.map(|(_, task)| running_row(*task, 1)).collect();
         let end = EndedTask {
             task,
             how: EndKind::Done,
