--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -199,20 +199,11 @@
         occurrence,
         step: 0,
     };
-    let end = |occurrence| EndedTask {
-        number: u64::from(occurrence) + 1,
-        task: step_id(occurrence).task(0),
-        run: 1,
-        how: EndKind::Done,
-        checkpoint: Name::default(),
-    };
-    let running = |occurrence| RunningTask {
-        task: step_id(occurrence).task(0),
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 10,
-        load: 0,
+    let end = |occurrence| {
+        let task = step_id(occurrence).task(0);
+        end_row(u64::from(occurrence) + 1, task, 1, EndKind::Done)
     };
+    let running = |occurrence| running_row(step_id(occurrence).task(0), 1);
     let table: [(Vec<RunningTask>, Vec<EndedTask>); 3] = [
         (Vec::new(), vec![end(0), end(1)]),
         (vec![running(1)], vec![end(0)]),
@@ -503,22 +494,9 @@
     let mut cell = Cell::new(&["w0", "w1"]);
     cell.submit();
     cell.report_ends(0, vec![failed_end(1, 2)]);
-    let late = RunningTask {
-        task: task(),
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 10,
-        load: 0,
-    };
+    let late = running_row(task(), 1);
     cell.report_inventory(1, vec![late], Vec::new());
     assert!(cell.schedule().is_empty(), "the late run is being stopped");
-    let stopped = EndedTask {
-        number: 1,
-        task: task(),
-        run: 1,
-        how: EndKind::Stopped,
-        checkpoint: Name::default(),
-    };
-    cell.report_ends(1, vec![stopped]);
+    cell.report_ends(1, vec![end_row(1, task(), 1, EndKind::Stopped)]);
     assert_eq!(cell.schedule().len(), 1);
 }
--- a/crates/jobs/tests/fleet/mod.rs
+++ b/crates/jobs/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 };
 use kspan_model::{Millis, Name, Resources};
 
-use crate::one_cell::{Cell, config, entry};
+use crate::one_cell::{Cell, config, end_row, entry};
 
 /// Time for which a crashed runner is away, in milliseconds.
 pub(crate) const RESTART_MS: u64 = 3_000;
@@ -306,13 +306,8 @@
 impl FleetRunner {
     pub(crate) fn end(&mut self, task: TaskId, how: EndKind) {
         let run = self.runs.remove(&task).expect("the run is present");
-        self.ended.push(EndedTask {
-            number: self.next_end,
-            task,
-            run: run.number,
-            how,
-            checkpoint: Name::default(),
-        });
+        let end = end_row(self.next_end, task, run.number, how);
+        self.ended.push(end);
         self.next_end += 1;
     }
 }
--- a/crates/jobs/tests/interference/mod.rs
+++ b/crates/jobs/tests/interference/mod.rs
@@ -13,7 +13,7 @@
 };
 use kspan_model::{Millis, Name, Resources};
 
-use crate::one_cell::{Cell, config, entry};
+use crate::one_cell::{Cell, config, end_row, entry};
 
 /// Period of the simulation, in milliseconds.
 const STEP_MS: u64 = 100;
@@ -462,13 +462,8 @@
 impl Runner {
     fn end(&mut self, task: TaskId, how: EndKind) {
         let run = self.runs.remove(&task).expect("the run is present");
-        self.ended.push(EndedTask {
-            number: self.next_end,
-            task,
-            run: run.number,
-            how,
-            checkpoint: Name::default(),
-        });
+        let end = end_row(self.next_end, task, run.number, how);
+        self.ended.push(end);
         self.next_end += 1;
     }
 
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -104,13 +104,7 @@
 }
 
 pub(crate) fn failed_end(number: u64, run: u32) -> EndedTask {
-    EndedTask {
-        number,
-        task: task(),
-        run,
-        how: EndKind::Failed,
-        checkpoint: Name::default(),
-    }
+    end_row(number, task(), run, EndKind::Failed)
 }
 
 /// Returns the row of an inventory that lists a run.
--- a/crates/jobs/tests/rack_replay/mod.rs
+++ b/crates/jobs/tests/rack_replay/mod.rs
@@ -9,7 +9,7 @@
     config::CellConfig,
     engine::{Event, LocalityRule, Order, WaitEnd},
     id::{JobId, TaskId},
-    runner::{EndKind, EndedTask, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
+    runner::{EndKind, InventoryOutcome, RunnerEntry, RunningTask, StartOutcome},
     spec::StepSpec,
 };
 use kspan_model::{Millis, Name, Resources};
@@ -309,13 +309,8 @@
             for run in self.running.iter().filter(here) {
                 if run.ends_at <= now {
                     self.ended[runner_ix] += 1;
-                    ends.push(EndedTask {
-                        number: self.ended[runner_ix],
-                        task: run.task,
-                        run: run.run,
-                        how: EndKind::Done,
-                        checkpoint: Name::default(),
-                    });
+                    let number = self.ended[runner_ix];
+                    ends.push(end_row(number, run.task, run.run, EndKind::Done));
                 }
             }
             for end in &ends {
--- a/crates/jobs/tests/silence.rs
+++ b/crates/jobs/tests/silence.rs
@@ -6,12 +6,12 @@
     engine::Event,
     id::{JobId, StepId, TaskId},
     record::{self, RunnerRecord},
-    runner::{EndKind, EndedTask, InventoryOutcome},
+    runner::{EndKind, InventoryOutcome},
     spec::JobSpec,
 };
-use kspan_model::{Millis, Name, Resources};
+use kspan_model::{Millis, Resources};
 
-use one_cell::{Cell, entry, spec};
+use one_cell::{Cell, end_row, entry, spec};
 
 /// Longest time after a takeover within which a lasting task that a living runner has lost starts again,
 /// in ms. Callers count it as lost after several seconds.
@@ -76,13 +76,7 @@
             "w1" => Some(tasks[1]),
             _ => None,
         };
-        let lapsed = task.map(|task| EndedTask {
-            number: 1,
-            task,
-            run: 1,
-            how: EndKind::LeaseExpired,
-            checkpoint: Name::default(),
-        });
+        let lapsed = task.map(|task| end_row(1, task, 1, EndKind::LeaseExpired));
         if id != silent {
             cell.report_ends(runner_ix, lapsed.into_iter().collect());
         }
