Tell in one place whether a run is to go on

That a task is starting or running stood in five places of the engine, the latest in gangs.rs, and stopping the runs of a job walked through its occurrences, steps and tasks although Job::tasks does. TaskState::active_runner and Job::tasks serve all. No behaviour changes.

--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -253,30 +253,11 @@
         let Some(job) = self.jobs.get(&id) else {
             return 0;
         };
-        let mut runs = Vec::new();
-        for occurrence in &job.occurrences {
-            for (number, step) in (0..).zip(&occurrence.steps) {
-                let step_id = crate::id::StepId {
-                    job: id,
-                    occurrence: occurrence.number,
-                    step: number,
-                };
-                for (index, task) in (0..).zip(&step.tasks) {
-                    let alive = match task.state {
-                        TaskState::Starting(runner_ix) | TaskState::Running(runner_ix) => {
-                            Some(runner_ix)
-                        }
-                        _ => None,
-                    };
-                    let task_id = step_id.task(index);
-                    runs.extend(
-                        alive
-                            .filter(|_| matches(task_id))
-                            .map(|runner_ix| (runner_ix, task_id, task.run)),
-                    );
-                }
-            }
-        }
+        let active = job.tasks().filter_map(|(id, task)| {
+            let runner_ix = task.state.active_runner()?;
+            matches(id).then_some((runner_ix, id, task.run))
+        });
+        let runs: Vec<_> = active.collect();
         let stopped = runs.len();
         for (runner_ix, task, run) in runs {
             self.order_stop(runner_ix, task, run, now);
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -136,7 +136,7 @@
             occurrence: occurrence.number,
             step: number,
             waiting: step.waiting,
-            running: count(|state| matches!(state, TaskState::Starting(_) | TaskState::Running(_))),
+            running: count(|state| state.active_runner().is_some()),
             stopping: count(|state| matches!(state, TaskState::Stopping(_))),
             done: step.done,
             failures: step.all_failed_attempts(&job.record.spec.steps[number]),
--- a/crates/jobs/src/engine/gangs.rs
+++ b/crates/jobs/src/engine/gangs.rs
@@ -45,11 +45,6 @@
     NotStarted,
 }
 
-/// Returns whether a run of the task may be working or waiting for the others.
-fn is_alive(task: &Task) -> bool {
-    matches!(task.state, TaskState::Starting(_) | TaskState::Running(_))
-}
-
 impl Engine {
     /// Returns for how long the start order of a member is sent.
     pub(super) fn gang_start_time(&self) -> Millis {
@@ -129,8 +124,9 @@
     }
 }
 
-/// Returns the highest number of a run that a member has.
+/// Returns the highest number of a run that is to go on.
 fn newest_run(step: &Step) -> Option<u32> {
-    let alive = step.tasks.iter().filter(|task| is_alive(task));
-    alive.map(|task| task.run).max()
+    let tasks = step.tasks.iter();
+    let active = tasks.filter(|task| task.state.active_runner().is_some());
+    active.map(|task| task.run).max()
 }
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -47,6 +47,14 @@
 }
 
 impl TaskState {
+    /// Returns the runner of a run that is to go on.
+    pub(super) fn active_runner(self) -> Option<RunnerIx> {
+        match self {
+            Self::Starting(ix) | Self::Running(ix) => Some(ix),
+            Self::Waiting | Self::Stopping(_) | Self::Done => None,
+        }
+    }
+
     /// Returns the runner that may have the task.
     pub(super) fn runner(self) -> Option<RunnerIx> {
         match self {
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -54,8 +54,7 @@
         let step = job.and_then(|job| job.step(task.step));
         let known = step.and_then(|(step, _)| step.tasks.get(task.index as usize));
         known.is_some_and(|known| {
-            let is_there =
-                matches!(known.state, TaskState::Starting(at) | TaskState::Running(at) if at == runner_ix);
+            let is_there = known.state.active_runner() == Some(runner_ix);
             is_there && known.run == run && !self.runners[runner_ix.0].dead
         })
     }
@@ -198,8 +197,7 @@
         let Some(known) = step.tasks.get(index) else {
             return;
         };
-        let alive = matches!(known.state, TaskState::Starting(at) | TaskState::Running(at) if at == runner_ix);
-        if alive && known.run == run {
+        if known.state.active_runner() == Some(runner_ix) && known.run == run {
             step.set_state(index, TaskState::Stopping(runner_ix), now);
         }
     }
