Log adopted members of gangs and kinds of ends without twins

A second event with the fields of RunAdopted told of members of gangs, and a second table named the kinds of ends. RunAdopted has a flag now, its line the owner's fence, and the kind of a line that an end has is the name that the line gives it. Decisions are unchanged; the rate limits stay apart, which rare_ends_have_lines_of_their_own checks as before.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -44,7 +44,6 @@
         Event::GangOrdered { .. } => telemetry::record_gang_start(),
         Event::GangStopped { why, .. } => telemetry::record_gang_stop(*why),
         Event::RunAdopted { .. }
-        | Event::GangMemberAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
         | Event::CapChanged { .. }
@@ -92,12 +91,15 @@
         Event::RackWaitBegan { .. } => "rack wait",
         Event::RackWaitEnded { .. } => "rack wait over",
         Event::StartFailed { .. } => "not started",
-        Event::RunEnded { how, .. } => run_end_kind(*how),
+        // Rare ends have kinds of their own, so that frequent ones don't suppress their lines.
+        Event::RunEnded { how, .. } => run_end_name(*how),
         Event::RunnerCrashed { .. } => "crash",
         Event::CrashCounted { .. } => "crash counted",
+        Event::RunAdopted {
+            is_of_gang: true, ..
+        } => "gang adopted",
         Event::RunAdopted { .. } => "adopted",
         Event::GangOrdered { .. } => "gang ordered",
-        Event::GangMemberAdopted { .. } => "gang adopted",
         Event::GangStopped { .. } => "gang stopped",
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
@@ -111,20 +113,6 @@
     }
 }
 
-/// Returns the kind of the line of a run's end. Rare ends have kinds of their own, so that frequent ones
-/// don't suppress their lines.
-fn run_end_kind(how: RunEnd) -> &'static str {
-    match how {
-        RunEnd::Reported(EndKind::Done) => "run done",
-        RunEnd::Reported(EndKind::Failed) => "run failed",
-        RunEnd::Reported(EndKind::Stopped) => "run stopped",
-        RunEnd::Reported(EndKind::LeaseExpired) => "run lapsed",
-        RunEnd::Reported(EndKind::GangBroken) => "run broken",
-        RunEnd::Reported(EndKind::GangIncomplete) => "run alone",
-        RunEnd::Lost(_) => "run lost",
-    }
-}
-
 fn log_event(event: &Event, fence: u64) {
     match event {
         Event::StartOrdered {
@@ -175,12 +163,12 @@
             };
             tracing::info!(%task, run, runner = %runner, how = run_end_name(*how), why, after_ms = elapsed.0, "run ended");
         }
-        Event::RunAdopted { task, run, runner } => {
-            tracing::info!(%task, run, runner = %runner, "run adopted");
-        }
-        Event::GangOrdered { .. } | Event::GangStopped { .. } | Event::GangMemberAdopted { .. } => {
-            log_gang_event(event, fence)
+        Event::RunAdopted {
+            task, run, runner, ..
+        } => {
+            tracing::info!(%task, run, runner = %runner, fence, "run adopted");
         }
+        Event::GangOrdered { .. } | Event::GangStopped { .. } => log_gang_event(event, fence),
         Event::OrphanRunFound { task, run, runner } => {
             tracing::warn!(%task, run, runner = %runner, "stopping a run that the runner should not have");
         }
@@ -233,9 +221,6 @@
         } => {
             tracing::info!(%missing, run, %why, stopped, fence, "gang can't become whole, stopping its members");
         }
-        Event::GangMemberAdopted { task, run, runner } => {
-            tracing::info!(%task, run, runner = %runner, fence, "member of a gang adopted");
-        }
         _ => {}
     }
 }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -331,7 +331,7 @@
         if !active || task.state != TaskState::Waiting || is_unusable || gang_restarted {
             return false;
         }
-        let is_gang = spec.gang;
+        let is_of_gang = spec.gang;
         task.run = row.run;
         task.unverified = false;
         task.wait = None;
@@ -342,15 +342,16 @@
         step.set_state(index, TaskState::Running(runner_ix), now);
         job.started = true;
         self.charge_reported_run(runner_ix, row.task, row.run, now);
-        if is_gang {
+        if is_of_gang {
             self.live_gangs.insert(row.task.step);
         }
         let runner = self.runners[runner_ix.0].entry.id.clone();
         let (task, run) = (row.task, row.run);
-        self.events.push(if is_gang {
-            Event::GangMemberAdopted { task, run, runner }
-        } else {
-            Event::RunAdopted { task, run, runner }
+        self.events.push(Event::RunAdopted {
+            task,
+            run,
+            runner,
+            is_of_gang,
         });
         true
     }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -265,6 +265,8 @@
         run: u32,
         /// Id of the runner.
         runner: Name,
+        /// Whether the run is a member of a gang's.
+        is_of_gang: bool,
     },
     /// All members of a gang were ordered to start.
     GangOrdered {
@@ -286,15 +288,6 @@
         /// Number of members that are being stopped.
         stopped: usize,
     },
-    /// A member of a gang's run that a previous owner ordered was adopted.
-    GangMemberAdopted {
-        /// Task id.
-        task: TaskId,
-        /// Run number.
-        run: u32,
-        /// Id of the runner.
-        runner: Name,
-    },
     /// A run that matches no waiting task was found and is being stopped.
     OrphanRunFound {
         /// Task id.
