--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -91,13 +91,10 @@
     ) -> StartOutcome {
         let mut in_doubt = false;
         for attempt in 0.. {
-            let is_last = attempt >= MAX_START_ATTEMPTS && !order.is_persistent;
-            if is_last || !self.may_send_orders() {
+            if attempt >= MAX_START_ATTEMPTS && !order.is_persistent {
                 break;
             }
-            let Ok(slot) = connection.order_slots.acquire().await else {
-                break;
-            };
+            let slot = connection.order_slots.acquire().await;
             if !self.may_send_orders() {
                 break;
             }
