--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -31,11 +31,14 @@
 /// answered sooner than a lost answer is given up.
 const FIRST_START_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Maximum number of attempts to send a start order.
+/// Maximum number of attempts to send a start order that is not persistent.
 const MAX_START_ATTEMPTS: u32 = 3;
 
-/// Delay before a start order that could not be sent is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Delay before the second attempt to send a start order. It doubles with each attempt.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(40);
+
+/// Maximum number of times that it doubles.
+const MAX_DELAY_DOUBLINGS: u32 = 3;
 
 /// Timeout of a relayed request for approvals, in addition to its expected duration.
 const APPROVAL_MARGIN: Duration = Duration::from_millis(500);
@@ -75,7 +78,8 @@
         self.state_changed.notify_one();
     }
 
-    /// Sends a start order until it is answered, up to a number of attempts. If an earlier attempt
+    /// Sends a start order until it is answered, up to a number of attempts, or for as long as it is valid if it is
+    /// persistent. If an earlier attempt
     /// is in doubt, a refusal does not prove that the task will not run, except for
     /// [`Refusal::StaleRun`]. Whether the order may be sent is checked after each wait, since the
     /// ownership, the lease, the ticket or the runner's incarnation may have ended during it, or the run
@@ -86,21 +90,23 @@
         order: &StartOrder,
         decided: &ClockReading,
     ) -> StartOutcome {
-        let Ok(_slot) = connection.order_slots.acquire().await else {
-            return StartOutcome::Refused(Refusal::DeadlinePassed);
-        };
         let mut in_doubt = false;
-        for attempt in 0..MAX_START_ATTEMPTS {
+        for attempt in 0.. {
+            let is_last = attempt >= MAX_START_ATTEMPTS && !order.is_persistent;
+            if is_last || !self.may_send_orders() {
+                break;
+            }
+            let Ok(slot) = connection.order_slots.acquire().await else {
+                break;
+            };
             if !self.may_send_orders() {
                 break;
             }
             if self.node.clock.reading().since(decided) >= order.valid_for {
-                let expired = StartOutcome::Refused(Refusal::DeadlinePassed);
-                return if in_doubt {
-                    StartOutcome::InDoubt
-                } else {
-                    expired
-                };
+                if attempt > 0 {
+                    break;
+                }
+                return StartOutcome::Refused(Refusal::DeadlinePassed);
             }
             if !self.engine.borrow_mut().begin_start(order) {
                 return if in_doubt {
@@ -117,6 +123,8 @@
             let fence = connection.next_fence(self.newest_fence());
             let sent_at = self.now();
             let answer = runner::start(&connection.client, order, timeout).await;
+            // Other orders to the runner may be sent during the delay.
+            drop(slot);
             if let Err(err) = &answer {
                 self.log_failed_attempt(order, attempt, err, sent_at);
             }
@@ -126,12 +134,13 @@
                     return StartOutcome::InDoubt;
                 }
                 Ok(outcome) => return outcome,
-                Err(CallError::NotSent(_)) => tokio::time::sleep(RETRY_DELAY).await,
+                Err(CallError::NotSent(_)) => {}
                 Err(CallError::InDoubt(_) | CallError::Malformed(_)) => {
                     connection.record_doubt(fence);
                     in_doubt = true;
                 }
             }
+            tokio::time::sleep(retry_delay(attempt)).await;
         }
         if in_doubt {
             StartOutcome::InDoubt
@@ -276,3 +285,9 @@
         }
     }
 }
+
+/// Returns the delay after an attempt. Attempts that fail at once would otherwise end within milliseconds, however
+/// short the fault.
+fn retry_delay(attempt: u32) -> Duration {
+    FIRST_RETRY_DELAY * (1 << attempt.min(MAX_DELAY_DOUBLINGS))
+}
--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -73,6 +73,9 @@
 const UNUSABLE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
 const LATE: &str = "HTTP/1.1 409 Conflict\r\nContent-Length: 17\r\n\r\n{\"Reason\":\"late\"}";
 
+/// More unusable responses than attempts are made without persistence, and a start.
+const LATE_START: &[&str] = &[UNUSABLE, UNUSABLE, UNUSABLE, UNUSABLE, UNUSABLE, STARTED];
+
 const HOST: &str = "queue.example";
 const PATH: &str = "/work/00000000000000a1";
 
@@ -231,6 +234,44 @@
     assert_eq!(outcome.await, late);
 }
 
+/// Guards against attempts that are over within milliseconds, so that the shortest fault outlasts them.
+#[ntex::test]
+async fn attempts_that_fail_at_once_are_spread() {
+    let owner = super::super::tests::owner("127.0.0.1:1").await;
+    let runner = start_runner(&owner, &[UNUSABLE]).await;
+    let order = start_order(&owner, runner.runner_ix, Millis(2_500));
+    let decided = owner.node.clock.reading();
+    let outcome = owner.send_start(&runner.connection, &order, &decided);
+    assert_eq!(outcome.await, StartOutcome::InDoubt);
+    assert_eq!(runner.requests.get(), MAX_START_ATTEMPTS);
+    let took = owner.node.clock.reading().since(&decided);
+    assert!(took >= Millis(100), "{took}");
+}
+
+/// Guards against a gang that is stopped although the start order of its last member would be answered while
+/// the others still wait.
+#[ntex::test]
+async fn persistent_start_is_sent_until_it_is_answered_or_no_longer_valid() {
+    let table = [
+        (LATE_START, Millis(6_000), StartOutcome::Started(Millis(1))),
+        (&[UNUSABLE], Millis(900), StartOutcome::InDoubt),
+    ];
+    for (responses, valid_for, expected) in table {
+        let owner = super::super::tests::owner("127.0.0.1:1").await;
+        let runner = start_runner(&owner, responses).await;
+        let order = StartOrder {
+            is_persistent: true,
+            ..start_order(&owner, runner.runner_ix, valid_for)
+        };
+        let decided = owner.node.clock.reading();
+        let outcome = owner.send_start(&runner.connection, &order, &decided);
+        assert_eq!(outcome.await, expected);
+        assert!(runner.requests.get() > MAX_START_ATTEMPTS);
+        let took = owner.node.clock.reading().since(&decided);
+        assert!(took < Millis(6_000), "{took}");
+    }
+}
+
 /// Takes away the reason to start a task.
 type Change = fn(&Owner, &StartOrder);
 
--- a/crates/jobs/src/engine/gangs.rs
+++ b/crates/jobs/src/engine/gangs.rs
@@ -5,6 +5,9 @@
 //! one of them will never be there, whatever the reason. This module alone decides that, from the states of the
 //! members: a member whose start may still succeed, or that a runner may have which hasn't answered since a
 //! takeover, ends nothing.
+//!
+//! The start order of a member is sent again and again for a part of the time that runners let the others wait, as
+//! it is idempotent and the work of a whole gang depends on it.
 
 use derive_more::Display;
 use kspan_model::Millis;
@@ -18,8 +21,11 @@
     record::Phase,
 };
 
-/// Part of the time that runners let members wait, after which a run is stopped if a member has not started, in
-/// percent. The rest is left for the stops.
+/// Part of the time that runners let members wait, for which the start order of a member is sent, in percent.
+const START_TIME_PERCENT: u64 = 50;
+
+/// Part of that time after which a run is stopped if a member has not started, in percent. It leaves time for the
+/// last attempt and for the stops.
 const MAX_WAIT_PERCENT: u64 = 60;
 
 /// Reason why a gang's run can't become whole.
@@ -45,6 +51,15 @@
 }
 
 impl Engine {
+    /// Returns for how long the start order of a member is sent.
+    pub(super) fn gang_start_time(&self) -> Millis {
+        self.part_of_gang_wait(START_TIME_PERCENT)
+    }
+
+    fn part_of_gang_wait(&self, percent: u64) -> Millis {
+        Millis(self.cfg.gang_wait.saturating_mul(percent).0 / 100)
+    }
+
     /// Stops the runs of gangs that can't become whole.
     pub(super) fn settle_gangs(&mut self, now: Millis) {
         let gangs: Vec<StepId> = self.live_gangs.iter().copied().collect();
@@ -72,7 +87,7 @@
 
     /// Returns the first member without which a run can't become whole, and why it isn't there.
     fn gang_loss(&self, step: &Step, run: u32, now: Millis) -> Option<(u32, GangLoss)> {
-        let max_wait = Millis(self.cfg.gang_wait.saturating_mul(MAX_WAIT_PERCENT).0 / 100);
+        let max_wait = self.part_of_gang_wait(MAX_WAIT_PERCENT);
         let present = step
             .tasks
             .iter()
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -138,8 +138,11 @@
     pub checkpoint: Option<Name>,
     /// Approval ticket, where the queue requires one.
     pub ticket: Option<Name>,
-    /// Time from the order on for which it may be sent: until its lease or its ticket ends.
+    /// Time from the order on for which it may be sent: until its lease or its ticket ends, or the other members
+    /// of its gang have waited for too long.
     pub valid_for: Millis,
+    /// Whether attempts go on for that time. The alternative is to stop a whole gang.
+    pub is_persistent: bool,
 }
 
 /// A stop order for a runner.
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -356,6 +356,7 @@
         };
         let expected_end = self.expected_end(spec, choice.is_remote, now);
         let charge = Self::charge_of(job, spec);
+        let gang_start_time = self.gang_start_time();
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -363,13 +364,19 @@
         let Some((step, spec)) = job.step_mut(task.step) else {
             return;
         };
+        let is_persistent = spec.gang && spec.count > 1;
+        let max_validity = if is_persistent {
+            gang_start_time
+        } else {
+            self.cfg.lease
+        };
         let index = task.index as usize;
         let (size, sharing) = (spec.charged_resources(), spec.sharing());
         let slot = if spec.gang { 0 } else { index };
         let checkpoint = Some(step.tasks[slot].checkpoint.clone()).filter(|text| !text.is_empty());
         let ticket = step.approvals.valid_ticket(runner_ix, now);
         let ticket_validity = ticket.map(|(_, until)| until.saturating_sub(now));
-        let valid_for = ticket_validity.map_or(self.cfg.lease, |left| left.min(self.cfg.lease));
+        let valid_for = ticket_validity.map_or(max_validity, |left| left.min(max_validity));
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
         let known = &mut step.tasks[index];
         let isolation = known.isolation(spec, now);
@@ -423,6 +430,7 @@
             checkpoint,
             ticket,
             valid_for,
+            is_persistent,
         };
         if is_suspected {
             self.record_start(&order, isolation);
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -213,6 +213,17 @@
     assert_eq!(gang.stopped(), BTreeSet::from([0, 1, 2]));
 }
 
+/// Guards against a member that gets as few attempts as a single task, which can start elsewhere, or whose order is
+/// sent for longer than the others wait.
+#[test]
+fn start_of_a_member_is_sent_for_a_part_of_the_time_that_others_wait() {
+    let mut gang = GangCell::new();
+    for order in gang.order() {
+        assert!(order.is_persistent);
+        assert_eq!(order.valid_for, Millis(GANG_WAIT.0 / 2));
+    }
+}
+
 /// Guards against a second run of a member beside one that was stopped with its gang.
 #[test]
 fn gang_starts_again_once_all_members_are_gone() {
