Log why a job failed, and which of its runs counted

Callers saw jobs shown as failed with attempts left, and nothing told why: `job ended` has only `failed`, whether a task ran out of attempts, crashed its runners, or had progress that the store refuses, and lines of failed runs are limited together.

Change: each of the three causes is an event, with the task and, for attempts, the numbers of the failed runs, each as often as it counted. It is the line `job failed`, a kind of its own, and the counter kspan_cell_jobs_failed_total by cause. Decisions are unchanged.

Measured: the tests of attempts, crashes and large jobs pass, with a new one that the runs of a gang are named once each.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -4,7 +4,8 @@
 mod tests;
 
 use kspan_jobs::{
-    engine::{Event, RunEnd, WaitEnd},
+    engine::{Event, FailureCause, RunEnd, WaitEnd},
+    id::JobId,
     runner::EndKind,
 };
 
@@ -39,6 +40,7 @@
         Event::RunnerAnswered { silent, .. } => telemetry::record_runner_silence(*silent),
         Event::ThrottleChanged { budget, .. } => telemetry::record_throttle_change(*budget),
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
+        Event::JobFailed { cause, .. } => telemetry::record_job_failure(cause),
         Event::JobLate { .. } => telemetry::record_late_job(),
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
         Event::GangOrdered { .. } => telemetry::record_gang_start(),
@@ -104,6 +106,7 @@
         Event::OrphanRunFound { .. } => "unwanted",
         Event::RunStalled { .. } => "stalled",
         Event::JobEnded { .. } => "job ended",
+        Event::JobFailed { .. } => "job failed",
         Event::JobLate { .. } => "job late",
         Event::CapChanged { .. } => "cap",
         Event::RunnerAnswered { .. } => "answered again",
@@ -178,6 +181,7 @@
         Event::JobEnded { job, how, elapsed } => {
             tracing::info!(%job, how, after_ms = elapsed.0, "job ended");
         }
+        Event::JobFailed { job, cause } => log_job_failure(*job, cause),
         Event::JobLate {
             job,
             queue,
@@ -203,6 +207,23 @@
     }
 }
 
+/// Logs why a job failed, with the runs that counted as failed attempts.
+fn log_job_failure(job: JobId, cause: &FailureCause) {
+    match cause {
+        FailureCause::Attempts { task, runs } => {
+            let runs: Vec<String> = runs.iter().map(u32::to_string).collect();
+            let runs = runs.join(" ");
+            tracing::info!(%job, why = %cause, %task, runs, "job failed");
+        }
+        FailureCause::Crashes { task } => {
+            tracing::warn!(%job, why = %cause, %task, "job failed");
+        }
+        FailureCause::ProgressNotStorable => {
+            tracing::error!(%job, why = %cause, "job failed");
+        }
+    }
+}
+
 /// Logs an event of a gang with the fence of its owner, so that the lines that name a step show each of its
 /// runs whole.
 fn log_gang_event(event: &Event, fence: u64) {
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,7 +2,7 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
-use kspan_jobs::engine::{GangLoss, LossReason, TeamUsage};
+use kspan_jobs::engine::{FailureCause, GangLoss, LossReason, TeamUsage};
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -110,6 +110,11 @@
     histogram!("kspan_cell_job_seconds", "how" => how).record(seconds(after));
 }
 
+/// Records the cause of a job's failure.
+pub(crate) fn record_job_failure(cause: &FailureCause) {
+    counter!("kspan_cell_jobs_failed_total", "why" => cause.to_string()).increment(1);
+}
+
 /// Records a job that waits beyond its objective.
 pub(crate) fn record_late_job() {
     counter!("kspan_cell_jobs_late_total").increment(1);
--- a/crates/jobs/src/engine/attempts.rs
+++ b/crates/jobs/src/engine/attempts.rs
@@ -33,6 +33,12 @@
         self.total += count.saturating_sub(*known);
         *known = count.max(*known);
     }
+
+    /// Returns the numbers of the failed runs, each as often as it counts, in any order.
+    fn runs(&self) -> impl Iterator<Item = u32> {
+        let by_number = self.by_number.iter();
+        by_number.flat_map(|(run, count)| std::iter::repeat_n(*run, *count))
+    }
 }
 
 impl Task {
@@ -71,6 +77,18 @@
         }
     }
 
+    /// Returns the run numbers of these attempts in ascending order, each as often as it counts.
+    pub(super) fn failed_runs(&self, index: usize, spec: &StepSpec) -> Vec<u32> {
+        let mut runs: Vec<u32> = if spec.gang {
+            self.gang_failures.runs().collect()
+        } else {
+            let failures = self.tasks[index].failures.iter();
+            failures.map(|failed| failed.run).collect()
+        };
+        runs.sort_unstable();
+        runs
+    }
+
     /// Returns the number of failed attempts of all tasks, or of the gang that they are.
     pub(super) fn all_failed_attempts(&self, spec: &StepSpec) -> usize {
         if spec.gang {
--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -19,7 +19,7 @@
 use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
 
 use super::{
-    Engine, Event, LossReason, Order, RunnerIx, StartOrder,
+    Engine, Event, FailureCause, LossReason, Order, RunnerIx, StartOrder,
     evidence::{Crashes, Isolation, MAX_SUSPECT_AGE},
     job::{Job, Task},
     runner::{PlacedRun, Runner},
@@ -291,7 +291,7 @@
                 is_given_up,
             });
             if is_given_up {
-                self.given_up.push(task.step.job);
+                self.given_up.push(task);
             }
         }
     }
@@ -318,8 +318,9 @@
 
     /// Ends the jobs with a task that was given up.
     pub(super) fn end_given_up_jobs(&mut self, now: Millis, unix_ms: u64) {
-        for id in std::mem::take(&mut self.given_up) {
-            self.end_job(id, Phase::Failed, now, unix_ms);
+        for task in std::mem::take(&mut self.given_up) {
+            let cause = FailureCause::Crashes { task };
+            self.fail_job(task.step.job, cause, now, unix_ms);
         }
     }
 
@@ -332,7 +333,7 @@
                 }
             }
             if known.is_given_up() {
-                self.given_up.push(job.id);
+                self.given_up.push(task);
             }
         }
     }
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -7,7 +7,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{
-    Engine, Event, Settings,
+    Engine, Event, FailureCause, Settings,
     job::Job,
     parts::ChangedTasks,
     runner::{longest_inherited_lease, longest_remaining_lease},
@@ -292,7 +292,7 @@
             }
             RecordKey::Progress(id) | RecordKey::Part(PartKey { job: id, .. }) => {
                 self.active.get(id)?;
-                self.end_job(*id, Phase::Failed, now, unix_ms);
+                self.fail_job(*id, FailureCause::ProgressNotStorable, now, unix_ms);
                 // The record of a job that has ended has no tasks.
                 self.jobs.get(id).map(Job::progress_record)
             }
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -4,7 +4,7 @@
 use kspan_model::{Millis, Name};
 
 use super::{
-    Engine, Event, RunnerIx,
+    Engine, Event, FailureCause, RunnerIx,
     crash::incarnation_hash,
     job::{MAX_RUN, TaskState},
     overrun::Ratio,
@@ -137,13 +137,16 @@
         let is_limited = !is_long_running && step.tasks[index].state != TaskState::Done;
         let attempts = step.failed_attempts(index, spec);
         let out_of_attempts = is_limited && attempts >= max_attempts as usize;
+        let failed_runs = out_of_attempts.then(|| step.failed_runs(index, spec));
         if current {
             step.set_state(index, TaskState::Waiting, now);
             self.schedulable.insert(end.task.step.job);
         }
         self.batches.add_task_progress(end.task);
-        if active && out_of_attempts {
-            return self.end_job(end.task.step.job, Phase::Failed, now, unix_ms);
+        if let Some(runs) = failed_runs.filter(|_| active) {
+            let task = end.task;
+            let cause = FailureCause::Attempts { task, runs };
+            return self.fail_job(task.step.job, cause, now, unix_ms);
         }
         if gang {
             self.settle_gang(end.task.step, now);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod estimate;
 mod evidence;
 mod explain;
+mod failure;
 mod gangs;
 mod health;
 mod host_list;
@@ -76,6 +77,7 @@
     durable::Batch,
     ends::{LossReason, RunEnd},
     explain::{Explanation, StepExplanation},
+    failure::FailureCause,
     gangs::GangLoss,
     inventory::InventoryCall,
     locality::{LocalityRule, WaitEnd},
@@ -315,6 +317,13 @@
         /// Time since the submission.
         elapsed: Millis,
     },
+    /// A job fails, which ends it.
+    JobFailed {
+        /// Job id.
+        job: JobId,
+        /// Cause.
+        cause: FailureCause,
+    },
     /// A job with waiting tasks can no longer meet its objective. Emitted once for each job.
     JobLate {
         /// Job id.
@@ -412,8 +421,8 @@
     quiet_runners: Vec<QuietRunner>,
     /// Start orders that wait for their record.
     held_starts: Vec<HeldStart>,
-    /// Jobs with a task that was given up, which end with the next tick.
-    given_up: Vec<JobId>,
+    /// Tasks that were given up, whose jobs end with the next tick.
+    given_up: Vec<TaskId>,
     /// Latest sequence number, which orders calls and outcomes.
     last_sequence: u64,
     /// Time until which runs of a previous owner may exist on runners that have not answered;
--- a/crates/jobs/tests/attempts.rs
+++ b/crates/jobs/tests/attempts.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use kspan_jobs::{
-    engine::{JobState, RunnerIx},
+    engine::{Event, FailureCause, JobState, RunnerIx},
     record::{FailedRun, OccurrenceProgress, ProgressRecord, RecordKey, TaskProgress, encode},
     runner::{EndKind, EndedTask, InventoryOutcome, RunningTask},
 };
@@ -16,6 +16,22 @@
     *,
 };
 
+/// Returns the progress of a job whose first task alone has any, as earlier versions recorded that of a gang.
+fn progress_of_first_member(run: u32, failures: Vec<FailedRun>) -> ProgressRecord {
+    ProgressRecord {
+        occurrences: vec![OccurrenceProgress {
+            number: 0,
+            tasks: vec![TaskProgress {
+                run,
+                failures,
+                ..TaskProgress::default()
+            }],
+        }],
+        has_started: true,
+        ..ProgressRecord::default()
+    }
+}
+
 /// Guards against a gang that is given up after one run, because several of its members failed in it.
 #[test]
 fn gang_run_is_one_attempt_however_many_members_fail() {
@@ -31,6 +47,30 @@
     }
 }
 
+/// Guards against a failed job whose log doesn't tell which of its runs counted.
+#[test]
+fn failed_job_names_the_runs_that_counted() {
+    let failures = |cell: &mut Cell| {
+        let causes = cell.engine.take_events().into_iter();
+        let causes = causes.filter_map(|event| match event {
+            Event::JobFailed { cause, .. } => Some(cause),
+            _ => None,
+        });
+        causes.collect::<Vec<_>>()
+    };
+    let mut gang = GangCell::new();
+    for run in 1..=MAX_ATTEMPTS {
+        gang.start();
+        assert_eq!(failures(&mut gang.cell), [], "before run {run}");
+        gang.end_run(run, &[1, 3]);
+    }
+    let expected = FailureCause::Attempts {
+        task: member(1),
+        runs: (1..=MAX_ATTEMPTS).collect(),
+    };
+    assert_eq!(failures(&mut gang.cell), [expected]);
+}
+
 /// Guards against a run of a gang that counts again with each owner that learns of a member's failure.
 #[test]
 fn gang_run_is_one_attempt_with_a_new_owner_between_two_ends() {
@@ -94,18 +134,7 @@
     for (failures, further) in table {
         let mut gang = GangCell::new();
         let latest = failures.last().map_or(0, |failed| failed.run);
-        let progress = ProgressRecord {
-            occurrences: vec![OccurrenceProgress {
-                number: 0,
-                tasks: vec![TaskProgress {
-                    run: latest,
-                    failures: failures.to_vec(),
-                    ..TaskProgress::default()
-                }],
-            }],
-            has_started: true,
-            ..ProgressRecord::default()
-        };
+        let progress = progress_of_first_member(latest, failures.to_vec());
         let key = RecordKey::Progress(JOB).to_string();
         gang.cell.store.insert(key, encode(&progress));
         gang.take_over();
