Count a run of a gang once when an upgrade falls between the ends of its members

Callers of a landing before saw jobs of gangs shown as failed with attempts left. The same may still happen once when they leave it: a job with two attempts of four left, in the test.

Cause: such a landing records the failures of all members of a gang for the first member. The new owner reads them as failures of that member. When the runner of the first member then reports its own failure of the same run, the number has two failures of one member, which stands for two runs.

Change: what was restored for the first member counts as one run for each number, and never as the first member's own. Failures of other members count as before. A restored list is kept whole, so that a repeated report of any of them counts nothing.

--- a/crates/jobs/src/engine/attempts.rs
+++ b/crates/jobs/src/engine/attempts.rs
@@ -8,7 +8,7 @@
 //! Runs that end otherwise are no attempts: stopped, expired and lost ones, and those that a member's
 //! end broke. Crashes of runners are counted by `crash`.
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::job::{Step, Task};
 use crate::{record::FailedRun, spec::StepSpec};
@@ -24,6 +24,9 @@
     by_number: FxHashMap<u32, usize>,
     /// Number of failed runs in all.
     total: usize,
+    /// Number of the first member's failures that were restored. Earlier versions recorded those of all members
+    /// there, so that they don't tell how often the first member itself has failed.
+    restored: usize,
 }
 
 impl GangFailures {
@@ -50,11 +53,6 @@
         }
         is_new
     }
-
-    fn failures_of_run(&self, run: u32) -> usize {
-        let of_run = self.failures.iter().filter(|failed| failed.run == run);
-        of_run.count()
-    }
 }
 
 impl Step {
@@ -63,11 +61,22 @@
         let task = &mut self.tasks[index];
         let is_new = task.record_failure(failed);
         if is_new && spec.gang {
-            let count = task.failures_of_run(failed.run);
-            self.gang_failures.record(failed.run, count);
+            self.count_failures_of_member(index, failed.run);
         }
     }
 
+    /// Counts how often a member of a gang itself has failed in runs of a number.
+    fn count_failures_of_member(&mut self, index: usize, run: u32) {
+        let restored = if index == 0 {
+            self.gang_failures.restored
+        } else {
+            0
+        };
+        let own = self.tasks[index].failures.iter().skip(restored);
+        let count = own.filter(|failed| failed.run == run).count();
+        self.gang_failures.record(run, count);
+    }
+
     /// Returns the number of failed attempts of a task, or of the gang that it belongs to.
     pub(super) fn failed_attempts(&self, index: usize, spec: &StepSpec) -> usize {
         if spec.gang {
@@ -98,18 +107,16 @@
         }
     }
 
-    /// Counts the failed runs of a restored gang. Earlier versions recorded the failures of all members
-    /// for the first one, so a run number counts once for each member.
+    /// Counts the failed runs of a restored gang. A run number counts once for all failures that are recorded
+    /// for the first member, which may be those of any members.
     pub(super) fn restore_gang_failures(&mut self) {
-        for task in &mut self.tasks {
-            let mut runs = Vec::with_capacity(task.failures.len());
-            task.failures.retain(|failed| {
-                let is_first = !runs.contains(&failed.run);
-                runs.push(failed.run);
-                is_first
-            });
+        self.gang_failures.restored = self.tasks[0].failures.len();
+        for index in 0..self.tasks.len() {
+            let failures = self.tasks[index].failures.iter();
+            let runs: FxHashSet<u32> = failures.map(|failed| failed.run).collect();
             for run in runs {
                 self.gang_failures.record(run, 1);
+                self.count_failures_of_member(index, run);
             }
         }
     }
--- a/crates/jobs/tests/attempts.rs
+++ b/crates/jobs/tests/attempts.rs
@@ -3,7 +3,7 @@
 
 mod one_cell;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, hash::BuildHasher};
 
 use kspan_jobs::{
     engine::{Event, FailureCause, JobState, RunnerIx},
@@ -15,6 +15,7 @@
     gang::{GangCell, MEMBERS, RUNNERS, gang_spec, member},
     *,
 };
+use rustc_hash::FxBuildHasher;
 
 /// Returns the progress of a job whose first task alone has any, as earlier versions recorded that of a gang.
 fn progress_of_first_member(run: u32, failures: Vec<FailedRun>) -> ProgressRecord {
@@ -148,6 +149,41 @@
     }
 }
 
+/// Guards against a run of a gang that counts again after an upgrade: the record of the earlier version has
+/// the failure of another member at the first one, whose own failure is reported to the new owner.
+#[test]
+fn gang_run_is_one_attempt_if_its_failures_are_learned_before_and_after_an_upgrade() {
+    // The members whose failures the earlier version recorded, and those whose failures the new owner learns.
+    let table: [(&[u32], &[u32]); 4] = [
+        (&[2], &[0]),
+        (&[2, 3], &[0]),
+        (&[2], &[0, 1, 2, 3]),
+        (&[2, 3, 0], &[3, 0]),
+    ];
+    for (recorded, reported) in table {
+        let mut gang = GangCell::new();
+        gang.start();
+        let failures = recorded.iter().map(|index| FailedRun {
+            run: 1,
+            incarnation: FxBuildHasher.hash_one(RUNNERS[gang.runners[index]]),
+        });
+        let progress = progress_of_first_member(1, failures.collect());
+        let key = RecordKey::Progress(JOB).to_string();
+        gang.cell.store.insert(key, encode(&progress));
+        gang.take_over();
+        for index in reported {
+            gang.end(*index, 1, EndKind::Failed);
+        }
+        gang.answer_all();
+        for run in 2..=MAX_ATTEMPTS {
+            assert!(!gang.has_failed(), "{recorded:?} before run {run}");
+            gang.start();
+            gang.end_run(run, &[1, 2]);
+        }
+        assert!(gang.has_failed(), "{recorded:?}");
+    }
+}
+
 /// Guards against a lost member that makes its gang's run count as more than one attempt.
 #[test]
 fn gang_run_with_a_failed_and_a_lost_member_is_one_attempt() {
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -126,6 +126,19 @@
     );
 }
 
+/// Guards against runs of gangs that count as several attempts, or as none, because an upgrade falls between the
+/// ends of their members.
+#[test]
+fn gang_runs_are_one_attempt_each_across_upgrades() {
+    let (violations, starts) =
+        run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::UpgradedGangs);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(
+        starts > HAZARDOUS_SCHEDULES * 10,
+        "only {starts} starts were observed"
+    );
+}
+
 #[test]
 fn each_mutation_is_caught_by_its_check() {
     let table = [
--- a/crates/jobs/tests/support/gangs.rs
+++ b/crates/jobs/tests/support/gangs.rs
@@ -1,10 +1,11 @@
 //! Gangs on simulated runners: members work from the moment when all of one run are present, end together, and wait
 //! for a time only.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use kspan_jobs::{
     id::{StepId, TaskId},
+    record::{FailedRun, ProgressRecord, TaskProgress},
     runner::EndKind,
     spec::JobSpec,
 };
@@ -16,6 +17,9 @@
 /// Largest number of members. So many fit on the two smallest runners.
 const MAX_MEMBERS: u32 = 4;
 
+/// One in so many members fails where members fail often.
+const FAILURE_ODDS: u32 = 3;
+
 /// Time for which an owner must have been at work, and have had an answer from each runner, to be blamed for a
 /// member that waited in vain, in milliseconds.
 const MIN_WORKING_TIME_MS: u64 = 2_000;
@@ -35,7 +39,7 @@
 impl Simulation {
     /// Turns the steps of a job into gangs.
     pub(super) fn make_gangs(&mut self, spec: &mut JobSpec) {
-        if self.hazard != Hazard::Gangs {
+        if !self.hazard.has_gangs() {
             return;
         }
         for step in &mut spec.steps {
@@ -49,6 +53,10 @@
     /// Lets a member that has started wait for the others, or the gang end if it is the last one.
     pub(super) fn plan_gang(&mut self, runner: usize, task: TaskId, run: u32, length: u64) {
         self.started_members.insert((task, run));
+        if self.hazard == Hazard::UpgradedGangs {
+            let will_fail = self.hazard_rng.random_range(0..FAILURE_ODDS) == 0;
+            self.runners[runner].set_will_fail(task, will_fail);
+        }
         let members = self.present_members(task.step, run);
         if members.len() < self.checks.step_spec(task.step).count as usize {
             let incarnation = self.runners[runner].incarnation;
@@ -88,7 +96,7 @@
 
     /// Ends the members at work whose gang has lost another one.
     pub(super) fn break_gangs(&mut self) {
-        if self.hazard != Hazard::Gangs {
+        if !self.hazard.has_gangs() {
             return;
         }
         let mut broken = Vec::new();
@@ -161,3 +169,33 @@
         present.collect()
     }
 }
+
+/// Moves the failures of all members of gangs to the first member of each, as earlier versions recorded them.
+pub(super) fn record_as_earlier_version(progress: &mut ProgressRecord) {
+    for occurrence in &mut progress.occurrences {
+        if occurrence
+            .tasks
+            .iter()
+            .any(|t| t.index > 0 && !t.failures.is_empty())
+        {}
+        let mut by_step: BTreeMap<u32, Vec<FailedRun>> = BTreeMap::new();
+        for task in &mut occurrence.tasks {
+            let failures = by_step.entry(task.step).or_default();
+            failures.append(&mut task.failures);
+        }
+        for (step, failures) in by_step {
+            let mut tasks = occurrence.tasks.iter_mut();
+            let first = tasks.find(|task| task.step == step && task.index == 0);
+            if let Some(first) = first {
+                first.failures = failures;
+                continue;
+            }
+            occurrence.tasks.push(TaskProgress {
+                step,
+                run: failures.iter().map(|failed| failed.run).max().unwrap_or(0),
+                failures,
+                ..TaskProgress::default()
+            });
+        }
+    }
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -90,6 +90,9 @@
     LateOrders,
     /// All steps are gangs, whose members work only together.
     Gangs,
+    /// The same, members fail often, and each takeover is an upgrade: the failures of all members of a gang are
+    /// recorded for the first one, as earlier versions did.
+    UpgradedGangs,
 }
 
 impl Hazard {
@@ -100,6 +103,11 @@
             Self::ReusedIds | Self::PartitionedRestarts | Self::LateOrders
         )
     }
+
+    /// Returns whether all steps are gangs.
+    fn has_gangs(self) -> bool {
+        matches!(self, Self::Gangs | Self::UpgradedGangs)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -301,15 +309,16 @@
             Hazard::PartitionedRestarts | Hazard::LateOrders => {
                 simulation.plan_partitioned_restarts();
             }
-            Hazard::None | Hazard::CrashingTasks | Hazard::Gangs => {}
+            Hazard::None | Hazard::CrashingTasks | Hazard::Gangs | Hazard::UpgradedGangs => {}
         }
         simulation
     }
 
     fn run(&mut self) {
         let end = match self.hazard {
-            // Tasks take down one runner after the other, long after the last fault.
-            Hazard::CrashingTasks => 200_000,
+            // Tasks take down one runner after the other, or runners are paused after failures, long after
+            // the last fault.
+            Hazard::CrashingTasks | Hazard::UpgradedGangs => 200_000,
             Hazard::None
             | Hazard::ChangingCapacity
             | Hazard::ReusedIds
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -9,8 +9,7 @@
 use rand::Rng;
 
 use super::{
-    Event, Hazard, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation,
-    checks::ObservedStart,
+    Event, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation, checks::ObservedStart,
 };
 
 impl Simulation {
@@ -175,7 +174,7 @@
                 };
                 self.checks.record_start(observed, &self.runners);
                 let (task, run) = (order.task, order.run);
-                if self.hazard == Hazard::Gangs {
+                if self.hazard.has_gangs() {
                     self.plan_gang(number, task, run, after);
                 } else {
                     self.plan_crash(number, task, run);
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -12,13 +12,16 @@
 use rand::Rng;
 
 use super::{
-    Event, LEASE_MS, MAX_UNCONFIRMED_MS, Mutation, Owner, PREVIOUS_OWNER_TIMEOUT_MS, Sent,
-    Simulation, hazards, number_of,
+    Event, Hazard, LEASE_MS, MAX_UNCONFIRMED_MS, Mutation, Owner, PREVIOUS_OWNER_TIMEOUT_MS, Sent,
+    Simulation, gangs, hazards, number_of,
 };
 
 /// Maximum size of a record of the store, in bytes. So small that most jobs' progress is split.
 const MAX_RECORD_BYTES: usize = 20_000;
 
+/// The same where the progress of each job is in one record.
+const MAX_WHOLE_RECORD_BYTES: usize = 262_144;
+
 /// Number of fencing tokens from one claim to the next. An owner's heartbeats lie between them.
 const FENCES_PER_OWNER: u64 = 1_000;
 
@@ -71,7 +74,11 @@
             max_lease: Millis(super::runner::MAX_LEASE_MS),
             lease_margin: Millis(300),
             previous_owner_timeout: Millis(if waits { PREVIOUS_OWNER_TIMEOUT_MS } else { 0 }),
-            max_record_bytes: MAX_RECORD_BYTES,
+            max_record_bytes: if self.hazard == Hazard::UpgradedGangs {
+                MAX_WHOLE_RECORD_BYTES
+            } else {
+                MAX_RECORD_BYTES
+            },
             ended_job_retention: Millis(600_000),
             cross_rack_slowdown: 3,
             gang_wait: if self.mutation == Mutation::GangWaitUnknown {
@@ -91,6 +98,10 @@
             let progress = state.progress.values_mut();
             progress.for_each(|progress| progress.crashes.clear());
         }
+        if self.hazard == Hazard::UpgradedGangs {
+            let progress = state.progress.values_mut();
+            progress.for_each(gangs::record_as_earlier_version);
+        }
         let mut engine = Engine::recover(cfg, Millis(self.now), self.now, state);
         engine.configure(self.config());
         let known = engine.live_runners();
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -287,6 +287,13 @@
         })
     }
 
+    /// Decides whether a run will fail.
+    pub(crate) fn set_will_fail(&mut self, task: TaskId, will_fail: bool) {
+        if let Some(run) = self.running.get_mut(&task) {
+            run.will_fail = will_fail;
+        }
+    }
+
     /// Lets a member of a gang work.
     pub(crate) fn begin_work(&mut self, task: TaskId) {
         if let Some(run) = self.running.get_mut(&task) {
