Settle gangs in each tick again, so that it needs no scheduling pass

Callers' gangs whose run can't become whole were left to wait until their runners ended them (alone), while the owner had not confirmed its ownership: for as long as the store is away after a gap between ticks of 0.5 s, with orders still allowed for 8 s.

Cause: left one of two calls, in the belief that a scheduling pass follows each tick. A pass returns at once while the ownership isn't confirmed since a gap, and no pass runs where orders aren't allowed.

The new test of gangs.rs fails on the former code.

Change: a tick settles gangs, as before; the pass does so too, soon after each event.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -252,6 +252,7 @@
             self.check_lease_expiry(RunnerIx(ix), now);
         }
         self.end_given_up_jobs(now, unix_ms);
+        self.settle_gangs(now);
         self.resend_stops(now);
         self.order_speeds(now);
         self.compact_ended_jobs(now);
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -15,6 +15,9 @@
 /// Index of the member that is not there.
 const LAST: u32 = MEMBERS - 1;
 
+/// Time between two ticks after which the ownership has to be confirmed, in milliseconds.
+const LONG_GAP_MS: u64 = 700;
+
 /// Returns the indexes of all other members.
 fn others() -> BTreeSet<u32> {
     (0..LAST).collect()
@@ -57,6 +60,20 @@
     }
 }
 
+/// Guards against the same while no scheduling pass decides anything, because the ownership has not been confirmed
+/// since a gap between ticks.
+#[test]
+fn gang_is_stopped_while_the_ownership_is_not_confirmed() {
+    let mut gang = GangCell::new();
+    let last = gang.start_but_last();
+    gang.cell.now += LONG_GAP_MS;
+    gang.tick();
+    gang.record_start(&last, StartOutcome::InDoubt);
+    gang.cell.now += 100;
+    gang.tick();
+    assert!(are_others_in(&gang.stopped()));
+}
+
 /// Guards against the same where the outcome leaves it to the inventory.
 #[test]
 fn gang_is_stopped_when_a_stale_start_is_not_listed() {
--- a/crates/jobs/tests/one_cell/gang.rs
+++ b/crates/jobs/tests/one_cell/gang.rs
@@ -169,6 +169,12 @@
         }
     }
 
+    /// Ticks without confirming the ownership.
+    pub(crate) fn tick(&mut self) {
+        let now = self.cell.now;
+        self.cell.engine.tick(Millis(now), now);
+    }
+
     /// Runs a scheduling pass, and returns the indexes of the members that are being stopped.
     pub(crate) fn stopped(&mut self) -> BTreeSet<u32> {
         self.cell.engine.schedule(Millis(self.cell.now));
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -215,6 +215,11 @@
             Hazard::Gangs,
             "members of a run waited in vain after an earlier run was found to be done",
         ),
+        (
+            47_121,
+            Hazard::UpgradedGangs,
+            "members of a run waited in vain while the ownership was not confirmed",
+        ),
     ];
     for (seed, hazard, cause) in table {
         let checks = Simulation::run_hazardous_schedule(seed, Mutation::None, hazard);
