--- a/crates/jobs/tests/support/gangs.rs
+++ b/crates/jobs/tests/support/gangs.rs
@@ -173,11 +173,6 @@
 /// Moves the failures of all members of gangs to the first member of each, as earlier versions recorded them.
 pub(super) fn record_as_earlier_version(progress: &mut ProgressRecord) {
     for occurrence in &mut progress.occurrences {
-        if occurrence
-            .tasks
-            .iter()
-            .any(|t| t.index > 0 && !t.failures.is_empty())
-        {}
         let mut by_step: BTreeMap<u32, Vec<FailedRun>> = BTreeMap::new();
         for task in &mut occurrence.tasks {
             let failures = by_step.entry(task.step).or_default();
