--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -184,6 +184,15 @@
         self.commit();
     }
 
+    /// Creates a cell of two runners, of which the first one alone has answered and was ordered to start the task.
+    pub(crate) fn with_start(is_answered: bool) -> Self {
+        let mut cell = Self::new(&["w0", "w1"]);
+        cell.report_ends(0, Vec::new());
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(is_answered), [0]);
+        cell
+    }
+
     /// Replaces the owner by a new one that restores all durable records. The host list is still
     /// empty.
     pub(crate) fn recover(&mut self) {
--- a/crates/jobs/tests/partial_inventories.rs
+++ b/crates/jobs/tests/partial_inventories.rs
@@ -31,10 +31,7 @@
 /// lists at once.
 #[test]
 fn task_whose_end_is_not_listed_yet_is_not_lost() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(true), [0]);
+    let mut cell = Cell::with_start(true);
     cell.report_ends(1, Vec::new());
     for _ in 0..3 {
         let partial = partial_inventory(&cell, Vec::new(), true);
@@ -46,10 +43,7 @@
     cell.commit();
     assert_eq!(cell.engine.job_state(JOB), Some(JobState::Completed));
     // A run that is on no list is lost once all ends are listed.
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(true), [0]);
+    let mut cell = Cell::with_start(true);
     cell.report_ends(1, Vec::new());
     let last = partial_inventory(&cell, Vec::new(), false);
     cell.complete_inventory_call(0, &last);
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -20,13 +20,7 @@
 }
 
 fn first_run() -> RunningTask {
-    RunningTask {
-        task: task(),
-        run: 1,
-        checkpoint: Name::default(),
-        percent: 10,
-        load: 0,
-    }
+    running_row(task(), 1)
 }
 
 /// Guards against a task that is started elsewhere while the next incarnation of its runner has it: an
@@ -34,10 +28,7 @@
 #[test]
 fn start_that_reached_the_next_incarnation_is_not_repeated_elsewhere() {
     for is_answered in [false, true] {
-        let mut cell = Cell::new(&["w0", "w1"]);
-        cell.report_ends(0, Vec::new());
-        cell.submit();
-        assert_eq!(cell.schedule_and_send(is_answered), [0]);
+        let mut cell = Cell::with_start(is_answered);
         cell.report_ends(1, Vec::new());
         let restarted = inventory_of(&cell, 2, vec![first_run()]);
         cell.complete_inventory_call(0, &restarted);
@@ -51,10 +42,7 @@
 /// Guards against the same where the order is still on its way when the restart is noticed.
 #[test]
 fn start_in_flight_at_a_restart_is_stopped_before_the_task_starts_elsewhere() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(false), [0]);
+    let mut cell = Cell::with_start(false);
     cell.report_ends(1, Vec::new());
     let restarted = inventory_of(&cell, 2, Vec::new());
     cell.complete_inventory_call(0, &restarted);
@@ -78,10 +66,7 @@
 /// have listed ended with it.
 #[test]
 fn run_that_the_ended_incarnation_had_starts_elsewhere_at_once() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(true), [0]);
+    let mut cell = Cell::with_start(true);
     cell.report_running(0);
     cell.report_ends(1, Vec::new());
     let restarted = inventory_of(&cell, 2, Vec::new());
@@ -93,10 +78,7 @@
 /// does not confirm.
 #[test]
 fn restart_is_believed_once_the_runner_confirms_it() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(true), [0]);
+    let mut cell = Cell::with_start(true);
     cell.report_running(0);
     cell.report_ends(1, Vec::new());
     let mut claimed = entry("w0");
@@ -182,10 +164,7 @@
 /// are on the clock of the one before, and it bounds them by its longest lease alone.
 #[test]
 fn lease_of_the_next_incarnation_may_be_the_longest_one() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(false), [0]);
+    let mut cell = Cell::with_start(false);
     let restarted = inventory_of(&cell, 2, vec![first_run()]);
     cell.complete_inventory_call(0, &restarted);
     cell.report_ends(1, Vec::new());
@@ -233,10 +212,7 @@
         (1, false, 0, ordinary),
     ];
     for (started_unix_ms, is_known, ago, expected) in table {
-        let mut cell = Cell::new(&["w0", "w1"]);
-        cell.report_ends(0, Vec::new());
-        cell.submit();
-        assert_eq!(cell.schedule_and_send(true), [0]);
+        let mut cell = Cell::with_start(true);
         cell.commit();
         let listed = RunnerEntry {
             started_unix_ms,
@@ -304,10 +280,7 @@
 #[test]
 fn restart_that_an_answer_shows_is_known_to_the_next_owner() {
     for (clock, expected) in [(30, 10_600..11_200), (10_000, 6_400..7_000)] {
-        let mut cell = Cell::new(&["w0", "w1"]);
-        cell.report_ends(0, Vec::new());
-        cell.submit();
-        assert_eq!(cell.schedule_and_send(false), [0]);
+        let mut cell = Cell::with_start(false);
         let (now, started) = (Millis(cell.now), StartOutcome::Started(Millis(clock)));
         cell.engine
             .record_start_outcome(now, RunnerIx(0), task(), 1, started);
@@ -321,10 +294,7 @@
 /// lost.
 #[test]
 fn record_of_a_restart_ends_with_the_wait_for_its_runner() {
-    let mut cell = Cell::new(&["w0", "w1"]);
-    cell.report_ends(0, Vec::new());
-    cell.submit();
-    assert_eq!(cell.schedule_and_send(true), [0]);
+    let mut cell = Cell::with_start(true);
     let restarted = inventory_of(&cell, 2, vec![first_run()]);
     cell.complete_inventory_call(0, &restarted);
     cell.commit();
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -44,67 +44,42 @@
     all
 }
 
-#[test]
-fn invariants_hold_in_all_random_schedules() {
-    let (violations, starts) = run_schedules(SCHEDULES, Mutation::None, Hazard::None);
+/// Checks that no schedule with a hazard has a violation, and that tasks start in them.
+fn assert_invariants_hold(schedules: u64, hazard: Hazard) {
+    let (violations, starts) = run_schedules(schedules, Mutation::None, hazard);
     assert!(violations.is_empty(), "{}", violations.join("\n"));
     assert!(
-        starts > SCHEDULES * 10,
+        starts > schedules * 10,
         "only {starts} starts were observed"
     );
 }
 
+#[test]
+fn invariants_hold_in_all_random_schedules() {
+    assert_invariants_hold(SCHEDULES, Hazard::None);
+}
+
 #[test]
 fn invariants_hold_while_tasks_crash_their_runners() {
-    let (violations, starts) =
-        run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::CrashingTasks);
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::CrashingTasks);
 }
 
 #[test]
 fn invariants_hold_while_capacities_change() {
-    let (violations, starts) = run_schedules(
-        HAZARDOUS_SCHEDULES,
-        Mutation::None,
-        Hazard::ChangingCapacity,
-    );
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::ChangingCapacity);
 }
 
 /// Guards against tasks that run twice because an order reaches the next incarnation of its runner.
 #[test]
 fn invariants_hold_while_runners_restart_under_their_ids() {
-    let (violations, starts) =
-        run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::ReusedIds);
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::ReusedIds);
 }
 
 /// Guards against tasks that run twice because a runner restarts under its id, executes orders for its former
 /// incarnation, and is cut off before the owner or a new one knows of it.
 #[test]
 fn invariants_hold_while_restarted_runners_are_partitioned() {
-    let (violations, starts) = run_schedules(
-        HAZARDOUS_SCHEDULES,
-        Mutation::None,
-        Hazard::PartitionedRestarts,
-    );
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::PartitionedRestarts);
 }
 
 /// Guards against the same where an order is held up for seconds and reaches the next incarnation before any
@@ -118,25 +93,14 @@
 /// Guards against members of a gang that wait in vain although their owner knows that another will never come.
 #[test]
 fn invariants_hold_while_members_of_gangs_wait_for_each_other() {
-    let (violations, starts) = run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::Gangs);
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::Gangs);
 }
 
 /// Guards against runs of gangs that count as several attempts, or as none, because an upgrade falls between the
 /// ends of their members.
 #[test]
 fn gang_runs_are_one_attempt_each_across_upgrades() {
-    let (violations, starts) =
-        run_schedules(HAZARDOUS_SCHEDULES, Mutation::None, Hazard::UpgradedGangs);
-    assert!(violations.is_empty(), "{}", violations.join("\n"));
-    assert!(
-        starts > HAZARDOUS_SCHEDULES * 10,
-        "only {starts} starts were observed"
-    );
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::UpgradedGangs);
 }
 
 #[test]
