--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -252,6 +252,7 @@
             self.check_lease_expiry(RunnerIx(ix), now);
         }
         self.end_given_up_jobs(now, unix_ms);
+        // No scheduling pass does it while the ownership isn't confirmed.
         self.settle_gangs(now);
         self.resend_stops(now);
         self.order_speeds(now);
