--- a/review/standin-3/late.rs
+++ b/review/standin-3/late.rs
@@ -1,5 +1,5 @@
-//! A start that is not answered and is carried out seconds later, after the runner has crashed and is back
-//! under its id.
+//! A start that is not answered and is carried out seconds later. Meanwhile its runner is cut off, crashes behind
+//! the cut, and is back under its id.
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
@@ -18,8 +18,9 @@
 /// Number of jobs, one after the other.
 const JOBS: u64 = 3;
 
-/// For how long the runner is down.
-const DOWN: Duration = Duration::from_millis(10_500);
+/// For how long the runner is cut off before it crashes, and for how long it is down then.
+const CUT: Duration = Duration::from_millis(5_400);
+const DOWN: Duration = Duration::from_millis(4_500);
 
 /// Time for each job.
 const STEP: Duration = Duration::from_secs(14);
@@ -28,12 +29,12 @@
     let record = &testbed.record;
     for number in 0..JOBS {
         if testbed.has_trouble {
-            // Whichever runner gets the next task crashes; one at a time.
+            // Whichever runner gets the next task is cut off and crashes; one at a time.
             let armed = Arc::new(AtomicBool::new(true));
             testbed
                 .runners
                 .iter()
-                .for_each(|runner| runner.crash_at(TEXT, DOWN, &armed));
+                .for_each(|runner| runner.crash_at(TEXT, CUT, DOWN, &armed));
         }
         let path = format!("{PREFIX}{:016x}", 0xc000_0000_u64 + number);
         let body = format!(
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -54,7 +54,7 @@
     barred: std::collections::HashMap<String, u64>,
     records: Vec<RunRecord>,
     /// Text of the job at the first start of which the runner crashes, and for how long it is down.
-    crash: Option<(&'static str, Duration, Arc<AtomicBool>)>,
+    crash: Option<(&'static str, [Duration; 2], Arc<AtomicBool>)>,
     /// Time at which a crashed runner is back.
     down_until: Option<Instant>,
     /// Time until which the runner is cut off from all machines, and runs on.
@@ -129,8 +129,14 @@
     /// Lets the runner crash when it is told to start a task of a job with this text for the first time. The
     /// call is not answered, and reaches the next life, under the same id, as its first call.
     /// Of the runners that share `armed` only the first one crashes.
-    pub fn crash_at(&self, text: &'static str, down: Duration, armed: &Arc<AtomicBool>) {
-        self.0.lock().unwrap().crash = Some((text, down, Arc::clone(armed)));
+    pub fn crash_at(
+        &self,
+        text: &'static str,
+        cut: Duration,
+        down: Duration,
+        armed: &Arc<AtomicBool>,
+    ) {
+        self.0.lock().unwrap().crash = Some((text, [cut, down], Arc::clone(armed)));
     }
 
     /// Cuts the runner off from all machines for a time. It runs on, and reaches the store.
@@ -215,12 +221,19 @@
             state.crash.clone()
         };
         let body = String::from_utf8_lossy(&req.body);
-        if let Some((spec, down, armed)) = crash
+        if let Some((spec, [cut, down], armed)) = crash
             && req.path == "/api/run-start"
             && text(&body, "Spec").as_deref() == Some(spec)
             && armed.swap(false, Ordering::Relaxed)
         {
-            self.crash(req.clone(), down);
+            self.cut_off(cut);
+            let (runner, late) = (self.clone(), req.clone());
+            thread::spawn(move || {
+                // Just before the cut ends, so that no call comes through between the two.
+                thread::sleep(cut.saturating_sub(5 * TICK));
+                runner.crash(late, down);
+            });
+            thread::sleep(cut);
             return self.keep_silent();
         }
         self.execute(req)
