--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/review-3 ] || exit 2
-exec target/review-3/review-3 looping target/release/kspan-cell review/13/record.txt
+exec target/review-3/review-3 late target/release/kspan-cell review/13/record.txt
