Play restarts, partitions and lost answers in one schedule

No random schedule has restarts, silence, late and lost answers, unseen ends and changing owners close together.

The hazard UnseenEnds has them: several runners restart at once, orders reach the next incarnation, a partition of 4 to 12 s follows, and the first answers after it are lost or late. Inventory calls wait on the runner, the host list drops silent runners, runs last up to 10 s, and in every second schedule the clock of an incarnation starts at any time. The outcomes of calls reach a paused owner when it resumes. Draws of other hazards stay.

Two checks are new: a start after a completion that an undisturbed runner has listed, and an end that is acknowledged before an owner has been given it. A listing counts if nothing disturbs the runner for 3 s before and nothing cuts it off for 2.6 s after, as an owner that has lost the answer gives the call up after 2.1 s.

KSPAN_TRACE_SEED prints the events of one schedule.

--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -90,6 +90,13 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against tasks that run twice because what one incarnation of a runner was told, or did while nobody
+/// reached it, is taken for what holds now: restarts, partitions, lost answers and late calls close together.
+#[test]
+fn invariants_hold_while_ends_go_unseen() {
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::UnseenEnds);
+}
+
 /// Guards against members of a gang that wait in vain although their owner knows that another will never come.
 #[test]
 fn invariants_hold_while_members_of_gangs_wait_for_each_other() {
--- a/crates/jobs/tests/support/checks.rs
+++ b/crates/jobs/tests/support/checks.rs
@@ -5,7 +5,7 @@
 use kspan_jobs::{
     engine::JobState,
     id::{JobId, StepId, TaskId},
-    runner::{EndKind, EndedTask},
+    runner::{EndKind, EndedTask, Inventory},
     spec::{JobSpec, StepSpec},
 };
 use kspan_model::{Name, Resources};
@@ -103,6 +103,10 @@
     /// Completed runs by task, and those after whose completion the task was started again.
     completed_runs: BTreeMap<TaskId, Vec<CompletedRun>>,
     restarted_despite: BTreeSet<(TaskId, CompletedRun)>,
+    /// Tasks whose completion a runner has listed while nothing disturbed it.
+    done_listed: BTreeSet<TaskId>,
+    /// Ends that an owner has been given: number of the runner, its incarnation, and number of the end.
+    seen_ends: BTreeSet<(usize, u64, u64)>,
     failed_acknowledged: FailedRuns,
     failed: FailedRuns,
     crashes: BTreeMap<TaskId, u32>,
@@ -174,6 +178,11 @@
                 "{now}: rerun after completion: {task} run {run} on {runner_ix}"
             ));
         }
+        if self.done_listed.contains(&task) {
+            self.report(format!(
+                "{now}: rerun after listing: {task} run {run} on {runner_ix}"
+            ));
+        }
         let completed_runs = self.completed_runs.get(&task).into_iter().flatten();
         self.restarted_despite
             .extend(completed_runs.map(|run| (task, run.clone())));
@@ -280,6 +289,35 @@
         }
     }
 
+    /// Records that a runner has listed a completion, and that nothing disturbed it.
+    pub(crate) fn record_listing(&mut self, incarnation: &Name, task: TaskId, run: u32) {
+        let is_new = self.done_listed.insert(task);
+        let completed_run = (incarnation.clone(), run);
+        if is_new && self.restarted_despite.contains(&(task, completed_run)) {
+            self.report(format!(
+                "rerun after listing, listed later: {task} run {run}"
+            ));
+        }
+    }
+
+    /// Records that an owner has been given the ends in an inventory.
+    pub(crate) fn record_seen_ends(&mut self, number: usize, inventory: &Inventory) {
+        let incarnation = inventory.started_unix_ms;
+        let seen = inventory.ended.iter();
+        self.seen_ends
+            .extend(seen.map(|end| (number, incarnation, end.number)));
+    }
+
+    /// Checks that an end which is acknowledged has been given to an owner.
+    pub(crate) fn check_is_seen(&mut self, number: usize, incarnation: u64, end: &EndedTask) {
+        if !self.seen_ends.contains(&(number, incarnation, end.number)) {
+            let (task, run, how) = (end.task, end.run, end.how);
+            self.report(format!(
+                "unseen end acknowledged: {task} run {run}, {how:?}, on {number}"
+            ));
+        }
+    }
+
     /// Checks the reported state of a job at the end of the schedule.
     pub(crate) fn check_job_state(
         &mut self,
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -8,9 +8,12 @@
 pub(crate) mod checks;
 mod gangs;
 mod hazards;
+mod listings;
 mod network;
 mod owners;
 pub(crate) mod runner;
+mod trace;
+mod unseen_ends;
 
 use std::{
     cmp::Reverse,
@@ -28,7 +31,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use self::{checks::Checks, runner::FakeRunner};
+use self::{checks::Checks, listings::Listings, runner::FakeRunner, unseen_ends::HeldCall};
 
 pub(crate) const LEASE_MS: u64 = 6_000;
 const PREVIOUS_OWNER_TIMEOUT_MS: u64 = 14_500;
@@ -88,6 +91,9 @@
     PartitionedRestarts,
     /// The same, where orders that are held up for long reach an incarnation before any owner does.
     LateOrders,
+    /// Runners that hold inventory calls open restart under their ids, several at once, and are partitioned soon
+    /// after; answers are lost and calls held up when the partition ends, and the host list drops the runners.
+    UnseenEnds,
     /// All steps are gangs, whose members work only together.
     Gangs,
     /// The same, members fail often, and each takeover is an upgrade: the failures of all members of a gang are
@@ -100,7 +106,7 @@
     fn reuses_ids(self) -> bool {
         matches!(
             self,
-            Self::ReusedIds | Self::PartitionedRestarts | Self::LateOrders
+            Self::ReusedIds | Self::PartitionedRestarts | Self::LateOrders | Self::UnseenEnds
         )
     }
 
@@ -229,6 +235,9 @@
     /// Inventory calls by sequence number.
     inventory_calls: BTreeMap<u64, Sent<InventoryCall>>,
     inventory_outcomes: Vec<InventoryOutcome>,
+    /// Sequence numbers of the inventory calls that were neither answered nor given up; used by
+    /// [`Hazard::UnseenEnds`] alone.
+    open_calls: BTreeSet<u64>,
     /// Callers waiting for a batch: batch, job, and whether the call is a cancellation.
     callers: Vec<(u64, JobId, bool)>,
 }
@@ -254,6 +263,10 @@
     /// Members of gangs that have started, with their run numbers.
     started_members: BTreeSet<(TaskId, u32)>,
     faults_until: u64,
+    /// Inventory calls that runners hold open.
+    held_calls: Vec<HeldCall>,
+    /// Ends that runners have listed, and what disturbs the runners.
+    listings: Listings,
 }
 
 impl Simulation {
@@ -289,6 +302,8 @@
             submitted: Vec::new(),
             started_members: BTreeSet::new(),
             faults_until: 16_000,
+            held_calls: Vec::new(),
+            listings: Listings::new(count),
         };
         simulation.take_over();
         for _ in 0..simulation.rng.random_range(3..9) {
@@ -309,6 +324,7 @@
             Hazard::PartitionedRestarts | Hazard::LateOrders => {
                 simulation.plan_partitioned_restarts();
             }
+            Hazard::UnseenEnds => simulation.plan_unseen_ends(),
             Hazard::None | Hazard::CrashingTasks | Hazard::Gangs | Hazard::UpgradedGangs => {}
         }
         simulation
@@ -318,7 +334,8 @@
         let end = match self.hazard {
             // Tasks take down one runner after the other, or runners are paused after failures, long after
             // the last fault.
-            Hazard::CrashingTasks | Hazard::UpgradedGangs => 200_000,
+            // Long runs need longer than short ones.
+            Hazard::CrashingTasks | Hazard::UpgradedGangs | Hazard::UnseenEnds => 200_000,
             Hazard::None
             | Hazard::ChangingCapacity
             | Hazard::ReusedIds
@@ -326,6 +343,7 @@
             | Hazard::LateOrders
             | Hazard::Gangs => 75_000,
         };
+        let is_traced = trace::is_traced(self.seed);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 break;
@@ -334,8 +352,20 @@
             for number in 0..self.runners.len() {
                 self.runners[number].expire_lease_and_stops(at);
             }
-            self.handle(event);
+            if is_traced {
+                self.trace_event(event);
+            }
+            if self.is_read_after_pause(event) {
+                self.push(unseen_ends::PAUSE_POLL_MS, event);
+            } else {
+                self.handle(event);
+            }
+            if is_traced {
+                self.trace_decisions();
+            }
             self.break_gangs();
+            self.answer_held_calls();
+            self.observe_disturbances();
             let settled = self.now > self.faults_until + 2_000;
             if settled && self.rng.random_range(0..64) == 0 && self.is_finished() {
                 break;
@@ -371,7 +401,7 @@
                 self.runners[runner].crash();
                 self.push(restarts_after, Event::RunnerRestarts(runner));
             }
-            Event::RunnerRestarts(number) => self.runners[number].restart(self.now),
+            Event::RunnerRestarts(number) => self.restart(number),
             Event::PartitionBegins {
                 runner,
                 heals_after,
@@ -380,7 +410,7 @@
                 self.push(heals_after, Event::PartitionHealed(runner));
             }
             Event::OwnerKilled { takeover_after } => self.kill_owner(takeover_after),
-            Event::PartitionHealed(number) => self.runners[number].is_partitioned = false,
+            Event::PartitionHealed(number) => self.heal(number),
             Event::Resume(owner) => {
                 if self.owners[owner].alive {
                     self.owners[owner].paused = false;
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -9,7 +9,8 @@
 use rand::Rng;
 
 use super::{
-    Event, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation, checks::ObservedStart,
+    Event, Hazard, MIN_LATE_DELAY_MS, Mutation, ORDER_TIMEOUT_MS, Sent, Simulation,
+    checks::ObservedStart, unseen_ends::HeldCall,
 };
 
 impl Simulation {
@@ -25,7 +26,7 @@
                 call.ack = u64::MAX;
             }
             let runner = cell.runners[&runner_ix.0];
-            let sequence = call.sequence;
+            let (sequence, wait) = (call.sequence, call.wait.0);
             let sent = self.sent(owner, runner_ix.0, call);
             self.owners[owner].inventory_calls.insert(sequence, sent);
             let (lost, answered, delay) = self.draw_delivery(runner);
@@ -40,7 +41,9 @@
                 };
                 self.push(delay, arrives);
             }
-            if lost || !answered {
+            if self.hazard == Hazard::UnseenEnds {
+                self.open_inventory_call(owner, runner_ix.0, sequence, wait);
+            } else if lost || !answered {
                 self.inventory_unanswered(owner, runner_ix.0, sequence);
             }
         }
@@ -65,14 +68,19 @@
         if !self.runners[runner].is_up || self.runners[runner].is_partitioned {
             return (true, false, 0);
         }
-        let faulty = self.now < self.faults_until;
+        let faulty = self.are_calls_faulty(runner);
         let delay = self.rng.random_range(1..25);
-        match self.rng.random_range(0..100) {
+        let draw = self.draw_fault(runner);
+        let (lost, answered, delay) = match draw {
             0..3 if faulty => (true, false, 0),
             3..6 if faulty => (false, false, delay),
             6..10 if faulty => (false, false, self.rng.random_range(2_000..12_000)),
             _ => (false, true, delay),
+        };
+        if lost || delay > MIN_LATE_DELAY_MS {
+            self.listings.record_disturbance(runner, self.now);
         }
+        (lost, answered, delay)
     }
 
     pub(super) fn send_start(&mut self, owner: usize, order: StartOrder) {
@@ -204,7 +212,15 @@
             return;
         };
         self.owners[owner].start_outcomes[call] = Some(outcome);
-        if answered {
+        if answered && self.is_answer_lost(number) {
+            let outcome = None;
+            let timeout = Event::StartAnswered {
+                owner,
+                call,
+                outcome,
+            };
+            self.push(ORDER_TIMEOUT_MS, timeout);
+        } else if answered {
             let delay = self.rng.random_range(1..25);
             let outcome = Some(call as u64);
             self.push(
@@ -269,7 +285,15 @@
             return;
         }
         let fenced = self.runners[number].stop(order.task, order.run, fence, self.now);
-        if answered {
+        if answered && self.is_answer_lost(number) {
+            let fenced = None;
+            let timeout = Event::StopAnswered {
+                owner,
+                call,
+                fenced,
+            };
+            self.push(ORDER_TIMEOUT_MS, timeout);
+        } else if answered {
             let delay = self.rng.random_range(1..25);
             let fenced = Some(fenced);
             self.push(
@@ -330,7 +354,7 @@
             .id
             .clone();
         let outcome = if !self.runners[runner].is_reached_by(incarnation, is_late) {
-            if answered {
+            if answered && self.hazard != Hazard::UnseenEnds {
                 self.inventory_unanswered(owner, runner_ix, sequence);
             }
             return;
@@ -341,6 +365,13 @@
         } else {
             InventoryOutcome::OtherIncarnation
         };
+        if is_late {
+            self.listings.record_disturbance(runner, self.now);
+        }
+        if self.hazard == Hazard::UnseenEnds {
+            let held = HeldCall::new(owner, runner, runner_ix, &call, answered);
+            return self.hold_call(held, outcome);
+        }
         if answered {
             let outcome_index = self.owners[owner].inventory_outcomes.len();
             self.owners[owner].inventory_outcomes.push(outcome);
@@ -366,6 +397,9 @@
     ) {
         let no_response_is_death = self.mutation == Mutation::NoResponseAsDeath;
         let cell = &mut self.owners[owner];
+        if self.hazard == Hazard::UnseenEnds && !cell.open_calls.remove(&sequence) {
+            return;
+        }
         cell.calls_in_flight.remove(&runner_ix);
         let fence = cell.inventory_calls[&sequence].fence;
         if !cell.alive || cell.paused {
@@ -378,6 +412,10 @@
         if outcome == InventoryOutcome::NoResponse {
             cell.record_doubt(runner_ix, fence);
         }
+        if let InventoryOutcome::Inventory(inventory) = &outcome {
+            let number = cell.runners[&runner_ix];
+            self.checks.record_seen_ends(number, inventory);
+        }
         if no_response_is_death && outcome == InventoryOutcome::NoResponse {
             outcome = InventoryOutcome::OtherIncarnation;
         }
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -128,6 +128,7 @@
             stops: Vec::new(),
             inventory_calls: BTreeMap::new(),
             inventory_outcomes: Vec::new(),
+            open_calls: BTreeSet::new(),
             callers: Vec::new(),
         });
         self.list_runners(number);
@@ -144,12 +145,20 @@
     pub(super) fn list_runners(&mut self, owner: usize) {
         let doubled = self.mutation == Mutation::CapacityDoubled;
         for number in 0..self.runners.len() {
-            let runner = &self.runners[number];
-            // The host list drops a partitioned runner. Owners that know the runner keep calling
-            // it.
-            if !runner.is_up || runner.is_partitioned || !runner.is_entry_written(self.now) {
+            let listed = if self.hazard == Hazard::UnseenEnds {
+                self.update_listing(owner, number)
+            } else {
+                let runner = &self.runners[number];
+                // The host list drops a partitioned runner. Owners that know the runner keep calling
+                // it.
+                let is_listed =
+                    runner.is_up && !runner.is_partitioned && runner.is_entry_written(self.now);
+                is_listed.then_some(runner.incarnation)
+            };
+            let Some(started_unix_ms) = listed else {
                 continue;
-            }
+            };
+            let runner = &self.runners[number];
             let mut capacity = runner.capacity;
             if self.mutation == Mutation::CapacityNotUpdated {
                 capacity = hazards::full_capacity();
@@ -165,11 +174,17 @@
                 draining: false,
                 capacity,
                 labels: vec![Name::new("a"), Name::new("r1")],
-                started_unix_ms: runner.incarnation,
+                started_unix_ms,
             };
             let now = Millis(self.now);
             if let Some(runner_ix) = self.owners[owner].engine.upsert_runner(now, entry) {
-                self.owners[owner].runners.insert(runner_ix.0, number);
+                let cell = &mut self.owners[owner];
+                cell.runners.insert(runner_ix.0, number);
+                if self.hazard == Hazard::UnseenEnds {
+                    // A new connection has the newest fencing token; calls on an earlier one had higher ones than
+                    // the owner's first.
+                    cell.call_fences.insert(runner_ix.0, cell.newest_fence);
+                }
             }
         }
     }
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::checks::Checks;
+use super::{checks::Checks, unseen_ends::Listing};
 
 pub(crate) const MAX_LEASE_MS: u64 = 10_000;
 
@@ -21,6 +21,9 @@
 /// Time after a restart at which the host list shows it, in milliseconds.
 const ENTRY_DELAY_MS: u64 = 1_000;
 
+/// How much longer long runs take.
+const LONG_RUN_FACTOR: u64 = 4;
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
     pub(crate) run: u32,
@@ -53,6 +56,11 @@
     pub(crate) executes_former_calls: bool,
     /// Whether it does so with calls that were held up for long and arrive before any owner's.
     pub(crate) executes_late_calls: bool,
+    /// Whether every second task takes four times as long.
+    pub(crate) has_long_runs: bool,
+    /// Reading of the clock at the start of the incarnation.
+    pub(crate) first_clock: u64,
+    pub(crate) listing: Listing,
     pub(crate) running: BTreeMap<TaskId, Run>,
     number: usize,
     /// Rate of the runner's clock relative to the simulation's, in thousandths.
@@ -80,6 +88,9 @@
             keeps_id: false,
             executes_former_calls: false,
             executes_late_calls: false,
+            has_long_runs: false,
+            first_clock: 1,
+            listing: Listing::default(),
             running: BTreeMap::new(),
             number,
             rate: rng.random_range(980..=1_000),
@@ -117,12 +128,28 @@
     }
 
     /// Returns a name that no other incarnation has.
-    fn incarnation_name(&self) -> Name {
+    pub(crate) fn incarnation_name(&self) -> Name {
         Name::new(&format!("w{}-{}", self.number, self.incarnation))
     }
 
     fn clock(&self, now: u64) -> u64 {
-        (now - self.incarnation_started_at) * self.rate / 1_000 + 1
+        (now - self.incarnation_started_at) * self.rate / 1_000 + self.first_clock
+    }
+
+    /// Returns what a trace shows of the runner.
+    pub(crate) fn summary(&self, now: u64) -> String {
+        let ends = self.ended.iter().map(|end| (end.number, end.task, end.run));
+        format!(
+            "w{}-{} up {}, clock {}, lease {}, fence {}, running {:?}, ends {:?}",
+            self.number,
+            self.incarnation,
+            self.is_up,
+            self.clock(now),
+            self.lease,
+            self.fence,
+            self.running.keys(),
+            ends.collect::<Vec<_>>()
+        )
     }
 
     pub(crate) fn crash(&mut self) {
@@ -227,12 +254,17 @@
         if order.run <= refused_runs || self.running.contains_key(&order.task) {
             return (StartOutcome::Refused(Refusal::StaleRun), None);
         }
+        let slowdown = if self.has_long_runs && order.task.index % 2 == 1 {
+            LONG_RUN_FACTOR
+        } else {
+            1
+        };
         let run = Run {
             run: order.run,
             will_fail: rng.random_range(0..12) == 0,
             stopping_until: None,
             started_at: now,
-            length: rng.random_range(50..2_500),
+            length: rng.random_range(50..2_500) * slowdown,
             is_at_work: false,
         };
         self.running.insert(order.task, run);
@@ -268,8 +300,14 @@
         }
         let incarnation = self.incarnation_name();
         for end in self.ended.extract_if(.., |end| end.number <= call.ack) {
+            checks.check_is_seen(self.number, self.incarnation, &end);
             checks.record_ack(&incarnation, &end, end.number <= self.expired_end_number);
         }
+        InventoryOutcome::Inventory(self.inventory(now))
+    }
+
+    /// Returns what runs on the runner, and the ends that have not been acknowledged.
+    pub(crate) fn inventory(&self, now: u64) -> Inventory {
         let running = self.running.iter().map(|(task, run)| RunningTask {
             task: *task,
             run: run.run,
@@ -277,14 +315,25 @@
             percent: run.percent(now),
             load: 0,
         });
-        InventoryOutcome::Inventory(Inventory {
+        Inventory {
             clock: Millis(self.clock(now)),
             started_unix_ms: self.incarnation,
             running: running.collect(),
             ended: self.ended.clone(),
             has_more_ends: false,
             skipped_rows: 0,
-        })
+        }
+    }
+
+    /// Returns whether the runner lists ends, so that it answers inventory calls at once.
+    pub(crate) fn lists_ends(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    /// Returns the ends before which the lease has not expired since.
+    pub(crate) fn ends_within_lease(&self) -> impl Iterator<Item = &EndedTask> {
+        let expired = self.expired_end_number;
+        self.ended.iter().filter(move |end| end.number > expired)
     }
 
     /// Decides whether a run will fail.
