Show a restart that record_clock overlooks

Callers may see a task run twice: it starts elsewhere while the next incarnation of its silent runner has it, although the runner's answer to the start has shown the restart.

record_clock (crates/jobs/src/engine/runner/lease.rs) takes a clock for that of another incarnation if it lies more than 1.5 s below the last reading. A runner that was young at that reading may restart and answer with a clock that is lower by less, or even higher. The time that has passed since the reading isn't counted. The next incarnation then has the longest lease, and the owner counts its own, shorter one.

--- a/crates/jobs/tests/inherited_leases.rs
+++ b/crates/jobs/tests/inherited_leases.rs
@@ -4,7 +4,7 @@
 
 use kspan_jobs::{
     engine::RunnerIx,
-    runner::{InventoryOutcome, RunnerEntry},
+    runner::{Inventory, InventoryOutcome, RunnerEntry, StartOutcome},
 };
 use kspan_model::{Millis, Resources};
 use one_cell::*;
@@ -19,6 +19,19 @@
     assert_eq!(cell.schedule_and_send(false), [0]);
 }
 
+/// Lets the first runner be silent. Returns the time until the task starts on the second one, in ms.
+fn time_until_start_elsewhere(cell: &mut Cell) -> u64 {
+    let start = (100..=14_000).step_by(100).find(|_| {
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.report_ends(1, Vec::new());
+        cell.advance(100);
+        cell.commit();
+        cell.schedule();
+        cell.engine.runner_of(task()) == Some(RunnerIx(1))
+    });
+    start.expect("the task starts elsewhere")
+}
+
 /// Guards against a task that runs twice because a later order for another task, which the next incarnation of
 /// its runner executes too, extends the lease of everything there.
 #[test]
@@ -30,21 +43,12 @@
         send_small_start(&mut cell, PATH);
         cell.advance(gap);
         send_small_start(&mut cell, OTHER_PATH);
-        cell.report_ends(1, Vec::new());
         let listed = RunnerEntry {
             started_unix_ms: 2,
             ..entry("w0")
         };
         cell.engine.upsert_runner(Millis(cell.now), listed);
-        let start = (100..=14_000).step_by(100).find(|_| {
-            cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
-            cell.report_ends(1, Vec::new());
-            cell.advance(100);
-            cell.commit();
-            cell.schedule();
-            cell.engine.runner_of(task()) == Some(RunnerIx(1))
-        });
-        let after = start.expect("the task starts elsewhere");
+        let after = time_until_start_elsewhere(&mut cell);
         let longest = settings().max_lease.0;
         assert!(
             after > longest,
@@ -53,3 +57,35 @@
         );
     }
 }
+
+/// Guards against a task that runs twice because the answer to its start shows a restart that is overlooked: the
+/// former incarnation was young when its clock was last read, and the clock of the next one has gone back by less
+/// than answers may be late since that reading.
+#[test]
+fn clock_in_an_answer_shows_the_restart_of_a_young_runner() {
+    // Clock of the former incarnation when it was last read, and that of the next one in the answer 1.9 s later, in
+    // ms.
+    for (former, next) in [(60_000, 480), (1_050, 480)] {
+        let mut cell = Cell::new(&["w0", "w1"]);
+        let inventory = Inventory {
+            clock: Millis(former),
+            started_unix_ms: 1,
+            ..Inventory::default()
+        };
+        cell.complete_inventory_call(0, &InventoryOutcome::Inventory(inventory));
+        cell.advance(1_900);
+        cell.submit();
+        assert_eq!(cell.schedule_and_send(false), [0]);
+        let started = StartOutcome::Started(Millis(next));
+        let now = Millis(cell.now);
+        cell.engine
+            .record_start_outcome(now, RunnerIx(0), task(), 1, started);
+        let after = time_until_start_elsewhere(&mut cell);
+        let longest = settings().max_lease.0;
+        assert!(
+            after > longest,
+            "clock {former} and then {next}: the task starts elsewhere {after} ms after a start that may have granted \
+             {longest} ms"
+        );
+    }
+}
