Let adopted tasks start again only once no previous owner can have started them

Callers may see a task run twice around a takeover. A runner lists a run to the new owner, which adopts it; a call of the previous owner still waits there, so that both hear of its failure. Each starts the task again, the previous one on a runner that the new one hasn't reached.

Cause: `adopt_run` cleared all that kept the task from starting. Change: an adopted task starts again once all runners have answered or no run of a previous owner can be alive, as tasks without a known run do; a list of a silent runner's tasks shortens that, too. Cost: a task whose adopted run fails within the seconds after a takeover waits for silent runners.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -334,6 +334,7 @@
         let is_of_gang = spec.gang;
         task.run = row.run;
         task.unverified = false;
+        task.is_adopted = true;
         task.wait = None;
         if is_usable_checkpoint(&row.checkpoint) {
             let slot = if spec.gang { 0 } else { index };
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -84,6 +84,9 @@
     pub(super) skip_runs: u32,
     /// Whether a run ordered by a previous owner may exist on a runner that has not answered.
     pub(super) unverified: bool,
+    /// Whether a run of a previous owner was adopted before all runners have answered. The previous owner may have
+    /// learned of its end too, and started the task on a runner that has not.
+    pub(super) is_adopted: bool,
     /// Whether a run ordered by a previous owner may have been on a runner that crashed.
     pub(super) unaccounted: bool,
     /// A run that should not exist and is being stopped.
@@ -112,18 +115,19 @@
             stall_count: 0,
             skip_runs: 0,
             unverified: false,
+            is_adopted: false,
             unaccounted: false,
             orphan: None,
             wait: None,
         }
     }
 
-    /// Returns whether the task is waiting and may start. An unverified run of a previous owner
+    /// Returns whether the task is waiting and may start. A run of a previous owner that may exist unseen
     /// blocks it until `all_verified`, and an orphan run until it has ended.
     pub(super) fn may_start(&self, all_verified: bool, now: Millis) -> bool {
         self.state == TaskState::Waiting
             && self.orphan.is_none()
-            && (all_verified || !self.unverified)
+            && (all_verified || !(self.unverified || self.is_adopted))
             && self.crashes_allow_start(now)
     }
 
@@ -529,7 +533,10 @@
                     step: number,
                 };
                 for (index, task) in (0..).zip(&mut step.tasks) {
-                    task.unverified = task.unverified && !is_verified(id.task(index));
+                    if is_verified(id.task(index)) {
+                        task.unverified = false;
+                        task.is_adopted = false;
+                    }
                 }
             }
         }
