Apply what a runner lists after its end was presumed

Callers may see a task start again although its runner answers with the end of the run. A silent runner whose lease has expired while the host list lacks it is presumed to have ended. It was called no more, and the answer to the call in flight was ignored, until the host list had it again; what it listed may count as taken note of by then.

Class: what nobody has heard is taken for what didn't happen. Evidence: `record_inventory` returned for each incarnation that counts as ended; `end_that_a_runner_lists_after_its_presumed_end_is_applied` failed (the job stayed `running`). Change: such a runner is called for 10 s more, as long as no other incarnation has followed, and its answer takes it up again like a new entry of the host list does. Result: the test passes.

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -63,7 +63,7 @@
         connection: Rc<RunnerConnection>,
     ) {
         let mut missed = 0;
-        while self.is_active.get() && !self.engine.borrow().is_dead(runner_ix) {
+        while self.is_active.get() && self.engine.borrow().is_called(runner_ix, self.now()) {
             if !self.may_send_orders() {
                 tokio::time::sleep(NO_RESPONSE_RETRY_DELAY).await;
                 continue;
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -125,7 +125,10 @@
         outcome: &InventoryOutcome,
     ) -> Option<RunnerIx> {
         if self.runners[runner_ix.0].dead {
-            return None;
+            let InventoryOutcome::Inventory(inventory) = outcome else {
+                return None;
+            };
+            return self.revive_runner(now, unix_ms, runner_ix, sequence, inventory);
         }
         match outcome {
             InventoryOutcome::Inventory(inventory) => {
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -20,6 +20,9 @@
     runner::{Inventory, RunnerEntry},
 };
 
+/// How long a runner is called after its end was presumed.
+const PRESUMED_END_CALLS: Millis = Millis(10_000);
+
 impl Engine {
     /// Replaces an incarnation by the one whose inventory this is, and applies the inventory to it.
     /// Returns its index.
@@ -55,6 +58,54 @@
         Some(successor_ix)
     }
 
+    /// Returns whether a runner is called: its incarnation has not ended, or that is presumed alone and it may
+    /// answer again. The host list may have it again later than the calls reach it.
+    pub fn is_called(&self, runner_ix: RunnerIx, now: Millis) -> bool {
+        let runner = &self.runners[runner_ix.0];
+        let is_recent = runner
+            .ended_at
+            .is_none_or(|at| now < at + PRESUMED_END_CALLS);
+        !runner.dead || (is_recent && self.is_presumed_end_in_force(runner_ix))
+    }
+
+    /// Returns whether the end of an incarnation is only presumed, and no other one has followed it.
+    fn is_presumed_end_in_force(&self, runner_ix: RunnerIx) -> bool {
+        let runner = &self.runners[runner_ix.0];
+        runner.presumed_dead && self.by_id.get(&runner.entry.id) == Some(&runner_ix)
+    }
+
+    /// Takes up a runner again that was presumed to have ended, and answers. What it lists is applied as that of
+    /// a runner that is new. Returns its index.
+    pub(super) fn revive_runner(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        runner_ix: RunnerIx,
+        sequence: u64,
+        inventory: &Inventory,
+    ) -> Option<RunnerIx> {
+        if !self.is_presumed_end_in_force(runner_ix) {
+            return None;
+        }
+        self.forget_incarnation(runner_ix);
+        let runner = &self.runners[runner_ix.0];
+        let has_restarted = runner.has_restarted(inventory.started_unix_ms);
+        let missing_since = runner.missing_since;
+        let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
+        let id = entry.id.clone();
+        let record_batch = self.batches.add_runner(id.clone());
+        let what = "answers after its presumed end";
+        self.events.push(Event::RunnerChanged { id, what });
+        let revived_ix = self.add_runner(now, entry, record_batch);
+        let revived = &mut self.runners[revived_ix.0];
+        revived.missing_since = missing_since;
+        revived.awaits_entry = has_restarted && !is_listed;
+        // Orders for it, or for the incarnation before, may have granted the longest lease.
+        revived.inherited_lease_until = Some(Millis(u64::MAX));
+        self.apply_inventory(now, unix_ms, revived_ix, sequence, inventory);
+        Some(revived_ix)
+    }
+
     /// Records the first answer of a runner to a call with its own fencing token. Orders for the incarnation
     /// before have granted their last lease, and started what the inventory lists.
     pub(super) fn record_own_answer(&mut self, runner_ix: RunnerIx, clock: Millis, now: Millis) {
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,8 +3,10 @@
 mod one_cell;
 
 use kspan_jobs::{
-    engine::{Order, RunnerIx},
-    runner::{Inventory, InventoryOutcome, OrderOutcome, RunnerEntry, RunningTask, StartOutcome},
+    engine::{JobState, Order, RunnerIx},
+    runner::{
+        EndKind, Inventory, InventoryOutcome, OrderOutcome, RunnerEntry, RunningTask, StartOutcome,
+    },
 };
 use kspan_model::{Millis, Name};
 use one_cell::*;
@@ -387,3 +389,31 @@
     let after = start.expect("the task starts");
     assert!((10_000..11_200).contains(&after), "{after} ms");
 }
+
+/// Guards against a task that starts again although its runner, whose end was presumed while the host list lacked
+/// it, answers with the end of the run.
+#[test]
+fn end_that_a_runner_lists_after_its_presumed_end_is_applied() {
+    let mut cell = Cell::with_start(true);
+    cell.report_running(0);
+    cell.engine
+        .unlist_runner(Millis(cell.now), &Name::new("w0"));
+    for _ in 0..80 {
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.advance(100);
+    }
+    let now = Millis(cell.now);
+    assert!(cell.engine.is_called(RunnerIx(0), now));
+    assert_eq!(
+        cell.engine.live_runners().collect::<Vec<_>>(),
+        [RunnerIx(1)]
+    );
+    cell.report_ends(0, vec![end_row(1, task(), 1, EndKind::Done)]);
+    cell.report_ends(1, Vec::new());
+    assert!(cell.schedule().is_empty());
+    cell.commit();
+    assert_eq!(cell.engine.job_state(JOB), Some(JobState::Completed));
+    // The runner counts as heard under a new index, and is no longer called under the former one.
+    assert!(!cell.engine.is_called(RunnerIx(0), now));
+    assert!(cell.engine.is_called(RunnerIx(2), now));
+}
