Tell another incarnation by a clock that goes ahead or back since the last reading

Callers may see a task run twice: it starts elsewhere while the next incarnation of its silent runner has it, although the answer to its start has shown the restart. Its lease is the longest one, and the owner counted its own.

Cause: `record_clock` compared the clock in an answer to an order with the last reading as it was, and only whether it had gone back. The clock of an incarnation starts anew: that of a runner that was young goes back by less than answers may be late, and one that starts anywhere goes ahead as often as back. `answer_by_another_clock_shows_a_restart` is new and was not run on the code before. Change: the answer is compared with what the clock must show by now. An owner that was suspended takes an answer for that of another clock until the next inventory: the runner gets no work and no lease until then.

--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -439,7 +439,7 @@
 
     /// Records the answer to an inventory call, with a reading of the runner's clock.
     pub(super) fn record_response(&mut self, clock: Millis, now: Millis) {
-        self.record_clock(clock, now);
+        self.update_reading(clock, now);
         self.shows_restart = false;
         self.missed_responses = 0;
         self.silent_since = None;
--- a/crates/jobs/src/engine/runner/lease.rs
+++ b/crates/jobs/src/engine/runner/lease.rs
@@ -18,6 +18,22 @@
     at: Millis,
 }
 
+/// Returns how long a duration on the owner's clock takes at least on a runner's.
+fn shortest_duration(elapsed: Millis) -> Millis {
+    Millis(elapsed.saturating_mul(MIN_CLOCK_RATE_PERMILLE).0 / 1_000)
+}
+
+impl ClockReading {
+    /// Returns whether a reading that arrives at `now` can't be one of the same clock. The owner's clock may be
+    /// the slower one, by as much as a runner's.
+    fn is_of_another_clock(self, clock: Millis, now: Millis) -> bool {
+        let elapsed = now.saturating_sub(self.at);
+        let earliest = self.clock + shortest_duration(elapsed);
+        let latest = self.clock + longest_duration(elapsed);
+        clock + MAX_RESPONSE_DELAY < earliest || clock > latest + MAX_RESPONSE_DELAY
+    }
+}
+
 /// Returns for how long a lease that is granted now can last at most, even if the runner's clock is
 /// slow.
 pub(in crate::engine) fn longest_remaining_lease(cfg: &Settings) -> Millis {
@@ -37,14 +53,20 @@
 
 impl Runner {
     /// Records a reading of the runner's clock in the answer to an order. It doesn't tell the incarnation,
-    /// but a clock that went back is that of another one.
+    /// but a clock that went back, or went ahead faster than the owner's, is that of another one.
     pub(in crate::engine) fn record_clock(&mut self, clock: Millis, now: Millis) {
-        match self.reading {
-            Some(reading) if clock + MAX_RESPONSE_DELAY < reading.clock => {
-                self.shows_restart = true;
-            }
-            Some(reading) if clock < reading.clock => {}
-            _ => self.reading = Some(ClockReading { clock, at: now }),
+        let is_of_another = |reading: ClockReading| reading.is_of_another_clock(clock, now);
+        if self.reading.is_some_and(is_of_another) {
+            self.shows_restart = true;
+        } else {
+            self.update_reading(clock, now);
+        }
+    }
+
+    /// Updates the reading of the clock, unless a later response has overtaken this one.
+    pub(in crate::engine) fn update_reading(&mut self, clock: Millis, now: Millis) {
+        if self.reading.is_none_or(|reading| clock >= reading.clock) {
+            self.reading = Some(ClockReading { clock, at: now });
         }
     }
 
@@ -96,8 +118,7 @@
         let Some(reading) = self.reading else {
             return false;
         };
-        let elapsed = now.saturating_sub(reading.at);
-        let elapsed = Millis(elapsed.saturating_mul(MIN_CLOCK_RATE_PERMILLE).0 / 1_000);
+        let elapsed = shortest_duration(now.saturating_sub(reading.at));
         reading.clock + elapsed > self.latest_deadline + cfg.lease_margin
     }
 }
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -390,6 +390,31 @@
     assert!((10_000..11_200).contains(&after), "{after} ms");
 }
 
+/// Guards against work for an incarnation that nobody has heard: its clock starts anew, lower or higher than
+/// that of the one before.
+#[test]
+fn answer_by_another_clock_shows_a_restart() {
+    // Difference of the clock from the one expected, in ms, and whether the runner gets more work.
+    let table = [
+        (-9_000, false),
+        (-1_000, true),
+        (0, true),
+        (1_000, true),
+        (9_000, false),
+    ];
+    for (difference, gets_work) in table {
+        let mut cell = Cell::with_start(false);
+        cell.advance(300);
+        let now = Millis(cell.now);
+        let clock = Millis(cell.now.saturating_add_signed(difference));
+        let started = StartOutcome::Started(clock);
+        cell.engine
+            .record_start_outcome(now, RunnerIx(0), task(), 1, started);
+        let call = cell.engine.next_inventory_call(RunnerIx(0), now);
+        assert_eq!(call.deadline.is_some(), gets_work, "{difference} ms");
+    }
+}
+
 /// Guards against a task that starts again although its runner, whose end was presumed while the host list lacked
 /// it, answers with the end of the run.
 #[test]
