Let a task wait for the incarnation of its silent runner that nobody has heard

Cause: a runner restarts under its id and is cut off before the owner hears it. What was sent to it meanwhile, or is carried out up to 12 s later, is executed by the next incarnation, and each such call grants all its runs the longest lease, by a deadline on another clock. The owner took these runs for lost with the lease of the incarnation that it knew, or, where something showed the restart, 10.6 s after each run's own order. So the run was at work still, or had ended and stayed in the runner's list, whose lease a late order for another task kept alive; the owner started the task again, heard the end afterwards and acknowledged it. Class: what one incarnation was told, or did unseen, is taken for what holds now.

Change: one rule (`runner/delivery.rs`), asked before runs of a silent runner are given up, in place of the one for known restarts. A run that the known incarnation has not shown, by an inventory or by its clock in the answer to its only order, is over once the longest lease has passed since the latest call with a deadline, counted from 12 s after the latest one without an answer while the host list has the runner.

Cost: a task whose start got no answer from a runner that then stays silent waits for up to 22.6 s, or 10.6 s once the host list lacks the runner, instead of 6.5 s, unless the runner is heard. Tasks whose start was answered or listed wait as before. `task_waits_for_the_next_incarnation_only_if_that_may_have_its_run` holds the short waits where nothing is in doubt.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -275,11 +275,7 @@
             return;
         }
         let runner = &self.runners[runner_ix.0];
-        let kept = if runner.may_inherit_lease() {
-            runner.runs_with_inherited_lease(&self.cfg, now)
-        } else {
-            Vec::new()
-        };
+        let kept = runner.runs_beyond_lease(&self.cfg, now);
         if runner.runs.len() > kept.len() {
             let id = runner.entry.id.clone();
             self.events
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -94,6 +94,10 @@
         let deadline = is_answering
             .then(|| runner.extend_lease(&self.cfg, now))
             .flatten();
+        if deadline.is_some() {
+            runner.record_grant(now);
+            runner.pending_grant = Some(now);
+        }
         InventoryCall {
             sequence,
             deadline,
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -41,12 +41,15 @@
         }
         // Ticks are frequent, and no time precedes the order itself.
         let latest_tick = self.last_tick;
-        let placed = self.runners[runner_ix.0].runs.get_mut(&(task, run));
-        placed.is_some_and(|placed| {
-            let sent_at = latest_tick.unwrap_or_default().max(placed.known_since);
-            placed.delivery.record_attempt(sent_at);
-            true
-        })
+        let runner = &mut self.runners[runner_ix.0];
+        let Some(placed) = runner.runs.get_mut(&(task, run)) else {
+            return false;
+        };
+        let sent_at = latest_tick.unwrap_or_default().max(placed.known_since);
+        let unanswered = placed.delivery.record_attempt(sent_at);
+        runner.record_grant(sent_at);
+        runner.record_doubted_grant(unanswered);
+        true
     }
 
     fn is_start_wanted(&self, runner_ix: RunnerIx, task: TaskId, run: u32) -> bool {
@@ -83,10 +86,11 @@
             StartOutcome::Started(clock) => {
                 let runner = &mut self.runners[runner_ix.0];
                 let may_have_restarted = runner.may_inherit_lease();
+                let is_by_known = runner.is_own_clock(clock, now);
                 runner.record_clock(clock, now);
                 if let Some(placed) = runner.runs.get_mut(&(task, run)) {
                     placed.settled_sequence = Some(sequence);
-                    placed.delivery.record_answer();
+                    placed.delivery.record_answer(is_by_known);
                 }
                 self.record_suspected_restart(runner_ix, may_have_restarted);
                 self.mark_running(runner_ix, task, run, now);
@@ -104,7 +108,8 @@
     fn handle_doubt(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32, now: Millis) {
         let runner = &mut self.runners[runner_ix.0];
         runner.health.pause_for(now, NO_CAPACITY_PAUSE);
-        let placed = runner.runs.get(&(task, run));
+        let placed = runner.runs.get(&(task, run)).copied();
+        runner.record_doubted_grant(placed.and_then(|placed| placed.delivery.latest_attempt()));
         if placed.is_some_and(|placed| placed.delivery.is_shown()) {
             return;
         }
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -3,6 +3,7 @@
 //! A run's resources stay reserved from the order to start it until its end is reported or it is
 //! proven that the run neither exists on the runner nor can start there.
 
+mod delivery;
 mod lease;
 mod room;
 #[cfg(test)]
@@ -13,7 +14,6 @@
 
 use self::lease::ClockReading;
 use super::{
-    Settings,
     evidence::Isolation,
     health::Health,
     quota::Charge,
@@ -23,7 +23,10 @@
 };
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
-pub(super) use self::lease::{longest_inherited_lease, longest_remaining_lease};
+pub(super) use self::{
+    delivery::Delivery,
+    lease::{longest_inherited_lease, longest_remaining_lease},
+};
 
 /// Index of a runner incarnation; never reused for another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -36,55 +39,6 @@
 /// Number of recent crashes from which a runner keeps crashing.
 const MIN_RUNNER_CRASHES: u32 = 2;
 
-/// What is known of the delivery of the order that starts a run.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Delivery {
-    /// Number of times that the order was sent.
-    attempts: u32,
-    /// Time of the latest of them.
-    latest_attempt: Option<Millis>,
-    /// Whether the runner answered that the run is there.
-    is_answered: bool,
-    /// Whether an inventory of the runner listed the run.
-    is_listed: bool,
-}
-
-impl Delivery {
-    /// Records that the order is sent once more.
-    pub(super) fn record_attempt(&mut self, now: Millis) {
-        self.attempts = self.attempts.saturating_add(1);
-        self.latest_attempt = Some(now);
-    }
-
-    /// Records that the runner answered the order.
-    pub(super) fn record_answer(&mut self) {
-        self.is_answered = true;
-    }
-
-    /// Records that an inventory lists the run.
-    pub(super) fn record_listing(&mut self) {
-        self.is_listed = true;
-    }
-
-    /// Returns whether the runner has shown that it received the order.
-    pub(super) fn is_shown(self) -> bool {
-        self.is_answered || self.is_listed
-    }
-
-    /// Returns whether the order was sent and nothing shows that the runner received it.
-    pub(super) fn is_in_doubt(self) -> bool {
-        self.attempts > 0 && !self.is_shown()
-    }
-
-    /// Returns whether the next incarnation under the runner's id may have received the order. An order
-    /// names the id alone, so that only an inventory tells which incarnation executed it, and an attempt
-    /// without an answer may arrive later.
-    fn may_reach_successor(self) -> bool {
-        let is_settled = self.attempts == 1 && self.is_answered && self.is_listed;
-        self.attempts > 0 && !is_settled
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlacedRun {
     /// Resources reserved for the run; `None` if unknown.
@@ -219,6 +173,14 @@
     pub(super) health: Health,
     reading: Option<ClockReading>,
     latest_deadline: Millis,
+    /// Time of the latest inventory.
+    heard_at: Option<Millis>,
+    /// Time of the latest call that was sent with a deadline. It grants the next incarnation the longest lease.
+    latest_grant: Option<Millis>,
+    /// The same of the calls that got no answer.
+    latest_doubted_grant: Option<Millis>,
+    /// Time of the inventory call in flight if it has a deadline.
+    pub(super) pending_grant: Option<Millis>,
 }
 
 impl Runner {
@@ -261,6 +223,10 @@
             health: Health::default(),
             reading: None,
             latest_deadline: Millis::ZERO,
+            heard_at: None,
+            latest_grant: None,
+            latest_doubted_grant: None,
+            pending_grant: None,
         }
     }
 
@@ -299,32 +265,6 @@
         started_unix_ms != 0 && known != 0 && started_unix_ms != known
     }
 
-    /// Returns the runs that the next incarnation under the runner's id may have, in order.
-    pub(super) fn runs_for_successor(&self) -> Vec<(TaskId, u32)> {
-        let in_doubt = self
-            .runs
-            .iter()
-            .filter(|(_, placed)| placed.delivery.may_reach_successor());
-        let mut keys: Vec<(TaskId, u32)> = in_doubt.map(|(key, _)| *key).collect();
-        keys.sort_unstable();
-        keys
-    }
-
-    /// Returns those of them that may have a lease of the next incarnation. Deadlines on the clock of this one
-    /// grant it the longest lease, whenever this one's ends.
-    pub(super) fn runs_with_inherited_lease(
-        &self,
-        cfg: &Settings,
-        now: Millis,
-    ) -> Vec<(TaskId, u32)> {
-        let mut keys = self.runs_for_successor();
-        keys.retain(|key| {
-            let sent_at = self.runs[key].delivery.latest_attempt;
-            sent_at.is_some_and(|at| now < at + longest_inherited_lease(cfg))
-        });
-        keys
-    }
-
     /// Returns the tasks that may be on the runner, in order.
     pub(super) fn tasks(&self) -> Vec<TaskId> {
         let mut tasks: Vec<TaskId> = self.runs.keys().map(|(task, _)| *task).collect();
@@ -435,11 +375,15 @@
     pub(super) fn record_miss(&mut self, now: Millis) {
         self.missed_responses += 1;
         self.silent_since.get_or_insert(now);
+        let pending = self.pending_grant.take();
+        self.record_doubted_grant(pending);
     }
 
     /// Records the answer to an inventory call, with a reading of the runner's clock.
     pub(super) fn record_response(&mut self, clock: Millis, now: Millis) {
         self.update_reading(clock, now);
+        self.heard_at = Some(now);
+        self.pending_grant = None;
         self.shows_restart = false;
         self.missed_responses = 0;
         self.silent_since = None;
--- a/crates/jobs/src/engine/runner/lease.rs
+++ b/crates/jobs/src/engine/runner/lease.rs
@@ -63,6 +63,17 @@
         }
     }
 
+    /// Returns whether a reading is one of the known incarnation's clock. The clock of a later one is lower, if it
+    /// began at zero after the latest inventory, or a coincidence is unlikely.
+    pub(in crate::engine) fn is_own_clock(&self, clock: Millis, now: Millis) -> bool {
+        let Some(reading) = self.reading else {
+            return false;
+        };
+        let unheard = now.saturating_sub(self.heard_at.unwrap_or_default());
+        let is_too_high = clock > longest_duration(unheard) + MAX_RESPONSE_DELAY;
+        is_too_high && !reading.is_of_another_clock(clock, now)
+    }
+
     /// Updates the reading of the clock, unless a later response has overtaken this one.
     pub(in crate::engine) fn update_reading(&mut self, clock: Millis, now: Millis) {
         if self.reading.is_none_or(|reading| clock >= reading.clock) {
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -243,6 +243,7 @@
             mut placed,
         } = inherited;
         placed.settled_sequence = None;
+        placed.delivery.forget_incarnation();
         placed.speed.forget();
         self.add_run(to, task, run, placed);
         let job = self.jobs.get_mut(&task.step.job);
