--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -254,7 +254,8 @@
 /// Returns an entry of a runner at an address.
 fn entry_at(addr: &str) -> String {
     format!(
-        r#"{{"Service":"s","Addr":"{addr}","Zone":"a","State":"ready","Capacity":{{"Cpu":1000,"MemMb":1000}},"Labels":["a"],"born":1}}"#
+        r#"{{"Service":"s","Addr":"{addr}","Zone":"a","Version":"v1","Slots":8,"State":"ready","ColdRemainingMs":0,
+        "Capacity":{{"Cpu":1000,"MemMb":1000,"Gpus":0}},"Labels":["a"],"Seq":1,"born":1}}"#
     )
 }
 
@@ -272,6 +273,9 @@
         entry_at("127.0.0.1:1")
             .replace("ready", "asleep")
             .into_bytes(),
+        entry_at("127.0.0.1:1")
+            .replace("\"Version\":\"v1\",", "")
+            .into_bytes(),
         b"\xff".to_vec(),
     ]
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -35,6 +35,7 @@
         Platform::odd_entry("State", json!("asleep")),
         Platform::odd_entry("Service", json!("elsewhere")),
         Platform::odd_entry("Labels", json!(7)),
+        Platform::odd_entry("Version", json!(null)),
         vec![0xff, 0xfe],
     ]
 }
