Let no entry of the host list alone end a runner's incarnation

Seen: a runner was cut off for 5 s, and an entry of another writer named a later start at another address under its id. Cause: `apply_entry_of_other_address` and `upsert_runner` took the entry for proof, as the address of a silent runner can't confirm it. After a takeover not even a call was needed. Evidence: `entry_alone_ends_no_run_of_a_silent_runner` failed on: the task started elsewhere after 200 ms. Change: such an entry waits like one for the known address. While the runner is silent, the address of the entry is called in turn with its own (`next_call_elsewhere`), without a lease and without acknowledging ends. An answer there with the start time of the entry shows the restart: ids are unique. Any other answer there proves nothing, and the refusal of another runner drops the entry. An entry with an earlier start at another address is tried the same way if the known runner was never heard. `restart_elsewhere_is_believed_once_the_runner_does_not_answer` required the fault: that silence confirms the entry. Its replacement requires an answer of the other address and refuses six other outcomes. Cost: tasks of a runner that restarted elsewhere wait for one answer from there, or for the lease of the former incarnation if none comes (6.4 to 7.1 s in the test; longer for starts in doubt).

--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -6,7 +6,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use kspan_adapter::runner::{self, InventoryCall};
+use kspan_adapter::runner::{self, InventoryCall, RunnerClient};
 use kspan_jobs::{
     engine::RunnerIx,
     runner::{InventoryOutcome, MAX_CHECKPOINT_BYTES},
@@ -71,6 +71,9 @@
             let is_answered = self
                 .poll_inventory_once(runner_ix, &connection, missed)
                 .await;
+            if !is_answered {
+                self.call_elsewhere(runner_ix, &connection, missed).await;
+            }
             missed = if is_answered { 0 } else { missed + 1 };
         }
         self.runner_connections.borrow_mut().remove(&runner_ix);
@@ -96,8 +99,7 @@
         };
         let timeout = match missed {
             0 if next_call.expects_loss => SHORT_CALL_TIMEOUT,
-            0..MISSES_BEFORE_SLOW_TIMEOUT => CALL_TIMEOUT,
-            _ => SLOW_CALL_TIMEOUT,
+            _ => timeout_after(missed),
         };
         let fence = connection.next_fence(self.newest_fence());
         let response = runner::request_inventory(&connection.client, call, timeout + wait).await;
@@ -157,6 +159,54 @@
         is_answered
     }
 
+    /// Calls the address that the host list names for another incarnation of a runner that did not answer, if
+    /// there is one.
+    async fn call_elsewhere(
+        self: &Rc<Self>,
+        runner_ix: RunnerIx,
+        connection: &RunnerConnection,
+        missed: u32,
+    ) {
+        let next_call = self.engine.borrow_mut().next_call_elsewhere(runner_ix);
+        let Some(next_call) = next_call.filter(|_| self.may_send_orders()) else {
+            return;
+        };
+        let fence = connection.next_fence(self.newest_fence());
+        let client = RunnerClient {
+            addr: next_call.addr.clone(),
+            ..connection.client.clone()
+        };
+        let call = InventoryCall {
+            deadline: None,
+            ack: 0,
+            wait: Duration::ZERO,
+        };
+        let response = runner::request_inventory(&client, call, timeout_after(missed)).await;
+        if !self.is_active.get() {
+            return;
+        }
+        let outcome = response.unwrap_or(InventoryOutcome::NoResponse);
+        if outcome == InventoryOutcome::NoResponse {
+            connection.record_doubt(fence);
+        }
+        let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
+        let successor = self
+            .engine
+            .borrow_mut()
+            .record_call_elsewhere(now, unix_ms, runner_ix, &next_call, &outcome);
+        let (id, addr) = (&client.id, &client.addr);
+        if let Some(successor_ix) = successor {
+            tracing::info!(%id, %addr, "runner has restarted at another address");
+            let former_fence = connection.client.fence.get();
+            let owner = Rc::clone(self);
+            ntex::rt::spawn(owner.start_successor_calls(successor_ix, former_fence));
+            self.state_changed.notify_one();
+        } else if self.node.log_limit.allows("elsewhere", now) {
+            let outcome = outcome_name(&outcome);
+            tracing::warn!(%id, %addr, outcome, "restart at another address not confirmed");
+        }
+    }
+
     fn log_unusable_checkpoints(&self, outcome: &InventoryOutcome, runner: &Name) {
         let InventoryOutcome::Inventory(inventory) = outcome else {
             return;
@@ -184,6 +234,15 @@
     }
 }
 
+/// Returns the timeout of a call after `missed` calls in a row without an answer.
+fn timeout_after(missed: u32) -> Duration {
+    if missed < MISSES_BEFORE_SLOW_TIMEOUT {
+        CALL_TIMEOUT
+    } else {
+        SLOW_CALL_TIMEOUT
+    }
+}
+
 fn outcome_name(outcome: &InventoryOutcome) -> &'static str {
     match outcome {
         InventoryOutcome::Inventory(_) => "answered",
--- a/crates/cell/src/owner/runners/tests.rs
+++ b/crates/cell/src/owner/runners/tests.rs
@@ -137,3 +137,36 @@
     connection.record_doubt(first);
     assert_eq!(connection.next_fence(newest + 5), newest);
 }
+
+/// Guards against a runner that restarted at another address and is not called there, because its own address
+/// can't confirm it, and against work for it before it has answered for itself.
+#[ntex::test]
+async fn incarnation_at_another_address_answers_for_itself() {
+    let owner = crate::owner::tests::owner("127.0.0.1:1").await;
+    let moved = RunnerEntry {
+        started_unix_ms: 2,
+        ..start_runner_with(Duration::ZERO, |_| 2).await
+    };
+    let gone = RunnerEntry {
+        addr: Name::new("127.0.0.1:1"),
+        started_unix_ms: 1,
+        ..moved.clone()
+    };
+    let now = owner.now();
+    let runner_ix = owner.engine.borrow_mut().upsert_runner(now, gone);
+    let runner_ix = runner_ix.expect("a new runner");
+    owner.start_inventory_calls(runner_ix).await;
+    assert_eq!(owner.engine.borrow_mut().upsert_runner(now, moved), None);
+    assert!(!owner.engine.borrow().is_dead(runner_ix));
+    let started_at = Instant::now();
+    while !owner.engine.borrow().is_dead(runner_ix) {
+        assert!(started_at.elapsed() < Duration::from_secs(5));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    owner.claims_end.set(owner.newest_fence() + 3);
+    while owner.totals().runners == 0 {
+        assert!(started_at.elapsed() < Duration::from_secs(10));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    owner.step_down("test");
+}
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -51,13 +51,16 @@
                 }
                 return None;
             }
-            if restarted && entry.started_unix_ms < known.entry.started_unix_ms {
+            // The entry by which a runner became known may be one of another writer that names a later
+            // start than the runner's own. It is trusted no more than any other until it is answered for.
+            let may_be_false = !known.dead && !known.has_answered && entry.addr != known.entry.addr;
+            let is_earlier = entry.started_unix_ms < known.entry.started_unix_ms;
+            if restarted && is_earlier && !may_be_false {
                 return None;
             }
-            let is_answering = known.has_answered && known.missed_responses == 0;
-            if restarted && !known.dead && (entry.addr == known.entry.addr || is_answering) {
-                // The runner's own answer shows whether it has restarted. Until then its tasks may be
-                // running there.
+            if restarted && !known.dead {
+                // Any writer can name a later start, also while the runner is only cut off and its tasks go
+                // on. An answer alone shows whether it has restarted, from its address or the other one.
                 let may_have_restarted = known.may_inherit_lease();
                 known.unconfirmed_entry = Some(entry);
                 self.record_suspected_restart(runner_ix, may_have_restarted);
@@ -69,7 +72,6 @@
             }
             if restarted {
                 follows_another = true;
-                self.mark_dead(runner_ix, now);
             } else {
                 self.forget_incarnation(runner_ix);
             }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -137,13 +137,20 @@
                 self.apply_inventory(now, unix_ms, runner_ix, sequence, inventory);
             }
             InventoryOutcome::Fenced => self.fenced = true,
-            InventoryOutcome::OtherIncarnation => self.mark_dead(runner_ix, now),
+            InventoryOutcome::OtherIncarnation => {
+                let runner = &mut self.runners[runner_ix.0];
+                let addr = &runner.entry.addr;
+                let elsewhere = runner
+                    .unconfirmed_entry
+                    .take_if(|entry| entry.addr != *addr);
+                self.mark_dead(runner_ix, now);
+                return elsewhere.and_then(|entry| self.upsert_runner(now, entry));
+            }
             InventoryOutcome::NoResponse => {
                 self.runners[runner_ix.0].record_miss(now);
                 self.last_lost_response = Some(now);
                 self.record_silence(runner_ix, now);
                 self.record_task_list(runner_ix);
-                return self.apply_entry_of_other_address(runner_ix, now);
             }
         }
         None
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -85,6 +85,7 @@
     runner::RunnerIx,
     share::TeamUsage,
     submit::{CancelOutcome, Submission, SubmitError, Submitted},
+    successor::CallElsewhere,
     throttle::ThrottleOrder,
 };
 
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -8,6 +8,10 @@
 //! shows the restart is also the first one of the new incarnation: a run that it lists goes on, and one
 //! that it does not list is stopped, after which the runner refuses its start.
 //!
+//! An entry of the host list that names a later start proves nothing, as any writer can leave one. At the
+//! runner's address its own answer decides. If the entry names another address and the runner is silent, both
+//! addresses are called, and the answer of an incarnation that names that start itself decides.
+//!
 //! The caller addresses the new incarnation with a higher fencing token than the one before. Once it has
 //! answered such a call, it refuses all orders for the one before, however late they arrive.
 
@@ -17,9 +21,27 @@
 use crate::{
     id::TaskId,
     record::{self, Record, RecordKey},
-    runner::{Inventory, RunnerEntry},
+    runner::{Inventory, InventoryOutcome, RunnerEntry},
 };
 
+/// A call to the address that the host list names for another incarnation of a runner. It extends no lease and
+/// acknowledges no ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallElsewhere {
+    /// Sequence number of the call.
+    pub sequence: u64,
+    /// Address to call.
+    pub addr: Name,
+    /// Start time of the incarnation that is to answer.
+    started_unix_ms: u64,
+}
+
+impl CallElsewhere {
+    fn is_for(&self, entry: &RunnerEntry) -> bool {
+        (&self.addr, self.started_unix_ms) == (&entry.addr, entry.started_unix_ms)
+    }
+}
+
 impl Engine {
     /// Replaces an incarnation by the one whose inventory this is, and applies the inventory to it.
     /// Returns its index.
@@ -88,19 +110,57 @@
         successor_ix
     }
 
-    /// Applies an entry that names a later incarnation at another address, now that the runner does not
-    /// answer: no answer from its address could confirm it. Returns the index of that incarnation.
-    pub(super) fn apply_entry_of_other_address(
+    /// Returns the next call to the address that the host list names for another incarnation of a silent
+    /// runner, whose own address can't confirm it; `None` if the runner answers or there is no such address.
+    pub fn next_call_elsewhere(&mut self, runner_ix: RunnerIx) -> Option<CallElsewhere> {
+        let runner = &self.runners[runner_ix.0];
+        if runner.dead || runner.missed_responses == 0 {
+            return None;
+        }
+        let entry = runner.unconfirmed_entry.as_ref();
+        let elsewhere = entry.filter(|entry| entry.addr != runner.entry.addr)?;
+        let (addr, started_unix_ms) = (elsewhere.addr.clone(), elsewhere.started_unix_ms);
+        Some(CallElsewhere {
+            sequence: self.next_sequence(),
+            addr,
+            started_unix_ms,
+        })
+    }
+
+    /// Records the outcome of a call to the address of another incarnation. Returns the index of that
+    /// incarnation if it answered for itself: ids are unique, so that the one before has ended. Without such
+    /// an answer the silent runner may be cut off, and its runs stay until its lease has expired.
+    pub fn record_call_elsewhere(
         &mut self,
-        runner_ix: RunnerIx,
         now: Millis,
+        unix_ms: u64,
+        runner_ix: RunnerIx,
+        call: &CallElsewhere,
+        outcome: &InventoryOutcome,
     ) -> Option<RunnerIx> {
         let runner = &mut self.runners[runner_ix.0];
-        let addr = &runner.entry.addr;
-        let elsewhere = runner
-            .unconfirmed_entry
-            .take_if(|entry| entry.addr != *addr)?;
-        self.upsert_runner(now, elsewhere)
+        let entry = runner.unconfirmed_entry.as_ref();
+        let is_current = entry.is_some_and(|entry| call.is_for(entry));
+        if runner.dead || !is_current {
+            return None;
+        }
+        match outcome {
+            InventoryOutcome::Inventory(inventory)
+                if inventory.started_unix_ms == call.started_unix_ms =>
+            {
+                return self.replace_incarnation(now, unix_ms, runner_ix, call.sequence, inventory);
+            }
+            InventoryOutcome::OtherIncarnation => {
+                let may_have_restarted = runner.may_inherit_lease();
+                runner.unconfirmed_entry = None;
+                self.record_suspected_restart(runner_ix, may_have_restarted);
+            }
+            // A refusal for the fence may come from any other process at a false address.
+            InventoryOutcome::Inventory(_)
+            | InventoryOutcome::Fenced
+            | InventoryOutcome::NoResponse => {}
+        }
+        None
     }
 
     /// Returns the record of a runner's restart to be written now, or deleted; `None` if there is nothing to
--- a/crates/jobs/tests/host_list.rs
+++ b/crates/jobs/tests/host_list.rs
@@ -5,7 +5,7 @@
 use kspan_jobs::{
     config::CellConfig,
     engine::{Event, RunnerIx},
-    runner::{InventoryOutcome, RunnerEntry},
+    runner::{Inventory, InventoryOutcome, RunnerEntry},
 };
 use kspan_model::{Millis, Name};
 use one_cell::*;
@@ -151,7 +151,7 @@
 /// Guards against a runner that is taken for restarted, and its tasks started elsewhere, because an entry of
 /// another writer names a later start at another address.
 #[test]
-fn restart_elsewhere_is_believed_once_the_runner_does_not_answer() {
+fn restart_elsewhere_is_believed_once_the_other_address_answers() {
     let moved = RunnerEntry {
         addr: Name::new("w9"),
         started_unix_ms: u64::MAX >> 12,
@@ -160,23 +160,91 @@
     let mut cell = cell_with_a_job();
     assert_eq!(cell.schedule_and_send(true), [0]);
     assert_eq!(upsert(&mut cell, moved.clone()), None);
+    assert_eq!(cell.engine.next_call_elsewhere(RunnerIx(0)), None);
     cell.report_running(0);
     assert_eq!(cell.engine.runner_of(task()), Some(RunnerIx(0)));
-    // The runner has refuted the entry; a loss of answers alone says nothing.
+    // The runner has refuted the entry.
     cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
-    assert_eq!(cell.engine.live_runners().count(), 1);
-    cell.report_running(0);
-    assert_eq!(upsert(&mut cell, moved), None);
-    let now = Millis(cell.now);
-    let call = cell.engine.next_inventory_call(RunnerIx(0), now);
-    let silent = InventoryOutcome::NoResponse;
-    let next = cell
-        .engine
-        .record_inventory(now, cell.now, RunnerIx(0), call.sequence, &silent);
+    assert_eq!(cell.engine.next_call_elsewhere(RunnerIx(0)), None);
+    let answer = |started_unix_ms| {
+        InventoryOutcome::Inventory(Inventory {
+            clock: Millis(30),
+            started_unix_ms,
+            ..Inventory::default()
+        })
+    };
+    assert_eq!(upsert(&mut cell, moved.clone()), None);
+    // Nothing but an answer of the incarnation itself shows that the one before has ended.
+    for outcome in [
+        InventoryOutcome::NoResponse,
+        InventoryOutcome::Fenced,
+        answer(0),
+        answer(1),
+        answer(5),
+        InventoryOutcome::OtherIncarnation,
+    ] {
+        assert_eq!(complete_call_elsewhere(&mut cell, &outcome), None);
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        assert!(!cell.engine.is_dead(RunnerIx(0)), "{outcome:?}");
+        assert!(!cell.engine.is_fenced(), "{outcome:?}");
+        assert_eq!(cell.engine.runner_of(task()), Some(RunnerIx(0)));
+    }
+    // Another runner answered at the address.
+    assert_eq!(cell.engine.next_call_elsewhere(RunnerIx(0)), None);
+    assert_eq!(upsert(&mut cell, moved.clone()), None);
+    let next = complete_call_elsewhere(&mut cell, &answer(moved.started_unix_ms));
     assert_eq!(next, Some(RunnerIx(1)));
+    assert_eq!(*cell.engine.runner(RunnerIx(1)), moved);
     let events = cell.engine.take_events();
     let crashed = events
         .iter()
         .any(|event| matches!(event, Event::RunnerCrashed { .. }));
     assert!(crashed && cell.engine.is_dead(RunnerIx(0)));
 }
+
+/// Guards against the same at a takeover: the recorded runner has not answered the new owner yet.
+#[test]
+fn entry_alone_does_not_replace_a_recorded_runner() {
+    let mut cell = cell_with_a_job();
+    cell.recover();
+    let moved = RunnerEntry {
+        addr: Name::new("w9"),
+        started_unix_ms: 7,
+        ..entry("w0")
+    };
+    assert_eq!(upsert(&mut cell, moved), None);
+    assert!(!cell.engine.is_dead(RunnerIx(0)));
+    cell.report_ends(0, Vec::new());
+    assert_eq!(*cell.engine.runner(RunnerIx(0)), entry("w0"));
+}
+
+/// Guards against a runner that is never called because the first entry under its id was one of another
+/// writer, with a later start than its own.
+#[test]
+fn runner_whose_first_entry_was_false_is_called_at_its_own_address() {
+    let false_entry = RunnerEntry {
+        addr: Name::new("w9"),
+        started_unix_ms: 7,
+        ..entry("w0")
+    };
+    let mut cell = Cell::with_runners(config_with_services(1, &["s"]), [false_entry]);
+    cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+    assert_eq!(upsert(&mut cell, entry("w0")), None);
+    let own_answer = InventoryOutcome::Inventory(Inventory {
+        clock: Millis(cell.now),
+        started_unix_ms: 1,
+        ..Inventory::default()
+    });
+    let next = complete_call_elsewhere(&mut cell, &own_answer);
+    assert_eq!(next, Some(RunnerIx(1)));
+    assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
+}
+
+/// Completes the next call to the address that an entry names for another incarnation of the first runner.
+fn complete_call_elsewhere(cell: &mut Cell, outcome: &InventoryOutcome) -> Option<RunnerIx> {
+    let call = cell.engine.next_call_elsewhere(RunnerIx(0));
+    let call = call.expect("a call to the other address");
+    let now = Millis(cell.now);
+    cell.engine
+        .record_call_elsewhere(now, cell.now, RunnerIx(0), &call, outcome)
+}
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -387,3 +387,48 @@
     let after = start.expect("the task starts");
     assert!((10_000..11_200).contains(&after), "{after} ms");
 }
+
+/// Guards against a task that runs twice because an entry of another writer names a later start at another
+/// address while its runner is cut off, and against a runner that such an entry hides for good.
+#[test]
+fn entry_alone_ends_no_run_of_a_silent_runner() {
+    let moved = RunnerEntry {
+        addr: Name::new("w9"),
+        started_unix_ms: 7,
+        ..entry("w0")
+    };
+    // Whether the entry comes before the first call without an answer, and whether the runner is heard again.
+    for (is_early, returns) in [(true, false), (false, false), (true, true), (false, true)] {
+        let mut cell = Cell::with_start(true);
+        cell.report_running(0);
+        cell.report_ends(1, Vec::new());
+        let now = Millis(cell.now);
+        if is_early {
+            cell.engine.upsert_runner(now, moved.clone());
+        }
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        if !is_early {
+            cell.engine.upsert_runner(now, moved.clone());
+        }
+        // The entry of the runner itself, which it writes all the while.
+        cell.engine.upsert_runner(now, entry("w0"));
+        let silent_for = if returns { 5_000 } else { 12_000 };
+        let start = (100..=silent_for).step_by(100).find(|_| {
+            cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+            cell.report_ends(1, Vec::new());
+            cell.advance(100);
+            cell.commit();
+            !cell.schedule().is_empty()
+        });
+        let what = format!("early {is_early}, returns {returns}: {start:?}");
+        if returns {
+            assert_eq!(start, None, "{what}");
+            cell.report_running(0);
+            assert!(!cell.engine.is_dead(RunnerIx(0)), "{what}");
+            assert_eq!(cell.engine.runner_of(task()), Some(RunnerIx(0)), "{what}");
+        } else {
+            let after = start.expect("the task starts");
+            assert!((6_400..7_100).contains(&after), "{what}");
+        }
+    }
+}
