Log which inventory listed the end of a run, and which call acknowledged it

Cause: `run ended` named neither incarnation nor call; acknowledgements, repeated ends and inventories that are ignored left no line, and a failed call did not say what it carried.

Change: no decision changes. `run ended` has the start time of the incarnation, the number of the end and the sequence of the call. One line for each call that acknowledges ends names them all; a failed call names what it would have acknowledged, and refused calls count as failed. Lines of their own kinds for ends listed after they were acknowledged, ends of runs that the owner no longer has there, ends in ignored inventories, and answers of another incarnation. `runs taken for lost` has the lease as the owner sees it, once for all runs of a runner. A number left out in a complete inventory is a warning and counts in `kspan_cell_ends_forgotten_total`.

The cost in processor time was not measured.

--- a/crates/cell/src/log_limit.rs
+++ b/crates/cell/src/log_limit.rs
@@ -7,7 +7,7 @@
 
 use crate::telemetry;
 
-/// Maximum number of lines of one kind per second.
+/// Maximum number of lines of one kind per second, unless the kind has its own.
 const MAX_LINES_PER_SECOND: u32 = 150;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,6 +27,11 @@
     /// Returns whether a line may be logged, and counts it. The first call after a window that
     /// suppressed lines logs and records their number.
     pub(crate) fn allows(&self, kind: &'static str, now: Millis) -> bool {
+        self.allows_up_to(MAX_LINES_PER_SECOND, kind, now)
+    }
+
+    /// Does the same for a kind with a maximum number of lines per second of its own.
+    pub(crate) fn allows_up_to(&self, max_lines: u32, kind: &'static str, now: Millis) -> bool {
         let mut windows = self.windows.borrow_mut();
         let window = windows.entry(kind).or_default();
         let second = now.0 / 1_000;
@@ -44,7 +49,7 @@
                 ..Window::default()
             };
         }
-        if window.lines >= MAX_LINES_PER_SECOND {
+        if window.lines >= max_lines {
             window.suppressed += 1;
             return false;
         }
--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -4,12 +4,12 @@
 mod tests;
 
 use kspan_jobs::{
-    engine::{Event, FailureCause, RunEnd, WaitEnd},
+    engine::{Event, FailureCause, ListingKind, RunEnd, WaitEnd},
     id::JobId,
     runner::EndKind,
 };
 
-use super::Owner;
+use super::{Owner, end_log::log_end_event};
 use crate::telemetry;
 
 impl Owner {
@@ -36,6 +36,9 @@
         } => telemetry::record_rack_wait_end(wait_end_name(*how), *predicted, *waited),
         Event::StartFailed { why, .. } => telemetry::record_not_started(why),
         Event::RunEnded { how, .. } => record_run_end(*how),
+        Event::EndsForgotten {
+            expected, listed, ..
+        } => telemetry::record_forgotten_ends(listed.saturating_sub(*expected)),
         Event::RunnerCrashed { .. } => telemetry::record_runner_crash(),
         Event::RunnerAnswered { silent, .. } => telemetry::record_runner_silence(*silent),
         Event::ThrottleChanged { budget, .. } => telemetry::record_throttle_change(*budget),
@@ -45,7 +48,9 @@
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
         Event::GangOrdered { .. } => telemetry::record_gang_start(),
         Event::GangStopped { why, .. } => telemetry::record_gang_stop(*why),
-        Event::RunAdopted { .. }
+        Event::EndsListed { .. }
+        | Event::RunsLost { .. }
+        | Event::RunAdopted { .. }
         | Event::OrphanRunFound { .. }
         | Event::RunStalled { .. }
         | Event::CapChanged { .. }
@@ -68,7 +73,7 @@
     }
 }
 
-fn end_kind_name(how: EndKind) -> &'static str {
+pub(super) fn end_kind_name(how: EndKind) -> &'static str {
     match how {
         EndKind::Done => "done",
         EndKind::Failed => "failed",
@@ -95,6 +100,13 @@
         Event::StartFailed { .. } => "not started",
         // Rare ends have kinds of their own, so that frequent ones don't suppress their lines.
         Event::RunEnded { how, .. } => run_end_name(*how),
+        Event::EndsListed { kind, .. } => match kind {
+            ListingKind::Again => "listed again",
+            ListingKind::Late => "listed late",
+            ListingKind::Ignored => "listing ignored",
+        },
+        Event::EndsForgotten { .. } => "ends forgotten",
+        Event::RunsLost { .. } => "lost",
         Event::RunnerCrashed { .. } => "crash",
         Event::CrashCounted { .. } => "crash counted",
         Event::RunAdopted {
@@ -158,13 +170,20 @@
             run,
             runner,
             how,
+            started_unix_ms,
+            listing,
             elapsed,
         } => {
+            let number = listing.map(|listing| listing.number);
+            let sequence = listing.map(|listing| listing.sequence);
             let why = match how {
                 RunEnd::Reported(_) => None,
                 RunEnd::Lost(reason) => Some(tracing::field::display(reason)),
             };
-            tracing::info!(%task, run, runner = %runner, how = run_end_name(*how), why, after_ms = elapsed.0, "run ended");
+            tracing::info!(%task, run, runner = %runner, how = run_end_name(*how), why, after_ms = elapsed.0, started_unix_ms, number, sequence, "run ended");
+        }
+        Event::EndsListed { .. } | Event::EndsForgotten { .. } | Event::RunsLost { .. } => {
+            log_end_event(event);
         }
         Event::RunAdopted {
             task, run, runner, ..
--- a/crates/cell/src/owner/event_log/tests.rs
+++ b/crates/cell/src/owner/event_log/tests.rs
@@ -1,5 +1,5 @@
 use kspan_jobs::{
-    engine::{Event, RunEnd},
+    engine::{Event, ListingKind, RunEnd},
     id::{JobId, StepId},
     runner::EndKind,
 };
@@ -18,6 +18,8 @@
         run: 1,
         runner: Name::new("w0"),
         how: RunEnd::Reported(how),
+        started_unix_ms: 0,
+        listing: None,
         elapsed: Millis(1),
     }
 }
@@ -38,3 +40,20 @@
         }
     }
 }
+
+/// Guards against lines of late and dropped ends that those of repeated ones suppress.
+#[test]
+fn unusual_listings_have_kinds_of_their_own() {
+    let listed = |kind| Event::EndsListed {
+        kind,
+        runner: Name::new("w0"),
+        meant_unix_ms: 0,
+        started_unix_ms: 0,
+        sequence: 1,
+        acknowledged_number: 0,
+        ends: Vec::new(),
+    };
+    let [again, late, ignored] = [ListingKind::Again, ListingKind::Late, ListingKind::Ignored]
+        .map(|kind| event_kind(&listed(kind)));
+    assert!(again != late && late != ignored && again != ignored);
+}
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod access;
 mod calls;
 mod commit;
+mod end_log;
 mod event_log;
 mod hand_over;
 mod heartbeat;
--- a/crates/cell/src/owner/runners.rs
+++ b/crates/cell/src/owner/runners.rs
@@ -100,16 +100,30 @@
             _ => SLOW_CALL_TIMEOUT,
         };
         let fence = connection.next_fence(self.newest_fence());
+        let call_log = self.log_inventory_call(runner_ix, &next_call, fence);
         let response = runner::request_inventory(&connection.client, call, timeout + wait).await;
         if !self.is_active.get() {
+            if let Ok(InventoryOutcome::Inventory(inventory)) = &response {
+                self.log_answer_after_ownership(&call_log, inventory);
+            }
             return false;
         }
         let outcome = response.unwrap_or_else(|err| {
-            if self.node.log_limit.allows("hold", self.now()) {
-                tracing::warn!(runner = %connection.client.id, %err, "inventory call failed");
-            }
+            self.log_failed_inventory(&call_log, &err);
             InventoryOutcome::NoResponse
         });
+        match &outcome {
+            InventoryOutcome::Inventory(inventory) => {
+                self.log_other_incarnation(&call_log, inventory);
+            }
+            InventoryOutcome::Fenced => {
+                self.log_failed_inventory(&call_log, &"refused for its fencing token");
+            }
+            InventoryOutcome::OtherIncarnation => {
+                self.log_failed_inventory(&call_log, &"refused by another incarnation");
+            }
+            InventoryOutcome::NoResponse => {}
+        }
         let is_overtaken = outcome == InventoryOutcome::Fenced && connection.is_overtaken(fence);
         let outcome = if is_overtaken {
             InventoryOutcome::NoResponse
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -78,6 +78,11 @@
     counter!("kspan_cell_runs_lost_total", "why" => why.to_string()).increment(1);
 }
 
+/// Records a number of ends that a runner left out before the owner had seen them.
+pub(crate) fn record_forgotten_ends(ends: u64) {
+    counter!("kspan_cell_ends_forgotten_total").increment(ends);
+}
+
 /// Records a runner that ended without having drained.
 pub(crate) fn record_runner_crash() {
     counter!("kspan_cell_runner_crashes_total").increment(1);
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -6,6 +6,7 @@
 use super::{
     Engine, Event, FailureCause, RunnerIx,
     crash::incarnation_hash,
+    end_log::EndListing,
     job::{MAX_RUN, TaskState},
     overrun::Ratio,
     runner::PlacedRun,
@@ -64,6 +65,7 @@
         &mut self,
         runner_ix: RunnerIx,
         end: &EndedTask,
+        listing: EndListing,
         now: Millis,
         unix_ms: u64,
     ) {
@@ -71,7 +73,7 @@
         let placed = self.runners[runner_ix.0].runs.get(&key).copied();
         self.remove_run(runner_ix, end.task, end.run);
         let how = RunEnd::Reported(end.how);
-        self.emit_run_ended(runner_ix, end.task, end.run, how, now);
+        self.emit_run_ended(runner_ix, end.task, end.run, how, Some(listing), now);
         self.update_health(runner_ix, end.how, now);
         self.forget_run(runner_ix, end.task, end.run);
         let index = end.task.index as usize;
@@ -173,7 +175,7 @@
         reason: LossReason,
         now: Millis,
     ) {
-        self.emit_run_ended(runner_ix, task, run, RunEnd::Lost(reason), now);
+        self.emit_run_ended(runner_ix, task, run, RunEnd::Lost(reason), None, now);
         self.remove_run(runner_ix, task, run);
         if reason.shows_living_runner() {
             self.forget_run(runner_ix, task, run);
@@ -287,6 +289,7 @@
         task: TaskId,
         run: u32,
         how: RunEnd,
+        listing: Option<EndListing>,
         now: Millis,
     ) {
         let job = self.jobs.get(&task.step.job);
@@ -295,12 +298,14 @@
             .map(|(step, _)| step);
         let known = step.and_then(|step| step.tasks.get(task.index as usize));
         let elapsed = known.map_or(Millis::ZERO, |known| now.saturating_sub(known.state_since));
-        let runner = self.runners[runner_ix.0].entry.id.clone();
+        let entry = &self.runners[runner_ix.0].entry;
         self.events.push(Event::RunEnded {
             task,
             run,
-            runner,
+            runner: entry.id.clone(),
             how,
+            started_unix_ms: entry.started_unix_ms,
+            listing,
             elapsed,
         });
     }
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -20,6 +20,7 @@
     pub fn upsert_runner(&mut self, now: Millis, entry: RunnerEntry) -> Option<RunnerIx> {
         let entry = self.admit(entry)?;
         let mut follows_another = false;
+        let mut is_known_from_start = false;
         if let Some(&runner_ix) = self.by_id.get(&entry.id) {
             let known = &mut self.runners[runner_ix.0];
             let restarted = entry.started_unix_ms != 0
@@ -69,6 +70,7 @@
             }
             if restarted {
                 follows_another = true;
+                is_known_from_start = self.runners[runner_ix.0].has_answered;
                 self.mark_dead(runner_ix, now);
             } else {
                 self.forget_incarnation(runner_ix);
@@ -82,6 +84,7 @@
         if follows_another {
             // Orders for the incarnation before may have reached this one.
             self.runners[added_ix.0].inherited_lease_until = Some(Millis(u64::MAX));
+            self.runners[added_ix.0].is_known_from_start = is_known_from_start;
         }
         Some(added_ix)
     }
@@ -200,6 +203,7 @@
         let over = runs_here.keys().filter(|key| !kept.contains(key));
         let mut runs: Vec<(TaskId, u32)> = over.copied().collect();
         runs.sort_unstable();
+        self.emit_runs_lost(runner_ix, &runs, reason, None, now);
         for (task, run) in runs {
             self.remove_lost_run(runner_ix, task, run, reason, now);
         }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Engine, Event, LossReason, RunnerIx,
+    end_log::{EndListing, ListedEnd, UnusualEnds},
     evidence::Isolation,
     job::{MAX_RUN, OrphanRun, TaskState},
     reserve::ServiceRunners,
@@ -125,6 +126,9 @@
         outcome: &InventoryOutcome,
     ) -> Option<RunnerIx> {
         if self.runners[runner_ix.0].dead {
+            if let InventoryOutcome::Inventory(inventory) = outcome {
+                self.emit_ignored_ends(runner_ix, sequence, inventory);
+            }
             return None;
         }
         match outcome {
@@ -192,19 +196,36 @@
         // its run be taken for lost.
         let mut ended: Vec<_> = inventory.ended.iter().collect();
         ended.sort_by_key(|end| end.number);
+        let expected_number = self.runners[runner_ix.0].expected_end_number();
+        let mut unusual = UnusualEnds::default();
         for end in ended {
             reported.insert((end.task, end.run));
+            let listed = ListedEnd::from(end);
             if end.number <= self.runners[runner_ix.0].last_end_number {
+                // Until they are durable and acknowledged, ends are listed by each inventory.
+                let again = self.runners[runner_ix.0].record_repeated_end(listed);
+                unusual.again.extend(again);
                 continue;
             }
+            unusual.lowest_new.get_or_insert(end.number);
+            if self.is_end_late(runner_ix, end) {
+                unusual.late.push(listed);
+            }
             self.runners[runner_ix.0].last_end_number = end.number;
-            self.apply_end(runner_ix, end, now, unix_ms);
-            let batch = self.batches.add_end();
             let number = end.number;
-            self.runners[runner_ix.0]
-                .unacked_ends
-                .push(UnackedEnd { number, batch });
+            self.apply_end(
+                runner_ix,
+                end,
+                EndListing { sequence, number },
+                now,
+                unix_ms,
+            );
+            let batch = self.batches.add_end();
+            let runner = &mut self.runners[runner_ix.0];
+            runner.unacked_ends.push(UnackedEnd { number, batch });
+            runner.unanswered_ends.push(listed);
         }
+        self.emit_unusual_ends(runner_ix, sequence, inventory, expected_number, unusual);
         if !inventory.has_more_ends {
             self.remove_unreported_runs(runner_ix, sequence, &reported, now);
             self.forget_unreported_runs(runner_ix, &reported);
@@ -257,8 +278,10 @@
         });
         let mut missing: Vec<(TaskId, u32)> = missing.map(|(key, _)| *key).collect();
         missing.sort_unstable();
+        let reason = LossReason::NotListed;
+        self.emit_runs_lost(runner_ix, &missing, reason, Some(sequence), now);
         for (task, run) in missing {
-            self.remove_lost_run(runner_ix, task, run, LossReason::NotListed, now);
+            self.remove_lost_run(runner_ix, task, run, reason, now);
         }
     }
 
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod demand;
 mod durable;
+mod end_log;
 mod ends;
 mod estimate;
 mod evidence;
@@ -75,6 +76,7 @@
 
 pub use self::{
     durable::Batch,
+    end_log::{Acknowledgement, EndListing, LeaseView, ListedEnd, ListingKind},
     ends::{LossReason, RunEnd},
     explain::{Explanation, StepExplanation},
     failure::FailureCause,
@@ -232,9 +234,60 @@
         runner: Name,
         /// How the owner learned that the run is over, and why.
         how: RunEnd,
+        /// Start time of the incarnation that listed the end, or of the one that the owner believes in.
+        started_unix_ms: u64,
+        /// Inventory that listed the end; `None` if there was none.
+        listing: Option<EndListing>,
         /// Time since the task entered its last state, which approximates the run time.
         elapsed: Millis,
     },
+    /// An inventory listed ends again, or of runs that had been taken for lost, or was ignored.
+    EndsListed {
+        /// Why the ends are out of the ordinary.
+        kind: ListingKind,
+        /// Id of the runner.
+        runner: Name,
+        /// Start time of the incarnation that the call was meant for.
+        meant_unix_ms: u64,
+        /// Start time of the incarnation that answered.
+        started_unix_ms: u64,
+        /// Sequence number of the call.
+        sequence: u64,
+        /// Highest number that the runner has answered an acknowledgement of.
+        acknowledged_number: u64,
+        /// The ends.
+        ends: Vec<ListedEnd>,
+    },
+    /// A runner left out ends that the owner has not seen.
+    EndsForgotten {
+        /// Id of the runner.
+        runner: Name,
+        /// Start time of the incarnation that answered.
+        started_unix_ms: u64,
+        /// Sequence number of the call.
+        sequence: u64,
+        /// Number of the first end that is missing.
+        expected: u64,
+        /// Lowest number that was listed instead.
+        listed: u64,
+    },
+    /// Runs of a runner are taken for lost together. [`Event::RunEnded`] follows for each.
+    RunsLost {
+        /// Id of the runner.
+        runner: Name,
+        /// Start time of the incarnation that the owner believes in.
+        started_unix_ms: u64,
+        /// Evidence that the runs are over.
+        reason: LossReason,
+        /// Sequence number of the inventory call whose answer does not list them, if that is the reason.
+        sequence: Option<u64>,
+        /// Number of the latest end that this incarnation listed.
+        last_number: u64,
+        /// The runner's lease; `None` if no reading of its clock is known.
+        lease: Option<LeaseView>,
+        /// The runs, in order.
+        runs: Vec<(TaskId, u32)>,
+    },
     /// A runner ended without having drained, and took its runs with it.
     RunnerCrashed {
         /// Id of the runner.
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -14,6 +14,7 @@
 use self::lease::ClockReading;
 use super::{
     Settings,
+    end_log::ListedEnd,
     evidence::Isolation,
     health::Health,
     quota::Charge,
@@ -212,6 +213,11 @@
     /// Number of the latest end that was applied.
     pub(super) last_end_number: u64,
     pub(super) unacked_ends: Vec<UnackedEnd>,
+    /// Listed ends that no answered call has acknowledged, by number, for the log.
+    pub(super) unanswered_ends: Vec<ListedEnd>,
+    /// Whether the incarnation began while this owner was in touch with the one before, so that no other owner
+    /// can have acknowledged its first ends.
+    pub(super) is_known_from_start: bool,
     /// Latest call that acknowledged ends.
     acknowledging_call: Option<AcknowledgingCall>,
     /// Highest number that the runner has answered an acknowledgement of.
@@ -256,6 +262,8 @@
             lease_expired_at: None,
             last_end_number: 0,
             unacked_ends: Vec::new(),
+            unanswered_ends: Vec::new(),
+            is_known_from_start: false,
             acknowledging_call: None,
             acknowledged_number: 0,
             health: Health::default(),
@@ -481,9 +489,36 @@
             .take_if(|call| call.sequence == sequence);
         if let Some(call) = answered {
             self.acknowledged_number = self.acknowledged_number.max(call.number);
+            let answered = self.acknowledged_number;
+            self.unanswered_ends.retain(|end| end.number > answered);
         }
     }
 
+    /// Returns the highest number that the runner has answered an acknowledgement of.
+    pub(super) fn acknowledged_number(&self) -> u64 {
+        self.acknowledged_number
+    }
+
+    /// Records that an end was listed again. Returns it if a call has acknowledged it.
+    pub(super) fn record_repeated_end(&mut self, listed: ListedEnd) -> Option<ListedEnd> {
+        let mut ends = self.unanswered_ends.iter_mut();
+        let known = ends.find(|known| known.number == listed.number);
+        let repeated = known.map_or(listed, |known| {
+            known.listings = known.listings.saturating_add(1);
+            *known
+        });
+        let sent_number = self.acknowledging_call.map_or(0, |call| call.number);
+        let is_acknowledged = listed.number <= sent_number.max(self.acknowledged_number);
+        is_acknowledged.then_some(repeated)
+    }
+
+    /// Returns the number of the next end that the runner lists. Not known of a runner that had ends before this
+    /// owner called it: they may be acknowledged already.
+    pub(super) fn expected_end_number(&self) -> Option<u64> {
+        let is_known = self.last_end_number > 0 || self.is_known_from_start;
+        is_known.then_some(self.last_end_number.saturating_add(1))
+    }
+
     /// Returns whether the runner has a label.
     pub(super) fn has_label(&self, label: &Name) -> bool {
         self.entry.labels.contains(label)
--- a/crates/jobs/src/engine/runner/lease.rs
+++ b/crates/jobs/src/engine/runner/lease.rs
@@ -3,7 +3,7 @@
 use kspan_model::Millis;
 
 use super::Runner;
-use crate::engine::Settings;
+use crate::engine::{LeaseView, Settings};
 
 /// Minimum rate of a runner's clock relative to the owner's, in thousandths.
 const MIN_CLOCK_RATE_PERMILLE: u64 = 970;
@@ -18,6 +18,15 @@
     at: Millis,
 }
 
+impl ClockReading {
+    /// Returns the lowest value that the runner's clock can have now, if it is slow.
+    fn min_clock(self, now: Millis) -> Millis {
+        let elapsed = now.saturating_sub(self.at);
+        let elapsed = Millis(elapsed.saturating_mul(MIN_CLOCK_RATE_PERMILLE).0 / 1_000);
+        self.clock + elapsed
+    }
+}
+
 /// Returns for how long a lease that is granted now can last at most, even if the runner's clock is
 /// slow.
 pub(in crate::engine) fn longest_remaining_lease(cfg: &Settings) -> Millis {
@@ -93,11 +102,24 @@
 
     /// Returns whether the lease has expired even if the runner's clock is slow.
     pub(in crate::engine) fn has_lease_expired(&self, cfg: &Settings, now: Millis) -> bool {
-        let Some(reading) = self.reading else {
-            return false;
-        };
-        let elapsed = now.saturating_sub(reading.at);
-        let elapsed = Millis(elapsed.saturating_mul(MIN_CLOCK_RATE_PERMILLE).0 / 1_000);
-        reading.clock + elapsed > self.latest_deadline + cfg.lease_margin
+        self.reading
+            .is_some_and(|reading| reading.min_clock(now) > self.latest_deadline + cfg.lease_margin)
+    }
+
+    /// Returns what the owner assumes of the lease; `None` if no reading of the runner's clock is known.
+    pub(in crate::engine) fn lease_view(&self, cfg: &Settings, now: Millis) -> Option<LeaseView> {
+        let reading = self.reading?;
+        let attempts = self.runs.values();
+        let latest_attempt = attempts.filter_map(|placed| placed.delivery.latest_attempt);
+        Some(LeaseView {
+            deadline: self.latest_deadline,
+            clock: reading.clock,
+            reading_age: now.saturating_sub(reading.at),
+            min_clock: reading.min_clock(now),
+            margin: cfg.lease_margin,
+            silent: self.silent_since.map(|since| now.saturating_sub(since)),
+            latest_order_age: latest_attempt.max().map(|at| now.saturating_sub(at)),
+            may_be_inherited: self.may_inherit_lease(),
+        })
     }
 }
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -44,6 +44,7 @@
         self.end_incarnation(runner_ix, &missing, now);
         inherited.extend(self.detach_runs(runner_ix, &missing));
         let successor_ix = self.add_successor(entry, is_listed, inventory.clock, now);
+        self.runners[successor_ix.0].is_known_from_start = self.runners[runner_ix.0].has_answered;
         for run in &inherited {
             self.attach_run(runner_ix, successor_ix, *run, now);
         }
