Keep one state for neighbouring tasks that are alike

Jobs of 781 bytes with 90,001 tasks took 16 MB each at the owner, which was killed for memory; each next owner recovered them and was killed too. Cause: the state of each task (184 bytes) was created at the submission and by each recovery, also in steps whose turn is far away. Change: the tasks of a step are kept in chunks of 64. A chunk has one state for all its tasks until one of them changes, and again once all are done at the same run, without failures or crashes. Records of the store are unchanged. What all accepted jobs may take is not bounded by this change.

--- a/crates/jobs/src/engine/gangs.rs
+++ b/crates/jobs/src/engine/gangs.rs
@@ -89,7 +89,7 @@
             .filter(|task| matches!(task.state, TaskState::Running(_)));
         let first = present.map(|task| task.state_since).min();
         let is_late = first.is_some_and(|first| now >= first + max_wait);
-        let mut members = (0..).zip(&step.tasks);
+        let mut members = (0..).zip(step.tasks.iter());
         members.find_map(|(index, task)| Some((index, self.member_loss(task, run, is_late)?)))
     }
 
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -11,6 +11,7 @@
     parts::Parts,
     quota::TeamIx,
     runner::RunnerIx,
+    tasks::Tasks,
 };
 use crate::{
     id::{JobId, StepId, TaskId},
@@ -167,7 +168,7 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Step {
-    pub(super) tasks: Vec<Task>,
+    pub(super) tasks: Tasks,
     pub(super) done: usize,
     pub(super) waiting: usize,
     pub(super) approvals: Approvals,
@@ -181,7 +182,7 @@
     fn new(spec: &StepSpec, now: Millis) -> Self {
         let count = spec.count as usize;
         Self {
-            tasks: vec![Task::new(now); count],
+            tasks: Tasks::new(&Task::new(now), count),
             done: 0,
             waiting: count,
             approvals: Approvals::default(),
@@ -231,6 +232,9 @@
             *self.tasks_by_runner.entry(runner_ix).or_default() += 1;
         }
         self.tasks[index].set_state(state, now);
+        if state == TaskState::Done {
+            self.tasks.merge_done(index);
+        }
     }
 }
 
@@ -259,8 +263,9 @@
 
     /// Marks every waiting task as possibly still running under a previous owner.
     fn mark_unverified(&mut self) {
-        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-            task.unverified = task.state == TaskState::Waiting;
+        for step in &mut self.steps {
+            step.tasks
+                .change_all(|task| task.unverified = task.state == TaskState::Waiting);
         }
     }
 }
@@ -345,7 +350,7 @@
     /// Returns whether no run of the job is known to be alive.
     pub(super) fn has_no_runs(&self) -> bool {
         let steps = self.occurrences.iter().flat_map(|occ| &occ.steps);
-        let mut tasks = steps.flat_map(|step| &step.tasks);
+        let mut tasks = steps.flat_map(|step| step.tasks.iter());
         tasks.all(|task| task.state.runner().is_none())
     }
 
@@ -512,7 +517,7 @@
                     occurrence: occ.number,
                     step: number,
                 };
-                let tasks = (0..).zip(&step.tasks);
+                let tasks = (0..).zip(step.tasks.iter());
                 tasks.map(move |(index, task)| (id.task(index), task))
             })
         })
@@ -528,9 +533,10 @@
                     occurrence: occ.number,
                     step: number,
                 };
-                for (index, task) in (0..).zip(&mut step.tasks) {
-                    task.unverified = task.unverified && !is_verified(id.task(index));
-                }
+                step.tasks.verify(|index| {
+                    let index = u32::try_from(index).unwrap_or(u32::MAX);
+                    is_verified(id.task(index))
+                });
             }
         }
     }
@@ -544,10 +550,10 @@
             let Some((step, _)) = self.step_mut(id) else {
                 continue;
             };
-            for task in step.tasks.iter_mut().filter(|task| task.unverified) {
-                is_changed |= !task.unaccounted;
-                task.unaccounted = true;
-            }
+            step.tasks.change_all(|task| {
+                is_changed |= task.unverified && !task.unaccounted;
+                task.unaccounted |= task.unverified;
+            });
         }
         is_changed
     }
@@ -565,8 +571,9 @@
     fn remove_crash_records(&mut self, matches: impl Fn(&CrashRecord) -> bool) -> bool {
         let steps = self.occurrences.iter_mut().flat_map(|occ| &mut occ.steps);
         let mut is_changed = false;
-        for task in steps.flat_map(|step| &mut step.tasks) {
-            is_changed |= task.crashes.remove(&matches);
+        for step in steps {
+            step.tasks
+                .change_all(|task| is_changed |= task.crashes.remove(&matches));
         }
         is_changed
     }
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -44,6 +44,7 @@
 mod stall;
 mod submit;
 mod successor;
+mod tasks;
 mod throttle;
 mod urgency;
 
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -130,7 +130,7 @@
         let mut placement = Placement::default();
         let mut is_rack_full = false;
         let mut decided = 0;
-        for (index, task) in (0..).zip(&step.tasks) {
+        for (index, task) in (0..).zip(step.tasks.iter()) {
             if candidates.is_empty() {
                 break;
             }
--- a/crates/jobs/src/engine/progress.rs
+++ b/crates/jobs/src/engine/progress.rs
@@ -250,11 +250,11 @@
     if index >= step.tasks.len() {
         return;
     }
-    if known.done {
-        step.set_state(index, TaskState::Done, now);
-    }
     let task = &mut step.tasks[index];
     task.run = known.run.min(MAX_RUN);
     task.failures.clone_from(&known.failures);
     task.checkpoint = known.checkpoint.clone();
+    if known.done {
+        step.set_state(index, TaskState::Done, now);
+    }
 }
