Bound what accepted jobs take at the owner

Fifteen or sixteen accepted jobs of 781 bytes ended each process that owned the cell. Cause: the tasks of one job are bounded, and nothing bounded those of all accepted jobs. Change: a submission is refused before anything is stored if the job would take more than half of the memory that is left to jobs (503 with Retry-After: 5), and for good if it takes more than half of the bound by itself (413). The bound is a quarter of the host's memory (memory_mb); it counts estimated bytes of the states of all tasks, of steps and of the specification, for each occurrence that has begun. Occurrences beyond the first begin while there is room. Jobs beyond the bound that an owner recovers go on. New metric kspan_cell_job_bytes.

--- a/crates/cell/src/admission/limits.rs
+++ b/crates/cell/src/admission/limits.rs
@@ -1,4 +1,4 @@
-//! Limits on what clients hold in the process, from the memory and the descriptors of its host.
+//! Limits on what clients and their jobs hold in the process, from the memory and the descriptors of its host.
 
 /// Descriptors that the host keeps for files; sockets and pipes share the others.
 const FILE_DESCRIPTORS: usize = 200;
@@ -12,10 +12,18 @@
 const BYTES_DIVISOR: u64 = 5;
 const CONNECTIONS_DIVISOR: u64 = 5;
 
+/// Fraction of the host's memory for jobs that were accepted and have not ended.
+const JOBS_DIVISOR: u64 = 4;
+
 /// Bounds of the number of connections for interfaces that few clients use.
 const MIN_CONNECTIONS: usize = 8;
 const MAX_SERVICE_CONNECTIONS: usize = 32;
 
+/// Returns the memory that accepted jobs may take on a host with this memory, in bytes.
+pub(crate) fn max_job_bytes(memory_mb: u64) -> u64 {
+    memory_mb.saturating_mul(1_000_000) / JOBS_DIVISOR
+}
+
 /// An interface of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Interface {
--- a/crates/cell/src/admission/mod.rs
+++ b/crates/cell/src/admission/mod.rs
@@ -21,7 +21,7 @@
     time::{Duration, Instant},
 };
 
-pub(crate) use self::limits::{Interface, Limits};
+pub(crate) use self::limits::{Interface, Limits, max_job_bytes};
 use self::{
     connections::{Connections, Phase},
     ledger::{Growth, Ledger},
--- a/crates/cell/src/admission/tests.rs
+++ b/crates/cell/src/admission/tests.rs
@@ -51,6 +51,24 @@
     }
 }
 
+/// Guards against a bound of accepted jobs that ordinary ones meet, and against one that leaves no room for what
+/// clients hold and for the program.
+#[test]
+fn accepted_jobs_have_a_quarter_of_the_host() {
+    for memory_mb in [64, 160, 260, 512] {
+        let bytes = max_job_bytes(memory_mb);
+        assert_eq!(bytes, memory_mb * 250_000);
+        // Two thousand open jobs of 20 tasks of some 350 bytes.
+        assert!(memory_mb < 160 || bytes >= 2_000 * 20 * 400, "{bytes}");
+        let all = Interface::ALL.map(|interface| Limits::new(interface, memory_mb, 4_100));
+        let held = all
+            .iter()
+            .map(|one| one.bytes + one.connections * 24 * 1024);
+        let held = held.sum::<usize>() as u64;
+        assert!(bytes + held <= memory_mb * 1_000_000 * 5 / 6, "{held}");
+    }
+}
+
 /// Guards against an unfinished message that keeps a newer one out.
 #[test]
 fn message_that_stood_still_for_longest_is_evicted() {
--- a/crates/cell/src/owner/calls.rs
+++ b/crates/cell/src/owner/calls.rs
@@ -33,6 +33,10 @@
 /// seconds. Adding runners or raising the cap takes at least as long.
 const UNSERVABLE_RETRY_AFTER_S: u32 = 30;
 
+/// Time after which a caller should retry a job that has no room beside those accepted before, in seconds.
+/// Room comes with the end of one of them.
+const NO_ROOM_RETRY_AFTER_S: u32 = 5;
+
 /// Maximum `Retry-After` during an outage of the store, in seconds.
 const MAX_RETRY_AFTER_S: u64 = 3;
 
@@ -96,7 +100,14 @@
                     ..CallResponse::unavailable(UNSERVABLE_RETRY_AFTER_S)
                 });
             }
-            Err(err @ SubmitError::TooLarge(..)) => {
+            Err(err @ SubmitError::NoRoom(..)) => {
+                self.log_call(path, "refused", &err.to_string());
+                return Ok(CallResponse {
+                    body: err.to_string().into_bytes(),
+                    ..CallResponse::unavailable(NO_ROOM_RETRY_AFTER_S)
+                });
+            }
+            Err(err @ (SubmitError::TooLarge(..) | SubmitError::TooMuchMemory(..))) => {
                 self.log_call(path, "refused", &err.to_string());
                 return Ok(CallResponse::with_body(413, err.to_string().into_bytes()));
             }
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -38,7 +38,10 @@
     time::Instant,
 };
 
-use crate::{clock::ClockReading, election::Claims, message::Member, node::Node, telemetry};
+use crate::{
+    admission::max_job_bytes, clock::ClockReading, election::Claims, message::Member, node::Node,
+    telemetry,
+};
 use lag::LagMonitor;
 use members::MemberLiveness;
 
@@ -423,6 +426,7 @@
         lease_margin: LEASE_MARGIN,
         previous_owner_timeout: Millis((MAX_UNCONFIRMED_TIME.0 + lease.0) * 102 / 100),
         max_record_bytes: cfg.max_record_bytes,
+        max_job_bytes: max_job_bytes(cfg.memory_mb()),
         ended_job_retention: Millis::from_secs(cfg.keep_ended_s + cfg.keep_ended_s / 4),
         cross_rack_slowdown: round_to_u32(cfg.spread_factor),
         gang_wait: Millis(cfg.gang_wait_ms),
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -184,6 +184,7 @@
 /// Records the owner's totals over jobs, tasks and runners.
 pub(crate) fn set_totals(totals: &kspan_jobs::engine::Totals) {
     gauge!("kspan_cell_jobs_active").set(to_f64(totals.active_jobs as u64));
+    gauge!("kspan_cell_job_bytes").set(to_f64(totals.job_bytes));
     gauge!("kspan_cell_runners").set(to_f64(totals.runners as u64));
     gauge!("kspan_cell_tasks_running").set(to_f64(totals.running as u64));
     gauge!("kspan_cell_tasks_waiting").set(to_f64(totals.waiting as u64));
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -220,7 +220,8 @@
             if job.phase == Phase::Active {
                 engine.active.insert(id);
                 engine.schedulable.insert(id);
-                job.begin_due_occurrences(now, unix_ms, false);
+                let free_bytes = engine.free_job_bytes().saturating_sub(job.max_bytes());
+                job.begin_due_occurrences(now, unix_ms, false, free_bytes);
                 job.mark_unverified();
             } else {
                 let since_end = unix_ms.saturating_sub(job.ended_unix_ms);
@@ -228,6 +229,7 @@
             }
             engine.register_crash_records(&job);
             engine.assign_team(&mut job);
+            engine.job_bytes += job.max_bytes();
             engine.jobs.insert(id, job);
         }
         engine.complete_restored_jobs(now, unix_ms);
@@ -273,6 +275,8 @@
         self.active.remove(&id);
         self.schedulable.remove(&id);
         let withdrawn = self.jobs.remove(&id);
+        let bytes = withdrawn.as_ref().map_or(0, Job::max_bytes);
+        self.job_bytes = self.job_bytes.saturating_sub(bytes);
         let team = withdrawn
             .filter(|job| job.phase == Phase::Active)
             .and_then(|job| job.team);
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -239,13 +239,8 @@
         }
         self.last_tick = Some(now);
         let all_verified = self.are_all_runs_verified(now);
-        for id in &self.active {
-            if let Some(job) = self.jobs.get_mut(id)
-                && job.begin_due_occurrences(now, unix_ms, all_verified)
-            {
-                self.schedulable.insert(*id);
-            }
-        }
+        self.recount_job_bytes();
+        self.begin_due_occurrences(now, unix_ms, all_verified);
         self.verify_unlisted_tasks(now);
         self.end_inherited_leases(now);
         for ix in 0..self.runners.len() {
@@ -260,6 +255,21 @@
         self.remove_expired_jobs(unix_ms);
     }
 
+    /// Begins the occurrences that are due.
+    fn begin_due_occurrences(&mut self, now: Millis, unix_ms: u64, all_verified: bool) {
+        for id in &self.active {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let free_bytes = self.cfg.max_job_bytes.saturating_sub(self.job_bytes);
+            let before = job.max_bytes();
+            if job.begin_due_occurrences(now, unix_ms, all_verified, free_bytes) {
+                self.job_bytes += job.max_bytes() - before;
+                self.schedulable.insert(*id);
+            }
+        }
+    }
+
     fn check_lease_expiry(&mut self, runner_ix: RunnerIx, now: Millis) {
         let runner = &self.runners[runner_ix.0];
         if runner.dead || runner.missed_responses == 0 || !runner.has_lease_expired(&self.cfg, now)
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -8,6 +8,7 @@
     attempts::GangFailures,
     evidence::{Crashes, Isolation},
     locality::Wait,
+    memory::JobSize,
     parts::Parts,
     quota::TeamIx,
     runner::RunnerIx,
@@ -274,6 +275,8 @@
 pub(super) struct Job {
     pub(super) id: JobId,
     pub(super) record: JobRecord,
+    /// Memory that the job takes.
+    pub(super) size: JobSize,
     pub(super) phase: Phase,
     /// Batch that makes the phase durable.
     pub(super) phase_batch: u64,
@@ -305,6 +308,7 @@
     pub(super) fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
         Self {
             id,
+            size: JobSize::new(&record.spec),
             record,
             phase: Phase::Active,
             phase_batch: 0,
@@ -361,16 +365,18 @@
         self.is_compacted = true;
     }
 
-    /// Begins the occurrences that are due and returns whether there were any. Unless
-    /// `all_verified`, a previous owner may have begun them too, so their tasks are marked as
-    /// unverified.
+    /// Begins the occurrences that are due and returns whether there were any. Beyond the first one that is
+    /// open, they begin while they fit into `free_bytes` of memory. Unless `all_verified`, a previous owner may
+    /// have begun them too, so their tasks are marked as unverified.
     pub(super) fn begin_due_occurrences(
         &mut self,
         now: Millis,
         unix_ms: u64,
         all_verified: bool,
+        free_bytes: u64,
     ) -> bool {
         let first = self.next_occurrence;
+        let mut free_bytes = free_bytes;
         while self.next_occurrence < self.record.spec.occurrences() && self.may_begin(1) {
             let number = self.next_occurrence;
             let due = self
@@ -381,6 +387,13 @@
             if due > unix_ms {
                 break;
             }
+            // Room for one occurrence was counted at the submission.
+            if !self.occurrences.is_empty() {
+                let Some(left) = free_bytes.checked_sub(self.size.per_occurrence()) else {
+                    break;
+                };
+                free_bytes = left;
+            }
             let mut begun = Occurrence::new(number, &self.record.spec, now);
             if !all_verified {
                 begun.mark_unverified();
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -23,6 +23,7 @@
 mod inventory;
 mod job;
 mod locality;
+mod memory;
 mod orders;
 mod overrun;
 mod parts;
@@ -103,6 +104,8 @@
     pub previous_owner_timeout: Millis,
     /// Maximum size of a record of the store, key included, in bytes.
     pub max_record_bytes: usize,
+    /// Maximum memory of all accepted jobs that have not ended, in bytes, as estimated for all their tasks.
+    pub max_job_bytes: u64,
     /// How long the state of an ended job is retained.
     pub ended_job_retention: Millis,
     /// Factor by which tasks run longer outside their preferred rack.
@@ -384,6 +387,8 @@
     cfg: Settings,
     config: CellConfig,
     jobs: FxHashMap<JobId, Job>,
+    /// Memory that they may take, in bytes.
+    job_bytes: u64,
     /// Active jobs.
     active: FxHashSet<JobId>,
     /// Active jobs that may have waiting tasks in steps that are ready.
@@ -452,6 +457,7 @@
             cfg,
             config: CellConfig::default(),
             jobs: FxHashMap::default(),
+            job_bytes: 0,
             active: FxHashSet::default(),
             schedulable: FxHashSet::default(),
             live_gangs: BTreeSet::new(),
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -34,6 +34,8 @@
     pub active_jobs: usize,
     /// Number of jobs in memory, ended ones included.
     pub known_jobs: usize,
+    /// Memory that active jobs may take in all, in bytes, as estimated for all their tasks.
+    pub job_bytes: u64,
     /// Number of runners that have answered and have not ended, draining ones included.
     pub runners: usize,
     /// Total resources of those runners.
@@ -158,6 +160,7 @@
         let mut totals = Totals {
             active_jobs: self.active.len(),
             known_jobs: self.jobs.len(),
+            job_bytes: self.job_bytes,
             ..Totals::default()
         };
         let answering = |runner: &&Runner| runner.has_answered && !runner.dead;
--- a/crates/jobs/src/engine/submit.rs
+++ b/crates/jobs/src/engine/submit.rs
@@ -38,6 +38,17 @@
         TooLarge(bytes: usize, max: usize) {
             display("job too large: {bytes} bytes as stored, at most {max} are accepted")
         }
+        /// The job would take more memory than any job may.
+        TooMuchMemory(bytes: u64, max: u64) {
+            display("job too large: its steps and tasks take {bytes} bytes, at most {max} are accepted")
+        }
+        /// The job would take more memory than is left beside the jobs accepted before.
+        NoRoom(bytes: u64, room: u64) {
+            display(
+                "no room: the job's steps and tasks take {bytes} bytes, {room} are left for it beside jobs \
+                 accepted before"
+            )
+        }
         /// The specification is invalid.
         Spec(err: SpecError) {
             from()
@@ -106,6 +117,7 @@
         if let Some(step) = team.and_then(|team| Self::step_beyond_cap(team.cap, &req.spec.steps)) {
             return Err(SubmitError::BeyondCap(step));
         }
+        self.check_job_size(&req.spec)?;
         let exceeds_rate = team.is_some_and(|team| self.submission_rates.exceeds_rate(team, now));
         let policy = Policy {
             max_attempts: queue.policy.max_attempts.min(MAX_ATTEMPTS),
@@ -129,7 +141,9 @@
         let mut job = Job::new(id, record, now);
         job.split_progress(self.cfg.max_record_bytes);
         self.assign_team(&mut job);
-        job.begin_due_occurrences(now, unix_ms, true);
+        let free_bytes = self.free_job_bytes().saturating_sub(job.max_bytes());
+        job.begin_due_occurrences(now, unix_ms, true, free_bytes);
+        self.job_bytes += job.max_bytes();
         self.record_demand(&job);
         job.spec_batch = self.batches.add_job(id);
         let batch = job.spec_batch;
--- a/crates/jobs/src/engine/tasks.rs
+++ b/crates/jobs/src/engine/tasks.rs
@@ -10,6 +10,10 @@
 /// Number of tasks in a chunk. Alike tasks take this fraction of the memory of different ones.
 const CHUNK_TASKS: usize = 64;
 
+/// Maximum memory of a task with its part of a chunk's own, in bytes.
+pub(super) const MAX_TASK_BYTES: usize =
+    size_of::<Task>() + size_of::<Chunk>().div_ceil(CHUNK_TASKS);
+
 /// Neighbouring tasks of a step.
 #[derive(Clone, Debug)]
 enum Chunk {
--- a/crates/jobs/tests/job_memory_taken.rs
+++ b/crates/jobs/tests/job_memory_taken.rs
@@ -10,7 +10,7 @@
     id::{JobId, StepId, TaskId},
     record::{DurableState, JobRecord},
     runner::{EndKind, EndedTask},
-    spec::{JobSpec, StepSpec},
+    spec::{JobSpec, StepSpec, Timetable},
 };
 use kspan_model::{Millis, Name, Resources};
 use one_cell::*;
@@ -56,6 +56,10 @@
     job_of([vec![step_of(1)], vec![waiting; 9]].concat())
 }
 
+fn path(job: u64) -> String {
+    format!("/q/{job:016x}")
+}
+
 /// Returns the ids of a job's tasks.
 fn tasks_of(job: u64, spec: &JobSpec) -> Vec<TaskId> {
     let occurrences = spec.occurrences();
@@ -143,3 +147,60 @@
     assert!((0..JOBS).all(|job| state(job) == Some(JobState::Completed)));
     std::mem::forget(cell);
 }
+
+/// Guards against an estimate that is less than what jobs take once the states of all their tasks differ.
+#[test]
+fn estimate_covers_what_jobs_take() {
+    let _measuring = measuring();
+    let recurring = JobSpec {
+        timetable: Some(Timetable {
+            times: 100,
+            first_unix_ms: 0,
+            period: Millis::ZERO,
+        }),
+        ..job_of(vec![step_of(10); 10])
+    };
+    let table = [
+        ("one task", 20_000, job_of(vec![step_of(1)])),
+        ("a wide step", 20, job_of(vec![step_of(10_000)])),
+        ("odd steps", 100, job_of(vec![step_of(65); 30])),
+        ("steps of one task", 100, job_of(vec![step_of(1); 1_000])),
+        ("occurrences", 20, recurring),
+    ];
+    for (name, jobs, spec) in table {
+        let mut cell = Cell::new(&["w0"]);
+        let before = resident_bytes();
+        for job in 0..jobs {
+            let path = path(job);
+            let submitted = cell.try_submit(&path, spec.clone(), None);
+            assert!(submitted.is_ok(), "{name}");
+            if let Some(batch) = cell.engine.take_batch() {
+                cell.engine.mark_durable(batch.number);
+            }
+        }
+        let mut number = 0;
+        for job in 0..jobs {
+            let tasks = tasks_of(job, &spec);
+            report(
+                &mut cell,
+                &mut number,
+                &tasks,
+                EndKind::Failed,
+                "1234567890",
+            );
+        }
+        let taken = resident_bytes().saturating_sub(before);
+        cell.advance(100);
+        let estimated = cell.engine.totals().job_bytes;
+        println!("{name}: {taken} bytes, {estimated} estimated");
+        assert!(
+            taken <= estimated,
+            "{name}: {taken} bytes, {estimated} estimated"
+        );
+        assert!(
+            estimated <= 8 * taken,
+            "{name}: {taken} bytes, {estimated} estimated"
+        );
+        std::mem::forget(cell);
+    }
+}
--- a/crates/jobs/tests/one_cell/mod.rs
+++ b/crates/jobs/tests/one_cell/mod.rs
@@ -38,6 +38,7 @@
         lease_margin: Millis(300),
         previous_owner_timeout: Millis(14_000),
         max_record_bytes: 262_144,
+        max_job_bytes: 1_000_000_000,
         ended_job_retention: Millis(100_000),
         cross_rack_slowdown: 3,
         gang_wait: GANG_WAIT,
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -79,6 +79,7 @@
             } else {
                 MAX_RECORD_BYTES
             },
+            max_job_bytes: 1_000_000_000,
             ended_job_retention: Millis(600_000),
             cross_rack_slowdown: 3,
             gang_wait: if self.mutation == Mutation::GangWaitUnknown {
