--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -8,9 +8,11 @@
     attempts::GangFailures,
     evidence::{Crashes, Isolation},
     locality::Wait,
+    memory::JobSize,
     parts::Parts,
     quota::TeamIx,
     runner::RunnerIx,
+    tasks::Tasks,
 };
 use crate::{
     id::{JobId, StepId, TaskId},
@@ -127,10 +129,21 @@
     pub(super) fn may_start(&self, all_verified: bool, now: Millis) -> bool {
         self.state == TaskState::Waiting
             && self.orphan.is_none()
-            && (all_verified || !(self.unverified || self.is_adopted))
+            && (all_verified || !self.may_run_unseen())
             && self.crashes_allow_start(now)
     }
 
+    /// Returns whether a previous owner may have ordered a run of the task that no runner has listed.
+    pub(super) fn may_run_unseen(&self) -> bool {
+        self.unverified || self.is_adopted
+    }
+
+    /// Records that no such run can be alive.
+    pub(super) fn verify(&mut self) {
+        self.unverified = false;
+        self.is_adopted = false;
+    }
+
     /// Returns whether the task may start as far as crashes are concerned.
     pub(super) fn crashes_allow_start(&self, now: Millis) -> bool {
         let waited = now.saturating_sub(self.state_since);
@@ -171,7 +184,7 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Step {
-    pub(super) tasks: Vec<Task>,
+    pub(super) tasks: Tasks,
     pub(super) done: usize,
     pub(super) waiting: usize,
     pub(super) approvals: Approvals,
@@ -185,7 +198,7 @@
     fn new(spec: &StepSpec, now: Millis) -> Self {
         let count = spec.count as usize;
         Self {
-            tasks: vec![Task::new(now); count],
+            tasks: Tasks::new(&Task::new(now), count),
             done: 0,
             waiting: count,
             approvals: Approvals::default(),
@@ -235,6 +248,9 @@
             *self.tasks_by_runner.entry(runner_ix).or_default() += 1;
         }
         self.tasks[index].set_state(state, now);
+        if state == TaskState::Done {
+            self.tasks.merge_done(index);
+        }
     }
 }
 
@@ -263,8 +279,9 @@
 
     /// Marks every waiting task as possibly still running under a previous owner.
     fn mark_unverified(&mut self) {
-        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-            task.unverified = task.state == TaskState::Waiting;
+        for step in &mut self.steps {
+            step.tasks
+                .change_all(|task| task.unverified = task.state == TaskState::Waiting);
         }
     }
 }
@@ -273,6 +290,8 @@
 pub(super) struct Job {
     pub(super) id: JobId,
     pub(super) record: JobRecord,
+    /// Memory that the job takes.
+    pub(super) size: JobSize,
     pub(super) phase: Phase,
     /// Batch that makes the phase durable.
     pub(super) phase_batch: u64,
@@ -304,6 +323,7 @@
     pub(super) fn new(id: JobId, record: JobRecord, now: Millis) -> Self {
         Self {
             id,
+            size: JobSize::new(&record.spec),
             record,
             phase: Phase::Active,
             phase_batch: 0,
@@ -349,7 +369,7 @@
     /// Returns whether no run of the job is known to be alive.
     pub(super) fn has_no_runs(&self) -> bool {
         let steps = self.occurrences.iter().flat_map(|occ| &occ.steps);
-        let mut tasks = steps.flat_map(|step| &step.tasks);
+        let mut tasks = steps.flat_map(|step| step.tasks.iter());
         tasks.all(|task| task.state.runner().is_none())
     }
 
@@ -360,16 +380,18 @@
         self.is_compacted = true;
     }
 
-    /// Begins the occurrences that are due and returns whether there were any. Unless
-    /// `all_verified`, a previous owner may have begun them too, so their tasks are marked as
-    /// unverified.
+    /// Begins the occurrences that are due and returns whether there were any. Beyond the first one that is
+    /// open, they begin while they fit into `free_bytes` of memory. Unless `all_verified`, a previous owner may
+    /// have begun them too, so their tasks are marked as unverified.
     pub(super) fn begin_due_occurrences(
         &mut self,
         now: Millis,
         unix_ms: u64,
         all_verified: bool,
+        free_bytes: u64,
     ) -> bool {
         let first = self.next_occurrence;
+        let mut free_bytes = free_bytes;
         while self.next_occurrence < self.record.spec.occurrences() && self.may_begin(1) {
             let number = self.next_occurrence;
             let due = self
@@ -380,6 +402,13 @@
             if due > unix_ms {
                 break;
             }
+            // Room for one occurrence was counted at the submission.
+            if !self.occurrences.is_empty() {
+                let Some(left) = free_bytes.checked_sub(self.size.per_occurrence()) else {
+                    break;
+                };
+                free_bytes = left;
+            }
             let mut begun = Occurrence::new(number, &self.record.spec, now);
             if !all_verified {
                 begun.mark_unverified();
@@ -516,7 +545,7 @@
                     occurrence: occ.number,
                     step: number,
                 };
-                let tasks = (0..).zip(&step.tasks);
+                let tasks = (0..).zip(step.tasks.iter());
                 tasks.map(move |(index, task)| (id.task(index), task))
             })
         })
@@ -532,12 +561,10 @@
                     occurrence: occ.number,
                     step: number,
                 };
-                for (index, task) in (0..).zip(&mut step.tasks) {
-                    if is_verified(id.task(index)) {
-                        task.unverified = false;
-                        task.is_adopted = false;
-                    }
-                }
+                step.tasks.verify(|index| {
+                    let index = u32::try_from(index).unwrap_or(u32::MAX);
+                    is_verified(id.task(index))
+                });
             }
         }
     }
@@ -551,10 +578,10 @@
             let Some((step, _)) = self.step_mut(id) else {
                 continue;
             };
-            for task in step.tasks.iter_mut().filter(|task| task.unverified) {
-                is_changed |= !task.unaccounted;
-                task.unaccounted = true;
-            }
+            step.tasks.change_all(|task| {
+                is_changed |= task.unverified && !task.unaccounted;
+                task.unaccounted |= task.unverified;
+            });
         }
         is_changed
     }
@@ -572,8 +599,9 @@
     fn remove_crash_records(&mut self, matches: impl Fn(&CrashRecord) -> bool) -> bool {
         let steps = self.occurrences.iter_mut().flat_map(|occ| &mut occ.steps);
         let mut is_changed = false;
-        for task in steps.flat_map(|step| &mut step.tasks) {
-            is_changed |= task.crashes.remove(&matches);
+        for step in steps {
+            step.tasks
+                .change_all(|task| is_changed |= task.crashes.remove(&matches));
         }
         is_changed
     }
