Stop gangs that wait beside a takeover before they end alone

Callers saw a gang's job take seconds longer: its members held room until their runners ended one of them as alone. Cause: after a takeover, a member that a silent runner may have could be missing for as long as a run of a previous owner may be alive. The limit on waiting covered only starts of this owner, and counted from the adoption. Change: members of an adopted run that show no work are stopped after 25% of the time that runners let them wait, if only silent runners can have the others, and after 60% otherwise. Runs that show work, and long-running gangs, go on.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -301,6 +301,9 @@
         if is_usable_checkpoint(&row.checkpoint) {
             step.tasks[slot].checkpoint = row.checkpoint.clone();
         }
+        if spec.gang {
+            step.record_adopted_progress(row);
+        }
         let task = &mut step.tasks[index];
         if task.run == row.run {
             task.unaccounted = false;
@@ -340,6 +343,9 @@
             step.tasks[slot].checkpoint = row.checkpoint.clone();
         }
         step.set_state(index, TaskState::Running(runner_ix), now);
+        if is_of_gang {
+            step.record_adopted_member(row, now);
+        }
         job.started = true;
         self.charge_reported_run(runner_ix, row.task, row.run, now);
         if is_of_gang {
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -7,6 +7,7 @@
     approvals::Approvals,
     attempts::GangFailures,
     evidence::{Crashes, Isolation},
+    gangs::AdoptedRun,
     locality::Wait,
     parts::Parts,
     quota::TeamIx,
@@ -173,6 +174,8 @@
     pub(super) approvals: Approvals,
     /// Failed runs of the gang that the tasks are.
     pub(super) gang_failures: GangFailures,
+    /// The run of the gang that this owner has adopted, whole or in part.
+    pub(super) adopted: Option<AdoptedRun>,
     /// Number of the step's tasks on each runner.
     pub(super) tasks_by_runner: FxHashMap<RunnerIx, u32>,
 }
@@ -186,6 +189,7 @@
             waiting: count,
             approvals: Approvals::default(),
             gang_failures: GangFailures::default(),
+            adopted: None,
             tasks_by_runner: FxHashMap::default(),
         }
     }
--- a/crates/jobs/tests/gangs.rs
+++ b/crates/jobs/tests/gangs.rs
@@ -8,7 +8,7 @@
 use kspan_jobs::runner::{EndKind, InventoryOutcome, Refusal, StartOutcome};
 use kspan_model::Millis;
 use one_cell::{
-    gang::{GangCell, MEMBERS, RUNNERS},
+    gang::{GangCell, MEMBERS, RUNNERS, gang_spec},
     *,
 };
 
@@ -201,6 +201,106 @@
     assert_goes_on(&mut gang);
 }
 
+/// Guards against members that wait in vain for others which a silent runner may have: their owner was lost while the
+/// gang started, and the next one adopts some of them without knowing for how long they have waited.
+#[test]
+fn gang_adopted_in_part_is_stopped_in_time_while_a_runner_is_silent() {
+    let gaps_ms = [0, 500, 1_000, 1_500, 2_000];
+    let rows = [(0, ""), (40, "resumed")];
+    for (gap_ms, (percent, checkpoint)) in gaps_ms
+        .into_iter()
+        .flat_map(|gap_ms| rows.map(|row| (gap_ms, row)))
+    {
+        let mut gang = GangCell::new();
+        gang.order();
+        let started = gang.cell.now;
+        gang.cell.now += gap_ms;
+        gang.take_over();
+        let (silent, without_run) = (gang.runners[&LAST], gang.runners[&2]);
+        let is_stopped = loop {
+            gang.list_with_progress(&[0, 1], 1, percent, checkpoint);
+            gang.cell.report_ends(without_run, Vec::new());
+            gang.cell
+                .complete_inventory_call(silent, &InventoryOutcome::NoResponse);
+            if gang.stopped() == BTreeSet::from([0, 1]) {
+                break true;
+            }
+            if gang.cell.now >= started + GANG_WAIT.0 {
+                break false;
+            }
+            gang.cell.advance(100);
+        };
+        let waited = gang.cell.now - started;
+        assert!(
+            is_stopped && waited < GANG_WAIT.0,
+            "{percent}%: owner after {gap_ms} ms, members have waited for {waited} ms"
+        );
+    }
+}
+
+/// Guards against the same while the runners that may have the others have not been called yet.
+#[test]
+fn gang_adopted_in_part_is_stopped_in_time_before_all_runners_are_called() {
+    let mut gang = GangCell::new();
+    gang.order();
+    gang.take_over();
+    for waited in (0..GANG_WAIT.0).step_by(100) {
+        if gang.stopped() == BTreeSet::from([0, 1]) {
+            assert!(waited > GANG_WAIT.0 / 2, "stopped after {waited} ms");
+            return;
+        }
+        gang.list(&[0, 1], 1);
+        gang.cell.advance(100);
+    }
+    panic!("members have waited for {} ms", GANG_WAIT.0);
+}
+
+/// Guards against a gang at work that a new owner stops because the runner of a member does not answer.
+#[test]
+fn gang_at_work_goes_on_while_a_runner_is_silent() {
+    // Progress in the first row and in the later ones, in percent, and the checkpoint.
+    let rows = [(0, 1, ""), (40, 41, "resumed"), (1, 1, "")];
+    for (adopted_at, later, checkpoint) in rows {
+        let mut gang = GangCell::new();
+        gang.start();
+        gang.take_over();
+        let silent = gang.runners[&LAST];
+        let adopted: Vec<u32> = (0..LAST).collect();
+        let mut percent = adopted_at;
+        for _ in 0..GANG_WAIT.0 / 100 {
+            gang.list_with_progress(&adopted, 1, percent, checkpoint);
+            gang.cell
+                .complete_inventory_call(silent, &InventoryOutcome::NoResponse);
+            assert!(gang.stopped().is_empty(), "{adopted_at}%, then {later}%");
+            gang.cell.advance(100);
+            percent = later;
+        }
+        gang.list_with_progress(&[LAST], 1, percent, checkpoint);
+        assert_goes_on(&mut gang);
+    }
+}
+
+/// Guards against the same where the members are long-running, and report no progress.
+#[test]
+fn long_running_gang_goes_on_while_a_runner_is_silent() {
+    let mut spec = gang_spec();
+    spec.steps[0].long_running = true;
+    let mut gang = GangCell::with_spec(spec);
+    gang.start();
+    gang.take_over();
+    let silent = gang.runners[&LAST];
+    let adopted: Vec<u32> = (0..LAST).collect();
+    for _ in 0..GANG_WAIT.0 / 100 {
+        gang.list(&adopted, 1);
+        gang.cell
+            .complete_inventory_call(silent, &InventoryOutcome::NoResponse);
+        assert!(gang.stopped().is_empty());
+        gang.cell.advance(100);
+    }
+    gang.list(&[LAST], 1);
+    assert_goes_on(&mut gang);
+}
+
 /// Guards against members that wait, after a takeover, for one whose end a runner lists while others have not
 /// answered.
 #[test]
--- a/crates/jobs/tests/one_cell/gang.rs
+++ b/crates/jobs/tests/one_cell/gang.rs
@@ -40,8 +40,12 @@
 
 impl GangCell {
     pub(crate) fn new() -> Self {
+        Self::with_spec(gang_spec())
+    }
+
+    pub(crate) fn with_spec(spec: JobSpec) -> Self {
         let mut cell = Cell::new(&RUNNERS);
-        cell.submit_spec(PATH, gang_spec());
+        cell.submit_spec(PATH, spec);
         let mut gang = Self {
             cell,
             end_numbers: BTreeMap::new(),
@@ -158,9 +162,21 @@
 
     /// Reports the given members as running where they were started.
     pub(crate) fn list(&mut self, indexes: &[u32], run: u32) {
+        self.list_with_progress(indexes, run, 0, "");
+    }
+
+    /// Reports the given members with their progress and checkpoint as running where they were started.
+    pub(crate) fn list_with_progress(
+        &mut self,
+        indexes: &[u32],
+        run: u32,
+        percent: u32,
+        checkpoint: &str,
+    ) {
         for index in indexes {
             let running = RunningTask {
-                percent: 0,
+                percent,
+                checkpoint: Name::new(checkpoint),
                 ..running_row(member(*index), run)
             };
             let runner_ix = self.runners[index];
