Check in random schedules that gangs don't wait beside silent runners

Cause: an owner was blamed for a member that waited in vain only once all runners had answered it. The simulated runners also showed progress of members that wait. Change: an owner is also blamed if an inventory listed the member to it 60% of the runners' wait and 0.2 s before. A waiting member shows no progress.

--- a/crates/jobs/tests/support/gangs.rs
+++ b/crates/jobs/tests/support/gangs.rs
@@ -27,6 +27,10 @@
 /// Time in which such an owner stops a run that it knows can't become whole, in milliseconds.
 const MAX_REACTION_MS: u64 = 200;
 
+/// Time in which an owner stops a listed member whose gang isn't whole, although runners have not answered it, in
+/// milliseconds. Runners let members wait for longer.
+const MAX_WAIT_FOR_RUNNERS_MS: u64 = GANG_WAIT_MS * 60 / 100 + MAX_REACTION_MS;
+
 /// A member of a gang on an incarnation of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Member {
@@ -59,6 +63,7 @@
         }
         let members = self.present_members(task.step, run);
         if members.len() < self.checks.step_spec(task.step).count as usize {
+            self.runners[runner].begin_wait(task);
             let incarnation = self.runners[runner].incarnation;
             let member = Member {
                 runner,
@@ -134,17 +139,19 @@
     }
 
     /// Checks that the owner has ordered a stop of a member whose gang never became whole, if it must have known: one
-    /// member never started, and all runners have answered this owner.
+    /// member never started, and all runners have answered this owner, or it has known for long enough that this one waits.
     fn check_owner_knew(&mut self, task: TaskId, run: u32) {
         let count = self.checks.step_spec(task.step).count;
         let mut members = (0..count).map(|index| task.step.task(index));
         let is_one_missing = members.any(|member| !self.started_members.contains(&(member, run)));
         let owner = &self.owners[self.newest()];
+        let listed_since = owner.listed_since.get(&(task, run)).copied();
         let since = |at: Option<u64>| at.map_or(0, |at| self.now - at);
         let must_know = owner.alive
             && !owner.paused
             && since(owner.working_since) >= MIN_WORKING_TIME_MS
-            && since(owner.verified_since) >= MAX_REACTION_MS;
+            && (since(owner.verified_since) >= MAX_REACTION_MS
+                || since(listed_since) >= MAX_WAIT_FOR_RUNNERS_MS);
         let mut stops = owner.stops.iter().map(|sent| &sent.call);
         let is_stopped = stops.any(|stop| stop.task == task && stop.run == run);
         if is_one_missing && must_know && !is_stopped {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -229,6 +229,8 @@
     /// Inventory calls by sequence number.
     inventory_calls: BTreeMap<u64, Sent<InventoryCall>>,
     inventory_outcomes: Vec<InventoryOutcome>,
+    /// Time at which an inventory first told the owner of a run.
+    listed_since: BTreeMap<(TaskId, u32), u64>,
     /// Callers waiting for a batch: batch, job, and whether the call is a cancellation.
     callers: Vec<(u64, JobId, bool)>,
 }
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -381,6 +381,12 @@
         if no_response_is_death && outcome == InventoryOutcome::NoResponse {
             outcome = InventoryOutcome::OtherIncarnation;
         }
+        if let InventoryOutcome::Inventory(inventory) = &outcome {
+            for row in &inventory.running {
+                let listed_since = cell.listed_since.entry((row.task, row.run));
+                listed_since.or_insert(self.now);
+            }
+        }
         let successor = cell.engine.record_inventory(
             Millis(self.now),
             self.now,
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -128,6 +128,7 @@
             stops: Vec::new(),
             inventory_calls: BTreeMap::new(),
             inventory_outcomes: Vec::new(),
+            listed_since: BTreeMap::new(),
             callers: Vec::new(),
         });
         self.list_runners(number);
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -30,10 +30,15 @@
     pub(crate) length: u64,
     /// Whether the run is a member of a gang that is whole.
     pub(crate) is_at_work: bool,
+    /// Whether the run is a member of a gang that waits for others.
+    pub(crate) is_waiting: bool,
 }
 
 impl Run {
     fn percent(&self, now: u64) -> u32 {
+        if self.is_waiting {
+            return 0;
+        }
         let done = (now - self.started_at) * 100 / self.length;
         u32::try_from(done).expect("a run is short").min(99)
     }
@@ -234,6 +239,7 @@
             started_at: now,
             length: rng.random_range(50..2_500),
             is_at_work: false,
+            is_waiting: false,
         };
         self.running.insert(order.task, run);
         (StartOutcome::Started(clock), Some(run.length))
@@ -298,6 +304,14 @@
     pub(crate) fn begin_work(&mut self, task: TaskId) {
         if let Some(run) = self.running.get_mut(&task) {
             run.is_at_work = true;
+            run.is_waiting = false;
+        }
+    }
+
+    /// Lets a member of a gang wait for others.
+    pub(crate) fn begin_wait(&mut self, task: TaskId) {
+        if let Some(run) = self.running.get_mut(&task) {
+            run.is_waiting = true;
         }
     }
 
