--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -238,6 +238,8 @@
     /// Sequence numbers of the inventory calls that were neither answered nor given up; used by
     /// [`Hazard::UnseenEnds`] alone.
     open_calls: BTreeSet<u64>,
+    /// Time at which an inventory first told the owner of a run.
+    listed_since: BTreeMap<(TaskId, u32), u64>,
     /// Callers waiting for a batch: batch, job, and whether the call is a cancellation.
     callers: Vec<(u64, JobId, bool)>,
 }
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -130,6 +130,7 @@
             inventory_calls: BTreeMap::new(),
             inventory_outcomes: Vec::new(),
             open_calls: BTreeSet::new(),
+            listed_since: BTreeMap::new(),
             callers: Vec::new(),
         });
         self.list_runners(number);
