Raise the fence of a runner that is listed again above its former calls

Callers may see a task run twice: a runner whose end was presumed is listed again, and executes a call late that was given up before. Its new connection began at the owner's newest fence, which may be that of the late call, and raised it only once a call of its own got no answer.

Cause: the doubt about calls is kept by connection, and a runner gets a new one with each index. Evidence: by reading alone; no play or schedule has shown it. Change: a new connection counts the fence of the runner's earlier ones as doubted. Result: `fence_rises_above_those_of_calls_before_a_presumed_end` passes; it was not run without the change.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -32,7 +32,7 @@
     id::JobId,
     runner::RunnerEntry,
 };
-use kspan_model::Millis;
+use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 use tokio::{
     sync::{Notify, Semaphore, watch},
@@ -394,6 +394,17 @@
         self.fence.max(self.claims_end.get())
     }
 
+    /// Returns the highest fencing token of the calls to a runner under its earlier indices, any of which may be
+    /// executed late; 0 if there were none.
+    fn former_fence(&self, id: &Name) -> u64 {
+        let connections = self.runner_connections.borrow();
+        let former = connections.values().filter(|known| known.client.id == *id);
+        former
+            .map(|known| known.client.fence.get())
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns the connections to a runner, creating them if there are none.
     async fn connection(&self, runner_ix: RunnerIx, entry: &RunnerEntry) -> Rc<RunnerConnection> {
         let known = self.runner_connections.borrow().get(&runner_ix).cloned();
@@ -408,7 +419,7 @@
                 fence: Cell::new(self.newest_fence()),
             },
             order_slots: Semaphore::new(MAX_ORDERS_PER_RUNNER),
-            doubted_fence: Cell::new(0),
+            doubted_fence: Cell::new(self.former_fence(&entry.id)),
         });
         self.runner_connections
             .borrow_mut()
--- a/crates/cell/src/owner/runners/tests.rs
+++ b/crates/cell/src/owner/runners/tests.rs
@@ -138,6 +138,19 @@
     assert_eq!(connection.next_fence(newest + 5), newest);
 }
 
+/// Guards against calls that were given up and are executed late by a runner whose end was presumed and that is
+/// listed again: its new connection has to raise the fencing token above theirs.
+#[ntex::test]
+async fn fence_rises_above_those_of_calls_before_a_presumed_end() {
+    let owner = crate::owner::tests::owner("127.0.0.1:1").await;
+    let entry = start_runner(Duration::ZERO).await;
+    let first = owner.newest_fence();
+    let former = owner.connection(RunnerIx(0), &entry).await;
+    assert_eq!(former.next_fence(first), first);
+    let listed_again = owner.connection(RunnerIx(1), &entry).await;
+    assert_eq!(listed_again.next_fence(first + 5), first + 5);
+}
+
 /// Guards against a runner that restarted at another address and is not called there, because its own address
 /// can't confirm it, and against work for it before it has answered for itself.
 #[ntex::test]
