Give tasks and events of the engine modules of their own

`Task` with its state moves to `engine/task.rs`, `Event` to `engine/event.rs`; nothing but paths changes.

--- a/crates/jobs/src/engine/attempts.rs
+++ b/crates/jobs/src/engine/attempts.rs
@@ -10,7 +10,7 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::job::{Step, Task};
+use super::{job::Step, task::Task};
 use crate::{record::FailedRun, spec::StepSpec};
 
 /// Failed runs of a gang.
--- a/crates/jobs/src/engine/candidate.rs
+++ b/crates/jobs/src/engine/candidate.rs
@@ -9,9 +9,10 @@
 use super::{
     Engine, RunnerIx,
     evidence::{Isolation, MAX_SUSPECT_AGE},
-    job::{Job, Step, Task, TaskState},
+    job::{Job, Step},
     rack_forecast::RackForecast,
     runner::Runner,
+    task::{Task, TaskState},
 };
 use crate::{config::Policy, id::StepId, spec::StepSpec};
 
--- a/crates/jobs/src/engine/crash.rs
+++ b/crates/jobs/src/engine/crash.rs
@@ -21,8 +21,9 @@
 use super::{
     Engine, Event, FailureCause, LossReason, Order, RunnerIx, StartOrder,
     evidence::{Crashes, Isolation, MAX_SUSPECT_AGE},
-    job::{Job, Task},
+    job::Job,
     runner::{PlacedRun, Runner},
+    task::Task,
 };
 use crate::{
     id::TaskId,
--- a/crates/jobs/src/engine/ends.rs
+++ b/crates/jobs/src/engine/ends.rs
@@ -4,12 +4,8 @@
 use kspan_model::{Millis, Name};
 
 use super::{
-    Engine, Event, FailureCause, RunnerIx,
-    crash::incarnation_hash,
-    end_log::EndListing,
-    job::{MAX_RUN, TaskState},
-    overrun::Ratio,
-    runner::PlacedRun,
+    Engine, Event, FailureCause, RunnerIx, crash::incarnation_hash, end_log::EndListing,
+    job::MAX_RUN, overrun::Ratio, runner::PlacedRun, task::TaskState,
 };
 use crate::{
     id::{JobId, TaskId},
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -6,8 +6,9 @@
 use super::{
     Engine, Event, RunnerIx,
     evidence::Isolation,
-    job::{Job, Occurrence, Step, Task, TaskState},
+    job::{Job, Occurrence, Step},
     servable::lacking_resource,
+    task::{Task, TaskState},
 };
 use crate::{
     config::Policy,
--- a/crates/jobs/src/engine/gangs.rs
+++ b/crates/jobs/src/engine/gangs.rs
@@ -19,7 +19,8 @@
 
 use super::{
     Engine, Event,
-    job::{Step, Task, TaskState},
+    job::Step,
+    task::{Task, TaskState},
 };
 use crate::{
     id::{StepId, TaskId},
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -3,7 +3,7 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 
-use super::{Engine, Event, LossReason, Runner, RunnerIx, job::TaskState, silence::TaskList};
+use super::{Engine, Event, LossReason, Runner, RunnerIx, silence::TaskList, task::TaskState};
 use crate::{id::TaskId, record::RunnerRecord, runner::RunnerEntry};
 
 /// Interval between two ticks above which the process is assumed to have been suspended.
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -7,10 +7,11 @@
     Engine, Event, LossReason, RunnerIx,
     end_log::{EndListing, ListedEnd, UnusualEnds},
     evidence::Isolation,
-    job::{MAX_RUN, OrphanRun, TaskState},
+    job::MAX_RUN,
     reserve::ServiceRunners,
     runner::{Delivery, PlacedRun, UnackedEnd},
     stall::Progress,
+    task::{OrphanRun, TaskState},
     throttle::RunSpeed,
 };
 use crate::{
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -7,7 +7,7 @@
 
 use kspan_model::{Millis, Name};
 
-use super::{Engine, Event, LossReason, Order, RunnerIx, StartOrder, StopOrder, job::TaskState};
+use super::{Engine, Event, LossReason, Order, RunnerIx, StartOrder, StopOrder, task::TaskState};
 use crate::{
     id::TaskId,
     runner::{OrderOutcome, Refusal, StartOutcome},
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -8,11 +8,12 @@
 use super::{
     Engine, Event, Order, RunnerIx, StartOrder,
     candidate::{Candidate, Place},
-    job::{Job, Step, Task, TaskState},
+    job::{Job, Step},
     locality::{Decision, Wait, decide},
     rack_forecast::RackForecast,
     runner::{Delivery, PlacedRun},
     stall::Progress,
+    task::{Task, TaskState},
     throttle::RunSpeed,
 };
 use crate::{id::StepId, spec::StepSpec};
--- a/crates/jobs/src/engine/progress.rs
+++ b/crates/jobs/src/engine/progress.rs
@@ -6,8 +6,9 @@
 
 use super::{
     durable::removed,
-    job::{Job, MAX_RUN, Occurrence, Task, TaskState},
+    job::{Job, MAX_RUN, Occurrence},
     parts::ChangedTasks,
+    task::{Task, TaskState},
 };
 use crate::{
     id::StepId,
--- a/crates/jobs/src/engine/queries.rs
+++ b/crates/jobs/src/engine/queries.rs
@@ -2,7 +2,7 @@
 
 use kspan_model::{Name, Resources};
 
-use super::{Engine, Runner, RunnerIx, job::TaskState};
+use super::{Engine, Runner, RunnerIx, task::TaskState};
 use crate::{
     id::{JobId, TaskId},
     record::Phase,
--- a/crates/jobs/src/engine/quiet.rs
+++ b/crates/jobs/src/engine/quiet.rs
@@ -9,7 +9,7 @@
 use super::{
     Engine, RunnerIx,
     evidence::Isolation,
-    job::{Task, TaskState},
+    task::{Task, TaskState},
 };
 use crate::id::StepId;
 
--- a/crates/jobs/src/engine/reserve.rs
+++ b/crates/jobs/src/engine/reserve.rs
@@ -14,12 +14,7 @@
 
 use kspan_model::{Millis, Name, Resources};
 
-use super::{
-    Engine, RunnerIx,
-    demand::is_large,
-    job::{Step, Task},
-    runner::Runner,
-};
+use super::{Engine, RunnerIx, demand::is_large, job::Step, runner::Runner, task::Task};
 use crate::{config::Policy, id::StepId, spec::StepSpec};
 
 /// Waiting time after which a task of a long-running step is overdue.
--- a/crates/jobs/src/engine/stall.rs
+++ b/crates/jobs/src/engine/stall.rs
@@ -6,7 +6,7 @@
 
 use kspan_model::Millis;
 
-use super::{Engine, Event, RunnerIx, job::TaskState};
+use super::{Engine, Event, RunnerIx, task::TaskState};
 use crate::{id::TaskId, runner::EndKind, runner::RunningTask};
 
 /// Minimum time without progress after which a task counts as stalled. Resuming from a checkpoint
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -17,7 +17,7 @@
 
 use kspan_model::{Millis, Name};
 
-use super::{Engine, Event, RunnerIx, job::TaskState, runner::PlacedRun};
+use super::{Engine, Event, RunnerIx, runner::PlacedRun, task::TaskState};
 use crate::{
     id::TaskId,
     record::{self, Record, RecordKey},
--- a/crates/jobs/src/engine/tasks.rs
+++ b/crates/jobs/src/engine/tasks.rs
@@ -5,7 +5,7 @@
 
 use std::ops::{Index, IndexMut};
 
-use super::job::{Task, TaskState};
+use super::task::{Task, TaskState};
 
 /// Number of tasks in a chunk. Alike tasks take this fraction of the memory of different ones.
 const CHUNK_TASKS: usize = 64;
