Add incarnations that answer in one place

A restart and an answer after a presumed end added the runner with the same six lines. `add_successor` serves both; what differs, whether the runner waits for an entry and whether its first ends are known, is set by the caller. A revived runner's lease is counted from the reading in its answer, as for a restarted one.

--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -68,8 +68,11 @@
         let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
         self.end_incarnation(runner_ix, &missing, now);
         inherited.extend(self.detach_runs(runner_ix, &missing));
-        let successor_ix = self.add_successor(entry, is_listed, inventory.clock, now);
-        self.runners[successor_ix.0].is_known_from_start = self.runners[runner_ix.0].has_answered;
+        let is_known_from_start = self.runners[runner_ix.0].has_answered;
+        let successor_ix = self.add_successor(entry, "restarted", inventory.clock, now);
+        let successor = &mut self.runners[successor_ix.0];
+        successor.awaits_entry = !is_listed;
+        successor.is_known_from_start = is_known_from_start;
         for run in &inherited {
             self.attach_run(runner_ix, successor_ix, *run, now);
         }
@@ -115,16 +118,11 @@
         let has_restarted = runner.has_restarted(inventory.started_unix_ms);
         let missing_since = runner.missing_since;
         let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
-        let id = entry.id.clone();
-        let record_batch = self.batches.add_runner(id.clone());
         let what = "answers after its presumed end";
-        self.events.push(Event::RunnerChanged { id, what });
-        let revived_ix = self.add_runner(now, entry, record_batch);
+        let revived_ix = self.add_successor(entry, what, inventory.clock, now);
         let revived = &mut self.runners[revived_ix.0];
         revived.missing_since = missing_since;
         revived.awaits_entry = has_restarted && !is_listed;
-        // Orders for it, or for the incarnation before, may have granted the longest lease.
-        revived.inherited_lease_until = Some(Millis(u64::MAX));
         self.apply_inventory(now, unix_ms, revived_ix, sequence, inventory);
         Some(revived_ix)
     }
@@ -143,22 +141,20 @@
         }
     }
 
-    /// Adds the incarnation of an entry, which gets no work until the host list has it.
+    /// Adds the runner of an entry, which has answered with this reading of its clock. Orders for it, or for the
+    /// incarnation before, may have granted the longest lease.
     fn add_successor(
         &mut self,
         entry: RunnerEntry,
-        is_listed: bool,
+        what: &'static str,
         clock: Millis,
         now: Millis,
     ) -> RunnerIx {
         let id = entry.id.clone();
         let record_batch = self.batches.add_runner(id.clone());
-        let what = "restarted";
         self.events.push(Event::RunnerChanged { id, what });
         let successor_ix = self.add_runner(now, entry, record_batch);
-        let successor = &mut self.runners[successor_ix.0];
-        successor.awaits_entry = !is_listed;
-        successor.assume_inherited_lease(clock, &self.cfg, now);
+        self.runners[successor_ix.0].assume_inherited_lease(clock, &self.cfg, now);
         successor_ix
     }
 
