Look at the clock in the answers to stops and throttle orders

Callers may see a task run again while the next incarnation of its runner, which nobody has heard, has it or its end: the answer to a stop had shown the restart, and its clock was dropped.

Change: the reading is passed to the engine as that of a start's answer is. Result: the rows of `answer_by_another_clock_shows_a_restart` for such answers pass; the call that they use didn't exist before.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -8,7 +8,7 @@
 use kspan_adapter::{
     approvals::Approved,
     http::CallError,
-    runner::{self, RunnerClient},
+    runner::{self, RunnerClient, TimedOutcome},
 };
 use kspan_jobs::{
     Engine,
@@ -200,7 +200,7 @@
         &self,
         runner_ix: RunnerIx,
         is_needed: impl Fn(&Engine) -> bool,
-        send: impl AsyncFn(&RunnerClient) -> OrderOutcome,
+        send: impl AsyncFn(&RunnerClient) -> TimedOutcome,
     ) -> OrderOutcome {
         let connection = self.runner_connections.borrow().get(&runner_ix).cloned();
         let Some(connection) = connection else {
@@ -211,7 +211,11 @@
             return OrderOutcome::InDoubt;
         }
         let fence = connection.next_fence(self.newest_fence());
-        let outcome = send(&connection.client).await;
+        let (outcome, clock) = send(&connection.client).await;
+        if let Some(clock) = clock {
+            let mut engine = self.engine.borrow_mut();
+            engine.record_order_clock(runner_ix, clock, self.now());
+        }
         match outcome {
             OrderOutcome::Fenced if connection.is_overtaken(fence) => OrderOutcome::InDoubt,
             OrderOutcome::InDoubt => {
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -120,6 +120,18 @@
         }
     }
 
+    /// Records the reading of a runner's clock in the answer to a stop or throttle order. It may be that of the
+    /// next incarnation, which nobody has heard.
+    pub fn record_order_clock(&mut self, runner_ix: RunnerIx, clock: Millis, now: Millis) {
+        let runner = &mut self.runners[runner_ix.0];
+        if runner.dead {
+            return;
+        }
+        let may_have_restarted = runner.may_inherit_lease();
+        runner.record_clock(clock, now);
+        self.record_suspected_restart(runner_ix, may_have_restarted);
+    }
+
     /// Records the outcome of a stop order.
     pub fn record_stop_outcome(
         &mut self,
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -414,7 +414,7 @@
 }
 
 /// Guards against work for an incarnation that nobody has heard: its clock starts anew, lower or higher than
-/// that of the one before.
+/// that of the one before. The answers to all orders tell it.
 #[test]
 fn answer_by_another_clock_shows_a_restart() {
     // Difference of the clock from the one expected, in ms, and whether the runner gets more work.
@@ -426,15 +426,22 @@
         (9_000, false),
     ];
     for (difference, gets_work) in table {
-        let mut cell = Cell::with_start(false);
-        cell.advance(300);
-        let now = Millis(cell.now);
-        let clock = Millis(cell.now.saturating_add_signed(difference));
-        let started = StartOutcome::Started(clock);
-        cell.engine
-            .record_start_outcome(now, RunnerIx(0), task(), 1, started);
-        let call = cell.engine.next_inventory_call(RunnerIx(0), now);
-        assert_eq!(call.deadline.is_some(), gets_work, "{difference} ms");
+        for is_start in [true, false] {
+            let mut cell = Cell::with_start(false);
+            cell.advance(300);
+            let now = Millis(cell.now);
+            let clock = Millis(cell.now.saturating_add_signed(difference));
+            if is_start {
+                let started = StartOutcome::Started(clock);
+                cell.engine
+                    .record_start_outcome(now, RunnerIx(0), task(), 1, started);
+            } else {
+                cell.engine.record_order_clock(RunnerIx(0), clock, now);
+            }
+            let call = cell.engine.next_inventory_call(RunnerIx(0), now);
+            let case = format!("{difference} ms, start {is_start}");
+            assert_eq!(call.deadline.is_some(), gets_work, "{case}");
+        }
     }
 }
 
