Add a runner whose first entry named another runner's address

An entry of another writer that is the first one under an id, with a later start and the address of another runner, ended the id for good: that runner's refusal marked it as ended, and the real entries, of an earlier start, were ignored until a takeover.

Evidence: found by review; a trial on the code before had no live runner after 30 s. Change: an entry under which no runner has answered is trusted no more than any other, also once its incarnation counts as ended. Result: `runner_whose_first_entry_named_another_runners_address_is_called` passes.

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -54,7 +54,7 @@
             }
             // The entry by which a runner became known may be one of another writer that names a later
             // start than the runner's own. It is trusted no more than any other until it is answered for.
-            let may_be_false = !known.dead && !known.has_answered && entry.addr != known.entry.addr;
+            let may_be_false = !known.has_answered && entry.addr != known.entry.addr;
             let is_earlier = entry.started_unix_ms < known.entry.started_unix_ms;
             if restarted && is_earlier && !may_be_false {
                 return None;
--- a/crates/jobs/tests/host_list.rs
+++ b/crates/jobs/tests/host_list.rs
@@ -240,6 +240,21 @@
     assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
 }
 
+/// Guards against the same where the false entry names the address of another runner, which refuses calls for this
+/// one.
+#[test]
+fn runner_whose_first_entry_named_another_runners_address_is_called() {
+    let false_entry = RunnerEntry {
+        addr: Name::new("w9"),
+        started_unix_ms: 7,
+        ..entry("w0")
+    };
+    let mut cell = Cell::with_runners(config_with_services(1, &["s"]), [false_entry]);
+    cell.complete_inventory_call(0, &InventoryOutcome::OtherIncarnation);
+    assert!(cell.engine.is_dead(RunnerIx(0)));
+    assert_eq!(upsert(&mut cell, entry("w0")), Some(RunnerIx(1)));
+}
+
 /// Completes the next call to the address that an entry names for another incarnation of the first runner.
 fn complete_call_elsewhere(cell: &mut Cell, outcome: &InventoryOutcome) -> Option<RunnerIx> {
     let call = cell.engine.next_call_elsewhere(RunnerIx(0));
