End the calls to a runner once a refusal makes its presumed end certain

Calls to a runner whose end is presumed go on for 10 s. A refusal by another id at its address, or for a newer fence, counted as an answer to the poll loop, which then called again at once, at the rate of round trips; the refusal for a newer fence didn't end the ownership either.

Change: a refusal by another id makes the end certain, and one for a newer fence ends the ownership, as for other runners.

--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -131,14 +131,7 @@
         outcome: &InventoryOutcome,
     ) -> Option<RunnerIx> {
         if self.runners[runner_ix.0].dead {
-            let InventoryOutcome::Inventory(inventory) = outcome else {
-                return None;
-            };
-            let revived = self.revive_runner(now, unix_ms, runner_ix, sequence, inventory);
-            if revived.is_none() {
-                self.emit_ignored_ends(runner_ix, sequence, inventory);
-            }
-            return revived;
+            return self.record_call_to_ended(now, unix_ms, runner_ix, sequence, outcome);
         }
         match outcome {
             InventoryOutcome::Inventory(inventory) => {
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -100,9 +100,37 @@
         runner.presumed_dead && self.by_id.get(&runner.entry.id) == Some(&runner_ix)
     }
 
+    /// Records the outcome of a call to a runner that counts as ended. Returns its new index if it answers after a
+    /// presumed end.
+    pub(super) fn record_call_to_ended(
+        &mut self,
+        now: Millis,
+        unix_ms: u64,
+        runner_ix: RunnerIx,
+        sequence: u64,
+        outcome: &InventoryOutcome,
+    ) -> Option<RunnerIx> {
+        match outcome {
+            InventoryOutcome::Inventory(inventory) => {
+                let revived = self.revive_runner(now, unix_ms, runner_ix, sequence, inventory);
+                if revived.is_none() {
+                    self.emit_ignored_ends(runner_ix, sequence, inventory);
+                }
+                return revived;
+            }
+            InventoryOutcome::Fenced => self.fenced = true,
+            // The end is certain now.
+            InventoryOutcome::OtherIncarnation => {
+                self.runners[runner_ix.0].presumed_dead = false;
+            }
+            InventoryOutcome::NoResponse => {}
+        }
+        None
+    }
+
     /// Takes up a runner again that was presumed to have ended, and answers. What it lists is applied as that of
     /// a runner that is new. Returns its index.
-    pub(super) fn revive_runner(
+    fn revive_runner(
         &mut self,
         now: Millis,
         unix_ms: u64,
@@ -113,9 +141,10 @@
         if !self.is_presumed_end_in_force(runner_ix) {
             return None;
         }
-        self.forget_incarnation(runner_ix);
         let runner = &self.runners[runner_ix.0];
         let has_restarted = runner.has_restarted(inventory.started_unix_ms);
+        self.forget_incarnation(runner_ix);
+        let runner = &self.runners[runner_ix.0];
         let missing_since = runner.missing_since;
         let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
         let what = "answers after its presumed end";
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -517,3 +517,38 @@
         }
     }
 }
+
+/// Returns a cell whose first runner, with a run, is presumed to have ended, just after the host list dropped it or long
+/// after.
+fn cell_with_presumed_end(unlisted_at: u64) -> Cell {
+    let mut cell = Cell::with_start(true);
+    cell.report_running(0);
+    cell.report_ends(1, Vec::new());
+    for at in (0..8_000).step_by(100) {
+        if at == unlisted_at {
+            cell.engine
+                .unlist_runner(Millis(cell.now), &Name::new("w0"));
+        }
+        cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        cell.advance(100);
+        cell.commit();
+    }
+    assert!(cell.engine.is_dead(RunnerIx(0)));
+    cell
+}
+
+/// Guards against calls in quick succession to a runner whose end was presumed, and that a refusal shows to be certain
+/// or the owner to have been replaced.
+#[test]
+fn refusal_after_a_presumed_end_ends_the_calls() {
+    for (refusal, is_fenced) in [
+        (InventoryOutcome::OtherIncarnation, false),
+        (InventoryOutcome::Fenced, true),
+    ] {
+        let mut cell = cell_with_presumed_end(0);
+        cell.complete_inventory_call(0, &refusal);
+        let is_called = cell.engine.is_called(RunnerIx(0), Millis(cell.now));
+        assert_eq!(is_called, is_fenced, "{refusal:?}");
+        assert_eq!(cell.engine.is_fenced(), is_fenced, "{refusal:?}");
+    }
+}
