Give a revived runner work once it has answered a call of its own

A runner that answers after its presumed end, and that the host list dropped just before, got work at once, before it had a connection: each start was refused without having been sent, and ordered again with another run number.

Result: `runner_gets_no_work_before_it_answers_again_after_its_presumed_end` passes.

--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -153,6 +153,7 @@
         revived.missing_since = missing_since;
         revived.awaits_entry = has_restarted && !is_listed;
         self.apply_inventory(now, unix_ms, revived_ix, sequence, inventory);
+        self.runners[revived_ix.0].bars_former_orders = false;
         Some(revived_ix)
     }
 
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -552,3 +552,13 @@
         assert_eq!(cell.engine.is_fenced(), is_fenced, "{refusal:?}");
     }
 }
+
+/// Guards against orders for a runner that answers after its presumed end, before it has answered a call with its own
+/// fencing token: they have no connection and are refused one after the other.
+#[test]
+fn runner_gets_no_work_before_it_answers_again_after_its_presumed_end() {
+    let mut cell = cell_with_presumed_end(6_300);
+    cell.report_ends(0, Vec::new());
+    cell.commit();
+    assert!(cell.schedule().iter().all(|runner_ix| *runner_ix != 2));
+}
