Count the crash of a runner whose next incarnation answers after its presumed end

A crash was forgotten if the next incarnation answered after the end of the one before had been presumed: a task that crashes its runners got one attempt more.

Change: only the answer of the same incarnation shows that there was no crash. Result: `restart_after_a_presumed_end_is_counted_as_a_crash` passes.

--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -143,7 +143,9 @@
         }
         let runner = &self.runners[runner_ix.0];
         let has_restarted = runner.has_restarted(inventory.started_unix_ms);
-        self.forget_incarnation(runner_ix);
+        if !has_restarted {
+            self.forget_incarnation(runner_ix);
+        }
         let runner = &self.runners[runner_ix.0];
         let missing_since = runner.missing_since;
         let (entry, is_listed) = self.successor_entry(runner_ix, inventory.started_unix_ms);
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -3,7 +3,7 @@
 mod one_cell;
 
 use kspan_jobs::{
-    engine::{JobState, Order, RunnerIx},
+    engine::{Event, JobState, Order, RunnerIx},
     runner::{
         EndKind, Inventory, InventoryOutcome, OrderOutcome, RunnerEntry, RunningTask, StartOutcome,
     },
@@ -562,3 +562,26 @@
     cell.commit();
     assert!(cell.schedule().iter().all(|runner_ix| *runner_ix != 2));
 }
+
+/// Guards against crashes of a runner that aren't counted any more because its next incarnation answers after the
+/// presumed end.
+#[test]
+fn restart_after_a_presumed_end_is_counted_as_a_crash() {
+    for (started_unix_ms, expected) in [(1, 1), (2, 2)] {
+        let mut cell = cell_with_presumed_end(0);
+        cell.engine.take_events();
+        let answer = inventory_of(&cell, started_unix_ms, Vec::new());
+        cell.complete_inventory_call(0, &answer);
+        cell.report_ends(1, Vec::new());
+        assert_eq!(cell.next_start(), Some(1));
+        cell.report_run_progress(1, 2, 10);
+        let restarted = inventory_of(&cell, 2, Vec::new());
+        cell.complete_inventory_call(1, &restarted);
+        let events = cell.engine.take_events();
+        let counts = events.iter().filter_map(|event| match event {
+            Event::CrashCounted { count, .. } => Some(*count),
+            _ => None,
+        });
+        assert_eq!(counts.max(), Some(expected), "born {started_unix_ms}");
+    }
+}
