Let a task wait until each late run of it has ended

Callers may see a task run twice after a takeover in which several runners list a run of it: the owner kept one late run a task, the latest, and the end of that one let the task start beside the others.

Evidence: found by review; `task_waits_until_each_late_run_of_it_has_ended` failed, the task started on the third runner while the second listed its run. Change: at the end of a late run the owner looks for another one. Result: the test passes.

--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -345,11 +345,14 @@
     /// run may start.
     fn remove_run(&mut self, runner_ix: RunnerIx, task: TaskId, run: u32) {
         let removed = OrphanRun { runner_ix, run };
-        if let Some(known) = self.task_mut(task)
-            && known.orphan == Some(removed)
-        {
-            known.orphan = None;
-            self.schedulable.insert(task.step.job);
+        if self.task_mut(task).and_then(|known| known.orphan) == Some(removed) {
+            let other = self.find_late_run(task, removed);
+            if let Some(known) = self.task_mut(task) {
+                known.orphan = other;
+            }
+            if other.is_none() {
+                self.schedulable.insert(task.step.job);
+            }
         }
         let removed = self.runners[runner_ix.0].remove_run(task, run);
         if let Some(charge) = removed.and_then(|placed| placed.charge) {
@@ -357,6 +360,26 @@
         }
     }
 
+    /// Returns a run of a task that should not exist, other than the one that is being removed.
+    fn find_late_run(&self, task: TaskId, removed: OrphanRun) -> Option<OrphanRun> {
+        let job = self.jobs.get(&task.step.job)?;
+        let (step, _) = job.step(task.step)?;
+        let known = step.tasks.get(task.index as usize)?;
+        let wanted = known.state.runner().map(|runner_ix| OrphanRun {
+            runner_ix,
+            run: known.run,
+        });
+        let living = (0..).zip(&self.runners).filter(|(_, runner)| !runner.dead);
+        let mut late = living.flat_map(|(ix, runner)| {
+            let of_task = runner.runs.keys().filter(move |(other, _)| *other == task);
+            of_task.map(move |(_, run)| OrphanRun {
+                runner_ix: RunnerIx(ix),
+                run: *run,
+            })
+        });
+        late.find(|run| *run != removed && Some(*run) != wanted)
+    }
+
     fn next_sequence(&mut self) -> u64 {
         self.last_sequence += 1;
         self.last_sequence
