--- a/crates/jobs/tests/end_log.rs
+++ b/crates/jobs/tests/end_log.rs
@@ -1,4 +1,4 @@
-//! Tests of what the log is told of the ends of runs.
+//! Tests of the events that lead from a run to the inventories and calls that concern its end.
 
 mod one_cell;
 
@@ -55,7 +55,7 @@
     cell
 }
 
-/// Guards against a run that is taken for lost without a word of the lease that was assumed.
+/// Guards against a run that is taken for lost while the log doesn't name the lease that was assumed.
 #[test]
 fn loss_of_runs_tells_the_lease_that_the_owner_assumes() {
     let mut cell = cell_with_lapsed_runner(true);
