Write fewer lines about acknowledgements at the peak of the load

Change: 60 of these lines a second instead of 400, and no text is made for those that are not written. Calls that get no answer have a line of their own, with their ends.

--- a/crates/cell/src/owner/end_log.rs
+++ b/crates/cell/src/owner/end_log.rs
@@ -18,9 +18,9 @@
 
 use super::{Owner, event_log::end_kind_name};
 
-/// Maximum number of lines per second about calls that acknowledge ends. Above the usual limit, because a large
-/// deployment makes about 200 such calls a second.
-const MAX_ACKNOWLEDGEMENTS_PER_SECOND: u32 = 400;
+/// Maximum number of lines per second about calls that acknowledge ends. Below the usual limit, as each costs time
+/// at the peak of the load. Those that get no answer have a line of their own.
+const MAX_ACKNOWLEDGEMENTS_PER_SECOND: u32 = 60;
 
 /// An inventory call as the log names it.
 #[derive(Debug)]
@@ -36,7 +36,7 @@
 struct AcknowledgementLog {
     number: u64,
     answered_number: u64,
-    ends: String,
+    ends: Vec<ListedEnd>,
 }
 
 impl From<Acknowledgement> for AcknowledgementLog {
@@ -44,7 +44,7 @@
         Self {
             number: acknowledgement.number,
             answered_number: acknowledgement.answered_number,
-            ends: list_ends(&acknowledgement.ends),
+            ends: acknowledgement.ends,
         }
     }
 }
@@ -54,8 +54,9 @@
         self.acknowledgement.as_ref().map(|sent| sent.number)
     }
 
-    fn ends(&self) -> Option<&str> {
-        self.acknowledgement.as_ref().map(|sent| sent.ends.as_str())
+    fn ends(&self) -> Option<String> {
+        let sent = self.acknowledgement.as_ref()?;
+        Some(list_ends(&sent.ends))
     }
 
     /// Returns the kind of the line about a call without a result. Calls that acknowledge ends have their own, so
@@ -106,7 +107,7 @@
                 fence,
                 number = sent.number,
                 answered_number = sent.answered_number,
-                ends = sent.ends,
+                ends = list_ends(&sent.ends),
                 "acknowledging ends"
             );
         }
