Look at the clock in the refusal of a start

A runner had restarted under its id, unheard; its next incarnation refused a start as late. The start was ordered again there, got no answer, and counted as another crash under the task.

Cause: the clock in the answer to a start was looked at only if the start was accepted.

Change: a refusal passes its clock on, as the answers to stops and throttle orders do.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -124,7 +124,11 @@
             if let Err(err) = &answer {
                 self.log_failed_attempt(order, attempt, err, sent_at);
             }
-            match answer {
+            if let Ok((StartOutcome::Refused(_), Some(clock))) = answer {
+                let mut engine = self.engine.borrow_mut();
+                engine.record_order_clock(order.runner_ix, clock, self.now());
+            }
+            match answer.map(|(outcome, _)| outcome) {
                 Ok(StartOutcome::Refused(Refusal::Fenced)) if connection.is_overtaken(fence) => {}
                 Ok(StartOutcome::Refused(why)) if in_doubt && why != Refusal::StaleRun => {
                     return StartOutcome::InDoubt;
--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -73,6 +73,12 @@
 const UNUSABLE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
 const LATE: &str = "HTTP/1.1 409 Conflict\r\nContent-Length: 17\r\n\r\n{\"Reason\":\"late\"}";
 
+/// The same by the clock of the known incarnation, and by that of another one.
+const LATE_BY_KNOWN: &str =
+    "HTTP/1.1 409 Conflict\r\nContent-Length: 32\r\n\r\n{\"ClockMs\":1001,\"Reason\":\"late\"}";
+const LATE_BY_OTHER: &str =
+    "HTTP/1.1 409 Conflict\r\nContent-Length: 33\r\n\r\n{\"ClockMs\":90000,\"Reason\":\"late\"}";
+
 /// More unusable responses than attempts are made without persistence, and a start.
 const LATE_START: &[&str] = &[UNUSABLE, UNUSABLE, UNUSABLE, UNUSABLE, UNUSABLE, STARTED];
 
@@ -234,6 +240,24 @@
     assert_eq!(outcome.await, late);
 }
 
+/// Guards against work for a runner that has restarted under its id, which only the clock in a refusal shows.
+#[ntex::test]
+async fn clock_in_a_refused_start_shows_a_restart() {
+    let table: [(&[&str], bool); 2] = [(&[LATE_BY_KNOWN], false), (&[LATE_BY_OTHER], true)];
+    for (responses, is_restart) in table {
+        let owner = super::super::tests::owner("127.0.0.1:1").await;
+        let runner = start_runner(&owner, responses).await;
+        let order = start_order(&owner, runner.runner_ix, Millis(2_500));
+        let decided = owner.node.clock.reading();
+        let outcome = owner.send_start(&runner.connection, &order, &decided);
+        let late = StartOutcome::Refused(Refusal::DeadlinePassed);
+        assert_eq!(outcome.await, late);
+        let mut engine = owner.engine.borrow_mut();
+        let call = engine.next_inventory_call(runner.runner_ix, owner.now());
+        assert_eq!(call.deadline.is_none(), is_restart, "{responses:?}");
+    }
+}
+
 /// Guards against attempts that are over within milliseconds, so that the shortest fault outlasts them.
 #[ntex::test]
 async fn attempts_that_fail_at_once_are_spread() {
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -120,8 +120,8 @@
         }
     }
 
-    /// Records the reading of a runner's clock in the answer to a stop or throttle order. It may be that of the
-    /// next incarnation, which nobody has heard.
+    /// Records the reading of a runner's clock in the answer to a stop or throttle order, or in the refusal of a
+    /// start. It may be that of the next incarnation, which nobody has heard.
     pub fn record_order_clock(&mut self, runner_ix: RunnerIx, clock: Millis, now: Millis) {
         let runner = &mut self.runners[runner_ix.0];
         if runner.dead {
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -231,6 +231,8 @@
     newest_fence: u64,
     starts: Vec<Sent<StartOrder>>,
     start_outcomes: Vec<Option<StartOutcome>>,
+    /// Readings of the runners' clocks in the answers to starts.
+    start_clocks: Vec<u64>,
     stops: Vec<Sent<StopOrder>>,
     /// Inventory calls by sequence number.
     inventory_calls: BTreeMap<u64, Sent<InventoryCall>>,
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -95,6 +95,7 @@
         let sent = self.sent(owner, order.runner_ix.0, order);
         self.owners[owner].starts.push(sent);
         self.owners[owner].start_outcomes.push(None);
+        self.owners[owner].start_clocks.push(0);
         let (lost, answered, delay) = self.draw_delivery(runner);
         if !lost {
             self.push(
@@ -212,6 +213,7 @@
             return;
         };
         self.owners[owner].start_outcomes[call] = Some(outcome);
+        self.owners[owner].start_clocks[call] = self.runners[number].clock(self.now);
         if answered && self.is_answer_lost(number) {
             let outcome = None;
             let timeout = Event::StartAnswered {
@@ -263,8 +265,13 @@
         {
             outcome = StartOutcome::Refused(Refusal::Unhealthy);
         }
+        let now = Millis(self.now);
+        if matches!(known, Some(StartOutcome::Refused(_))) {
+            let clock = Millis(cell.start_clocks[call]);
+            cell.engine.record_order_clock(runner_ix, clock, now);
+        }
         cell.engine
-            .record_start_outcome(Millis(self.now), runner_ix, task, run, outcome);
+            .record_start_outcome(now, runner_ix, task, run, outcome);
     }
 
     pub(super) fn stop_arrives(&mut self, owner: usize, call: usize, answered: bool) {
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -126,6 +126,7 @@
             newest_fence: fence,
             starts: Vec::new(),
             start_outcomes: Vec::new(),
+            start_clocks: Vec::new(),
             stops: Vec::new(),
             inventory_calls: BTreeMap::new(),
             inventory_outcomes: Vec::new(),
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -137,7 +137,8 @@
         Name::new(&format!("w{}-{}", self.number, self.incarnation))
     }
 
-    fn clock(&self, now: u64) -> u64 {
+    /// Returns the reading of the runner's clock.
+    pub(crate) fn clock(&self, now: u64) -> u64 {
         (now - self.incarnation_started_at) * self.rate / 1_000 + self.first_clock
     }
 
