Give a task up after four crashes if one of its starts got no answer

Cause: three crashes of conclusive weight failed a job as soon as two of the runs had certainly begun. A start that its runner neither answered nor listed, because it had just gone dark, made the third.

The check now counts the crashes of runners under each task, and reports a failed job whose tasks have seen less than two, as before.

Test: start_that_reaches_no_runner_is_no_third_crash, red without the change ("left: Some(Failed), right: Some(Completed)").

--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -36,7 +36,7 @@
 const MAX_CRASHES_IN_DOUBT: usize = 4;
 
 /// Number of crashes during which the task certainly ran, from which conclusive weight is enough.
-const MIN_CERTAIN_RUNS: usize = 2;
+const MIN_CERTAIN_RUNS: usize = 3;
 
 /// Number of crashes, certain or possible, from which a task does not start while some are not certain.
 const MAX_UNSETTLED: usize = 4;
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -373,6 +373,32 @@
     assert_eq!(fleet.state(1), Some(JobState::Completed));
 }
 
+/// Guards against the same where two other runners went down while they had the task.
+#[test]
+fn start_that_reaches_no_runner_is_no_third_crash() {
+    let mut fleet = Fleet::new(6);
+    fleet.starts_too_late = 1;
+    fleet.run(1_000);
+    submit(&mut fleet, 1, job_of(1));
+    for _ in 0..2 {
+        while runner_of(&fleet).is_none() {
+            fleet.run(100);
+        }
+        fleet.run(300);
+        fleet.crash(runner_of(&fleet).expect("the task runs"));
+        fleet.run(RESTART_MS);
+    }
+    fleet.run(60_000);
+    assert_eq!(fleet.starts_too_late, 0);
+    assert_eq!(fleet.state(1), Some(JobState::Completed));
+}
+
+/// Returns the runner that has the task of the first job.
+fn runner_of(fleet: &Fleet) -> Option<usize> {
+    let mut runners = fleet.runners.iter();
+    runners.position(|runner| runner.runs.contains_key(&task_of(1, 0)))
+}
+
 /// Guards against a task that crashes each runner before the start is answered, and is started without an end
 /// because none of its runs is certain.
 #[test]
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -402,7 +402,7 @@
                 runner,
                 restarts_after,
             } => {
-                self.runners[runner].crash();
+                self.crash(runner);
                 self.push(restarts_after, Event::RunnerRestarts(runner));
             }
             Event::RunnerRestarts(number) => self.restart(number),
@@ -529,7 +529,7 @@
             // runners when these crashed.
             3 if self.hazard.reuses_ids() => {}
             3 => {
-                self.runners[runner].crash();
+                self.crash(runner);
                 // One in three stays down for longer than any lease.
                 let gone = self.rng.random_range(0..3) == 0;
                 self.push(
