Wait for a draining runner with the tasks that its record lists

What callers saw: a task ran twice (TWICE): a new owner started it 2.5 s after the takeover while the draining runner that had it was only cut off (KNOWN-RED, new_owner_waits_for_a_drained_runner_that_may_be_cut_off; 6.6 s for a runner that doesn't drain).

Cause: a runner that drained in its last entry and is missing from the host list for 2.5 s counted as gone (Runner::has_left). Entries expire during a cut as well. The rule was there because all waiting tasks waited for such a runner after the loss of all hosts.

Change: the record of a draining runner lists its tasks. It gets no new work, so that the list is complete from the time when it began to drain. A new owner that misses it waits for the listed tasks for as long as for any silent runner, and with the others not at all: neither the 2.5 s of before nor the 6.5 s of a runner without a list. A runner that stops draining gets work once a record without the list is durable.

takeover_waits_longer_for_runners_that_were_not_draining held the fault to be right: its row (draining, 3,000 ms, started) is the course above. It is replaced by takeover_waits_for_a_draining_runner_with_the_tasks_it_had, whose table keeps its other rows, and has the times for a task that the runner had (as for any runner) and for one that it hadn't (at once).

Measured: the known red passes; the table's row of the task that the draining runner hadn't is red without the change (it waited for 2.5 s).

--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -370,7 +370,7 @@
         for runner in self
             .runners
             .iter()
-            .filter(|runner| runner.is_unaccounted(now))
+            .filter(|runner| runner.is_unaccounted())
         {
             let excess = if runner.may_inherit_lease() {
                 excess
--- a/crates/jobs/src/engine/gangs.rs
+++ b/crates/jobs/src/engine/gangs.rs
@@ -187,14 +187,14 @@
         let waited = now.saturating_sub(adopted.since);
         let is_due = |percent| waited >= self.part_of_gang_wait(percent);
         is_due(MAX_WAIT_PERCENT)
-            || is_due(MAX_WAIT_FOR_SILENT_PERCENT) && self.are_unaccounted_runners_silent(now)
+            || is_due(MAX_WAIT_FOR_SILENT_PERCENT) && self.are_unaccounted_runners_silent()
     }
 
     /// Returns whether each runner that may have unknown runs of a previous owner has left a call of this one without
     /// an answer.
-    fn are_unaccounted_runners_silent(&self, now: Millis) -> bool {
+    fn are_unaccounted_runners_silent(&self) -> bool {
         let runners = self.runners.iter();
-        let mut unaccounted = runners.filter(|runner| runner.is_unaccounted(now));
+        let mut unaccounted = runners.filter(|runner| runner.is_unaccounted());
         unaccounted.all(|runner| runner.missed_responses > 0)
     }
 
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -33,6 +33,7 @@
             if !restarted && !known.dead {
                 known.disputed_by = None;
                 let began_draining = entry.draining && !known.entry.draining;
+                let ended_draining = !entry.draining && known.entry.draining;
                 let has_other_capacity = entry.capacity != known.entry.capacity;
                 let started_unix_ms = known.entry.started_unix_ms;
                 known.largest_capacity = known.largest_capacity.component_max(entry.capacity);
@@ -43,9 +44,13 @@
                 known.missing_since = None;
                 known.awaits_entry = false;
                 self.include_in_largest(runner_ix);
-                if began_draining || has_other_capacity {
+                if began_draining || ended_draining || has_other_capacity {
                     let id = self.runners[runner_ix.0].entry.id.clone();
-                    self.batches.add_runner(id);
+                    let batch = self.batches.add_runner(id);
+                    if ended_draining {
+                        // The record lists tasks to which new work would add.
+                        self.runners[runner_ix.0].record_batch = batch;
+                    }
                 }
                 if began_draining {
                     self.move_tasks_away(runner_ix, now);
@@ -247,7 +252,7 @@
         let all_verified = self.are_all_runs_verified(now);
         self.recount_job_bytes();
         self.begin_due_occurrences(now, unix_ms, all_verified);
-        self.verify_unlisted_tasks(now);
+        self.verify_unlisted_tasks();
         self.end_inherited_leases(now);
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -240,6 +240,8 @@
             self.forget_unreported_runs(runner_ix, &reported);
         }
         if is_leaving {
+            let id = self.runners[runner_ix.0].entry.id.clone();
+            self.batches.add_runner(id);
             self.move_tasks_away(runner_ix, now);
         }
         self.observe_tails(runner_ix, inventory, now);
--- a/crates/jobs/src/engine/quota.rs
+++ b/crates/jobs/src/engine/quota.rs
@@ -235,10 +235,7 @@
         if all_verified || self.teams.entries.is_empty() {
             return;
         }
-        let silent = self
-            .runners
-            .iter()
-            .filter(|runner| runner.is_unaccounted(now));
+        let silent = self.runners.iter().filter(|runner| runner.is_unaccounted());
         let room = silent
             .map(|runner| runner.largest_capacity)
             .fold(Resources::ZERO, Resources::saturating_add);
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -245,16 +245,10 @@
             .is_some_and(|since| now >= since + MISSING_GRACE_PERIOD)
     }
 
-    /// Returns whether the runner was draining when it was last listed and is missing now. A runner
-    /// that is missing without having drained may be partitioned, and its tasks run until its lease
-    /// expires.
-    pub(super) fn has_left(&self, now: Millis) -> bool {
-        self.entry.draining && self.is_missing(now)
-    }
-
-    /// Returns whether the runner may have runs of a previous owner that are not known.
-    pub(super) fn is_unaccounted(&self, now: Millis) -> bool {
-        !self.has_answered && !self.dead && !self.has_left(now)
+    /// Returns whether the runner may have runs of a previous owner that are not known. One that was draining and
+    /// is missing from the host list may be cut off, too.
+    pub(super) fn is_unaccounted(&self) -> bool {
+        !self.has_answered && !self.dead
     }
 
     /// Returns whether an entry says of this incarnation what can't change while it lives, and what it has
--- a/crates/jobs/src/engine/silence.rs
+++ b/crates/jobs/src/engine/silence.rs
@@ -3,9 +3,10 @@
 //! Failure pattern: a runner is lost, and the owner soon after it. The next owner cannot know what the
 //! runner has, and every waiting task would have to wait until nothing can run there any longer. The
 //! owner therefore records the tasks that may be on a runner that stops answering, and starts nothing
-//! there until the record is withdrawn. After a takeover only these tasks wait for the runner.
+//! there until the record is withdrawn. After a takeover only these tasks wait for the runner. The record of a
+//! draining runner has the list as well: such a runner gets no new work.
 
-use kspan_model::{Millis, Name};
+use kspan_model::Name;
 use rustc_hash::FxHashSet;
 
 use super::{Engine, RunnerIx};
@@ -74,8 +75,9 @@
         if runner.task_list == TaskList::Pending {
             runner.task_list = TaskList::Written;
         }
+        let is_complete = runner.entry.draining && runner.has_answered;
         let tasks = match &runner.task_list {
-            TaskList::None | TaskList::Pending => None,
+            TaskList::None | TaskList::Pending => is_complete.then(|| runner.tasks()),
             TaskList::Written => Some(runner.tasks()),
             TaskList::Restored(tasks) => Some(tasks.clone()),
         };
@@ -87,16 +89,12 @@
 
     /// Lets the tasks start that are on no list, if lists tell what each runner that has not answered
     /// since the takeover may have.
-    pub(super) fn verify_unlisted_tasks(&mut self, now: Millis) {
+    pub(super) fn verify_unlisted_tasks(&mut self) {
         if self.unverified_until.is_none() {
             return;
         }
         let mut listed: FxHashSet<TaskId> = FxHashSet::default();
-        for runner in self
-            .runners
-            .iter()
-            .filter(|runner| runner.is_unaccounted(now))
-        {
+        for runner in self.runners.iter().filter(|runner| runner.is_unaccounted()) {
             let TaskList::Restored(tasks) = &runner.task_list else {
                 return;
             };
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -193,8 +193,8 @@
 pub struct RunnerRecord {
     /// Latest entry of the runner in the host list.
     pub entry: RunnerEntry,
-    /// Tasks that may be on the runner; `None` if it may have any. Written while the runner does not
-    /// answer.
+    /// Tasks that may be on the runner; `None` if it may have any. Written while the runner gets no new
+    /// work: while it does not answer, and while it is draining.
     pub tasks: Option<Vec<TaskId>>,
 }
 
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -308,22 +308,29 @@
     assert_eq!(cell.engine.live_runners().count(), 1);
 }
 
+/// Guards against a task that starts elsewhere while a draining runner that is only cut off has it, and against tasks
+/// that wait for such a runner although its record shows that it can't have them.
 #[test]
-fn takeover_waits_longer_for_runners_that_were_not_draining() {
-    // Whether the runner was draining, time after the takeover in ms, and whether the task has
-    // started by then.
+fn takeover_waits_for_a_draining_runner_with_the_tasks_it_had() {
+    // Whether the runner was draining, whether the task was started there, time after the takeover in ms, and
+    // whether the task has started by then.
     let table = [
-        (true, 2_000, false),
-        (true, 3_000, true),
-        (false, 6_500, false),
-        (false, 13_500, false),
-        (false, 14_500, true),
+        (true, true, 6_500, false),
+        (true, true, 13_500, false),
+        (true, true, 14_500, true),
+        (true, false, 100, true),
+        (false, true, 13_500, false),
+        (false, true, 14_500, true),
+        (false, false, 13_500, false),
+        (false, false, 14_500, true),
     ];
-    for (was_draining, after_ms, starts) in table {
+    for (was_draining, was_started, after_ms, starts) in table {
         let mut cell = Cell::new(&["w0"]);
         cell.report_ends(0, Vec::new());
         cell.submit();
-        assert_eq!(cell.schedule_and_start().len(), 1);
+        if was_started {
+            assert_eq!(cell.schedule_and_start().len(), 1);
+        }
         let now = Millis(cell.now);
         let mut draining_entry = entry("w0");
         draining_entry.draining = was_draining;
@@ -343,7 +350,7 @@
         assert_eq!(
             !cell.schedule().is_empty(),
             starts,
-            "{was_draining} {after_ms}"
+            "{was_draining} {was_started} {after_ms}"
         );
     }
 }
