Call a runner at its own address if its first entry named another with its start time

What callers saw: nothing yet. A runner whose first entry was one of another writer, with the runner's own start time and another address, was never called at its own address: its own entries count as contradictions of the known one, whatever their number. It got no work, and each new owner waited for it.

Change: while such a runner has not answered, the address of the contradicting entry is called in turn with the known one, as for an entry with another start time; the answer with the start time of the entry decides.

Test: runner_whose_first_entry_had_its_start_time_is_called_at_its_own_address, red without the change ("a call to the other address").

--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -27,6 +27,10 @@
                 && known.entry.started_unix_ms != 0
                 && entry.started_unix_ms != known.entry.started_unix_ms;
             if !restarted && !known.dead && known.is_contradicted_by(&entry) {
+                if !known.has_answered && entry.addr != known.entry.addr {
+                    // The first entry may have been the false one. The address that answers decides.
+                    known.unconfirmed_entry = Some(entry.clone());
+                }
                 self.dispute_entry(runner_ix, entry);
                 return None;
             }
--- a/crates/jobs/tests/host_list.rs
+++ b/crates/jobs/tests/host_list.rs
@@ -240,6 +240,26 @@
     assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
 }
 
+/// Guards against the same where the false entry names the runner's own start time.
+#[test]
+fn runner_whose_first_entry_had_its_start_time_is_called_at_its_own_address() {
+    let false_entry = RunnerEntry {
+        addr: Name::new("w9"),
+        ..entry("w0")
+    };
+    let mut cell = Cell::with_runners(config_with_services(1, &["s"]), [false_entry]);
+    cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+    assert_eq!(upsert(&mut cell, entry("w0")), None);
+    let own_answer = InventoryOutcome::Inventory(Inventory {
+        clock: Millis(cell.now),
+        started_unix_ms: 1,
+        ..Inventory::default()
+    });
+    let next = complete_call_elsewhere(&mut cell, &own_answer);
+    assert_eq!(next, Some(RunnerIx(1)));
+    assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
+}
+
 /// Guards against the same where the false entry names the address of another runner, which refuses calls for this
 /// one.
 #[test]
