Let a new owner wait for a start in doubt as long as the one before

What callers saw: a task ran twice (TWICE) for 700 to 800 ms: its owner, or all processes, were lost within a second of a start that got no answer.

Cause: what an owner knows of a start's delivery ended with it. The next one waits for the leases of the previous one, not for its late calls, and knows neither which runs are in doubt nor their numbers.

Change: the owner records a run in its runner's record of doubts as soon as one attempt got no answer (150 ms), its answer may be another incarnation's, or the runner leaves the first call without an answer while the run is in doubt. After a takeover the task of such a run waits until its runner answers, or for the longest late call and lease (22.6 s from when no previous owner gives orders). A start that is answered leaves no record, so that nothing is written for it. The next run gets a number above that of the doubted one. An attempt that was sent again is settled 12 s after the last one if the runner lists the run, so that a runner that is lost later costs its lease alone. A new line, "task waits no longer for a start in doubt", says for how long a task waited.

What is left: an owner that is lost within about 0.2 s of the start, or while the store is down.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -55,6 +55,7 @@
         | Event::RunStalled { .. }
         | Event::CapChanged { .. }
         | Event::TakeoverWaitEnded { .. }
+        | Event::DoubtEnded { .. }
         | Event::RunnerChanged { .. } => {}
     }
 }
@@ -124,6 +125,7 @@
         Event::RunnerAnswered { .. } => "answered again",
         Event::ThrottleChanged { .. } => "throttle",
         Event::TakeoverWaitEnded { .. } => "takeover wait",
+        Event::DoubtEnded { .. } => "doubt",
         Event::RunnerChanged { .. } => "runner",
     }
 }
@@ -222,6 +224,7 @@
         | Event::RunnerAnswered { .. }
         | Event::ThrottleChanged { .. }
         | Event::TakeoverWaitEnded { .. }
+        | Event::DoubtEnded { .. }
         | Event::RunnerChanged { .. } => log_runner_event(event),
     }
 }
@@ -299,6 +302,22 @@
                 "tasks wait no longer for runners that have not answered since the takeover"
             );
         }
+        Event::DoubtEnded {
+            task,
+            run,
+            runner,
+            waited,
+            is_answered,
+        } => {
+            tracing::warn!(
+                %task,
+                run,
+                %runner,
+                waited_ms = waited.0,
+                is_answered,
+                "task waits no longer for a start in doubt by a previous owner"
+            );
+        }
         Event::RunnerChanged { id, what } => {
             tracing::info!(runner = %id, what, "runner state changed")
         }
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -47,6 +47,8 @@
     /// Parts of the progress of jobs that are no longer known.
     orphaned_parts: Vec<PartKey>,
     runners: FxHashSet<Name>,
+    /// Runners with a run whose start came into doubt.
+    doubts: FxHashSet<Name>,
     /// Whether the open batch carries an end that changes no record.
     has_unrecorded_end: bool,
 }
@@ -62,6 +64,7 @@
             compacted: Vec::new(),
             orphaned_parts: Vec::new(),
             runners: FxHashSet::default(),
+            doubts: FxHashSet::default(),
             has_unrecorded_end: false,
         }
     }
@@ -97,6 +100,11 @@
         self.open_number
     }
 
+    /// Adds the doubts about starts on a runner.
+    pub(super) fn add_doubts(&mut self, id: Name) {
+        self.doubts.insert(id);
+    }
+
     /// Adds an end that may change no record; returns the batch after which it may be acknowledged.
     pub(super) fn add_end(&mut self) -> u64 {
         self.has_unrecorded_end = true;
@@ -111,6 +119,7 @@
             || !self.compacted.is_empty()
             || !self.orphaned_parts.is_empty()
             || !self.runners.is_empty()
+            || !self.doubts.is_empty()
     }
 }
 
@@ -148,6 +157,8 @@
             let value = record.map(|record| record.encode_within(self.max_value_bytes(&key)));
             records.push(Record { key, value });
         }
+        let doubted = std::mem::take(&mut self.batches.doubts);
+        records.extend(self.doubt_records(doubted));
         for id in std::mem::take(&mut self.batches.jobs) {
             let job = self.jobs.get(&id);
             records.extend(job.map(|job| Record {
@@ -241,6 +252,7 @@
             }
         }
         engine.unverified_until = Some(now + cfg.previous_owner_timeout);
+        engine.restore_doubts(state.doubts, now);
         engine
     }
 
@@ -311,7 +323,7 @@
                     value: Some(value),
                 })
             }
-            RecordKey::Ended(_) | RecordKey::Restart(_) => None,
+            RecordKey::Ended(_) | RecordKey::Restart(_) | RecordKey::Doubts(_) => None,
         }
     }
 
@@ -352,6 +364,7 @@
     /// Records that no previous owner gives orders any more. What runs on runners that this owner does
     /// not reach ends with the longest lease that was granted before.
     pub fn record_previous_owners_ended(&mut self, now: Millis) {
+        self.record_latest_former_order(now);
         let end = now + longest_remaining_lease(&self.cfg);
         if self.unverified_until.is_some_and(|until| end < until) {
             self.unverified_until = Some(end);
@@ -367,11 +380,7 @@
         let excess =
             longest_inherited_lease(&self.cfg).saturating_sub(longest_remaining_lease(&self.cfg));
         let mut silent_runners = 0;
-        for runner in self
-            .runners
-            .iter()
-            .filter(|runner| runner.is_unaccounted())
-        {
+        for runner in self.runners.iter().filter(|runner| runner.is_unaccounted()) {
             let excess = if runner.may_inherit_lease() {
                 excess
             } else {
--- a/crates/jobs/src/engine/event.rs
+++ b/crates/jobs/src/engine/event.rs
@@ -257,6 +257,20 @@
         /// Number of those runners.
         silent_runners: usize,
     },
+    /// A task waited because a runner might have carried out a start that a previous owner had ordered, and waits no
+    /// longer.
+    DoubtEnded {
+        /// Task id.
+        task: TaskId,
+        /// Run number.
+        run: u32,
+        /// Id of the runner.
+        runner: Name,
+        /// Time since the takeover.
+        waited: Millis,
+        /// Whether the runner has shown what it has. The alternative is that no order can be carried out any more.
+        is_answered: bool,
+    },
     /// The status of a runner changed.
     RunnerChanged {
         /// Id of the runner.
--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -113,6 +113,12 @@
         self.0.len() < before
     }
 
+    /// Records that the order of a run got no answer, so that the run may not have begun.
+    pub(super) fn mark_in_doubt(&mut self, run: u32) {
+        let of_run = self.0.iter_mut().filter(|record| record.run == run);
+        of_run.for_each(|record| record.is_start_in_doubt = true);
+    }
+
     fn certain(&self) -> impl Iterator<Item = &CrashRecord> {
         self.0.iter().filter(|record| record.is_certain)
     }
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -178,6 +178,10 @@
             return "a run of a previous owner may be alive on a runner that has not answered"
                 .to_owned();
         }
+        if step.tasks.iter().any(|task| task.is_doubted) {
+            return "a start by a previous owner got no answer and may still be carried out"
+                .to_owned();
+        }
         let policy = &job.record.policy;
         let id = StepId {
             job: job.id,
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -160,6 +160,7 @@
     /// Marks a runner's incarnation as ended and removes its runs, none of which can be alive.
     pub(super) fn mark_dead(&mut self, runner_ix: RunnerIx, now: Millis) {
         self.end_incarnation(runner_ix, &[], now);
+        self.end_former_doubts(runner_ix, now);
     }
 
     /// Marks a runner's incarnation as ended and removes its runs but those in `kept`.
@@ -257,6 +258,8 @@
         self.recount_job_bytes();
         self.begin_due_occurrences(now, unix_ms, all_verified);
         self.verify_unlisted_tasks();
+        self.expire_former_doubts(now);
+        self.withdraw_doubts();
         self.end_inherited_leases(now);
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -156,6 +156,7 @@
                 self.runners[runner_ix.0].record_miss(now);
                 self.last_lost_response = Some(now);
                 self.record_silence(runner_ix, now);
+                self.record_doubts(runner_ix);
                 self.record_task_list(runner_ix);
             }
         }
@@ -191,6 +192,7 @@
         self.record_suspected_restart(runner_ix, may_have_restarted);
         if self.runners[runner_ix.0].has_answered {
             self.withdraw_task_list(runner_ix);
+            self.end_former_doubts(runner_ix, now);
         }
         let runner = &self.runners[runner_ix.0];
         let is_leaving = is_first && runner.entry.draining;
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod contention;
 mod crash;
 mod demand;
+mod doubts;
 mod durable;
 mod end_log;
 mod ends;
@@ -62,6 +63,7 @@
     approvals::{ApprovalHosts, ApprovalRates},
     crash::{HeldStart, OpenRecords, RunnerCrashes},
     demand::Demand,
+    doubts::FormerDoubts,
     durable::Batches,
     estimate::RunTimes,
     job::Job,
@@ -77,6 +79,7 @@
 use crate::{
     config::CellConfig,
     id::{JobId, StepId, TaskId},
+    record::DoubtedRun,
 };
 
 pub use self::{
@@ -199,6 +202,10 @@
     by_id: FxHashMap<Name, RunnerIx>,
     /// Runners with a durable record of their restart.
     recorded_restarts: FxHashSet<Name>,
+    /// Runs whose start is recorded to be in doubt, by runner.
+    recorded_doubts: FxHashMap<Name, Vec<DoubtedRun>>,
+    /// What previous owners recorded of starts without an answer.
+    former_doubts: FormerDoubts,
     /// Services that a configuration or a job has named, and listed runners of others.
     admission: Admission,
     approval_hosts: ApprovalHosts,
@@ -264,6 +271,8 @@
             runners: Vec::new(),
             by_id: FxHashMap::default(),
             recorded_restarts: FxHashSet::default(),
+            recorded_doubts: FxHashMap::default(),
+            former_doubts: FormerDoubts::default(),
             admission: Admission::default(),
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -49,6 +49,9 @@
         let unanswered = placed.delivery.record_attempt(sent_at);
         runner.record_grant(sent_at);
         runner.record_doubted_grant(unanswered);
+        if unanswered.is_some() {
+            self.record_doubts(runner_ix);
+        }
         true
     }
 
@@ -93,6 +96,9 @@
                     placed.delivery.record_answer(is_by_known);
                 }
                 self.record_suspected_restart(runner_ix, may_have_restarted);
+                if !is_by_known {
+                    self.record_doubts(runner_ix);
+                }
                 self.mark_running(runner_ix, task, run, now);
             }
             StartOutcome::Refused(why) => self.handle_refusal(runner_ix, task, run, why, now),
@@ -114,6 +120,7 @@
             return;
         }
         let is_placed = placed.is_some();
+        self.record_doubts(runner_ix);
         self.emit_start_failed(runner_ix, task, run, "no answer");
         if is_placed {
             self.order_stop(runner_ix, task, run, now);
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -25,7 +25,7 @@
 use crate::{id::TaskId, runner::RunnerEntry, spec::Sharing};
 
 pub(super) use self::{
-    delivery::Delivery,
+    delivery::{Delivery, MAX_CALL_DELAY},
     lease::{longest_inherited_lease, longest_remaining_lease},
 };
 
--- a/crates/jobs/src/engine/runner/delivery.rs
+++ b/crates/jobs/src/engine/runner/delivery.rs
@@ -11,7 +11,7 @@
 use crate::{engine::Settings, id::TaskId};
 
 /// Longest time for which a call that got no answer is held up before a runner executes it.
-const MAX_CALL_DELAY: Millis = Millis(12_000);
+pub(in crate::engine) const MAX_CALL_DELAY: Millis = Millis(12_000);
 
 /// What is known of the delivery of the order that starts a run.
 #[derive(Clone, Copy, Debug, Default)]
@@ -70,9 +70,11 @@
     }
 
     /// Returns whether the known incarnation has executed the order, as far as its inventories and the clock in the
-    /// answer tell.
-    fn is_with_known(self) -> bool {
-        self.attempts == 1 && (self.is_answered_by_known || self.is_listed)
+    /// answer tell, and no other attempt can arrive any more.
+    fn is_with_known(self, now: Millis) -> bool {
+        let latest_arrival = self.latest_attempt.unwrap_or_default() + MAX_CALL_DELAY;
+        let is_only_arrival = self.attempts == 1 || now >= latest_arrival;
+        is_only_arrival && (self.is_answered_by_known || self.is_listed)
     }
 
     /// Forgets what an incarnation has shown, as the run passes to the next one.
@@ -116,15 +118,16 @@
         let unsettled = self
             .runs
             .iter()
-            .filter(|(_, placed)| self.may_be_with_successor(placed.delivery));
+            .filter(|(_, placed)| self.may_be_with_successor(placed.delivery, now));
         let mut keys: Vec<(TaskId, u32)> = unsettled.map(|(key, _)| *key).collect();
         keys.sort_unstable();
         keys
     }
 
     /// Returns whether an incarnation that the runner doesn't show may have a run with this delivery.
-    fn may_be_with_successor(&self, delivery: Delivery) -> bool {
-        delivery.may_reach_successor() && (self.may_inherit_lease() || !delivery.is_with_known())
+    fn may_be_with_successor(&self, delivery: Delivery, now: Millis) -> bool {
+        let is_shown = delivery.is_with_known(now) && !self.may_inherit_lease();
+        delivery.may_reach_successor() && !is_shown
     }
 
     /// Returns the time at which the lease of an incarnation ends at the latest that calls for the one before
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -73,6 +73,7 @@
         let successor = &mut self.runners[successor_ix.0];
         successor.awaits_entry = !is_listed;
         successor.is_known_from_start = is_known_from_start;
+        self.pass_former_doubts(runner_ix, successor_ix);
         for run in &inherited {
             self.attach_run(runner_ix, successor_ix, *run, now);
         }
--- a/crates/jobs/src/engine/task.rs
+++ b/crates/jobs/src/engine/task.rs
@@ -65,6 +65,8 @@
     /// Whether a run of a previous owner was adopted before all runners have answered. The previous owner may have
     /// learned of its end too, and started the task on a runner that has not.
     pub(super) is_adopted: bool,
+    /// Whether a runner may still carry out a start that a previous owner ordered.
+    pub(super) is_doubted: bool,
     /// Whether a run ordered by a previous owner may have been on a runner that crashed.
     pub(super) unaccounted: bool,
     /// A run that should not exist and is being stopped.
@@ -94,6 +96,7 @@
             skip_runs: 0,
             unverified: false,
             is_adopted: false,
+            is_doubted: false,
             unaccounted: false,
             orphan: None,
             wait: None,
@@ -101,10 +104,12 @@
     }
 
     /// Returns whether the task is waiting and may start. A run of a previous owner that may exist unseen
-    /// blocks it until `all_verified`, and an orphan run until it has ended.
+    /// blocks it until `all_verified`, a start of one that may be carried out late until it can't, and an orphan
+    /// run until it has ended.
     pub(super) fn may_start(&self, all_verified: bool, now: Millis) -> bool {
         self.state == TaskState::Waiting
             && self.orphan.is_none()
+            && !self.is_doubted
             && (all_verified || !self.may_run_unseen())
             && self.crashes_allow_start(now)
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -36,7 +36,7 @@
     pub enum RecordError {
         /// The key does not denote a known kind of record.
         UnknownKey {
-            display("unknown record key: expected j, p, t, e, r or s followed by an id")
+            display("unknown record key: expected j, p, t, e, r, s or d followed by an id")
         }
         /// The record is of a job whose specification is invalid.
         InvalidSpec(err: SpecError) {
@@ -82,6 +82,9 @@
     /// Restart of a runner under its id, by that id, while its lease may be one of the incarnation before.
     #[display("s{_0}")]
     Restart(Name),
+    /// Runs whose start a runner may carry out late, by the runner's id.
+    #[display("d{_0}")]
+    Doubts(Name),
 }
 
 impl RecordKey {
@@ -100,6 +103,7 @@
             "e" => Ok(Self::Ended(job()?)),
             "r" => Ok(Self::Runner(Name::new(id))),
             "s" => Ok(Self::Restart(Name::new(id))),
+            "d" => Ok(Self::Doubts(Name::new(id))),
             _ => Err(RecordError::UnknownKey),
         }
     }
@@ -110,7 +114,11 @@
     pub fn progress_of(&self) -> Option<JobId> {
         match self {
             Self::Progress(id) | Self::Part(PartKey { job: id, .. }) => Some(*id),
-            Self::Job(_) | Self::Ended(_) | Self::Runner(_) | Self::Restart(_) => None,
+            Self::Job(_)
+            | Self::Ended(_)
+            | Self::Runner(_)
+            | Self::Restart(_)
+            | Self::Doubts(_) => None,
         }
     }
 }
@@ -234,6 +242,15 @@
     }
 }
 
+/// A run whose start order a runner may carry out late, for as long as it doesn't show otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DoubtedRun {
+    /// Task of the run.
+    pub task: TaskId,
+    /// Run number.
+    pub run: u32,
+}
+
 /// Durable end of a job. It replaces the job's specification and progress, which would only make a
 /// takeover slower.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -264,6 +281,8 @@
     /// Runners that restarted under their id, with the start time of the incarnation, in milliseconds since
     /// the Unix epoch. Their lease may be one that the incarnation before was granted.
     pub restarts: FxHashMap<Name, u64>,
+    /// Runs whose start a runner may carry out late, by the runner's id.
+    pub doubts: FxHashMap<Name, Vec<DoubtedRun>>,
 }
 
 impl DurableState {
@@ -292,6 +311,9 @@
             RecordKey::Restart(id) => {
                 self.restarts.insert(id, decode(value)?);
             }
+            RecordKey::Doubts(id) => {
+                self.doubts.insert(id, decode(value)?);
+            }
         }
         Ok(())
     }
--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -216,6 +216,22 @@
             Hazard::UnseenEnds,
             "nothing showed the restart of a runner that was cut off",
         ),
+        (
+            15_763,
+            Hazard::UnseenEnds,
+            "a late order of the previous owner kept the lease of an incarnation that nobody had heard alive",
+        ),
+        (
+            594,
+            Hazard::UnseenEnds,
+            "a job failed for a start at a runner whose restart only a refusal showed",
+        ),
+        (
+            1_446,
+            Hazard::UnseenEnds,
+            "a job failed for starts that got no answer",
+        ),
+        (2_361, Hazard::UnseenEnds, "as above, by successive owners"),
     ];
     for (seed, hazard, cause) in table {
         let checks = Simulation::run_hazardous_schedule(seed, Mutation::None, hazard);
