--- a/crates/jobs/tests/doubts_after_takeover.rs
+++ b/crates/jobs/tests/doubts_after_takeover.rs
@@ -118,6 +118,10 @@
         cell.complete_inventory_call(doubted, &InventoryOutcome::NoResponse);
         assert_eq!(cell.next_start(), None);
     }
+    let explanation = cell.engine.explain(JOB, Millis(cell.now));
+    let explanation = explanation.expect("the job is known");
+    let reason = &explanation.steps[0].why;
+    assert!(reason.contains("may still be carried out"), "{reason}");
     cell.report_ends(doubted, Vec::new());
     assert!(cell.next_start().is_some());
     assert!(!cell.store.contains_key("dw0"));
