Leave steps that wait for a start in doubt out of a scheduling pass

What callers saw: nothing yet; found by reading. A step whose waiting tasks all have a start in doubt, or a gang with such a member, can't start for up to 22.6 s after a takeover. It was ranked like any other, so that it requested approvals and kept runners from steps that could start.

Change: such steps are left out, as those are whose tasks may all be running under a previous owner. The latest order of a previous owner that nobody has heard is counted from its timeout less the lease that it grants (8.3 s); it was 0.2 s too early.

Test: task_of_a_start_in_doubt_keeps_nothing_from_others, red without the change (it requests approvals).

--- a/crates/jobs/src/engine/doubts.rs
+++ b/crates/jobs/src/engine/doubts.rs
@@ -13,10 +13,14 @@
 
 use super::{
     Engine, Event, RunnerIx,
-    job::MAX_RUN,
-    runner::{MAX_CALL_DELAY, longest_inherited_lease, longest_remaining_lease},
+    job::{MAX_RUN, Step},
+    runner::{MAX_CALL_DELAY, longest_inherited_lease},
+    task::TaskState,
+};
+use crate::{
+    record::{self, DoubtedRun, Record, RecordKey},
+    spec::StepSpec,
 };
-use crate::record::{self, DoubtedRun, Record, RecordKey};
 
 /// What previous owners recorded of starts without an answer.
 #[derive(Clone, Debug, Default)]
@@ -95,8 +99,8 @@
 
     /// Lets the tasks wait that previous owners recorded to be in doubt.
     pub(super) fn restore_doubts(&mut self, doubts: FxHashMap<Name, Vec<DoubtedRun>>, now: Millis) {
-        let latest_order = (now + self.cfg.previous_owner_timeout)
-            .saturating_sub(longest_remaining_lease(&self.cfg));
+        // The timeout is that of its last order, and the lease that it grants.
+        let latest_order = (now + self.cfg.previous_owner_timeout).saturating_sub(self.cfg.lease);
         self.former_doubts.since = now;
         self.former_doubts.until = self.doubt_end(latest_order);
         for (id, runs) in &doubts {
@@ -115,6 +119,18 @@
         self.recorded_doubts = doubts;
     }
 
+    /// Returns whether a step can't start because of a start in doubt: all its waiting tasks have one, or a member of
+    /// its gang.
+    pub(super) fn waits_for_former_start(step: &Step, spec: &StepSpec) -> bool {
+        let waiting = step.tasks.iter();
+        let mut waiting = waiting.filter(|task| task.state == TaskState::Waiting);
+        if spec.gang {
+            waiting.any(|task| task.is_doubted)
+        } else {
+            waiting.all(|task| task.is_doubted)
+        }
+    }
+
     /// Records that no previous owner gives orders from now on.
     pub(super) fn record_latest_former_order(&mut self, now: Millis) {
         self.former_doubts.until = self.former_doubts.until.min(self.doubt_end(now));
@@ -156,6 +172,11 @@
         }
     }
 
+    /// Returns whether any task may wait for a start that a previous owner ordered.
+    pub(super) fn has_former_doubts(&self) -> bool {
+        !self.former_doubts.runs.is_empty()
+    }
+
     /// Passes the doubts about an incarnation on to the next one, which has answered but may not have listed all.
     pub(super) fn pass_former_doubts(&mut self, from: RunnerIx, to: RunnerIx) {
         if let Some(runs) = self.former_doubts.runs.remove(&from) {
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -178,9 +178,7 @@
             return "a run of a previous owner may be alive on a runner that has not answered"
                 .to_owned();
         }
-        let waiting = step.tasks.iter();
-        let mut waiting = waiting.filter(|task| task.state == TaskState::Waiting);
-        if waiting.all(|task| task.is_doubted) {
+        if Self::waits_for_former_start(step, spec) {
             return "a start by a previous owner got no answer and may still be carried out"
                 .to_owned();
         }
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -96,8 +96,8 @@
 
     /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
     /// such steps from the schedulable set. Steps whose tasks may all be running under a previous
-    /// owner, or that the cap of their team blocks, are left out: they would keep runners and approval
-    /// calls from steps that may start.
+    /// owner, or be started late by its orders, or that the cap of their team blocks, are left out: they would keep
+    /// runners and approval calls from steps that may start.
     fn ranked_ready_steps(&mut self, all_verified: bool, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let share_unit = self.share_unit();
@@ -132,6 +132,9 @@
                 let Some((step, spec)) = job.step(id) else {
                     continue;
                 };
+                if self.has_former_doubts() && Self::waits_for_former_start(step, spec) {
+                    continue;
+                }
                 if !all_verified && !step.tasks.iter().any(|task| task.may_start(false, now)) {
                     continue;
                 }
--- a/crates/jobs/tests/doubts_after_takeover.rs
+++ b/crates/jobs/tests/doubts_after_takeover.rs
@@ -3,7 +3,9 @@
 mod one_cell;
 
 use kspan_jobs::{
+    config::ApprovalPolicy,
     engine::{Order, RunnerIx},
+    record::{JobRecord, encode},
     runner::{EndKind, InventoryOutcome, RunnerEntry, StartOutcome},
 };
 use kspan_model::{Millis, Name};
@@ -144,6 +146,43 @@
     assert!(after >= LONGEST_DOUBT_MS, "{after} ms");
 }
 
+/// Guards against runners that are held, or approvals that are requested, for a task that waits for a start in doubt.
+#[test]
+fn task_of_a_start_in_doubt_keeps_nothing_from_others() {
+    let mut config = config();
+    config.queues[0].policy.approval = Some(ApprovalPolicy {
+        base_ms: 10.0,
+        per_runner_ms: 1.0,
+        validity: Millis(2_500),
+    });
+    for is_recorded in [true, false] {
+        let mut cell = Cell::with_start(false);
+        if is_recorded {
+            cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
+        }
+        cell.commit();
+        // The job keeps the policy with which it was accepted.
+        let key = format!("j{JOB}");
+        let mut record = JobRecord::decode(&cell.store[&key]).expect("a record of the job");
+        record.policy = config.queues[0].policy.clone();
+        cell.store.insert(key, encode(&record));
+        let [_, other] = take_over(&mut cell, true);
+        cell.engine.set_approval_hosts(&[Name::new("h1")]);
+        let mut requests = 0;
+        for _ in 0..100 {
+            cell.report_ends(other, Vec::new());
+            cell.advance(100);
+            cell.commit();
+            cell.engine.schedule(Millis(cell.now));
+            let orders = cell.engine.take_orders().into_iter();
+            requests += orders
+                .filter(|order| matches!(order, Order::RequestApprovals(_)))
+                .count();
+        }
+        assert_eq!(requests == 0, is_recorded, "recorded {is_recorded}");
+    }
+}
+
 /// Guards against one more write for each start: a start that is answered leaves no record.
 #[test]
 fn answered_start_leaves_no_record() {
