Request approvals for what may start, not for what has room

Cause: many runners crash together, and their tasks are suspected: they start apart from other suspects, or alone. A step of such tasks requested approvals for each runner with room, also where none of its tasks may start, got them all, started nothing and asked again. The hosts that make the calls were taken from sound steps.

The waiting tasks that may start now are counted by how far they are kept from others; a runner with room is named if one of them may join the runs there, and counts for one if all are kept from others; busy runners and reserved ones likewise; a step without a task that may start requests nothing. Whether a run may join others is decided in one place (Isolation::may_join, Engine::is_closed_to) for requests and placement. New metrics: kspan_cell_approvals_total{what="received"|"used"} and kspan_cell_approved_starts_total; with kspan_cell_approval_seconds_count they tell approvals used per approval received, and starts per call.

--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -26,7 +26,12 @@
 
 fn record_metrics(event: &Event) {
     match event {
-        Event::StartOrdered { waited, .. } => telemetry::record_start_order(*waited),
+        Event::StartOrdered {
+            waited, approval, ..
+        } => {
+            telemetry::record_start_order(*waited);
+            telemetry::record_approval_use(*approval);
+        }
         Event::RackWaitBegan { .. } => telemetry::record_rack_wait(),
         Event::RackWaitEnded {
             how,
@@ -138,6 +143,7 @@
             runner,
             waited,
             left_milli,
+            ..
         } => {
             tracing::info!(%task, run, runner = %runner, waited_ms = waited.0, left_milli, "start ordered");
         }
--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -254,6 +254,7 @@
     fn log_approvals(&self, order: &ApprovalRequest, approved: Option<&Approved>, sent_at: Millis) {
         let took = self.now().saturating_sub(sent_at);
         telemetry::record_approval_call(approved.is_some(), took);
+        telemetry::record_approvals(approved.map_or(0, |approved| approved.runners.len() as u64));
         if self.node.log_limit.allows("approval", self.now()) {
             tracing::info!(
                 step = %order.step,
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,7 +2,7 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
-use kspan_jobs::engine::{FailureCause, GangLoss, LossReason, TeamUsage};
+use kspan_jobs::engine::{ApprovalUse, FailureCause, GangLoss, LossReason, TeamUsage};
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -131,6 +131,22 @@
     histogram!("kspan_cell_approval_seconds", "outcome" => outcome).record(seconds(took));
 }
 
+/// Records the approvals that a call has brought.
+pub(crate) fn record_approvals(received: u64) {
+    counter!("kspan_cell_approvals_total", "what" => "received").increment(received);
+}
+
+/// Records how a start uses an approval. The starts that need one, divided by the answered calls, tell what a call
+/// brings.
+pub(crate) fn record_approval_use(approval: ApprovalUse) {
+    match approval {
+        ApprovalUse::None => return,
+        ApprovalUse::First => counter!("kspan_cell_approvals_total", "what" => "used").increment(1),
+        ApprovalUse::Again => {}
+    }
+    counter!("kspan_cell_approved_starts_total").increment(1);
+}
+
 /// Records a request that was refused because of its key.
 pub(crate) fn record_refused_key(why: &'static str) {
     counter!("kspan_cell_keys_refused_total", "why" => why).increment(1);
--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -21,6 +21,7 @@
     contention::affordable_runners,
     job::{Job, Step},
     runner::Runner,
+    startable::Startable,
 };
 use crate::{
     config::{ApprovalPolicy, Policy},
@@ -168,7 +169,11 @@
             // More urgent steps wait for the same runners; calls for this one would delay theirs.
             return Vec::new();
         }
-        let need = self.approval_need(id, job, step, spec, now);
+        let startable = Startable::new(step, spec, self.unverified_until.is_none(), now);
+        if startable.count() == 0 {
+            return Vec::new();
+        }
+        let need = self.approval_need(id, job, step, spec, startable, now);
         let mut candidates = self.renewals(id, job, need);
         // A renewal names further runners, but they are no reason for a request of their own.
         if !need.starts_soon || !candidates.is_empty() {
@@ -186,7 +191,8 @@
                 .map(|candidate| candidate.expected_percent(approval_rate))
                 .fold(0, u64::saturating_add);
             if Self::is_contended(step, with_room_percent, need.percent) {
-                return self.contended_runners(id, job, &candidates, with_room_percent, now);
+                let with_room = (&candidates[..], with_room_percent);
+                return self.contended_runners(id, job, with_room, startable, now);
             }
         }
         need.select(&candidates, approval_rate)
@@ -200,7 +206,11 @@
         let renewal = |runner_ix| {
             self.approval_candidate(runner_ix, Reason::Renewal, id, job, need.renews_at)
         };
-        self.reserved_for(id).filter_map(renewal).collect()
+        let open = |runner_ix: &RunnerIx| self.is_open_for(*runner_ix, id, need.startable);
+        self.reserved_for(id)
+            .filter(open)
+            .filter_map(renewal)
+            .collect()
     }
 
     /// Returns the runners that have room for the step; beside a renewal, only those approved
@@ -214,12 +224,14 @@
     ) -> Vec<ApprovalCandidate> {
         let candidate = |at: usize| {
             let runner_ix = self.open_runners[at];
-            let reason = self.reason_with_room(runner_ix, id, job, now)?;
+            let reason = self.reason_with_room(runner_ix, id, job, need.startable, now)?;
             let is_spare = reason == Reason::Approved && !self.is_reserved(runner_ix);
             if need.starts_soon && !is_spare {
                 return None;
             }
-            self.approval_candidate(runner_ix, reason, id, job, now)
+            let candidate = self.approval_candidate(runner_ix, reason, id, job, now)?;
+            let tasks = Reverse(need.startable.max_on_runner(candidate.tasks.0));
+            Some(ApprovalCandidate { tasks, ..candidate })
         };
         examined(self.open_runners.len(), id, now)
             .filter_map(candidate)
@@ -249,10 +261,11 @@
         job: &Job,
         step: &Step,
         spec: &StepSpec,
+        startable: Startable,
         now: Millis,
     ) -> ApprovalNeed {
         let policy = &job.record.policy;
-        let waiting = step.waiting as u64;
+        let waiting = startable.count();
         let is_reservable = self.is_reservable(spec, policy);
         let percent = waiting
             * if is_reservable {
@@ -270,6 +283,7 @@
         };
         let starts_soon = is_reservable && starts_at.is_some_and(|at| at <= renews_at);
         ApprovalNeed {
+            startable,
             renews_at,
             starts_soon,
             has_plan: is_reservable && starts_at.is_some_and(|at| at <= renews_at + call_time),
@@ -304,11 +318,13 @@
         runner_ix: RunnerIx,
         id: StepId,
         job: &Job,
+        startable: Startable,
         now: Millis,
     ) -> Option<Reason> {
         let (step, spec) = job.step(id)?;
         let runner = &self.runners[runner_ix.0];
-        let has_room = self.can_place(runner, step, spec, &job.record.policy, now)
+        let has_room = self.is_open_for(runner_ix, id, startable)
+            && self.can_place(runner, step, spec, &job.record.policy, now)
             && spec
                 .charged_resources()
                 .fits_in(self.usable_resources(runner_ix, id, spec, now));
@@ -392,6 +408,8 @@
 /// What an approval request of a step has to bring.
 #[derive(Clone, Copy, Debug)]
 struct ApprovalNeed {
+    /// Tasks that may start now.
+    startable: Startable,
     /// Time at which a ticket requested now has to be valid.
     renews_at: Millis,
     /// Whether the reserved runners are expected to have room by then.
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -39,11 +39,24 @@
         ticket: Name,
         /// End of the ticket's validity.
         until: Millis,
+        /// Whether a start had the ticket.
+        is_used: bool,
     },
     /// The runner must not run the step.
     Denied,
 }
 
+/// How a start uses an approval.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApprovalUse {
+    /// The start needs none.
+    None,
+    /// No start has used it before.
+    First,
+    /// Another start has used it before.
+    Again,
+}
+
 /// An approval request in flight.
 #[derive(Clone, Debug)]
 pub(super) struct PendingRequest {
@@ -82,7 +95,7 @@
     /// Returns the ticket for a start on the runner now, and the end of its validity.
     pub(super) fn valid_ticket(&self, runner_ix: RunnerIx, now: Millis) -> Option<(&Name, Millis)> {
         match self.by_runner.get(&runner_ix)? {
-            Approval::Approved { ticket, until } if now + MIN_TICKET_VALIDITY <= *until => {
+            Approval::Approved { ticket, until, .. } if now + MIN_TICKET_VALIDITY <= *until => {
                 Some((ticket, *until))
             }
             _ => None,
@@ -150,9 +163,26 @@
             self.by_runner.insert(*runner_ix, Approval::Denied);
         }
         for (runner_ix, ticket) in approved {
-            let ticket = ticket.clone();
-            self.by_runner
-                .insert(*runner_ix, Approval::Approved { ticket, until });
+            let approval = Approval::Approved {
+                ticket: ticket.clone(),
+                until,
+                is_used: false,
+            };
+            self.by_runner.insert(*runner_ix, approval);
+        }
+    }
+
+    /// Records that a start on a runner has its ticket, if there is one.
+    pub(super) fn record_use(&mut self, runner_ix: RunnerIx) -> ApprovalUse {
+        match self.by_runner.get_mut(&runner_ix) {
+            Some(Approval::Approved { is_used, .. }) => {
+                if std::mem::replace(is_used, true) {
+                    ApprovalUse::Again
+                } else {
+                    ApprovalUse::First
+                }
+            }
+            _ => ApprovalUse::None,
         }
     }
 
--- a/crates/jobs/src/engine/candidate.rs
+++ b/crates/jobs/src/engine/candidate.rs
@@ -117,14 +117,10 @@
 
     /// Returns whether a task that is kept from others may run on the runner.
     fn allows(&self, runner: &Runner, isolation: Isolation, now: Millis) -> bool {
-        match isolation {
-            Isolation::None => !self.is_kept,
-            Isolation::Apart => !self.is_kept && !self.has_isolated_run,
-            Isolation::Alone => {
-                let recently = now.saturating_sub(MAX_SUSPECT_AGE);
-                !self.has_isolated_run && self.assigned == 0 && !runner.has_run_since(recently)
-            }
-        }
+        let recently = now.saturating_sub(MAX_SUSPECT_AGE);
+        let is_quiet = || self.assigned == 0 && !runner.has_run_since(recently);
+        isolation.may_join(self.is_kept, self.has_isolated_run)
+            && (isolation != Isolation::Alone || is_quiet())
     }
 
     /// Returns the penalty for what a crash of the runner would cost: the work beside a task that may
@@ -236,6 +232,11 @@
             .collect()
     }
 
+    /// Returns whether no task of a step may start on a runner, because of a run that is alone there or is to be.
+    pub(super) fn is_closed_to(&self, runner_ix: RunnerIx, id: StepId) -> bool {
+        self.runners[runner_ix.0].has_run_alone() || self.is_kept_for_other(runner_ix, id)
+    }
+
     /// Returns the runner as a candidate for tasks of the step, regardless of approvals; `None` if
     /// it cannot take any.
     fn candidate(
@@ -248,8 +249,7 @@
         now: Millis,
     ) -> Option<Candidate> {
         let runner = &self.runners[runner_ix.0];
-        let is_closed = runner.has_run_alone() || self.is_kept_for_other(runner_ix, id);
-        if is_closed || !self.can_place(runner, step, spec, policy, now) {
+        if self.is_closed_to(runner_ix, id) || !self.can_place(runner, step, spec, policy, now) {
             return None;
         }
         let size = spec.charged_resources();
--- a/crates/jobs/src/engine/contention.rs
+++ b/crates/jobs/src/engine/contention.rs
@@ -14,6 +14,7 @@
     approval_requests::{ApprovalCandidate, MAX_RUNNERS_PER_CALL, MIN_RUNNERS_PER_REQUEST},
     candidate::examined,
     job::{Job, Step},
+    startable::Startable,
 };
 use crate::{
     config::{ApprovalPolicy, Policy},
@@ -55,8 +56,8 @@
         &self,
         id: StepId,
         job: &Job,
-        with_room: &[ApprovalCandidate],
-        with_room_percent: u64,
+        (with_room, with_room_percent): (&[ApprovalCandidate], u64),
+        startable: Startable,
         now: Millis,
     ) -> Vec<RunnerIx> {
         let Some((step, spec)) = job.step(id) else {
@@ -66,8 +67,8 @@
         let Some(approval) = policy.approval else {
             return Vec::new();
         };
-        let has_room = with_room_percent >= step.waiting as u64 * MIN_ROOM_PERCENT;
-        if !has_room && self.is_covered(step, spec, policy, now) {
+        let has_room = with_room_percent >= startable.count() * MIN_ROOM_PERCENT;
+        if !has_room && self.is_covered(step, spec, policy, startable, now) {
             return Vec::new();
         }
         let max = affordable_runners(approval);
@@ -75,6 +76,9 @@
         named.truncate(max);
         if named.len() < max {
             let mut busy = self.busy_runners(id, step, spec, policy, now);
+            if startable.are_all_isolated() {
+                busy.retain(|ranked| self.is_open_for(ranked.runner_ix, id, startable));
+            }
             busy.retain(|ranked| !named.contains(&ranked.runner_ix));
             busy.sort_unstable();
             busy.truncate(max - named.len());
@@ -85,7 +89,14 @@
 
     /// Returns whether runners whose tickets outlast a call could take the waiting tasks several times
     /// over when empty.
-    fn is_covered(&self, step: &Step, spec: &StepSpec, policy: &Policy, now: Millis) -> bool {
+    fn is_covered(
+        &self,
+        step: &Step,
+        spec: &StepSpec,
+        policy: &Policy,
+        startable: Startable,
+        now: Millis,
+    ) -> bool {
         let valid_at = now + Self::approval_time(step, policy);
         let ticketed = step.approvals.valid_runners(valid_at);
         let accepting = ticketed
@@ -94,10 +105,11 @@
         let tasks: u64 = accepting
             .map(|runner| {
                 let fitting = spec.charged_resources().count_in(runner.entry.capacity);
-                fitting.min(u64::from(spec.max_per_runner.unwrap_or(u32::MAX)))
+                let max = fitting.min(u64::from(spec.max_per_runner.unwrap_or(u32::MAX)));
+                startable.max_on_runner(max)
             })
             .fold(0, u64::saturating_add);
-        tasks >= MIN_COVERAGE * step.waiting as u64
+        tasks >= MIN_COVERAGE * startable.count()
     }
 
     /// Returns the runners that could take a task of the step when empty, and neither were denied nor
--- a/crates/jobs/src/engine/event.rs
+++ b/crates/jobs/src/engine/event.rs
@@ -3,8 +3,8 @@
 use kspan_model::{Millis, Name, Resources};
 
 use super::{
-    EndListing, FailureCause, GangLoss, LeaseView, ListedEnd, ListingKind, LossReason, RunEnd,
-    WaitEnd,
+    ApprovalUse, EndListing, FailureCause, GangLoss, LeaseView, ListedEnd, ListingKind, LossReason,
+    RunEnd, WaitEnd,
 };
 use crate::id::{JobId, StepId, TaskId};
 
@@ -23,6 +23,8 @@
         waited: Millis,
         /// Processor capacity left free on the runner, in thousandths of a core.
         left_milli: u64,
+        /// How the start uses an approval of the runner.
+        approval: ApprovalUse,
     },
     /// A task or gang began to wait for room in its rack, although it could start in another one.
     RackWaitBegan {
--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -75,6 +75,18 @@
     Alone,
 }
 
+impl Isolation {
+    /// Returns whether a run may join those on a runner, which may be kept for a run of its step that starts alone, and
+    /// have runs that are kept from others. One that starts alone waits there until the others are old enough.
+    pub(super) fn may_join(self, is_kept: bool, has_isolated_run: bool) -> bool {
+        match self {
+            Self::None => !is_kept,
+            Self::Apart => !is_kept && !has_isolated_run,
+            Self::Alone => !has_isolated_run,
+        }
+    }
+}
+
 /// Crashes of the runners of one task, and runs that may turn out to be some.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Crashes(Vec<CrashRecord>);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -46,6 +46,7 @@
 mod share;
 mod silence;
 mod stall;
+mod startable;
 mod submit;
 mod successor;
 mod task;
@@ -83,6 +84,7 @@
 };
 
 pub use self::{
+    approvals::ApprovalUse,
     durable::Batch,
     end_log::{Acknowledgement, EndListing, LeaseView, ListedEnd, ListingKind},
     ends::{LossReason, RunEnd},
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -379,6 +379,7 @@
         let ticket_validity = ticket.map(|(_, until)| until.saturating_sub(now));
         let valid_for = ticket_validity.map_or(max_validity, |left| left.min(max_validity));
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        let approval = step.approvals.record_use(runner_ix);
         let known = &mut step.tasks[index];
         let isolation = known.isolation(spec, now);
         let is_suspected = known.unaccounted || known.crashes.are_suspicious();
@@ -421,6 +422,7 @@
             runner: runner.entry.id.clone(),
             waited,
             left_milli: runner.free().cpu_milli,
+            approval,
         });
         let order = StartOrder {
             runner_ix,
