Share the check of two false first entries, and move the clock of a refusal to the leases

Two tests of first entries differed in one figure; both now call one check. The same cases are checked as before.

--- a/crates/jobs/tests/host_list.rs
+++ b/crates/jobs/tests/host_list.rs
@@ -218,13 +218,12 @@
     assert_eq!(*cell.engine.runner(RunnerIx(0)), entry("w0"));
 }
 
-/// Guards against a runner that is never called because the first entry under its id was one of another
-/// writer, with a later start than its own.
-#[test]
-fn runner_whose_first_entry_was_false_is_called_at_its_own_address() {
+/// Checks that a runner is called at its own address if its first entry was one of another writer that names another
+/// address and this start time. The runner's own is 1.
+fn assert_called_at_own_address(false_started_unix_ms: u64) {
     let false_entry = RunnerEntry {
         addr: Name::new("w9"),
-        started_unix_ms: 7,
+        started_unix_ms: false_started_unix_ms,
         ..entry("w0")
     };
     let mut cell = Cell::with_runners(config_with_services(1, &["s"]), [false_entry]);
@@ -240,24 +239,17 @@
     assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
 }
 
+/// Guards against a runner that is never called because the first entry under its id was one of another
+/// writer, with a later start than its own.
+#[test]
+fn runner_whose_first_entry_was_false_is_called_at_its_own_address() {
+    assert_called_at_own_address(7);
+}
+
 /// Guards against the same where the false entry names the runner's own start time.
 #[test]
 fn runner_whose_first_entry_had_its_start_time_is_called_at_its_own_address() {
-    let false_entry = RunnerEntry {
-        addr: Name::new("w9"),
-        ..entry("w0")
-    };
-    let mut cell = Cell::with_runners(config_with_services(1, &["s"]), [false_entry]);
-    cell.complete_inventory_call(0, &InventoryOutcome::NoResponse);
-    assert_eq!(upsert(&mut cell, entry("w0")), None);
-    let own_answer = InventoryOutcome::Inventory(Inventory {
-        clock: Millis(cell.now),
-        started_unix_ms: 1,
-        ..Inventory::default()
-    });
-    let next = complete_call_elsewhere(&mut cell, &own_answer);
-    assert_eq!(next, Some(RunnerIx(1)));
-    assert_eq!(*cell.engine.runner(RunnerIx(1)), entry("w0"));
+    assert_called_at_own_address(1);
 }
 
 /// Guards against the same where the false entry names the address of another runner, which refuses calls for this
--- a/crates/jobs/tests/inherited_leases.rs
+++ b/crates/jobs/tests/inherited_leases.rs
@@ -4,7 +4,7 @@
 
 use kspan_jobs::{
     engine::RunnerIx,
-    runner::{Inventory, InventoryOutcome, RunnerEntry, StartOutcome},
+    runner::{Inventory, InventoryOutcome, Refusal, RunnerEntry, StartOutcome},
 };
 use kspan_model::{Millis, Resources};
 use one_cell::*;
@@ -89,3 +89,19 @@
         );
     }
 }
+
+/// Guards against work for a runner that has restarted under its id, which the clock in a refusal shows: it would be
+/// judged by the incarnation before.
+#[test]
+fn clock_in_a_refused_start_shows_the_restart() {
+    for (clock, is_restart) in [(30, true), (10_000, false)] {
+        let mut cell = Cell::with_start(false);
+        let now = Millis(cell.now);
+        cell.engine
+            .record_order_clock(RunnerIx(0), Millis(clock), now);
+        let late = StartOutcome::Refused(Refusal::DeadlinePassed);
+        cell.engine
+            .record_start_outcome(now, RunnerIx(0), task(), 1, late);
+        assert_eq!(cell.schedule().is_empty(), is_restart, "clock {clock}");
+    }
+}
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -5,8 +5,7 @@
 use kspan_jobs::{
     engine::{Event, JobState, Order, RunnerIx},
     runner::{
-        EndKind, Inventory, InventoryOutcome, OrderOutcome, Refusal, RunnerEntry, RunningTask,
-        StartOutcome,
+        EndKind, Inventory, InventoryOutcome, OrderOutcome, RunnerEntry, RunningTask, StartOutcome,
     },
 };
 use kspan_model::{Millis, Name};
@@ -294,22 +293,6 @@
     }
 }
 
-/// Guards against the same where the answer was a refusal: work would go on to a runner that is taken for the
-/// incarnation before.
-#[test]
-fn clock_in_a_refused_start_shows_the_restart() {
-    for (clock, is_restart) in [(30, true), (10_000, false)] {
-        let mut cell = Cell::with_start(false);
-        let now = Millis(cell.now);
-        cell.engine
-            .record_order_clock(RunnerIx(0), Millis(clock), now);
-        let late = StartOutcome::Refused(Refusal::DeadlinePassed);
-        cell.engine
-            .record_start_outcome(now, RunnerIx(0), task(), 1, late);
-        assert_eq!(cell.schedule().is_empty(), is_restart, "clock {clock}");
-    }
-}
-
 /// Guards against a record of a restart that makes each later takeover wait longer, although its runner was
 /// lost.
 #[test]
