--- a/crates/cell/src/owner/event_log.rs
+++ b/crates/cell/src/owner/event_log.rs
@@ -4,10 +4,11 @@
 mod tests;
 
 use kspan_jobs::{
-    engine::{Event, FailureCause, ListingKind, RunEnd, WaitEnd},
+    engine::{Event, FailureCause, Hold, ListingKind, RunEnd, WaitEnd},
     id::JobId,
     runner::EndKind,
 };
+use kspan_model::Millis;
 
 use super::{Owner, end_log::log_end_event};
 use crate::telemetry;
@@ -49,11 +50,13 @@
         Event::ThrottleChanged { budget, .. } => telemetry::record_throttle_change(*budget),
         Event::JobEnded { how, elapsed, .. } => telemetry::record_job_end(how, *elapsed),
         Event::JobFailed { cause, .. } => telemetry::record_job_failure(cause),
-        Event::JobLate { .. } => telemetry::record_late_job(),
+        Event::JobLate { is_first, .. } if *is_first => telemetry::record_late_job(),
+        Event::TaskHeld { hold, .. } => telemetry::record_held_task(hold.cause),
         Event::CrashCounted { is_given_up, .. } => telemetry::record_counted_crash(*is_given_up),
         Event::GangOrdered { .. } => telemetry::record_gang_start(),
         Event::GangStopped { why, .. } => telemetry::record_gang_stop(*why),
-        Event::EndsListed { .. }
+        Event::JobLate { .. }
+        | Event::EndsListed { .. }
         | Event::RunsLost { .. }
         | Event::RunAdopted { .. }
         | Event::OrphanRunFound { .. }
@@ -131,6 +134,7 @@
         Event::ThrottleChanged { .. } => "throttle",
         Event::TakeoverWaitEnded { .. } => "takeover wait",
         Event::DoubtEnded { .. } => "doubt",
+        Event::TaskHeld { .. } => "held",
         Event::RunnerChanged { .. } => "runner",
     }
 }
@@ -214,6 +218,7 @@
             queue,
             why,
             elapsed,
+            ..
         } => {
             tracing::warn!(%job, queue, why, after_ms = elapsed.0, "job waits beyond its objective");
         }
@@ -232,9 +237,18 @@
         | Event::TakeoverWaitEnded { .. }
         | Event::DoubtEnded { .. }
         | Event::RunnerChanged { .. } => log_runner_event(event),
+        Event::TaskHeld { hold, waited, left } => log_hold(hold, *waited, *left),
     }
 }
 
+/// Logs which wait holds a task.
+fn log_hold(hold: &Hold, waited: Millis, left: Option<Millis>) {
+    let Hold { task, cause, .. } = hold;
+    let runner = hold.runner.as_ref().map(tracing::field::display);
+    let left_ms = left.map(|left| left.0);
+    tracing::warn!(%task, %cause, runner, waited_ms = waited.0, left_ms, "task is held");
+}
+
 /// Logs why a job failed, with the runs that counted as failed attempts.
 fn log_job_failure(job: JobId, cause: &FailureCause) {
     match cause {
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -383,6 +383,8 @@
     pub(crate) fn record_totals(&self) {
         telemetry::set_totals(&self.totals());
         telemetry::set_teams(&self.engine.borrow().team_usage());
+        let now = self.now();
+        telemetry::set_holds(&self.engine.borrow().holds(now), now);
         if let Some(age) = self.config_age() {
             telemetry::set_config_age(age);
         }
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -2,7 +2,9 @@
 //!
 //! No label holds an id, which bounds the number of label sets.
 
-use kspan_jobs::engine::{ApprovalUse, FailureCause, GangLoss, LossReason, TeamUsage};
+use kspan_jobs::engine::{
+    ApprovalUse, FailureCause, GangLoss, Hold, HoldCause, LossReason, TeamUsage,
+};
 use kspan_model::Millis;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
@@ -125,6 +127,24 @@
     counter!("kspan_cell_jobs_late_total").increment(1);
 }
 
+/// Records that a wait holds a task which could run.
+pub(crate) fn record_held_task(cause: HoldCause) {
+    counter!("kspan_cell_tasks_held_total", "cause" => cause.to_string()).increment(1);
+}
+
+/// Records the waits that hold tasks now, by cause: how many tasks, and for how long the one that waits longest.
+pub(crate) fn set_holds(holds: &[Hold], now: Millis) {
+    for cause in HoldCause::ALL {
+        let of_cause = || holds.iter().filter(|hold| hold.cause == cause);
+        let longest = of_cause().map(|hold| now.saturating_sub(hold.since)).max();
+        let label = cause.to_string();
+        gauge!("kspan_cell_tasks_held", "cause" => label.clone())
+            .set(to_f64(of_cause().count() as u64));
+        gauge!("kspan_cell_tasks_held_longest_seconds", "cause" => label)
+            .set(seconds(longest.unwrap_or_default()));
+    }
+}
+
 /// Records an approval call, whether it was answered, and its duration.
 pub(crate) fn record_approval_call(is_answered: bool, took: Millis) {
     let outcome = if is_answered { "answered" } else { "failed" };
--- a/crates/jobs/src/engine/doubts.rs
+++ b/crates/jobs/src/engine/doubts.rs
@@ -33,6 +33,13 @@
     until: Millis,
 }
 
+impl FormerDoubts {
+    /// Returns the time of the takeover, and the one at which the last doubt is over.
+    pub(super) fn times(&self) -> (Millis, Millis) {
+        (self.since, self.until)
+    }
+}
+
 impl Engine {
     /// Records the runs of a runner whose start has come into doubt, if any is not recorded yet.
     pub(super) fn record_doubts(&mut self, runner_ix: RunnerIx) {
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -251,6 +251,7 @@
                 None => engine.batches.orphaned_parts.extend(keys),
             }
         }
+        engine.recovered_at = now;
         engine.unverified_until = Some(now + cfg.previous_owner_timeout);
         engine.restore_doubts(state.doubts, now);
         engine
--- a/crates/jobs/src/engine/event.rs
+++ b/crates/jobs/src/engine/event.rs
@@ -3,8 +3,8 @@
 use kspan_model::{Millis, Name, Resources};
 
 use super::{
-    ApprovalUse, EndListing, FailureCause, GangLoss, LeaseView, ListedEnd, ListingKind, LossReason,
-    RunEnd, WaitEnd,
+    ApprovalUse, EndListing, FailureCause, GangLoss, Hold, LeaseView, ListedEnd, ListingKind,
+    LossReason, RunEnd, WaitEnd,
 };
 use crate::id::{JobId, StepId, TaskId};
 
@@ -214,7 +214,7 @@
         /// Cause.
         cause: FailureCause,
     },
-    /// A job with waiting tasks can no longer meet its objective. Emitted once for each job.
+    /// A job with waiting tasks can no longer meet its objective. Emitted again from time to time while it waits.
     JobLate {
         /// Job id.
         job: JobId,
@@ -224,6 +224,8 @@
         why: String,
         /// Time since the submission.
         elapsed: Millis,
+        /// Whether it is the first report of the job.
+        is_first: bool,
     },
     /// A team reached its cap, or has tasks that may start again.
     CapChanged {
@@ -273,6 +275,15 @@
         /// Whether the runner has shown what it has. The alternative is that no order can be carried out any more.
         is_answered: bool,
     },
+    /// A wait holds a task that could run. Emitted once for each cause.
+    TaskHeld {
+        /// The wait.
+        hold: Hold,
+        /// How long it has lasted.
+        waited: Millis,
+        /// Time until it ends at the latest; `None` if it lasts until a runner answers.
+        left: Option<Millis>,
+    },
     /// The status of a runner changed.
     RunnerChanged {
         /// Id of the runner.
--- a/crates/jobs/src/engine/evidence.rs
+++ b/crates/jobs/src/engine/evidence.rs
@@ -45,7 +45,7 @@
 pub(super) const MAX_RECORDS: usize = 16;
 
 /// How long a task waits for that. A runner may be cut off from the owner alone for any time.
-const MAX_SETTLING_TIME: Millis = Millis(30_000);
+pub(super) const MAX_SETTLING_TIME: Millis = Millis(30_000);
 
 /// How long a task waits for a runner without other suspected tasks before it runs beside them.
 const MAX_ISOLATION_WAIT: Millis = Millis(3_000);
--- a/crates/jobs/src/engine/explain.rs
+++ b/crates/jobs/src/engine/explain.rs
@@ -102,7 +102,7 @@
         let Some(job) = id.and_then(|id| self.jobs.get_mut(&id)) else {
             return;
         };
-        job.reported_late = true;
+        let is_first = job.reported_late_at.replace(now).is_none();
         let (job, elapsed) = (job.id, now.saturating_sub(job.submitted));
         let waiting = explanation.steps.into_iter().map(|step| step.why);
         if let Some(why) = waiting.into_iter().find(|why| !why.is_empty()) {
@@ -111,6 +111,7 @@
                 queue: explanation.queue,
                 why,
                 elapsed,
+                is_first,
             });
         }
     }
--- a/crates/jobs/src/engine/job.rs
+++ b/crates/jobs/src/engine/job.rs
@@ -20,6 +20,9 @@
     spec::{JobSpec, MAX_TASKS, StepSpec},
 };
 
+/// Interval at which a job that waits beyond its objective is reported again.
+const LATE_REPORT_INTERVAL: Millis = Millis(5_000);
+
 /// Number of failed runs from which a task counts as failing repeatedly. A single failure says more
 /// about the runner.
 const REPEATED_FAILURES: usize = 2;
@@ -161,8 +164,8 @@
     pub(super) is_compacted: bool,
     /// Whether any task has started.
     pub(super) started: bool,
-    /// Whether the job was reported as late.
-    pub(super) reported_late: bool,
+    /// Time at which the job was last reported as late.
+    pub(super) reported_late_at: Option<Millis>,
     /// Number of completed occurrences.
     pub(super) occurrences_done: u32,
     /// Number of the next occurrence to begin.
@@ -188,7 +191,7 @@
             ended_at: None,
             is_compacted: false,
             started: false,
-            reported_late: false,
+            reported_late_at: None,
             occurrences_done: 0,
             next_occurrence: 0,
             occurrences: Vec::new(),
@@ -405,6 +408,12 @@
         })
     }
 
+    /// Returns whether the job is to be reported if it is late.
+    pub(super) fn is_late_report_due(&self, now: Millis) -> bool {
+        let latest = self.reported_late_at;
+        latest.is_none_or(|latest| now >= latest + LATE_REPORT_INTERVAL)
+    }
+
     /// Marks the tasks as verified for which `is_verified` holds.
     pub(super) fn verify_tasks(&mut self, is_verified: impl Fn(TaskId) -> bool) {
         let job = self.id;
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -22,6 +22,7 @@
 mod failure;
 mod gangs;
 mod health;
+mod holds;
 mod host_list;
 mod inventory;
 mod job;
@@ -67,6 +68,7 @@
     doubts::FormerDoubts,
     durable::Batches,
     estimate::RunTimes,
+    holds::ReportedHolds,
     job::Job,
     overrun::Overruns,
     quiet::QuietRunner,
@@ -92,6 +94,7 @@
     explain::{Explanation, StepExplanation},
     failure::FailureCause,
     gangs::GangLoss,
+    holds::{Hold, HoldCause},
     inventory::InventoryCall,
     locality::{LocalityRule, WaitEnd},
     queries::{JobState, Totals},
@@ -208,6 +211,8 @@
     recorded_doubts: FxHashMap<Name, Vec<DoubtedRun>>,
     /// What previous owners recorded of starts without an answer.
     former_doubts: FormerDoubts,
+    /// Waits of tasks that have been reported.
+    reported_holds: ReportedHolds,
     /// Services that a configuration or a job has named, and listed runners of others.
     admission: Admission,
     approval_hosts: ApprovalHosts,
@@ -240,6 +245,8 @@
     given_up: Vec<TaskId>,
     /// Latest sequence number, which orders calls and outcomes.
     last_sequence: u64,
+    /// Time of the takeover.
+    recovered_at: Millis,
     /// Time until which runs of a previous owner may exist on runners that have not answered;
     /// `None` once every known runner has answered.
     unverified_until: Option<Millis>,
@@ -275,6 +282,7 @@
             recorded_restarts: FxHashSet::default(),
             recorded_doubts: FxHashMap::default(),
             former_doubts: FormerDoubts::default(),
+            reported_holds: ReportedHolds::default(),
             admission: Admission::default(),
             approval_hosts: ApprovalHosts::default(),
             approval_rates: ApprovalRates::default(),
@@ -295,6 +303,7 @@
             held_starts: Vec::new(),
             given_up: Vec::new(),
             last_sequence: 0,
+            recovered_at: Millis::ZERO,
             unverified_until: None,
             is_wait_shortened: false,
             orders: VecDeque::new(),
--- a/crates/jobs/src/engine/runner/delivery.rs
+++ b/crates/jobs/src/engine/runner/delivery.rs
@@ -132,7 +132,7 @@
 
     /// Returns the time at which the lease of an incarnation ends at the latest that calls for the one before
     /// may have reached.
-    fn latest_inherited_lease_end(&self, cfg: &Settings) -> Millis {
+    pub(in crate::engine) fn latest_inherited_lease_end(&self, cfg: &Settings) -> Millis {
         let doubted = self.latest_doubted_grant.map(|at| at + MAX_CALL_DELAY);
         let latest = self.latest_grant.max(doubted);
         latest.unwrap_or_default() + longest_inherited_lease(cfg)
--- a/crates/jobs/src/engine/runner/lease.rs
+++ b/crates/jobs/src/engine/runner/lease.rs
@@ -133,6 +133,14 @@
             .is_some_and(|reading| reading.min_clock(now) > self.latest_deadline + cfg.lease_margin)
     }
 
+    /// Returns the time at which the lease has expired even if the runner's clock is slow; `None` if no reading of
+    /// the clock is known.
+    pub(in crate::engine) fn lease_end(&self, cfg: &Settings) -> Option<Millis> {
+        let reading = self.reading?;
+        let left = (self.latest_deadline + cfg.lease_margin).saturating_sub(reading.clock);
+        Some(reading.at + longest_duration(left))
+    }
+
     /// Returns what the owner assumes of the lease; `None` if no reading of the runner's clock is known.
     pub(in crate::engine) fn lease_view(&self, cfg: &Settings, now: Millis) -> Option<LeaseView> {
         let reading = self.reading?;
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -124,7 +124,7 @@
             if later.peek().is_some() {
                 upcoming.extend(self.upcoming_steps(job, urgency, now));
             }
-            if urgency.misses_objective() && !job.reported_late {
+            if urgency.misses_objective() && job.is_late_report_due(now) {
                 late_job = Some(*id);
             }
             let policy = &job.record.policy;
--- a/crates/jobs/src/engine/task.rs
+++ b/crates/jobs/src/engine/task.rs
@@ -3,7 +3,7 @@
 use kspan_model::{Millis, Name};
 
 use super::{
-    evidence::{Crashes, Isolation},
+    evidence::{Crashes, Isolation, MAX_SETTLING_TIME},
     locality::Wait,
     runner::RunnerIx,
 };
@@ -114,6 +114,16 @@
             && self.crashes_allow_start(now)
     }
 
+    /// Returns whether the task has no run and is not done.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.state == TaskState::Waiting
+    }
+
+    /// Returns the time until which it may wait for what its earlier runs did to their runners.
+    pub(super) fn latest_settling(&self) -> Millis {
+        self.state_since + MAX_SETTLING_TIME
+    }
+
     /// Returns whether a previous owner may have ordered a run of the task that no runner has listed.
     pub(super) fn may_run_unseen(&self) -> bool {
         self.unverified || self.is_adopted
