--- a/crates/jobs/tests/silence.rs
+++ b/crates/jobs/tests/silence.rs
@@ -3,7 +3,7 @@
 mod one_cell;
 
 use kspan_jobs::{
-    engine::Event,
+    engine::{Event, RunnerIx},
     id::{JobId, StepId, TaskId},
     record::{self, RunnerRecord},
     runner::{EndKind, InventoryOutcome},
@@ -203,3 +203,40 @@
     let is_answer = |event: &Event| matches!(event, Event::RunnerAnswered { .. });
     assert!(!cell.engine.take_events().iter().any(is_answer));
 }
+
+/// Guards against a lasting task that waits for orders which a previous owner can't have given: it extends the lease of a
+/// runner no more from the time on at which it lists the runner's tasks.
+#[test]
+fn listed_task_waits_for_a_lease_alone_although_the_previous_owner_stays_away() {
+    let (mut cell, tasks) = cell_with_lasting_tasks();
+    silence(&mut cell, 0, 2);
+    take_over(&mut cell, "w0", tasks);
+    let starts = (100..=15_000).step_by(100).find_map(|after| {
+        cell.advance(100);
+        let started = cell.schedule_and_start();
+        // The start of a task that may have crashed its runner is held until it is recorded.
+        cell.commit();
+        let is_listed = |(_, task): &(usize, TaskId)| *task == tasks[0];
+        started.iter().any(is_listed).then_some(after)
+    });
+    let after = starts.expect("the task starts");
+    assert!((6_400..=6_800).contains(&after), "{after} ms");
+}
+
+/// Guards against a lease that the next owner doesn't know of.
+#[test]
+fn lease_of_a_listed_runner_is_not_extended_until_its_list_is_withdrawn() {
+    let (mut cell, _) = cell_with_lasting_tasks();
+    let grants = |cell: &mut Cell| {
+        let call = cell
+            .engine
+            .next_inventory_call(RunnerIx(0), Millis(cell.now));
+        call.deadline.is_some()
+    };
+    assert!(grants(&mut cell));
+    silence(&mut cell, 0, 2);
+    cell.report_ends(0, Vec::new());
+    assert!(!grants(&mut cell), "the list is in force");
+    cell.commit();
+    assert!(grants(&mut cell));
+}
--- a/tests/lasting.rs
+++ b/tests/lasting.rs
@@ -14,6 +14,10 @@
 /// Time without a run after which callers count a lasting task as lost.
 const MAX_TIME_WITHOUT_RUN: Duration = Duration::from_secs(9);
 
+/// Time after the last loss within which a lasting task has a run again: until the rest counts as in touch (3 s), and
+/// the 7 s without a disruption after which callers count the task as lost.
+const MAX_TIME_AFTER_LOSS: Duration = Duration::from_secs(10);
+
 /// Time for which a runner is cut off, longer than any lease.
 const CUT_OFF: Duration = Duration::from_secs(8);
 
@@ -87,3 +91,28 @@
     wait_for_run(&platform, &job(1), 2, TIMEOUT).await;
     check_runs(&platform);
 }
+
+/// Guards against a lasting task that waits for orders of an owner whose host is gone for good: its runner was lost for
+/// good a second before the host, and the owner had recorded what was there.
+#[ntex::test]
+async fn lasting_task_runs_again_soon_after_its_runner_and_the_host_of_the_owner_were_lost() {
+    let platform = Platform::start(RUNNERS);
+    let mut processes: Vec<Process> = (70..70 + HOSTS)
+        .map(|number| Process::start(number, &platform))
+        .collect();
+    let owner = wait_for_owner(&processes).await;
+    let path = format!("{PREFIX}{}", job(0));
+    let addr = &processes[owner].callers;
+    call_until("POST", addr, &path, &lasting_job_body(), 200).await;
+    let lost = wait_for_run(&platform, &job(0), 1, TIMEOUT).await;
+
+    platform.runners[lost]
+        .lock()
+        .expect("no handler panicked")
+        .lose();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    drop(processes.swap_remove(owner));
+
+    wait_for_run(&platform, &job(0), 2, MAX_TIME_AFTER_LOSS).await;
+    check_runs(&platform);
+}
