Grant a runner no lease while the record lists its tasks, so that a later owner waits for one lease

Cause: a task that the previous owner listed as one of a silent runner waits until no previous owner can give orders (8 s and a lease), although the list was written because that owner sends the runner no work; only the lease could go on. Change: while the list is in force, until its withdrawal is durable, calls and starts grant no lease, and the record says so; listed tasks wait for one lease after the takeover. Records of earlier versions are waited for as before.

--- a/crates/jobs/src/engine/holds.rs
+++ b/crates/jobs/src/engine/holds.rs
@@ -157,7 +157,7 @@
             return Some(hold(HoldCause::FormerStart, None, since, Some(until)));
         }
         if task.may_run_unseen() {
-            let until = self.unverified_until?;
+            let until = self.latest_unverified()?;
             return Some(hold(
                 HoldCause::FormerRun,
                 None,
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -129,7 +129,7 @@
         let runner = &mut self.runners[runner_ix.0];
         runner.inherited_lease_until = is_inheriting.then_some(Millis(u64::MAX));
         runner.missing_since = Some(now);
-        runner.task_list = record.tasks.map_or(TaskList::None, TaskList::Restored);
+        runner.task_list = TaskList::restored(record.tasks, record.has_no_grants);
     }
 
     /// Records that the host list no longer contains a runner. Its tasks may still be running.
@@ -257,7 +257,7 @@
         let all_verified = self.are_all_runs_verified(now);
         self.recount_job_bytes();
         self.begin_due_occurrences(now, unix_ms, all_verified);
-        self.verify_unlisted_tasks();
+        self.verify_unlisted_tasks(now);
         self.expire_former_doubts(now);
         self.withdraw_doubts();
         self.end_inherited_leases(now);
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -93,13 +93,20 @@
         // A runner with unacknowledged ends answers immediately in any case. A runner whose clock
         // is not known yet must be called again soon, because its lease is extended only then.
         let answers_immediately = !runner.has_answered || !runner.unacked_ends.is_empty();
-        let deadline = is_answering
+        let may_grant = is_answering && runner.may_be_granted_lease(durable);
+        let deadline = may_grant
             .then(|| runner.extend_lease(&self.cfg, now))
             .flatten();
         if deadline.is_some() {
             runner.record_grant(now);
             runner.pending_grant = Some(now);
         }
+        // The lease is extended by the next call after the withdrawal of the list at the earliest.
+        let wait = if may_grant {
+            wait
+        } else {
+            wait.min(wait_on_loss)
+        };
         InventoryCall {
             sequence,
             deadline,
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -41,7 +41,11 @@
         }
         // Ticks are frequent, and no time precedes the order itself.
         let latest_tick = self.last_tick;
+        let durable = self.batches.durable();
         let runner = &mut self.runners[runner_ix.0];
+        if !runner.may_be_granted_lease(durable) {
+            return false;
+        }
         let Some(placed) = runner.runs.get_mut(&(task, run)) else {
             return false;
         };
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -112,6 +112,8 @@
     pub(super) first_seen: Millis,
     /// Batch that makes the runner known to later owners.
     pub(super) record_batch: u64,
+    /// Batch that withdraws the latest list of the runner's tasks; 0 if there was none.
+    pub(super) withdrawal_batch: u64,
     /// What the record says about the runner's tasks.
     pub(super) task_list: TaskList,
     /// Whether this incarnation is known to have ended.
@@ -200,6 +202,7 @@
             missing_since: None,
             first_seen: now,
             record_batch,
+            withdrawal_batch: 0,
             task_list: TaskList::default(),
             dead: false,
             presumed_dead: false,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -204,22 +204,37 @@
     /// Tasks that may be on the runner; `None` if it may have any. Written while the runner gets no new
     /// work: while it does not answer, and while it is draining.
     pub tasks: Option<Vec<TaskId>>,
+    /// Whether the owner grants the runner no lease while the record is in force.
+    pub has_no_grants: bool,
 }
 
 impl RunnerRecord {
-    /// Decodes a record, also one of a version that wrote no tasks.
+    /// Creates the record of a runner that may have any task.
+    pub fn without_tasks(entry: RunnerEntry) -> Self {
+        Self {
+            entry,
+            tasks: None,
+            has_no_grants: false,
+        }
+    }
+
+    /// Decodes a record, also one of a version that wrote no tasks, or went on granting leases.
     ///
     /// # Errors
     ///
     /// Returns an error if the bytes do not encode a record of a runner.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let (entry, rest) = postcard::take_from_bytes(bytes)?;
-        let tasks = if rest.is_empty() {
-            None
-        } else {
-            Some(postcard::from_bytes(rest)?)
-        };
-        Ok(Self { entry, tasks })
+        if rest.is_empty() {
+            return Ok(Self::without_tasks(entry));
+        }
+        let (tasks, rest) = postcard::take_from_bytes(rest)?;
+        let has_no_grants = !rest.is_empty() && postcard::from_bytes(rest)?;
+        Ok(Self {
+            entry,
+            tasks: Some(tasks),
+            has_no_grants,
+        })
     }
 
     /// Encodes the record in up to `max_bytes` bytes. A list of tasks that doesn't fit is left out, so that
@@ -232,11 +247,12 @@
         encode(&self.entry)
     }
 
-    /// Encodes the record. Versions that know no tasks ignore them.
+    /// Encodes the record. Versions that know no tasks, or no more than these, ignore the rest.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = encode(&self.entry);
         if let Some(tasks) = &self.tasks {
             bytes.extend(encode(tasks));
+            bytes.extend(encode(&self.has_no_grants));
         }
         bytes
     }
--- a/tests/lasting.rs
+++ b/tests/lasting.rs
@@ -18,6 +18,9 @@
 /// the 7 s without a disruption after which callers count the task as lost.
 const MAX_TIME_AFTER_LOSS: Duration = Duration::from_secs(10);
 
+/// Time after a start within which an inventory lists the run.
+const LISTING_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a runner is cut off, longer than any lease.
 const CUT_OFF: Duration = Duration::from_secs(8);
 
@@ -105,6 +108,8 @@
     let addr = &processes[owner].callers;
     call_until("POST", addr, &path, &lasting_job_body(), 200).await;
     let lost = wait_for_run(&platform, &job(0), 1, TIMEOUT).await;
+    // The owner has read an inventory that lists the run.
+    tokio::time::sleep(LISTING_TIME).await;
 
     platform.runners[lost]
         .lock()
