--- a/crates/jobs/tests/schedules.rs
+++ b/crates/jobs/tests/schedules.rs
@@ -90,6 +90,13 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against the same where approvals bound which incarnation may carry an order out: no task waits for another one,
+/// and none runs twice.
+#[test]
+fn invariants_hold_while_late_orders_reach_incarnations_without_their_approval() {
+    assert_invariants_hold(HAZARDOUS_SCHEDULES, Hazard::ApprovedStarts);
+}
+
 /// Guards against tasks that run twice because what one incarnation of a runner was told, or did while nobody
 /// reached it, is taken for what holds now: restarts, partitions, lost answers and late calls close together.
 #[test]
--- a/crates/jobs/tests/support/hazards.rs
+++ b/crates/jobs/tests/support/hazards.rs
@@ -110,7 +110,8 @@
         for runner in &mut self.runners {
             runner.keeps_id = true;
             runner.executes_former_calls = true;
-            runner.executes_late_calls = self.hazard == Hazard::LateOrders;
+            let are_late_calls_executed = [Hazard::LateOrders, Hazard::ApprovedStarts];
+            runner.executes_late_calls = are_late_calls_executed.contains(&self.hazard);
         }
         for _ in 0..RESTARTS {
             let at = self.hazard_rng.random_range(500..16_000);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -4,6 +4,7 @@
 //! Calls may be lost before or after they take effect, executed seconds late, and reordered. Owners
 //! are killed or paused; a paused owner resumes with its old fencing token.
 
+mod approvals;
 mod callers;
 pub(crate) mod checks;
 mod gangs;
@@ -91,6 +92,8 @@
     PartitionedRestarts,
     /// The same, where orders that are held up for long reach an incarnation before any owner does.
     LateOrders,
+    /// The same, and each start needs an approval of the incarnation that carries it out.
+    ApprovedStarts,
     /// Runners that hold inventory calls open restart under their ids, several at once, and are partitioned soon
     /// after; answers are lost and calls held up when the partition ends, and the host list drops the runners.
     UnseenEnds,
@@ -106,7 +109,11 @@
     fn reuses_ids(self) -> bool {
         matches!(
             self,
-            Self::ReusedIds | Self::PartitionedRestarts | Self::LateOrders | Self::UnseenEnds
+            Self::ReusedIds
+                | Self::PartitionedRestarts
+                | Self::LateOrders
+                | Self::ApprovedStarts
+                | Self::UnseenEnds
         )
     }
 
@@ -160,6 +167,10 @@
         owner: usize,
         batch: u64,
     },
+    ApprovalsAnswered {
+        owner: usize,
+        call: usize,
+    },
     Submit,
     Cancel,
     Fault,
@@ -271,6 +282,8 @@
     held_calls: Vec<HeldCall>,
     /// Ends that runners have listed, and what disturbs the runners.
     listings: Listings,
+    /// Tickets that were issued.
+    approvals: Vec<approvals::Response>,
 }
 
 impl Simulation {
@@ -308,6 +321,7 @@
             faults_until: 16_000,
             held_calls: Vec::new(),
             listings: Listings::new(count),
+            approvals: Vec::new(),
         };
         simulation.take_over();
         for _ in 0..simulation.rng.random_range(3..9) {
@@ -325,7 +339,7 @@
         match hazard {
             Hazard::ChangingCapacity => simulation.plan_capacity_changes(),
             Hazard::ReusedIds => simulation.plan_restarts(),
-            Hazard::PartitionedRestarts | Hazard::LateOrders => {
+            Hazard::PartitionedRestarts | Hazard::LateOrders | Hazard::ApprovedStarts => {
                 simulation.plan_partitioned_restarts();
             }
             Hazard::UnseenEnds => simulation.plan_unseen_ends(),
@@ -345,6 +359,7 @@
             | Hazard::ReusedIds
             | Hazard::PartitionedRestarts
             | Hazard::LateOrders
+            | Hazard::ApprovedStarts
             | Hazard::Gangs => 75_000,
         };
         let is_traced = trace::is_traced(self.seed);
@@ -387,6 +402,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick(owner) => self.tick(owner),
+            Event::ApprovalsAnswered { owner, call } => self.approvals_answered(owner, call),
             Event::Submit => self.submit(),
             Event::Cancel => self.cancel(),
             Event::Fault => self.inject_fault(),
@@ -499,6 +515,7 @@
                     max_attempts: MAX_ATTEMPTS + extra,
                     stretch: 2.0,
                     slack: Millis(500),
+                    approval: self.approval_policy(),
                     ..Policy::default()
                 },
                 ..Queue::default()
--- a/crates/jobs/tests/support/network.rs
+++ b/crates/jobs/tests/support/network.rs
@@ -84,6 +84,12 @@
     }
 
     pub(super) fn send_start(&mut self, owner: usize, order: StartOrder) {
+        if !self.is_life_proved(owner, &order) {
+            let (runner_ix, task, run) = (order.runner_ix, order.task, order.run);
+            let (now, unhealthy) = (Millis(self.now), StartOutcome::Refused(Refusal::Unhealthy));
+            let engine = &mut self.owners[owner].engine;
+            return engine.record_start_outcome(now, runner_ix, task, run, unhealthy);
+        }
         if !self.owners[owner].engine.begin_start(&order) {
             let (runner_ix, task, run) = (order.runner_ix, order.task, order.run);
             let (now, withdrawn) = (Millis(self.now), StartOutcome::Withdrawn);
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -135,6 +135,9 @@
             callers: Vec::new(),
         });
         self.list_runners(number);
+        self.owners[number]
+            .engine
+            .set_approval_hosts(&[Name::new("h1")]);
         self.owners[number]
             .engine
             .confirm_ownership(Millis(self.now));
@@ -220,7 +223,7 @@
             match order {
                 Order::Start(order) => self.send_start(owner, order),
                 Order::Stop(order) => self.send_stop(owner, order),
-                Order::RequestApprovals(_) => unreachable!("no queue needs approvals"),
+                Order::RequestApprovals(req) => self.issue_tickets(owner, req),
                 Order::Throttle(_) => unreachable!("no task is best-effort"),
             }
         }
--- a/crates/jobs/tests/support/runner.rs
+++ b/crates/jobs/tests/support/runner.rs
@@ -255,6 +255,10 @@
         if order.deadline < clock {
             return (StartOutcome::Refused(Refusal::DeadlinePassed), None);
         }
+        let ticket = order.ticket.as_ref();
+        if ticket.is_some_and(|ticket| !self.accepts_ticket(ticket, now)) {
+            return (StartOutcome::Refused(Refusal::InvalidTicket), None);
+        }
         self.extend_lease(order.deadline, now);
         let refused_runs = self.refused_runs.get(&order.task).copied().unwrap_or(0);
         if order.run <= refused_runs || self.running.contains_key(&order.task) {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -52,6 +52,13 @@
         Self::start_with(number, &format!("processors: {processors}\n"), store_addr)
     }
 
+    /// Starts a process that requests approvals from the platform's service.
+    pub(crate) fn start_with_approvals(number: usize, platform: &Platform) -> Self {
+        let addr = platform.approvals_addr.expect("the queues need approvals");
+        let more = format!("processors: 1.0\napprovals: {addr}\n");
+        Self::start_with(number, &more, platform.store_addr)
+    }
+
     /// Starts a process with further lines of settings, which reaches the store at `store_addr`.
     pub(crate) fn start_with(number: usize, more: &str, store_addr: SocketAddr) -> Self {
         let address = loopback::own_address();
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -7,7 +7,7 @@
 
 use harness::{
     POLL_INTERVAL, Process, TIMEOUT, call_until, check_runs,
-    standin::{LateStart, PREFIX, Platform, RunRecord, lasting_job_body},
+    standin::{LateStart, PREFIX, Platform, RunRecord, job_body, lasting_job_body},
     wait_for_owner,
 };
 
@@ -51,6 +51,9 @@
     }
 }
 
+/// Time after the end of the traffic at which a job with a task that could run must have something running.
+const FINISH_TIME: Duration = Duration::from_secs(14);
+
 /// Waits until the platform is in a state.
 async fn wait_until(limit: Duration, what: &str, mut is_reached: impl FnMut() -> bool) {
     let started_at = Instant::now();
@@ -132,3 +135,48 @@
     ];
     check(10, &cases).await;
 }
+
+/// Plays a start that its runner holds up until it crashes, where starts need approvals, and returns the platform once
+/// the task has run elsewhere. The next incarnation carries the start out later.
+async fn play_with_approvals(number: usize, is_owner_lost: bool, back_after: Duration) -> Platform {
+    let platform = Platform::start_with_approvals(RUNNERS);
+    let first = 400 + number * HOSTS;
+    let mut processes: Vec<Process> = (first..first + HOSTS)
+        .map(|number| Process::start_with_approvals(number, &platform))
+        .collect();
+    let owner = wait_for_owner(&processes).await;
+    platform.plan_late_start(LateStart {
+        back_after,
+        cut_again: Duration::ZERO,
+    });
+    let path = format!("{PREFIX}00000000000000d0");
+    let body = job_body("run 1000", &[1]);
+    call_until("POST", &processes[owner].callers, &path, &body, 200).await;
+    wait_until(TIMEOUT, "no start", || platform.is_start_held()).await;
+    if is_owner_lost {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        drop(processes.swap_remove(owner));
+    }
+    wait_until(FINISH_TIME, "no run", || !platform.runs().is_empty()).await;
+    tokio::time::sleep(back_after).await;
+    platform
+}
+
+/// Guards against a job with nothing running at the end of a day: its start was sent to a runner just as that was lost, and
+/// the next incarnation, which has no approval, can't carry it out.
+#[ntex::test]
+async fn task_of_a_start_that_needs_an_approval_runs_elsewhere_before_the_day_is_judged() {
+    let plays = [false, true].into_iter().enumerate();
+    let plays: Vec<_> = plays
+        .map(|(number, is_owner_lost)| {
+            let play = play_with_approvals(number, is_owner_lost, Duration::from_secs(18));
+            (is_owner_lost, ntex::rt::spawn(play))
+        })
+        .collect();
+    for (is_owner_lost, play) in plays {
+        let platform = play.await.expect("no play panics");
+        check_runs(&platform);
+        assert_eq!(platform.runs().len(), 1, "owner lost: {is_owner_lost}");
+        assert_eq!(platform.refused_tickets(), 1, "owner lost: {is_owner_lost}");
+    }
+}
