End the pause of a runner for a task that lasts and finds no other

Cause: each failure doubles the pause of a runner, up to 12 s, where the rule grants 9 s. Change: once such a task has waited for 4 s and no other runner can take it, the pause of the one that is paused for the shortest time ends; the next one is as long as if it had not been cut short, and other tasks still prefer runners without failures. A shorter maximum for all was not chosen: it would send more work to runners that fail everything.

--- a/crates/jobs/src/engine/candidate.rs
+++ b/crates/jobs/src/engine/candidate.rs
@@ -200,7 +200,18 @@
         policy: &Policy,
         now: Millis,
     ) -> bool {
-        runner.accepts_work(now, self.confirmed_at, self.batches.durable())
+        runner.health.is_available(now) && self.could_accept(runner, spec, policy, now)
+    }
+
+    /// Returns the same for a runner that may be paused.
+    pub(super) fn could_accept(
+        &self,
+        runner: &Runner,
+        spec: &StepSpec,
+        policy: &Policy,
+        now: Millis,
+    ) -> bool {
+        runner.could_accept_work(now, self.confirmed_at, self.batches.durable())
             && runner.entry.service == policy.service
             && spec
                 .label
--- a/crates/jobs/src/engine/health.rs
+++ b/crates/jobs/src/engine/health.rs
@@ -28,6 +28,16 @@
         now >= self.paused_until
     }
 
+    /// Returns the time at which the latest pause ends.
+    pub(super) fn paused_until(&self) -> Millis {
+        self.paused_until
+    }
+
+    /// Ends the pause. The next one after a failure is longer, as if it had not been cut short.
+    pub(super) fn end_pause(&mut self) {
+        self.paused_until = Millis::ZERO;
+    }
+
     /// Returns whether the runner has failed since its latest success.
     pub(super) fn is_suspect(&self) -> bool {
         self.consecutive_failures > 0
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -269,6 +269,7 @@
         self.settle_gangs(now);
         self.resend_stops(now);
         self.order_speeds(now);
+        self.end_pauses_for_overdue_tasks(now);
         self.report_holds(now);
         self.compact_ended_jobs(now);
         self.remove_expired_jobs(unix_ms);
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -31,6 +31,7 @@
 mod orders;
 mod overrun;
 mod parts;
+mod pauses;
 mod place;
 mod prefetch;
 mod progress;
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -291,6 +291,16 @@
     /// previous owner, so the proof of ownership must be newer than the runner. If a run has
     /// unknown size, no resources of the runner are known to be free.
     pub(super) fn accepts_work(&self, now: Millis, confirmed_at: Millis, durable: u64) -> bool {
+        self.health.is_available(now) && self.could_accept_work(now, confirmed_at, durable)
+    }
+
+    /// Returns the same for a runner that may be paused.
+    pub(super) fn could_accept_work(
+        &self,
+        now: Millis,
+        confirmed_at: Millis,
+        durable: u64,
+    ) -> bool {
         confirmed_at >= self.first_seen
             && self.record_batch <= durable
             && !self.is_missing(now)
@@ -302,7 +312,6 @@
             && !self.entry.draining
             && self.is_incarnation_confirmed()
             && self.unsized_runs == 0
-            && self.health.is_available(now)
     }
 
     /// Adds a run and reserves its resources. Returns whether the run is new.
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -507,3 +507,32 @@
     cell.report_ends(1, vec![end_row(1, task(), 1, EndKind::Stopped)]);
     assert_eq!(cell.schedule().len(), 1);
 }
+
+/// Returns the longest time that a task that lasts waits for its next start while each of its runs fails at once, in ms.
+fn longest_wait_between_failures() -> u64 {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    let mut job = spec();
+    job.steps[0].long_running = true;
+    cell.submit_spec(PATH, job);
+    let mut longest = 0;
+    for run in 1..=6 {
+        let wait = (0..=20_000).step_by(100).find(|_| {
+            cell.report_ends(0, Vec::new());
+            cell.advance(100);
+            !cell.schedule_and_send(true).is_empty()
+        });
+        longest = longest.max(wait.expect("the task starts"));
+        cell.report_ends(0, vec![failed_end(u64::from(run), run)]);
+        cell.commit();
+    }
+    longest
+}
+
+/// Guards against a task that lasts and has no run for longer than callers accept, because the only runner with room for it is
+/// paused after failures.
+#[test]
+fn lasting_task_soon_uses_a_paused_runner_if_no_other_has_room() {
+    let wait = longest_wait_between_failures();
+    assert!((3_500..=4_500).contains(&wait), "{wait} ms");
+}
