Count the waits for previous owners from the time at which the store refuses their appends

The waits were counted from the end of the recovery, which reads all records of jobs and takes long where the store is slow or the cell large.

--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -10,6 +10,7 @@
     engine::Engine,
     record::{DurableState, RunnerRecord},
 };
+use kspan_model::Millis;
 
 use super::{Owner, engine_settings};
 use crate::telemetry;
@@ -36,6 +37,7 @@
         read_ahead: Option<store::Page>,
     ) -> Option<RecoveredOffsets> {
         self.fence_previous_owners().await?;
+        let fenced_at = self.now();
         let reading = self.node.clock.reading();
         let (jobs, config, runners) = tokio::join!(
             self.read_jobs(read_ahead),
@@ -43,7 +45,7 @@
             self.read_all_with_retries(Topic::Runners),
         );
         let (jobs, config, runners) = (jobs?, config?, runners?);
-        self.restore_engine(&jobs.records).await;
+        self.restore_engine(&jobs.records, fenced_at).await;
         self.apply_operator_records(&config.records);
         self.config_read.set(Some(reading));
         self.replace_runners(&runners.records).await;
@@ -109,9 +111,13 @@
         None
     }
 
-    /// Restores the engine from the records of previous owners, and starts inventory calls to the
+    /// Restores the engine from the records of previous owners, whose appends the store refuses since `fenced_at`, and starts inventory calls to the
     /// runners that they knew.
-    pub(super) async fn restore_engine(self: &Rc<Self>, records: &[KeyedRecord]) {
+    pub(super) async fn restore_engine(
+        self: &Rc<Self>,
+        records: &[KeyedRecord],
+        fenced_at: Millis,
+    ) {
         let mut durable_state = DurableState::default();
         for record in records {
             let value = record.value.as_deref().unwrap_or_default();
@@ -123,7 +129,8 @@
         durable_state.runners.retain(is_usable);
         let (now, unix_ms) = (self.now(), self.node.clock.unix_ms());
         let cfg = engine_settings(&self.node);
-        let recovered = Engine::recover(cfg, now, unix_ms, durable_state);
+        let mut recovered = Engine::recover(cfg, now, unix_ms, durable_state);
+        recovered.record_previous_owners_fenced(fenced_at);
         let known_runners: Vec<_> = recovered.live_runners().collect();
         *self.engine.borrow_mut() = recovered;
         for runner_ix in known_runners {
--- a/crates/cell/src/owner/topics/tests.rs
+++ b/crates/cell/src/owner/topics/tests.rs
@@ -323,7 +323,8 @@
         record("i-0", "127.0.0.1:99999"),
         record("i-1", "127.0.0.1:2"),
     ];
-    owner.restore_engine(&records).await;
+    let now = owner.now();
+    owner.restore_engine(&records, now).await;
     let engine = owner.engine.borrow();
     let ids: Vec<Name> = engine
         .live_runners()
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -257,6 +257,16 @@
         engine
     }
 
+    /// Counts the waits for previous owners from the time at which the store refused their appends, rather than from the
+    /// recovery, which read what they had written.
+    pub fn record_previous_owners_fenced(&mut self, fenced_at: Millis) {
+        self.recovered_at = self.recovered_at.min(fenced_at);
+        let end = fenced_at + self.cfg.previous_owner_timeout;
+        self.unverified_until = self.unverified_until.map(|until| until.min(end));
+        let latest_order = end.saturating_sub(self.cfg.lease);
+        self.record_latest_former_order(latest_order);
+    }
+
     /// Completes the jobs all of whose tasks are done. The parts of their progress say so, and the record
     /// of the job was not written any more.
     fn complete_restored_jobs(&mut self, now: Millis, unix_ms: u64) {
