Request approvals shortly before the wait for a previous owner ends

Steps that wait for it request approvals from 1.5 s before its end on, at most half of their validity, behind all that may start. Test: approvals_are_requested_shortly_before_the_wait_for_a_previous_owner_ends (100 ms before; 1 s now).

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -169,7 +169,10 @@
             // More urgent steps wait for the same runners; calls for this one would delay theirs.
             return Vec::new();
         }
-        let startable = Startable::new(step, spec, self.unverified_until.is_none(), now);
+        let is_verified_soon = self
+            .latest_unverified()
+            .is_none_or(|at| Self::is_approval_due(policy, at, now));
+        let startable = Startable::new(step, spec, is_verified_soon, now);
         if startable.count() == 0 {
             return Vec::new();
         }
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -29,6 +29,8 @@
     steps: Vec<ReadyStep>,
     /// Steps that are about to become ready, the most urgent first.
     upcoming: Vec<(Urgency, StepId)>,
+    /// Those of them that are ready, and wait for the runs of a previous owner.
+    unverified: Vec<StepId>,
     /// Steps without room on any runner, the most urgent first.
     without_room: Vec<ReadyStep>,
     /// A job that can no longer meet its objective and was not reported yet.
@@ -50,10 +52,12 @@
         let ReadySteps {
             steps: ready_steps,
             upcoming,
+            unverified,
             without_room,
             late_job,
         } = self.ranked_ready_steps(all_verified, now);
-        self.open_runners = self.runners_with_room(&ready_steps, now);
+        let steps = ready_steps.iter().map(|ready| ready.step);
+        self.open_runners = self.runners_with_room(steps.chain(unverified), now);
         if ready_steps.iter().any(|ready| ready.has_locality) {
             self.forecast = self.new_forecast();
         }
@@ -97,12 +101,14 @@
     /// Returns the ready steps with waiting tasks, the most urgent first. Also removes jobs without
     /// such steps from the schedulable set. Steps whose tasks may all be running under a previous
     /// owner, or be started late by its orders, or that the cap of their team blocks, are left out: they would keep
-    /// runners and approval calls from steps that may start.
+    /// runners and approval calls from steps that may start. The first request approvals shortly before they may.
     fn ranked_ready_steps(&mut self, all_verified: bool, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let share_unit = self.share_unit();
+        let verified_at = self.latest_unverified();
         let mut ready = Vec::new();
         let mut upcoming = Vec::new();
+        let mut unverified = Vec::new();
         let mut without_room = Vec::new();
         let mut blocked = Vec::new();
         let mut late_job = None;
@@ -136,6 +142,10 @@
                     continue;
                 }
                 if !all_verified && !step.tasks.iter().any(|task| task.may_start(false, now)) {
+                    if verified_at.is_some_and(|at| Self::is_approval_due(policy, at, now)) {
+                        upcoming.push((urgency, id));
+                        unverified.push(id);
+                    }
                     continue;
                 }
                 if self.is_blocked_by_cap(id) {
@@ -175,6 +185,7 @@
         ReadySteps {
             steps: ready,
             upcoming,
+            unverified,
             without_room,
             late_job,
         }
@@ -196,9 +207,9 @@
 
     /// Returns the runners that accept work and have free resources for a task of at least one of the
     /// steps. In a full cell these are few, so that the steps need not look at all others.
-    fn runners_with_room(&self, ready_steps: &[ReadyStep], now: Millis) -> Vec<RunnerIx> {
-        let sizes = ready_steps.iter().filter_map(|ready| {
-            let (_, spec) = self.jobs.get(&ready.step.job)?.step(ready.step)?;
+    fn runners_with_room(&self, steps: impl Iterator<Item = StepId>, now: Millis) -> Vec<RunnerIx> {
+        let sizes = steps.filter_map(|id| {
+            let (_, spec) = self.jobs.get(&id.job)?.step(id)?;
             Some(spec.charged_resources())
         });
         let Some(smallest) = sizes.reduce(Resources::component_min) else {
--- a/crates/jobs/tests/approved_doubts.rs
+++ b/crates/jobs/tests/approved_doubts.rs
@@ -5,7 +5,7 @@
 
 use kspan_jobs::{
     config::{ApprovalPolicy, CellConfig},
-    engine::{ApprovalRequest, Order, StartOrder},
+    engine::{ApprovalRequest, Order, RunnerIx, StartOrder},
     runner::{InventoryOutcome, StartOutcome},
 };
 use kspan_model::{Millis, Name};
@@ -143,3 +143,54 @@
         assert_eq!(has_record, is_recorded, "{heard_since:?}");
     }
 }
+
+/// Lets a new owner take over to which the first runner doesn't answer, with `fenced_ms` between the refusal of the previous
+/// owner's appends and the recovery. Returns the time of the first request for approvals and that of the start, in ms after
+/// the recovery.
+fn request_and_start_after_takeover(fenced_ms: u64) -> [u64; 2] {
+    let mut cell = Cell::with_runners(approved_config(), ["w0", "w1"].map(entry));
+    cell.report_ends(0, Vec::new());
+    cell.submit();
+    cell.recover_with(approved_config());
+    let fenced_at = Millis(cell.now - fenced_ms);
+    cell.engine.record_previous_owners_fenced(fenced_at);
+    cell.engine.set_approval_hosts(&[Name::new("h1")]);
+    let mut requested_at = None;
+    for after in (100..=20_000).step_by(100) {
+        for runner_ix in 0..2 {
+            let id = cell.engine.runner(RunnerIx(runner_ix)).id.clone();
+            if id == Name::new("w1") {
+                cell.report_ends(runner_ix, Vec::new());
+            } else {
+                cell.complete_inventory_call(runner_ix, &InventoryOutcome::NoResponse);
+            }
+        }
+        cell.engine.upsert_runner(Millis(cell.now), entry("w1"));
+        cell.advance(100);
+        cell.commit();
+        cell.engine.schedule(Millis(cell.now));
+        for order in cell.engine.take_orders() {
+            match order {
+                Order::RequestApprovals(req) => {
+                    requested_at.get_or_insert(after);
+                    approve(&mut cell, &req, "w1");
+                }
+                Order::Start(_) => return [requested_at.expect("a request"), after],
+                Order::Stop(_) | Order::Throttle(_) => {}
+            }
+        }
+    }
+    panic!("the task doesn't start");
+}
+
+/// Guards against a job that waits for approvals after it has waited for a previous owner, when all others request theirs, and
+/// against requests that end long before.
+#[test]
+fn approvals_are_requested_shortly_before_the_wait_for_a_previous_owner_ends() {
+    for (fenced_ms, wait_ms) in [(0, 14_000), (2_000, 12_000)] {
+        let [requested, started] = request_and_start_after_takeover(fenced_ms);
+        assert!((wait_ms..=wait_ms + 200).contains(&started), "{started} ms");
+        let lead = started - requested;
+        assert!((800..=1_500).contains(&lead), "{lead} ms");
+    }
+}
