--- a/crates/jobs/tests/silence.rs
+++ b/crates/jobs/tests/silence.rs
@@ -259,3 +259,44 @@
     cell.commit();
     assert!(grants(&mut cell));
 }
+
+/// Lets all runners answer but one.
+fn answer_all_but(cell: &mut Cell, silent: &str) {
+    let runners: Vec<(usize, String)> = cell
+        .engine
+        .live_runners()
+        .map(|runner_ix| (runner_ix.0, cell.engine.runner(runner_ix).id.to_string()))
+        .collect();
+    for (runner_ix, id) in runners {
+        if id == silent {
+            cell.complete_inventory_call(runner_ix, &InventoryOutcome::NoResponse);
+        } else {
+            cell.report_ends(runner_ix, Vec::new());
+        }
+    }
+}
+
+/// Guards against the record of a runner that was lost during a takeover and slows each later one.
+#[test]
+fn runner_that_was_lost_during_a_takeover_slows_no_later_one() {
+    let mut cell = Cell::new(&["w0"]);
+    cell.report_ends(0, Vec::new());
+    cell.recover();
+    assert!(cell.store.contains_key("rw0"));
+    for _ in 0..13 {
+        answer_all_but(&mut cell, "w0");
+        cell.advance(1_000);
+        cell.commit();
+    }
+    assert!(
+        cell.store.contains_key("rw0"),
+        "previous owners may give orders"
+    );
+    for _ in 0..7 {
+        answer_all_but(&mut cell, "w0");
+        cell.schedule_and_start();
+        cell.advance(1_000);
+        cell.commit();
+    }
+    assert!(!cell.store.contains_key("rw0"));
+}
