End the authority of an owner that neither the store nor a member confirms, and wait for less after its host is lost

Cause: an owner gives orders for 8 s without the store, also one that reaches no one else, and a new owner can't tell it from one that is gone. Change: beyond 3 s without the store an owner goes on only while a member confirms that it knows no newer one (new request between processes; asked after 1 s without the store). Members count that are in each list which the store may have as the newest one, and that have not restarted since. A new owner that has reached all listed members but one knows that this one is confirmed by nobody: it waits for 3 s and a lease, 9.6 s in all. If two or more don't answer, it waits as before; a cell of one host goes on for 8 s as before.

--- a/crates/cell/src/clock.rs
+++ b/crates/cell/src/clock.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Returns the reading of an earlier time.
+    #[cfg(test)]
+    pub(crate) fn before(self, ago: Millis) -> Self {
+        Self {
+            monotonic: self.monotonic.saturating_sub(ago),
+            boot: self.boot.saturating_sub(ago),
+        }
+    }
+
     /// Returns the time between `earlier` and this reading, including time for which the host was
     /// suspended.
     pub(crate) fn since(&self, earlier: &Self) -> Millis {
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -173,6 +173,13 @@
     OwnerStatus,
     /// Claim the cell from its owner with this fence, which requests the handover.
     TakeOver(u64),
+    /// Confirm that no owner with another fence is known.
+    ConfirmOwner {
+        /// Fence of the owner.
+        fence: u64,
+        /// Incarnation of the process that is asked. Another one may have forgotten a newer owner.
+        life: u64,
+    },
 }
 
 /// A reply from another process of the cell.
--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -47,18 +47,21 @@
     }
 
     async fn append_heartbeat(self: &Rc<Self>) {
-        let record = ClaimRecord {
-            owner: self.node.local.clone(),
-            members: self.node.members(),
-        };
+        let members = self.node.members();
+        let mut others = members.clone();
+        others.retain(|member| member.node != self.node.local.node);
+        let owner = self.node.local.clone();
+        let record = ClaimRecord { owner, members };
         let end = self.claims_end.get();
         let value = peers::encode(&record);
         let req = store::conditional_append_request(Topic::Claims, end, HEARTBEAT_KEY, &value);
         let sent = self.node.clock.reading();
+        self.witnesses.borrow_mut().record_sent(&others);
         let response = self.node.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
             Ok(AppendOutcome::Done { offset }) => {
                 self.claims_end.set(offset.saturating_add(1));
+                self.witnesses.borrow_mut().record_stored(others);
                 self.confirm(sent);
             }
             Ok(AppendOutcome::Moved) => self.check_for_newer_claim().await,
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod event_log;
 mod hand_over;
 mod heartbeat;
+mod isolation;
 mod lag;
 mod members;
 mod orders;
@@ -43,6 +44,7 @@
     admission::max_job_bytes, clock::ClockReading, election::Claims, message::Member, node::Node,
     telemetry,
 };
+use isolation::{MAX_ISOLATED_TIME, Witnesses};
 use lag::LagMonitor;
 use members::MemberLiveness;
 
@@ -54,7 +56,7 @@
 /// Margin after a lease's deadline before the lease counts as expired.
 const LEASE_MARGIN: Millis = Millis(300);
 
-/// Maximum time for which an owner sends orders without a confirmation of its ownership.
+/// Maximum time for which an owner sends orders without a confirmation of its ownership by the store.
 const MAX_UNCONFIRMED_TIME: Millis = Millis(8_000);
 
 /// Age up to which the configuration counts as current, in percent of the time within which a
@@ -105,6 +107,8 @@
     /// End offset of the topic of claims.
     claims_end: Cell<u64>,
     member_liveness: RefCell<Vec<MemberLiveness>>,
+    /// Members that may confirm the ownership while the store doesn't.
+    witnesses: RefCell<Witnesses>,
     /// Number of heartbeats to send before the next one that lists the members.
     heartbeats_until_list: Cell<u32>,
     runner_connections: RefCell<FxHashMap<RunnerIx, Rc<RunnerConnection>>>,
@@ -192,6 +196,7 @@
             is_config_topic_unavailable: Cell::new(false),
             claims_end: Cell::new(claims_end),
             member_liveness: RefCell::new(member_liveness),
+            witnesses: RefCell::default(),
             heartbeats_until_list: Cell::new(0),
             runner_connections: RefCell::default(),
             node,
@@ -229,6 +234,7 @@
             "takeover complete"
         );
         ntex::rt::spawn(Rc::clone(self).confirm_and_write_batches());
+        ntex::rt::spawn(Rc::clone(self).ask_witnesses());
         ntex::rt::spawn(Rc::clone(self).await_predecessors(takeover.predecessors));
         ntex::rt::spawn(Rc::clone(self).follow_config(offsets.config_end));
         ntex::rt::spawn(Rc::clone(self).follow_runners(offsets.runners_end));
@@ -272,9 +278,17 @@
 
     /// Returns whether orders may be sent now.
     fn may_send_orders(&self) -> bool {
-        self.is_active.get()
-            && self.time_since_confirmed() < MAX_UNCONFIRMED_TIME
-            && !self.was_suspended()
+        self.is_active.get() && self.has_authority() && !self.was_suspended()
+    }
+
+    /// Returns whether the store has confirmed the ownership recently, or a while ago and another member since.
+    fn has_authority(&self) -> bool {
+        let unconfirmed = self.time_since_confirmed();
+        let is_supported = || {
+            let now = self.node.clock.reading();
+            self.witnesses.borrow().support(&now)
+        };
+        unconfirmed < MAX_ISOLATED_TIME || unconfirmed < MAX_UNCONFIRMED_TIME && is_supported()
     }
 
     /// Returns whether the host was suspended since the last confirmation of the ownership.
--- a/crates/cell/src/owner/predecessors.rs
+++ b/crates/cell/src/owner/predecessors.rs
@@ -9,12 +9,17 @@
 
 use std::{rc::Rc, time::Duration};
 
-use super::Owner;
+use kspan_model::Millis;
+
+use super::{Owner, isolation::MAX_ISOLATED_TIME};
 use crate::{
     attempts::{Attempts, Progress},
     message::Member,
 };
 
+/// Longest time for which an owner gives orders that no member confirms any more, by a clock that is 2% slow.
+const MAX_FOLLOWING_TIME: Millis = Millis(MAX_ISOLATED_TIME.0 * 102 / 100);
+
 /// Interval at which the members that have not replied are asked again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -22,6 +27,7 @@
     /// Asks all members that may have owned the cell until each knows this owner, or until nothing
     /// depends on it any more.
     pub(super) async fn await_predecessors(self: Rc<Self>, mut members: Vec<Member>) {
+        let listed = members.len();
         members.retain(|member| member.node != self.node.local.node);
         while self.is_active.get() && self.engine.borrow().has_unverified_runs() {
             members = self.unaware_members(members).await;
@@ -34,6 +40,11 @@
                 );
                 return;
             }
+            if is_isolated(members.len(), listed) {
+                let latest_order = self.now() + MAX_FOLLOWING_TIME;
+                let mut engine = self.engine.borrow_mut();
+                engine.record_previous_owners_ended(latest_order);
+            }
             tokio::time::sleep(QUERY_INTERVAL).await;
         }
     }
@@ -60,3 +71,9 @@
         unaware
     }
 }
+
+/// Returns whether the members that don't know the new owner can't confirm a previous one: there is one alone among the
+/// listed ones. An owner without other members needs no confirmation.
+fn is_isolated(unaware: usize, listed: usize) -> bool {
+    unaware == 1 && listed > 1
+}
--- a/crates/cell/src/owner/predecessors/tests.rs
+++ b/crates/cell/src/owner/predecessors/tests.rs
@@ -1,3 +1,4 @@
+use super::is_isolated;
 use crate::{
     message::PeerReply,
     owner::tests::{owner, start_member},
@@ -23,3 +24,23 @@
         assert_eq!(!unaware.is_empty(), is_unaware, "{known:?}");
     }
 }
+
+/// Guards against two runs of a task: members that don't know the new owner may confirm a previous one to each other, and one
+/// without other members needs no confirmation.
+#[test]
+fn only_a_single_unaware_member_of_several_is_isolated() {
+    let table = [
+        (0, 3, false),
+        (1, 3, true),
+        (1, 2, true),
+        (1, 1, false),
+        (2, 3, false),
+    ];
+    for (unaware, listed, expected) in table {
+        assert_eq!(
+            is_isolated(unaware, listed),
+            expected,
+            "{unaware} of {listed}"
+        );
+    }
+}
--- a/crates/cell/src/process/mod.rs
+++ b/crates/cell/src/process/mod.rs
@@ -98,6 +98,14 @@
                 fence: self.node.known_owner().map_or(0, |owner| owner.fence),
                 silent_ms: self.owner_silence().0,
             },
+            PeerRequest::ConfirmOwner { fence, life } => {
+                let known = self.node.known_owner().map(|owner| owner.fence);
+                if life == self.node.local.life && known == Some(fence) {
+                    PeerReply::Accepted
+                } else {
+                    PeerReply::NotOwner
+                }
+            }
             PeerRequest::TakeOver(_) if self.node.stopping.get() => PeerReply::NotOwner,
             PeerRequest::TakeOver(fence) => {
                 self.planned_takeover.set(Some(fence));
--- a/crates/jobs/src/engine/durable.rs
+++ b/crates/jobs/src/engine/durable.rs
@@ -372,11 +372,11 @@
         }
     }
 
-    /// Records that no previous owner gives orders any more. What runs on runners that this owner does
-    /// not reach ends with the longest lease that was granted before.
-    pub fn record_previous_owners_ended(&mut self, now: Millis) {
-        self.record_latest_former_order(now);
-        let end = now + longest_remaining_lease(&self.cfg);
+    /// Records that no previous owner gives orders from a time on, which may be later. What runs on runners that this owner
+    /// does not reach ends with the longest lease that was granted before.
+    pub fn record_previous_owners_ended(&mut self, from: Millis) {
+        self.record_latest_former_order(from);
+        let end = from + longest_remaining_lease(&self.cfg);
         if self.unverified_until.is_some_and(|until| end < until) {
             self.unverified_until = Some(end);
             self.is_wait_shortened = true;
