Check the ownership again after the call before a start

A start could have been sent, and its runner called, although the ownership ended while the owner waited for the answer of the call before it (at most 350 ms), found by reading. Test: start_that_waits_for_an_answer_is_not_sent_once_ownership_has_ended.

--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -95,6 +95,12 @@
                 break;
             }
             let slot = connection.order_slots.acquire().await;
+            let timeout = if attempt == 0 {
+                FIRST_START_TIMEOUT
+            } else {
+                ORDER_TIMEOUT
+            };
+            let is_life_proved = self.is_life_proved(connection, order, timeout).await;
             if !self.may_send_orders() {
                 break;
             }
@@ -104,12 +110,7 @@
                 }
                 return StartOutcome::Refused(Refusal::DeadlinePassed);
             }
-            let timeout = if attempt == 0 {
-                FIRST_START_TIMEOUT
-            } else {
-                ORDER_TIMEOUT
-            };
-            if !self.is_life_proved(connection, order, timeout).await {
+            if !is_life_proved {
                 drop(slot);
                 tokio::time::sleep(retry_delay(attempt)).await;
                 continue;
@@ -163,6 +164,9 @@
         timeout: Duration,
     ) -> bool {
         let _turn = connection.proof.lock().await;
+        if !self.may_send_orders() {
+            return false;
+        }
         let Some(sequence) = self.engine.borrow_mut().next_proof_call(order) else {
             return true;
         };
--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -441,3 +441,25 @@
         assert_eq!(runner.requests.get(), requests, "{responses:?}");
     }
 }
+
+/// Guards against a call or a start that is sent although the ownership ended while another call to the runner was awaited.
+#[ntex::test]
+async fn start_that_waits_for_an_answer_is_not_sent_once_ownership_has_ended() {
+    for (what, lose) in losses() {
+        let owner = super::super::tests::owner("127.0.0.1:1").await;
+        let runner = start_runner(&owner, &[ALIVE, STARTED]).await;
+        let policy = ApprovalPolicy {
+            base_ms: 1.0,
+            per_runner_ms: 1.0,
+            validity: Millis(2_000),
+        };
+        let start = start_order_with(&owner, runner.runner_ix, Some(policy));
+        let turn = runner.connection.proof.lock().await;
+        let start = ntex::rt::spawn(Rc::clone(&owner).start_task(start));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        lose(&owner);
+        drop(turn);
+        assert!(start.await.is_ok());
+        assert_eq!(runner.requests.get(), 0, "{what}");
+    }
+}
