Say in claims that their owner ends when nobody confirms it

The mark follows the record, and earlier versions ignore it. Test: claims_of_earlier_versions_say_nothing_of_isolation.

--- a/crates/cell/src/election.rs
+++ b/crates/cell/src/election.rs
@@ -82,6 +82,8 @@
     pub(crate) members: Vec<Member>,
     /// End offset of the topic.
     pub(crate) end: u64,
+    /// Whether that owner ends once neither the store nor a member confirms it.
+    pub(crate) ends_when_isolated: bool,
 }
 
 /// Next step of the election after the topic of claims was read.
--- a/crates/cell/src/election/tests.rs
+++ b/crates/cell/src/election/tests.rs
@@ -29,6 +29,7 @@
 
 fn claims(end: u64) -> Claims {
     Claims {
+        ends_when_isolated: true,
         owner: Some(KnownOwner {
             fence: FENCE,
             member: member("host-1"),
--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -1,5 +1,8 @@
 //! Reads the topic of claims, and requests takeovers.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use kspan_adapter::{
@@ -33,6 +36,23 @@
     pub(crate) members: Vec<Member>,
 }
 
+impl ClaimRecord {
+    /// Encodes the record, and that its owner ends once neither the store nor a member confirms it. Earlier versions, which
+    /// don't end then, ignore the mark.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = peers::encode(self);
+        bytes.extend(peers::encode(&true));
+        bytes
+    }
+
+    /// Decodes a record, and whether its owner ends when it is isolated.
+    fn decode(bytes: &[u8]) -> Option<(Self, bool)> {
+        let (record, rest) = postcard::take_from_bytes(bytes).ok()?;
+        let ends_when_isolated = !rest.is_empty() && peers::decode(rest)?;
+        Some((record, ends_when_isolated))
+    }
+}
+
 /// What a process knows of the owner.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OwnerStatus {
@@ -62,25 +82,27 @@
         let record = |key: &str| {
             let record = page.records.iter().find(|record| record.key == key)?;
             let value = record.value.as_deref()?;
-            Some((record.offset, peers::decode::<ClaimRecord>(value)?))
+            Some((record.offset, ClaimRecord::decode(value)?))
         };
         let claim = record(CLAIM_KEY);
         let known = record(HEARTBEAT_KEY).or_else(|| claim.clone());
         let is_only_member = self.members.borrow().len() <= 1;
-        let recorded_members = known.map_or_else(Vec::new, |(_, known)| known.members);
+        let recorded_members = known.map_or_else(Vec::new, |(_, (known, _))| known.members);
         if is_only_member && !recorded_members.is_empty() {
             let mut members = recorded_members.clone();
             members.retain(|member| member.node != self.local.node);
             members.push(self.local.clone());
             self.set_members(members);
         }
+        let ends_when_isolated = claim.as_ref().is_some_and(|(_, (_, ends))| *ends);
         Claims {
-            owner: claim.map(|(offset, claim)| KnownOwner {
+            owner: claim.map(|(offset, (claim, _))| KnownOwner {
                 fence: offset.saturating_add(1),
                 member: claim.owner,
             }),
             members: recorded_members,
             end: page.end,
+            ends_when_isolated,
         }
     }
 
--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -7,10 +7,7 @@
 use tokio::net::UdpSocket;
 
 use super::Owner;
-use crate::{
-    node::{ClaimRecord, HEARTBEAT_KEY},
-    peers,
-};
+use crate::node::{ClaimRecord, HEARTBEAT_KEY};
 
 /// Interval of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -53,7 +50,7 @@
         let owner = self.node.local.clone();
         let record = ClaimRecord { owner, members };
         let end = self.claims_end.get();
-        let value = peers::encode(&record);
+        let value = record.encode();
         let req = store::conditional_append_request(Topic::Claims, end, HEARTBEAT_KEY, &value);
         let sent = self.node.clock.reading();
         self.witnesses.borrow_mut().record_sent(&others);
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -119,6 +119,8 @@
 pub(crate) struct Takeover {
     /// Members that may have owned the cell before.
     predecessors: Vec<Member>,
+    /// Whether the previous owner ends once neither the store nor a member confirms it.
+    ends_when_isolated: bool,
     /// Topic of the jobs as read before the claim, if it was.
     read_ahead: Option<Page>,
 }
@@ -133,6 +135,7 @@
         }
         Self {
             predecessors,
+            ends_when_isolated: claims.ends_when_isolated,
             read_ahead,
         }
     }
@@ -235,7 +238,9 @@
         );
         ntex::rt::spawn(Rc::clone(self).confirm_and_write_batches());
         ntex::rt::spawn(Rc::clone(self).ask_witnesses());
-        ntex::rt::spawn(Rc::clone(self).await_predecessors(takeover.predecessors));
+        ntex::rt::spawn(
+            Rc::clone(self).await_predecessors(takeover.predecessors, takeover.ends_when_isolated),
+        );
         ntex::rt::spawn(Rc::clone(self).follow_config(offsets.config_end));
         ntex::rt::spawn(Rc::clone(self).follow_runners(offsets.runners_end));
         ntex::rt::spawn(Rc::clone(self).hand_over_to_stronger());
--- a/crates/cell/src/owner/predecessors.rs
+++ b/crates/cell/src/owner/predecessors.rs
@@ -26,7 +26,11 @@
 impl Owner {
     /// Asks all members that may have owned the cell until each knows this owner, or until nothing
     /// depends on it any more.
-    pub(super) async fn await_predecessors(self: Rc<Self>, mut members: Vec<Member>) {
+    pub(super) async fn await_predecessors(
+        self: Rc<Self>,
+        mut members: Vec<Member>,
+        ends_when_isolated: bool,
+    ) {
         let listed = members.len();
         members.retain(|member| member.node != self.node.local.node);
         while self.is_active.get() && self.engine.borrow().has_unverified_runs() {
@@ -40,7 +44,7 @@
                 );
                 return;
             }
-            if is_isolated(members.len(), listed) {
+            if ends_when_isolated && is_isolated(members.len(), listed) {
                 let latest_order = self.now() + MAX_FOLLOWING_TIME;
                 let mut engine = self.engine.borrow_mut();
                 engine.record_previous_owners_ended(latest_order);
--- a/crates/cell/src/process/claims.rs
+++ b/crates/cell/src/process/claims.rs
@@ -16,7 +16,6 @@
     message::Member,
     node::{CLAIM_KEY, ClaimRecord, Node},
     owner::{Owner, Takeover},
-    peers,
 };
 
 /// Interval at which a process checks whether the owner is alive.
@@ -147,7 +146,7 @@
             Topic::Claims,
             claims.end,
             CLAIM_KEY,
-            &peers::encode(&record),
+            &record.encode(),
         );
         let response = self.node.store.send(&req).await;
         match response.and_then(|response| store::parse_append(&response)) {
--- a/crates/cell/src/process/claims/tests.rs
+++ b/crates/cell/src/process/claims/tests.rs
@@ -14,6 +14,7 @@
     admission::{Interface, tests::on_smallest_host},
     http::{self, RequestContext},
     message::{PeerReply, PeerRequest},
+    peers,
     settings::Settings,
 };
 
--- a/crates/cell/src/process/claims/tests/queries.rs
+++ b/crates/cell/src/process/claims/tests/queries.rs
@@ -49,6 +49,7 @@
         let process = Process::with_node(tests::node(&store.await).await);
         process.node.stopping.set(stopping);
         let claims = Claims {
+            ends_when_isolated: true,
             owner: None,
             members: Vec::new(),
             end: 4,
