--- a/crates/jobs/src/engine/doubts.rs
+++ b/crates/jobs/src/engine/doubts.rs
@@ -184,11 +184,6 @@
         !self.former_doubts.runs.is_empty()
     }
 
-    /// Returns whether a runner may carry out a start that a previous owner ordered.
-    pub(super) fn has_former_doubt(&self, runner_ix: RunnerIx) -> bool {
-        self.former_doubts.runs.contains_key(&runner_ix)
-    }
-
     /// Passes the doubts about an incarnation on to the next one, which has answered but may not have listed all.
     pub(super) fn pass_former_doubts(&mut self, from: RunnerIx, to: RunnerIx) {
         if let Some(runs) = self.former_doubts.runs.remove(&from) {
--- a/crates/jobs/src/engine/host_list.rs
+++ b/crates/jobs/src/engine/host_list.rs
@@ -263,7 +263,6 @@
         self.end_inherited_leases(now);
         for ix in 0..self.runners.len() {
             self.check_lease_expiry(RunnerIx(ix), now);
-            self.check_never_heard(RunnerIx(ix), now);
         }
         self.end_given_up_jobs(now, unix_ms);
         // No scheduling pass does it while the ownership isn't confirmed.
@@ -322,19 +321,4 @@
             self.runners[runner_ix.0].presumed_dead = true;
         }
     }
-
-    /// Presumes the end of a runner of previous owners that has never answered this one, once nothing of theirs can run
-    /// there and the host list lacks it. Its record would make each later owner wait for it.
-    fn check_never_heard(&mut self, runner_ix: RunnerIx, now: Millis) {
-        let runner = &self.runners[runner_ix.0];
-        let is_never_heard = runner.is_unaccounted() && runner.runs.is_empty();
-        let is_gone = runner.missed_responses > 0
-            && runner.is_missing(now)
-            && runner.unconfirmed_entry.is_none();
-        let is_verified = self.unverified_until.is_none() && !self.has_former_doubt(runner_ix);
-        if is_never_heard && is_gone && is_verified {
-            self.mark_dead(runner_ix, now);
-            self.runners[runner_ix.0].presumed_dead = true;
-        }
-    }
 }
