Find the end of the wait for previous owners once a scheduling pass

Each request for approvals looked through all runners for it, in each pass after a takeover: work that a pass needs once. It is a field of the pass now, like the runners with room, and a report of holds looks doubts up in their order. Behaviour is unchanged: the tests of approvals and takeovers hold as before.

--- a/crates/jobs/src/engine/approval_requests.rs
+++ b/crates/jobs/src/engine/approval_requests.rs
@@ -170,7 +170,7 @@
             return Vec::new();
         }
         let is_verified_soon = self
-            .latest_unverified()
+            .verified_at
             .is_none_or(|at| Self::is_approval_due(policy, at, now));
         let startable = Startable::new(step, spec, is_verified_soon, now);
         if startable.count() == 0 {
--- a/crates/jobs/src/engine/holds.rs
+++ b/crates/jobs/src/engine/holds.rs
@@ -108,7 +108,7 @@
             {
                 continue;
             }
-            let is_in_doubt = in_doubt.contains(&(task, run));
+            let is_in_doubt = in_doubt.binary_search(&(task, run)).is_ok();
             let (cause, until) = if is_in_doubt {
                 (HoldCause::StartInDoubt, Some(longest_doubt))
             } else {
--- a/crates/jobs/src/engine/mod.rs
+++ b/crates/jobs/src/engine/mod.rs
@@ -253,6 +253,8 @@
     unverified_until: Option<Millis>,
     /// Whether that time ends sooner because no previous owner gives orders any more.
     is_wait_shortened: bool,
+    /// Time at which no task waits for those runners any more, as of the current scheduling pass.
+    verified_at: Option<Millis>,
     orders: VecDeque<Order>,
     events: Vec<Event>,
     /// Time of the latest proof that no newer owner has taken over.
@@ -307,6 +309,7 @@
             recovered_at: Millis::ZERO,
             unverified_until: None,
             is_wait_shortened: false,
+            verified_at: None,
             orders: VecDeque::new(),
             events: Vec::new(),
             confirmed_at: Millis::ZERO,
--- a/crates/jobs/src/engine/schedule.rs
+++ b/crates/jobs/src/engine/schedule.rs
@@ -49,6 +49,7 @@
         self.settle_gangs(now);
         self.update_unknown_usage(all_verified, now);
         self.reserved.clear();
+        self.verified_at = self.latest_unverified();
         let ReadySteps {
             steps: ready_steps,
             upcoming,
@@ -105,7 +106,6 @@
     fn ranked_ready_steps(&mut self, all_verified: bool, now: Millis) -> ReadySteps {
         let max_free = self.max_free(now);
         let share_unit = self.share_unit();
-        let verified_at = self.latest_unverified();
         let mut ready = Vec::new();
         let mut upcoming = Vec::new();
         let mut unverified = Vec::new();
@@ -142,7 +142,10 @@
                     continue;
                 }
                 if !all_verified && !step.tasks.iter().any(|task| task.may_start(false, now)) {
-                    if verified_at.is_some_and(|at| Self::is_approval_due(policy, at, now)) {
+                    if self
+                        .verified_at
+                        .is_some_and(|at| Self::is_approval_due(policy, at, now))
+                    {
                         upcoming.push((urgency, id));
                         unverified.push(id);
                     }
