--- a/crates/cell/src/node/claims.rs
+++ b/crates/cell/src/node/claims.rs
@@ -36,6 +36,28 @@
     pub(crate) members: Vec<Member>,
 }
 
+/// A claim or an owner's heartbeat as read from the topic of claims.
+#[derive(Clone, Debug)]
+struct StoredClaim {
+    offset: u64,
+    record: ClaimRecord,
+    /// Whether the owner ends once neither the store nor a member confirms it.
+    ends_when_isolated: bool,
+}
+
+impl StoredClaim {
+    /// Decodes a record. One of an earlier version has no mark, and its owner doesn't end then.
+    fn decode(offset: u64, bytes: &[u8]) -> Option<Self> {
+        let (record, rest) = postcard::take_from_bytes(bytes).ok()?;
+        let ends_when_isolated = !rest.is_empty() && peers::decode(rest)?;
+        Some(Self {
+            offset,
+            record,
+            ends_when_isolated,
+        })
+    }
+}
+
 impl ClaimRecord {
     /// Encodes the record, and that its owner ends once neither the store nor a member confirms it. Earlier versions, which
     /// don't end then, ignore the mark.
@@ -44,13 +66,6 @@
         bytes.extend(peers::encode(&true));
         bytes
     }
-
-    /// Decodes a record, and whether its owner ends when it is isolated.
-    fn decode(bytes: &[u8]) -> Option<(Self, bool)> {
-        let (record, rest) = postcard::take_from_bytes(bytes).ok()?;
-        let ends_when_isolated = !rest.is_empty() && peers::decode(rest)?;
-        Some((record, ends_when_isolated))
-    }
 }
 
 /// What a process knows of the owner.
@@ -82,27 +97,26 @@
         let record = |key: &str| {
             let record = page.records.iter().find(|record| record.key == key)?;
             let value = record.value.as_deref()?;
-            Some((record.offset, ClaimRecord::decode(value)?))
+            StoredClaim::decode(record.offset, value)
         };
         let claim = record(CLAIM_KEY);
         let known = record(HEARTBEAT_KEY).or_else(|| claim.clone());
         let is_only_member = self.members.borrow().len() <= 1;
-        let recorded_members = known.map_or_else(Vec::new, |(_, (known, _))| known.members);
+        let recorded_members = known.map_or_else(Vec::new, |known| known.record.members);
         if is_only_member && !recorded_members.is_empty() {
             let mut members = recorded_members.clone();
             members.retain(|member| member.node != self.local.node);
             members.push(self.local.clone());
             self.set_members(members);
         }
-        let ends_when_isolated = claim.as_ref().is_some_and(|(_, (_, ends))| *ends);
         Claims {
-            owner: claim.map(|(offset, (claim, _))| KnownOwner {
-                fence: offset.saturating_add(1),
-                member: claim.owner,
+            ends_when_isolated: claim.as_ref().is_some_and(|claim| claim.ends_when_isolated),
+            owner: claim.map(|claim| KnownOwner {
+                fence: claim.offset.saturating_add(1),
+                member: claim.record.owner,
             }),
             members: recorded_members,
             end: page.end,
-            ends_when_isolated,
         }
     }
 
--- a/crates/cell/src/node/claims/tests.rs
+++ b/crates/cell/src/node/claims/tests.rs
@@ -12,9 +12,9 @@
     };
     let table = [(record.encode(), true), (peers::encode(&record), false)];
     for (bytes, expected) in table {
-        let (decoded, ends_when_isolated) = ClaimRecord::decode(&bytes).expect("a record");
-        assert_eq!(decoded.members, record.members);
-        assert_eq!(ends_when_isolated, expected);
+        let decoded = StoredClaim::decode(4, &bytes).expect("a record");
+        assert_eq!(decoded.record.members, record.members);
+        assert_eq!(decoded.ends_when_isolated, expected);
         let by_earlier_version: Option<ClaimRecord> = peers::decode(&bytes);
         assert!(by_earlier_version.is_some_and(|read| read.owner == record.owner));
     }
