Say once what heartbeats, approvals in tests and processes of a cell repeat

The heartbeat filtered the members by itself beside Node::other_members; two tests of orders had the same policy and two of lasting tasks the same start of processes, found by reading and by duplicates. One piece serves each now; the assertions are the same, and the tests hold.

--- a/crates/cell/src/owner/heartbeat.rs
+++ b/crates/cell/src/owner/heartbeat.rs
@@ -44,11 +44,11 @@
     }
 
     async fn append_heartbeat(self: &Rc<Self>) {
-        let members = self.node.members();
-        let mut others = members.clone();
-        others.retain(|member| member.node != self.node.local.node);
-        let owner = self.node.local.clone();
-        let record = ClaimRecord { owner, members };
+        let others = self.node.other_members();
+        let record = ClaimRecord {
+            owner: self.node.local.clone(),
+            members: self.node.members(),
+        };
         let end = self.claims_end.get();
         let value = record.encode();
         let req = store::conditional_append_request(Topic::Claims, end, HEARTBEAT_KEY, &value);
--- a/crates/cell/src/owner/orders/tests.rs
+++ b/crates/cell/src/owner/orders/tests.rs
@@ -112,6 +112,16 @@
     StartOrder { valid_for, ..order }
 }
 
+/// Does the same for a queue that needs approvals.
+fn approved_start_order(owner: &Owner, runner_ix: RunnerIx) -> StartOrder {
+    let policy = ApprovalPolicy {
+        base_ms: 1.0,
+        per_runner_ms: 1.0,
+        validity: Millis(2_000),
+    };
+    start_order_with(owner, runner_ix, Some(policy))
+}
+
 /// Approves the owner's only runner if the order is a request for it, and returns the start otherwise.
 fn approve_or_take(owner: &Owner, order: Order) -> Option<StartOrder> {
     match order {
@@ -429,12 +439,7 @@
     for (responses, outcome, requests) in table {
         let owner = super::super::tests::owner("127.0.0.1:1").await;
         let runner = start_runner(&owner, responses).await;
-        let policy = ApprovalPolicy {
-            base_ms: 1.0,
-            per_runner_ms: 1.0,
-            validity: Millis(2_000),
-        };
-        let start = start_order_with(&owner, runner.runner_ix, Some(policy));
+        let start = approved_start_order(&owner, runner.runner_ix);
         let decided = owner.node.clock.reading();
         let sent = owner.send_start(&runner.connection, &start, &decided).await;
         assert_eq!(sent, outcome, "{responses:?}");
@@ -448,12 +453,7 @@
     for (what, lose) in losses() {
         let owner = super::super::tests::owner("127.0.0.1:1").await;
         let runner = start_runner(&owner, &[ALIVE, STARTED]).await;
-        let policy = ApprovalPolicy {
-            base_ms: 1.0,
-            per_runner_ms: 1.0,
-            validity: Millis(2_000),
-        };
-        let start = start_order_with(&owner, runner.runner_ix, Some(policy));
+        let start = approved_start_order(&owner, runner.runner_ix);
         let turn = runner.connection.proof.lock().await;
         let start = ntex::rt::spawn(Rc::clone(&owner).start_task(start));
         tokio::time::sleep(Duration::from_millis(30)).await;
--- a/crates/cell/src/owner/recover.rs
+++ b/crates/cell/src/owner/recover.rs
@@ -111,8 +111,8 @@
         None
     }
 
-    /// Restores the engine from the records of previous owners, whose appends the store refuses since `fenced_at`, and starts inventory calls to the
-    /// runners that they knew.
+    /// Restores the engine from the records of previous owners, whose appends the store refuses since
+    /// `fenced_at`, and starts inventory calls to the runners that they knew.
     pub(super) async fn restore_engine(
         self: &Rc<Self>,
         records: &[KeyedRecord],
--- a/tests/lasting.rs
+++ b/tests/lasting.rs
@@ -34,6 +34,15 @@
     format!("00000000000000a{number}")
 }
 
+/// Starts the processes of a cell, the first of which has a number. Returns them with the index of the owner.
+async fn start_processes(first: usize, platform: &Platform) -> (Vec<Process>, usize) {
+    let numbers = first..first + HOSTS;
+    let processes = numbers.map(|number| Process::start(number, platform));
+    let processes: Vec<Process> = processes.collect();
+    let owner = wait_for_owner(&processes).await;
+    (processes, owner)
+}
+
 /// Returns the runner of the job's latest run and the number of its runs.
 fn latest_run(platform: &Platform, job: &str) -> Option<(usize, usize)> {
     let runs = platform.runs();
@@ -63,10 +72,7 @@
 #[ntex::test]
 async fn lasting_task_runs_again_soon_after_its_runner_another_one_and_the_owner_were_lost() {
     let platform = Platform::start(RUNNERS);
-    let mut processes: Vec<Process> = (60..60 + HOSTS)
-        .map(|number| Process::start(number, &platform))
-        .collect();
-    let owner = wait_for_owner(&processes).await;
+    let (mut processes, owner) = start_processes(60, &platform).await;
     let addr = &processes[owner].callers;
     for number in 0..2 {
         let path = format!("{PREFIX}{}", job(number));
@@ -100,10 +106,7 @@
 #[ntex::test]
 async fn lasting_task_runs_again_soon_after_its_runner_and_the_host_of_the_owner_were_lost() {
     let platform = Platform::start(RUNNERS);
-    let mut processes: Vec<Process> = (70..70 + HOSTS)
-        .map(|number| Process::start(number, &platform))
-        .collect();
-    let owner = wait_for_owner(&processes).await;
+    let (mut processes, owner) = start_processes(70, &platform).await;
     let path = format!("{PREFIX}{}", job(0));
     let addr = &processes[owner].callers;
     call_until("POST", addr, &path, &lasting_job_body(), 200).await;
