--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -35,7 +35,7 @@
 use kspan_model::{Millis, Name};
 use rustc_hash::FxHashMap;
 use tokio::{
-    sync::{Notify, Semaphore, watch},
+    sync::{Mutex, Notify, Semaphore, watch},
     time::Instant,
 };
 
@@ -138,6 +138,8 @@
 struct RunnerConnection {
     client: RunnerClient,
     order_slots: Semaphore,
+    /// Lets one call at a time find out whether the runner lives.
+    proof: Mutex<()>,
     /// Highest fence of a call that the runner has not answered.
     doubted_fence: Cell<u64>,
 }
@@ -421,6 +423,7 @@
                 fence: Cell::new(self.newest_fence()),
             },
             order_slots: Semaphore::new(MAX_ORDERS_PER_RUNNER),
+            proof: Mutex::new(()),
             doubted_fence: Cell::new(self.former_fence(&entry.id)),
         });
         self.runner_connections
--- a/crates/cell/src/owner/orders.rs
+++ b/crates/cell/src/owner/orders.rs
@@ -8,12 +8,12 @@
 use kspan_adapter::{
     approvals::Approved,
     http::CallError,
-    runner::{self, RunnerClient, TimedOutcome},
+    runner::{self, InventoryCall, RunnerClient, TimedOutcome},
 };
 use kspan_jobs::{
     Engine,
     engine::{ApprovalRequest, Order, RunnerIx, StartOrder, StopOrder, ThrottleOrder},
-    runner::{OrderOutcome, Refusal, StartOutcome},
+    runner::{InventoryOutcome, OrderOutcome, Refusal, StartOutcome},
 };
 use kspan_model::{Millis, Name};
 
@@ -104,6 +104,16 @@
                 }
                 return StartOutcome::Refused(Refusal::DeadlinePassed);
             }
+            let timeout = if attempt == 0 {
+                FIRST_START_TIMEOUT
+            } else {
+                ORDER_TIMEOUT
+            };
+            if !self.is_life_proved(connection, order, timeout).await {
+                drop(slot);
+                tokio::time::sleep(retry_delay(attempt)).await;
+                continue;
+            }
             if !self.engine.borrow_mut().begin_start(order) {
                 return if in_doubt {
                     StartOutcome::InDoubt
@@ -111,11 +121,6 @@
                     StartOutcome::Withdrawn
                 };
             }
-            let timeout = if attempt == 0 {
-                FIRST_START_TIMEOUT
-            } else {
-                ORDER_TIMEOUT
-            };
             let fence = connection.next_fence(self.newest_fence());
             let sent_at = self.now();
             let answer = runner::start(&connection.client, order, timeout).await;
@@ -149,6 +154,57 @@
         }
     }
 
+    /// Calls the runner if it has to show that it lives before the order is sent. Returns whether the order may be
+    /// sent.
+    async fn is_life_proved(
+        &self,
+        connection: &RunnerConnection,
+        order: &StartOrder,
+        timeout: Duration,
+    ) -> bool {
+        let _turn = connection.proof.lock().await;
+        let Some(sequence) = self.engine.borrow_mut().next_proof_call(order) else {
+            return true;
+        };
+        let call = InventoryCall {
+            deadline: None,
+            ack: 0,
+            wait: Duration::ZERO,
+        };
+        let fence = connection.next_fence(self.newest_fence());
+        let response = runner::request_inventory(&connection.client, call, timeout).await;
+        telemetry::record_proof_of_life(matches!(&response, Ok(InventoryOutcome::Inventory(_))));
+        match response {
+            Ok(InventoryOutcome::Inventory(inventory)) => {
+                let mut engine = self.engine.borrow_mut();
+                engine.record_proof_of_life(self.now(), order.runner_ix, sequence, &inventory);
+                engine.next_proof_call(order).is_none()
+            }
+            Ok(_) => false,
+            Err(err) => {
+                if !matches!(err, CallError::NotSent(_)) {
+                    connection.record_doubt(fence);
+                }
+                self.log_missing_proof(order, &err);
+                false
+            }
+        }
+    }
+
+    fn log_missing_proof(&self, order: &StartOrder, err: &CallError) {
+        if !self.node.log_limit.allows("proof of life", self.now()) {
+            return;
+        }
+        let runner = self.engine.borrow().runner(order.runner_ix).id.clone();
+        tracing::warn!(
+            task = %order.task,
+            run = order.run,
+            %runner,
+            %err,
+            "start order held back, its runner does not answer"
+        );
+    }
+
     fn log_failed_attempt(
         &self,
         order: &StartOrder,
--- a/crates/cell/src/telemetry.rs
+++ b/crates/cell/src/telemetry.rs
@@ -167,6 +167,12 @@
     counter!("kspan_cell_approved_starts_total").increment(1);
 }
 
+/// Records a call to a runner that has to show that it lives before a start is sent.
+pub(crate) fn record_proof_of_life(is_answered: bool) {
+    let outcome = if is_answered { "answered" } else { "failed" };
+    counter!("kspan_cell_proofs_of_life_total", "outcome" => outcome).increment(1);
+}
+
 /// Records a request that was refused because of its key.
 pub(crate) fn record_refused_key(why: &'static str) {
     counter!("kspan_cell_keys_refused_total", "why" => why).increment(1);
--- a/crates/jobs/src/engine/approvals.rs
+++ b/crates/jobs/src/engine/approvals.rs
@@ -41,6 +41,8 @@
         until: Millis,
         /// Whether a start had the ticket.
         is_used: bool,
+        /// Sequence number of the response that brought the ticket.
+        sequence: u64,
     },
     /// The runner must not run the step.
     Denied,
@@ -102,6 +104,14 @@
         }
     }
 
+    /// Returns the sequence number of the response that brought the runner's ticket.
+    pub(super) fn sequence(&self, runner_ix: RunnerIx) -> Option<u64> {
+        match self.by_runner.get(&runner_ix)? {
+            Approval::Approved { sequence, .. } => Some(*sequence),
+            Approval::Denied => None,
+        }
+    }
+
     /// Returns when a task can start on a runner that has room from `room_at` on: at that time if
     /// the ticket is valid then, otherwise once a request that takes `call_time` is answered.
     pub(super) fn earliest_start(
@@ -158,6 +168,7 @@
         requested: &[RunnerIx],
         approved: &[(RunnerIx, Name)],
         until: Millis,
+        sequence: u64,
     ) {
         for runner_ix in requested {
             self.by_runner.insert(*runner_ix, Approval::Denied);
@@ -167,6 +178,7 @@
                 ticket: ticket.clone(),
                 until,
                 is_used: false,
+                sequence,
             };
             self.by_runner.insert(*runner_ix, approval);
         }
--- a/crates/jobs/src/engine/inventory.rs
+++ b/crates/jobs/src/engine/inventory.rs
@@ -186,6 +186,7 @@
         }
         runner.record_response(inventory.clock, now);
         runner.record_answered_call(sequence);
+        runner.record_proof_of_life(sequence, inventory.started_unix_ms);
         // Until all ends are listed, a task may have been completed there by an order of a previous owner.
         runner.has_answered |= !inventory.has_more_ends;
         runner.has_suspected_stalls = false;
--- a/crates/jobs/src/engine/orders.rs
+++ b/crates/jobs/src/engine/orders.rs
@@ -10,7 +10,7 @@
 use super::{Engine, Event, LossReason, Order, RunnerIx, StartOrder, StopOrder, task::TaskState};
 use crate::{
     id::TaskId,
-    runner::{OrderOutcome, Refusal, StartOutcome},
+    runner::{Inventory, OrderOutcome, Refusal, StartOutcome},
 };
 
 /// Time after which an unanswered stop is resent.
@@ -55,6 +55,40 @@
         true
     }
 
+    /// Returns the sequence number of an inventory call that the runner has to answer before the order is sent;
+    /// `None` if it needs none. Its approval may be one of an incarnation that nobody has heard, so that a
+    /// start without an answer would be in doubt for long, and a runner that was just lost gets no start.
+    pub fn next_proof_call(&mut self, order: &StartOrder) -> Option<u64> {
+        let runner = &self.runners[order.runner_ix.0];
+        let placed = runner.runs.get(&(order.task, order.run))?;
+        let is_needed = placed
+            .delivery
+            .needs_proof_of_life(runner.answered_sequence);
+        is_needed.then(|| self.next_sequence())
+    }
+
+    /// Records the answer to such a call. What it lists is left to the runner's next inventory.
+    pub fn record_proof_of_life(
+        &mut self,
+        now: Millis,
+        runner_ix: RunnerIx,
+        sequence: u64,
+        inventory: &Inventory,
+    ) {
+        let runner = &mut self.runners[runner_ix.0];
+        if runner.dead {
+            return;
+        }
+        if !runner.has_restarted(inventory.started_unix_ms) {
+            runner.record_proof_of_life(sequence, inventory.started_unix_ms);
+            return self.record_order_clock(runner_ix, inventory.clock, now);
+        }
+        let may_have_restarted = runner.may_inherit_lease();
+        runner.record_restart_shown();
+        self.record_suspected_restart(runner_ix, may_have_restarted);
+        self.record_doubts(runner_ix);
+    }
+
     fn is_start_wanted(&self, runner_ix: RunnerIx, task: TaskId, run: u32) -> bool {
         let job = self.jobs.get(&task.step.job);
         let step = job.and_then(|job| job.step(task.step));
@@ -173,6 +207,7 @@
         order: &super::ApprovalRequest,
         response: Option<(&[(Name, Name)], Millis)>,
     ) {
+        let sequence = self.next_sequence();
         self.approval_hosts
             .record_call(&order.host, response.is_some(), now);
         let rows = response.map(|(rows, validity)| {
@@ -194,7 +229,7 @@
             return;
         };
         step.approvals
-            .record_response(&order.runners, &approved, now + validity);
+            .record_response(&order.runners, &approved, now + validity, sequence);
         self.approval_rates
             .record(&queue, order.runners.len(), approved.len());
     }
--- a/crates/jobs/src/engine/place.rs
+++ b/crates/jobs/src/engine/place.rs
@@ -379,6 +379,7 @@
         let ticket_validity = ticket.map(|(_, until)| until.saturating_sub(now));
         let valid_for = ticket_validity.map_or(max_validity, |left| left.min(max_validity));
         let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        let approved_sequence = step.approvals.sequence(runner_ix);
         let approval = step.approvals.record_use(runner_ix);
         let known = &mut step.tasks[index];
         let isolation = known.isolation(spec, now);
@@ -404,7 +405,7 @@
             charge,
             sharing,
             settled_sequence: None,
-            delivery: Delivery::default(),
+            delivery: Delivery::with_approval(approved_sequence),
             stop_sent_at: None,
             expected_end,
             ordered_at: Some(now),
--- a/crates/jobs/src/engine/runner.rs
+++ b/crates/jobs/src/engine/runner.rs
@@ -176,6 +176,8 @@
     acknowledging_call: Option<AcknowledgingCall>,
     /// Highest number that the runner has answered an acknowledgement of.
     acknowledged_number: u64,
+    /// Highest sequence number of a call that this incarnation has answered.
+    pub(super) answered_sequence: u64,
     pub(super) health: Health,
     reading: Option<ClockReading>,
     latest_deadline: Millis,
@@ -228,6 +230,7 @@
             is_known_from_start: false,
             acknowledging_call: None,
             acknowledged_number: 0,
+            answered_sequence: 0,
             health: Health::default(),
             reading: None,
             latest_deadline: Millis::ZERO,
@@ -392,6 +395,11 @@
         self.lease_expired_at = None;
     }
 
+    /// Records that an answer other than an inventory's shows another incarnation.
+    pub(super) fn record_restart_shown(&mut self) {
+        self.shows_restart = true;
+    }
+
     /// Returns whether the next call may tell the runner what holds for the known incarnation alone: a
     /// deadline on its clock, and numbers of its ends.
     pub(super) fn is_incarnation_confirmed(&self) -> bool {
@@ -432,6 +440,13 @@
         }
     }
 
+    /// Records that the incarnation answered a call, and names itself.
+    pub(super) fn record_proof_of_life(&mut self, sequence: u64, started_unix_ms: u64) {
+        if started_unix_ms != 0 && started_unix_ms == self.entry.started_unix_ms {
+            self.answered_sequence = self.answered_sequence.max(sequence);
+        }
+    }
+
     /// Returns the highest number that the runner has answered an acknowledgement of.
     pub(super) fn acknowledged_number(&self) -> u64 {
         self.acknowledged_number
--- a/crates/jobs/src/engine/runner/delivery.rs
+++ b/crates/jobs/src/engine/runner/delivery.rs
@@ -4,6 +4,9 @@
 //! was meant for the one before, also seconds later. Each such call grants all its runs the longest lease, and
 //! nothing of them is known until it answers. A run that it may have is therefore not over with the lease of the
 //! incarnation that is known, and its end may still be reported.
+//!
+//! Where an order needs an approval, that is one of a single incarnation, and any other refuses the order. If it is one
+//! of the known incarnation or of one before, the run is over with the lease of the known one.
 
 use kspan_model::Millis;
 
@@ -26,9 +29,20 @@
     is_answered_by_known: bool,
     /// Whether an inventory of the runner listed the run.
     is_listed: bool,
+    /// Sequence number of the response that brought the approval which the order needs; `None` if it needs none.
+    approved_sequence: Option<u64>,
 }
 
 impl Delivery {
+    /// Creates the state of an order that has not been sent, with the sequence number of the response that brought
+    /// the approval which it needs.
+    pub(in crate::engine) fn with_approval(sequence: Option<u64>) -> Self {
+        Self {
+            approved_sequence: sequence,
+            ..Self::default()
+        }
+    }
+
     /// Records that the order is sent once more. Returns the time of the attempt before, which got no answer.
     pub(in crate::engine) fn record_attempt(&mut self, now: Millis) -> Option<Millis> {
         self.attempts = self.attempts.saturating_add(1);
@@ -69,6 +83,21 @@
         self.attempts > 0 && !is_settled
     }
 
+    /// Returns whether only the known incarnation can carry out the order, however late. An approval is one of a single
+    /// incarnation: of the known one if that took the order, and of it or one before if it has answered a call that
+    /// was sent after the approval came, the latest with the number `answered`.
+    pub(super) fn is_bound_to_known(self, answered: u64) -> bool {
+        let is_taken = self.is_answered_by_known || self.is_listed;
+        self.approved_sequence
+            .is_some_and(|approved| is_taken || answered > approved)
+    }
+
+    /// Returns whether the runner has to show that it lives before the order is sent, so that the order is bound to
+    /// the known incarnation.
+    pub(in crate::engine) fn needs_proof_of_life(self, answered: u64) -> bool {
+        self.approved_sequence.is_some() && !self.is_bound_to_known(answered)
+    }
+
     /// Returns whether the known incarnation has executed the order, as far as its inventories and the clock in the
     /// answer tell, and no other attempt can arrive any more.
     fn is_with_known(self, now: Millis) -> bool {
@@ -96,6 +125,12 @@
         keys
     }
 
+    /// Returns whether the next incarnation under the runner's id can't carry out the order of a run.
+    pub(in crate::engine) fn is_bound(&self, task: TaskId, run: u32) -> bool {
+        let placed = self.runs.get(&(task, run));
+        placed.is_some_and(|placed| placed.delivery.is_bound_to_known(self.answered_sequence))
+    }
+
     /// Records that a call with a deadline is sent, which may grant a lease.
     pub(in crate::engine) fn record_grant(&mut self, now: Millis) {
         self.latest_grant = self.latest_grant.max(Some(now));
@@ -127,7 +162,8 @@
     /// Returns whether an incarnation that the runner doesn't show may have a run with this delivery.
     fn may_be_with_successor(&self, delivery: Delivery, now: Millis) -> bool {
         let is_shown = delivery.is_with_known(now) && !self.may_inherit_lease();
-        delivery.may_reach_successor() && !is_shown
+        let is_bound = delivery.is_bound_to_known(self.answered_sequence);
+        delivery.may_reach_successor() && !is_shown && !is_bound
     }
 
     /// Returns the time at which the lease of an incarnation ends at the latest that calls for the one before
--- a/crates/jobs/src/engine/successor.rs
+++ b/crates/jobs/src/engine/successor.rs
@@ -57,9 +57,10 @@
         inventory: &Inventory,
     ) -> Option<RunnerIx> {
         let in_doubt = self.runners[runner_ix.0].runs_for_successor();
-        let (found, missing): (Vec<_>, Vec<_>) = in_doubt
+        let (found, mut missing): (Vec<_>, Vec<_>) = in_doubt
             .into_iter()
             .partition(|(task, run)| inventory.reports(*task, *run));
+        missing.retain(|(task, run)| !self.runners[runner_ix.0].is_bound(*task, *run));
         // A run that the new incarnation has can't have crashed the one before.
         let mut inherited = self.detach_runs(runner_ix, &found);
         for (task, run) in found {
